--- /dev/null
+++ b/mulberryvalve/adapters/json/job_log_json.cc
@@ -0,0 +1,364 @@
+#include "mulberryvalve/adapters/json/job_log_json.h"
+
+#include "mulberryvalve/adapters/json/json_reader.h"
+
+#include <nlohmann/json.hpp>
+#include <string_view>
+#include <utility>
+
+namespace mulberryvalve {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kCancelPrefix = "cancel/";
+constexpr std::string_view kJobPrefix = "job/";
+constexpr std::string_view kWorkerPrefix = "worker/";
+constexpr std::string_view kOwnerKey = "owner";
+constexpr size_t kMaxRecordBytes = 256 * 1024;
+constexpr size_t kMaxSpecificationBytes = 16 * 1024;
+constexpr size_t kMaxSteps = 256;
+constexpr size_t kMaxTasks = 65536;
+constexpr int64_t kMaxCount = 65536;
+
+bool TakePrefix(std::string_view& aText, std::string_view aPrefix)
+{
+  if (aText.substr(0, aPrefix.size()) != aPrefix) {
+    return false;
+  }
+  aText.remove_prefix(aPrefix.size());
+  return true;
+}
+
+std::string Joined(std::string_view aPrefix, const std::string& aId)
+{
+  return std::string(aPrefix) + aId;
+}
+
+void PutFlag(json& aObject, const char* aName, bool aValue)
+{
+  if (aValue) {
+    aObject[aName] = true;
+  }
+}
+
+void PutNumber(json& aObject, const char* aName, int64_t aValue)
+{
+  if (aValue != 0) {
+    aObject[aName] = aValue;
+  }
+}
+
+void PutText(json& aObject, const char* aName, const std::string& aValue)
+{
+  if (!aValue.empty()) {
+    aObject[aName] = aValue;
+  }
+}
+
+json StepToJson(const StepSpec& aStep)
+{
+  json step{ { "count", aStep.mCount } };
+  PutNumber(step, "cpu_millis", aStep.mDemand.mCpuMillis);
+  PutNumber(step, "memory_mb", aStep.mDemand.mMemoryMb);
+  PutNumber(step, "accelerators", aStep.mDemand.mAccelerators);
+  PutNumber(step, "estimate_ms", aStep.mEstimate.count());
+  if (!aStep.mAfter.empty()) {
+    step["depends_on"] = aStep.mAfter;
+  }
+  PutFlag(step, "checkpoints", aStep.mCheckpointing);
+  PutFlag(step, "together", aStep.mGang);
+  PutFlag(step, "one_rack", aStep.mSameRack);
+  PutFlag(step, "copies", aStep.mSpeculative);
+  PutFlag(step, "lasting", aStep.mLasting);
+  PutFlag(step, "leftover_cpu", aStep.mFills);
+  PutText(step, "label", aStep.mRequiredLabel.Text());
+  PutText(step, "rack_of_data", aStep.mDataRack.Text());
+  PutNumber(step, "most_per_worker", aStep.mMaxPerWorker);
+  PutText(step, "task_image", aStep.mImage.Text());
+  PutNumber(step, "tail_target_ms", aStep.mTailTarget.count());
+  PutNumber(step, "may_be_away", aStep.mMayMiss);
+  return step;
+}
+
+StepSpec StepFromJson(JsonReader& aReader)
+{
+  StepSpec step;
+  step.mCount = static_cast<uint32_t>(aReader.Number("count", 1, kMaxCount));
+  step.mDemand.mCpuMillis = aReader.NumberOr("cpu_millis", 0);
+  step.mDemand.mMemoryMb = aReader.NumberOr("memory_mb", 0);
+  step.mDemand.mAccelerators = aReader.NumberOr("accelerators", 0);
+  step.mEstimate = Milliseconds(aReader.NumberOr("estimate_ms", 0));
+  if (aReader.Has("depends_on")) {
+    for (const json& before : aReader.Array("depends_on", kMaxSteps)) {
+      if (before.is_number_unsigned()) {
+        step.mAfter.push_back(before.get<uint32_t>());
+      }
+    }
+  }
+  step.mCheckpointing = aReader.FlagOr("checkpoints", false);
+  step.mGang = aReader.FlagOr("together", false);
+  step.mSameRack = aReader.FlagOr("one_rack", false);
+  step.mSpeculative = aReader.FlagOr("copies", false);
+  step.mLasting = aReader.FlagOr("lasting", false);
+  step.mFills = aReader.FlagOr("leftover_cpu", false);
+  step.mRequiredLabel = WorkerLabel(aReader.TextOr("label", ""));
+  step.mDataRack = RackId(aReader.TextOr("rack_of_data", ""));
+  step.mMaxPerWorker = static_cast<uint32_t>(
+    aReader.NumberOr("most_per_worker", 0, 0, kMaxCount));
+  step.mImage = ImageId(aReader.TextOr("task_image", ""));
+  step.mTailTarget = Milliseconds(aReader.NumberOr("tail_target_ms", 0));
+  step.mMayMiss =
+    static_cast<uint32_t>(aReader.NumberOr("may_be_away", 0, 0, kMaxCount));
+  return step;
+}
+
+json RulesToJson(const QueueRules& aRules)
+{
+  return json{ { "service", aRules.mService.Text() },
+               { "priority", aRules.mPriority },
+               { "max_attempts", aRules.mMaxAttempts },
+               { "stretch_percent", aRules.mStretchPercent },
+               { "slack_ms", aRules.mSlack.count() } };
+}
+
+QueueRules RulesFromJson(JsonReader& aReader)
+{
+  QueueRules rules;
+  rules.mService = ServiceId(aReader.Text("service"));
+  rules.mPriority = static_cast<int>(aReader.Number("priority", 0, kMaxCount));
+  rules.mMaxAttempts =
+    static_cast<int>(aReader.Number("max_attempts", 0, kMaxCount));
+  rules.mStretchPercent = aReader.Number("stretch_percent");
+  rules.mSlack = Milliseconds(aReader.Number("slack_ms"));
+  return rules;
+}
+
+Result<JobGraph> JobFromJson(const std::string& aId, const json& aObject)
+{
+  JsonReader reader(aObject);
+  JobGraph job;
+  job.mId = JobId(aId);
+  job.mQueue = QueueId(reader.Text("queue", kMaxSpecificationBytes));
+  job.mSpecification = reader.TextOr("text", "", kMaxSpecificationBytes);
+  JsonReader rules(reader.Object("rules"));
+  job.mRules = RulesFromJson(rules);
+  if (rules.Fault()) {
+    return *rules.Fault();
+  }
+  for (const json& row : reader.Array("steps", kMaxSteps)) {
+    JsonReader step(row);
+    job.mSteps.push_back(StepFromJson(step));
+    if (step.Fault()) {
+      return *step.Fault();
+    }
+  }
+  if (reader.Has("times")) {
+    job.mRecurrence.mTimes =
+      static_cast<uint32_t>(reader.Number("times", 1, kMaxCount));
+    job.mRecurrence.mFirst.mMilliseconds = reader.Number("first_unix_ms");
+    job.mRecurrence.mInterval = Milliseconds(reader.Number("interval_ms"));
+  }
+  if (reader.Fault()) {
+    return *reader.Fault();
+  }
+  return job;
+}
+
+// A task's row is its place, whether it is done, its failures, the last run
+// that was counted and its checkpoint.
+constexpr size_t kTaskColumns = 7;
+
+json TaskToJson(const TaskRecord& aTask)
+{
+  return json::array({ aTask.mOccurrence,
+                       aTask.mStep,
+                       aTask.mIndex,
+                       aTask.mDone ? 1 : 0,
+                       aTask.mFailures,
+                       aTask.mCountedRun.Value(),
+                       aTask.mCheckpoint.Text() });
+}
+
+Result<TaskRecord> TaskFromJson(const json& aRow)
+{
+  bool good = aRow.is_array() && aRow.size() == kTaskColumns;
+  for (size_t column = 0; good && column + 1 < kTaskColumns; column++) {
+    good = aRow[column].is_number_unsigned();
+  }
+  if (!good || !aRow[kTaskColumns - 1].is_string()) {
+    return Fail(FailureKind::kMalformed, "tasks", "a row is not readable");
+  }
+  TaskRecord task;
+  task.mOccurrence = aRow[0].get<uint32_t>();
+  task.mStep = aRow[1].get<uint32_t>();
+  task.mIndex = aRow[2].get<uint32_t>();
+  task.mDone = aRow[3].get<int>() != 0;
+  task.mFailures = aRow[4].get<int>();
+  task.mCountedRun = RunNumber(aRow[5].get<uint64_t>());
+  task.mCheckpoint = CheckpointId(aRow[6].get<std::string>());
+  return task;
+}
+
+Result<JobRecord> RecordFromJson(const std::string& aId, const json& aObject)
+{
+  JsonReader reader(aObject);
+  JobRecord record;
+  record.mId = JobId(aId);
+  record.mPhase = reader.Enum("phase", kJobPhaseNames);
+  for (const json& row : reader.Array("tasks", kMaxTasks)) {
+    Result<TaskRecord> task = TaskFromJson(row);
+    if (!task) {
+      return task.error();
+    }
+    record.mTasks.push_back(std::move(task.value()));
+  }
+  if (reader.Fault()) {
+    return *reader.Fault();
+  }
+  return record;
+}
+
+Result<KnownWorker> WorkerFromJson(const std::string& aId, const json& aObject)
+{
+  JsonReader reader(aObject);
+  KnownWorker worker;
+  worker.mId = WorkerId(aId);
+  worker.mEndpoint.mAddress = reader.Text("address");
+  worker.mEndpoint.mPort =
+    static_cast<uint16_t>(reader.Number("port", 0, UINT16_MAX));
+  worker.mService = ServiceId(reader.Text("service"));
+  worker.mBirth = Birth(static_cast<uint64_t>(reader.NumberOr("birth", 0)));
+  if (reader.Fault()) {
+    return *reader.Fault();
+  }
+  return worker;
+}
+
+Result<OwnerNote> NoteFromJson(const json& aObject)
+{
+  JsonReader reader(aObject);
+  OwnerNote note;
+  note.mEpoch = Epoch(static_cast<uint64_t>(reader.Number("epoch")));
+  note.mInstance = reader.Text("instance");
+  if (reader.Fault()) {
+    return *reader.Fault();
+  }
+  return note;
+}
+
+// Lifts a decoded item into the variant that holds it.
+template<typename Item, typename T>
+Result<Item> Lift(Result<T> aResult)
+{
+  if (!aResult) {
+    return aResult.error();
+  }
+  return Item(std::move(aResult.value()));
+}
+
+} // namespace
+
+KeyedEntry JobLogJson::Encode(const JobGraph& aJob) const
+{
+  json object{ { "queue", aJob.mQueue.Text() },
+               { "rules", RulesToJson(aJob.mRules) },
+               { "steps", json::array() } };
+  PutText(object, "text", aJob.mSpecification);
+  for (const StepSpec& step : aJob.mSteps) {
+    object["steps"].push_back(StepToJson(step));
+  }
+  if (aJob.mRecurrence.mTimes > 0) {
+    object["times"] = aJob.mRecurrence.mTimes;
+    object["first_unix_ms"] = aJob.mRecurrence.mFirst.mMilliseconds;
+    object["interval_ms"] = aJob.mRecurrence.mInterval.count();
+  }
+  return KeyedEntry{ aJob.mId.Text(), object.dump() };
+}
+
+KeyedEntry JobLogJson::Encode(const JobCancellation& aCancellation) const
+{
+  return KeyedEntry{ Joined(kCancelPrefix, aCancellation.mJob.Text()), "{}" };
+}
+
+KeyedEntry JobLogJson::Encode(const JobRecord& aRecord) const
+{
+  json object{ { "phase", kJobPhaseNames.Name(aRecord.mPhase) },
+               { "tasks", json::array() } };
+  for (const TaskRecord& task : aRecord.mTasks) {
+    object["tasks"].push_back(TaskToJson(task));
+  }
+  return KeyedEntry{ Joined(kJobPrefix, aRecord.mId.Text()), object.dump() };
+}
+
+KeyedEntry JobLogJson::Encode(const KnownWorker& aWorker) const
+{
+  json object{ { "address", aWorker.mEndpoint.mAddress },
+               { "port", aWorker.mEndpoint.mPort },
+               { "service", aWorker.mService.Text() } };
+  PutNumber(object, "birth", static_cast<int64_t>(aWorker.mBirth.Value()));
+  return KeyedEntry{ Joined(kWorkerPrefix, aWorker.mId.Text()), object.dump() };
+}
+
+KeyedEntry JobLogJson::Encode(const OwnerNote& aNote) const
+{
+  const json object{ { "epoch", aNote.mEpoch.Value() },
+                     { "instance", aNote.mInstance } };
+  return KeyedEntry{ std::string(kOwnerKey), object.dump() };
+}
+
+std::vector<KeyedEntry> JobLogJson::DropIntake(const JobId& aJob) const
+{
+  return { KeyedEntry{ aJob.Text(), std::nullopt },
+           KeyedEntry{ Joined(kCancelPrefix, aJob.Text()), std::nullopt } };
+}
+
+KeyedEntry JobLogJson::DropProgress(const JobId& aJob) const
+{
+  return KeyedEntry{ Joined(kJobPrefix, aJob.Text()), std::nullopt };
+}
+
+KeyedEntry JobLogJson::DropWorker(const WorkerId& aWorker) const
+{
+  return KeyedEntry{ Joined(kWorkerPrefix, aWorker.Text()), std::nullopt };
+}
+
+Result<IntakeItem> JobLogJson::DecodeIntake(const KeyedEntry& aEntry) const
+{
+  if (!aEntry.mValue) {
+    return IntakeItem(DroppedRecord{ aEntry.mKey });
+  }
+  std::string_view id = aEntry.mKey;
+  if (TakePrefix(id, kCancelPrefix)) {
+    return IntakeItem(JobCancellation{ JobId(std::string(id)) });
+  }
+  const Result<json> object = ParseJson(*aEntry.mValue, kMaxRecordBytes);
+  if (!object) {
+    return object.error();
+  }
+  return Lift<IntakeItem>(JobFromJson(aEntry.mKey, object.value()));
+}
+
+Result<ProgressItem> JobLogJson::DecodeProgress(const KeyedEntry& aEntry) const
+{
+  if (!aEntry.mValue) {
+    return ProgressItem(DroppedRecord{ aEntry.mKey });
+  }
+  const Result<json> object = ParseJson(*aEntry.mValue, kMaxRecordBytes);
+  if (!object) {
+    return object.error();
+  }
+  std::string_view id = aEntry.mKey;
+  if (TakePrefix(id, kJobPrefix)) {
+    return Lift<ProgressItem>(RecordFromJson(std::string(id), object.value()));
+  }
+  if (TakePrefix(id, kWorkerPrefix)) {
+    return Lift<ProgressItem>(WorkerFromJson(std::string(id), object.value()));
+  }
+  if (id == kOwnerKey) {
+    return Lift<ProgressItem>(NoteFromJson(object.value()));
+  }
+  return Fail(FailureKind::kMalformed, "key", aEntry.mKey);
+}
+
+} // namespace mulberryvalve
--- /dev/null
+++ b/mulberryvalve/adapters/json/job_log_json.h
@@ -0,0 +1,29 @@
+// JobLogJson: the records of jobs as JSON.
+#ifndef MULBERRYVALVE_ADAPTERS_JSON_JOB_LOG_JSON_H_
+#define MULBERRYVALVE_ADAPTERS_JSON_JOB_LOG_JSON_H_
+
+#include "mulberryvalve/ports/out/job_log_codec.h"
+
+namespace mulberryvalve {
+
+// JobLogJson keeps a job under its id, its cancellation under "cancel/ID", its
+// progress under "job/ID", a known worker under "worker/ID" and the owner's
+// note under "owner". Fields at their default are left out. Thread-safe.
+class JobLogJson : public JobLogCodec
+{
+public:
+  KeyedEntry Encode(const JobGraph& aJob) const override;
+  KeyedEntry Encode(const JobCancellation& aCancellation) const override;
+  KeyedEntry Encode(const JobRecord& aRecord) const override;
+  KeyedEntry Encode(const KnownWorker& aWorker) const override;
+  KeyedEntry Encode(const OwnerNote& aNote) const override;
+  std::vector<KeyedEntry> DropIntake(const JobId& aJob) const override;
+  KeyedEntry DropProgress(const JobId& aJob) const override;
+  KeyedEntry DropWorker(const WorkerId& aWorker) const override;
+  Result<IntakeItem> DecodeIntake(const KeyedEntry& aEntry) const override;
+  Result<ProgressItem> DecodeProgress(const KeyedEntry& aEntry) const override;
+};
+
+} // namespace mulberryvalve
+
+#endif // MULBERRYVALVE_ADAPTERS_JSON_JOB_LOG_JSON_H_
--- a/mulberryvalve/adapters/log4cplus_log/log4cplus_event_log.cc
+++ b/mulberryvalve/adapters/log4cplus_log/log4cplus_event_log.cc
@@ -14,7 +14,6 @@
 namespace mulberryvalve {
 namespace {
 
-constexpr bool kToStandardError = true;
 constexpr bool kImmediateFlush = true;
 
 log4cplus::LogLevel LibraryLevel(EventLevel aLevel)
@@ -32,11 +31,13 @@
   return log4cplus::ERROR_LOG_LEVEL;
 }
 
-log4cplus::SharedAppenderPtr MakeAppender(const std::string& aFile)
+log4cplus::SharedAppenderPtr MakeAppender(const std::string& aFile,
+                                          LogStream aStream)
 {
   if (aFile.empty()) {
+    const bool toStandardError = aStream == LogStream::kStandardError;
     return log4cplus::SharedAppenderPtr(
-      new log4cplus::ConsoleAppender(kToStandardError, kImmediateFlush));
+      new log4cplus::ConsoleAppender(toStandardError, kImmediateFlush));
   }
   return log4cplus::SharedAppenderPtr(new log4cplus::FileAppender(
     LOG4CPLUS_STRING_TO_TSTRING(aFile), std::ios_base::app, kImmediateFlush));
@@ -49,10 +50,10 @@
 class Log4cplusEventLog::Sink
 {
 public:
-  Sink(EventLevel aLeast, const std::string& aFile)
+  Sink(EventLevel aLeast, const std::string& aFile, LogStream aStream)
     : mLogger(mHierarchy.getInstance(LOG4CPLUS_TEXT("mulberryvalve")))
   {
-    auto appender = MakeAppender(aFile);
+    auto appender = MakeAppender(aFile, aStream);
     appender->setLayout(
       std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_TEXT("%m%n")));
     mLogger.setLogLevel(LibraryLevel(aLeast));
@@ -76,12 +77,13 @@
 Result<std::unique_ptr<Log4cplusEventLog>> Log4cplusEventLog::Open(
   const Clock& aClock,
   EventLevel aLeast,
-  const std::string& aFile)
+  const std::string& aFile,
+  LogStream aStream)
 {
   if (!aFile.empty() && !std::ofstream(aFile, std::ios_base::app)) {
     return Fail(FailureKind::kInvalidInput, "log-file", "cannot be opened");
   }
-  auto sink = std::make_unique<Sink>(aLeast, aFile);
+  auto sink = std::make_unique<Sink>(aLeast, aFile, aStream);
   return std::unique_ptr<Log4cplusEventLog>(
     new Log4cplusEventLog(aClock, aLeast, std::move(sink)));
 }
--- a/mulberryvalve/adapters/log4cplus_log/log4cplus_event_log.h
+++ b/mulberryvalve/adapters/log4cplus_log/log4cplus_event_log.h
@@ -11,16 +11,31 @@
 
 namespace mulberryvalve {
 
+// LogStream is where a log without a file goes.
+enum class LogStream
+{
+  kStandardError,
+  kStandardOutput,
+};
+
+inline constexpr EnumTable<LogStream, 2> kLogStreamNames{ { {
+  { LogStream::kStandardError, "standard_error" },
+  { LogStream::kStandardOutput, "standard_output" },
+} } };
+
 // Log4cplusEventLog writes each event of at least its level as one line (see
 // FormatEventLine). Thread-safe; the lines of two threads do not mix.
 class Log4cplusEventLog : public EventLog
 {
 public:
-  // Open makes a log that appends to aFile, or writes to the standard error
-  // when aFile is empty. aClock must outlive it. Errors: kInvalidInput when
+  // Open makes a log that appends to aFile, or writes to aStream when aFile is
+  // empty. aClock must outlive it. Errors: kInvalidInput when
   // aFile can't be opened for appending.
   static Result<std::unique_ptr<Log4cplusEventLog>>
-  Open(const Clock& aClock, EventLevel aLeast, const std::string& aFile);
+  Open(const Clock& aClock,
+       EventLevel aLeast,
+       const std::string& aFile,
+       LogStream aStream = LogStream::kStandardError);
 
   ~Log4cplusEventLog() override;
   Log4cplusEventLog(const Log4cplusEventLog&) = delete;
--- /dev/null
+++ b/mulberryvalve/adapters/ws_call/ws_call_link.h
@@ -0,0 +1,45 @@
+// WsCallLink: calls between instances over WebSocket, in both directions.
+#ifndef MULBERRYVALVE_ADAPTERS_WS_CALL_WS_CALL_LINK_H_
+#define MULBERRYVALVE_ADAPTERS_WS_CALL_WS_CALL_LINK_H_
+
+#include "mulberryvalve/ports/out/clock.h"
+#include "mulberryvalve/ports/out/event_log.h"
+#include "mulberryvalve/ports/out/peer_calls.h"
+
+#include <memory>
+
+namespace mulberryvalve {
+
+// WsCallLink answers the calls of peers and makes calls, over one connection a
+// peer that is opened at the first call. A connection on which a call got no
+// answer in time is closed, since it may have gone silent while new ones work.
+// One thread drives all sockets. Thread-safe.
+class WsCallLink : public PeerCalls
+{
+public:
+  // aLog must outlive this object.
+  WsCallLink(Endpoint aListen, EventLog& aLog);
+  ~WsCallLink() override;
+  WsCallLink(const WsCallLink&) = delete;
+  WsCallLink& operator=(const WsCallLink&) = delete;
+
+  // Start listens and begins to answer through aAnswerer, which must outlive
+  // the link. Errors: kInvalidInput when the endpoint can't be bound.
+  Result<void> Start(PeerAnswerer& aAnswerer);
+
+  // Stop closes all connections and joins the thread. A repeated call has no
+  // effect.
+  void Stop();
+
+  Result<PeerAnswer> Ask(const Endpoint& aPeer,
+                         const PeerQuestion& aQuestion,
+                         Milliseconds aTimeout) override;
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> mImpl;
+};
+
+} // namespace mulberryvalve
+
+#endif // MULBERRYVALVE_ADAPTERS_WS_CALL_WS_CALL_LINK_H_
--- /dev/null
+++ b/mulberryvalve/app/jobs/config_follower.h
@@ -0,0 +1,45 @@
+// ConfigFollower: keeps a ConfigView at the newest configuration.
+#ifndef MULBERRYVALVE_APP_JOBS_CONFIG_FOLLOWER_H_
+#define MULBERRYVALVE_APP_JOBS_CONFIG_FOLLOWER_H_
+
+#include "mulberryvalve/app/jobs/config_view.h"
+#include "mulberryvalve/core/base/mutex.h"
+#include "mulberryvalve/ports/out/cluster_feeds.h"
+#include "mulberryvalve/ports/out/event_log.h"
+
+#include <thread>
+
+namespace mulberryvalve {
+
+// ConfigFollower runs one thread. Its methods are thread-safe.
+class ConfigFollower
+{
+public:
+  // All references must outlive this object.
+  ConfigFollower(ConfigFeed& aFeed, ConfigView& aView, EventLog& aEvents);
+  ~ConfigFollower();
+  ConfigFollower(const ConfigFollower&) = delete;
+  ConfigFollower& operator=(const ConfigFollower&) = delete;
+
+  // Start begins to follow. Call once.
+  void Start();
+
+  // Stop ends the thread after the call under way.
+  void Stop();
+
+private:
+  void Run();
+  bool Pause(Milliseconds aLength);
+
+  ConfigFeed& mFeed;
+  ConfigView& mView;
+  EventLog& mEvents;
+  Mutex mMutex;
+  CondVar mCond;
+  bool mStopping MV_GUARDED_BY(mMutex) = false;
+  std::thread mThread;
+};
+
+} // namespace mulberryvalve
+
+#endif // MULBERRYVALVE_APP_JOBS_CONFIG_FOLLOWER_H_
--- /dev/null
+++ b/mulberryvalve/app/jobs/config_view.h
@@ -0,0 +1,40 @@
+// ConfigView: the configuration in force, shared between threads.
+#ifndef MULBERRYVALVE_APP_JOBS_CONFIG_VIEW_H_
+#define MULBERRYVALVE_APP_JOBS_CONFIG_VIEW_H_
+
+#include "mulberryvalve/core/base/mutex.h"
+#include "mulberryvalve/core/jobs/cluster_config.h"
+
+#include <memory>
+
+namespace mulberryvalve {
+
+// ConfigView is thread-safe. What Present returns never changes.
+class ConfigView
+{
+public:
+  // Present returns the configuration in force; its version is zero before the
+  // first one.
+  std::shared_ptr<const ClusterConfig> Present() const
+  {
+    MutexLock lock(mMutex);
+    return mConfig;
+  }
+
+  // Put replaces it.
+  void Put(ClusterConfig aConfig)
+  {
+    auto config = std::make_shared<const ClusterConfig>(std::move(aConfig));
+    MutexLock lock(mMutex);
+    mConfig = std::move(config);
+  }
+
+private:
+  mutable Mutex mMutex;
+  std::shared_ptr<const ClusterConfig> mConfig MV_GUARDED_BY(mMutex) =
+    std::make_shared<const ClusterConfig>();
+};
+
+} // namespace mulberryvalve
+
+#endif // MULBERRYVALVE_APP_JOBS_CONFIG_VIEW_H_
--- /dev/null
+++ b/mulberryvalve/app/jobs/job_entry_service.cc
@@ -0,0 +1,164 @@
+#include "mulberryvalve/app/jobs/job_entry_service.h"
+
+#include <algorithm>
+
+namespace mulberryvalve {
+namespace {
+
+using Steady = std::chrono::steady_clock;
+
+// The answer to a caller needs this much of the time that the caller waits.
+constexpr Milliseconds kAnswerTime{ 150 };
+constexpr Milliseconds kBetweenTries{ 100 };
+constexpr Milliseconds kAskTimeout{ 600 };
+// A question is asked again only while its caller has this much time left.
+constexpr Milliseconds kLeastForAsking{ 100 };
+
+} // namespace
+
+JobEntryService::JobEntryService(ShardNumber aShards, JobEntryPorts aPorts)
+  : mShards(aShards)
+  , mPorts(aPorts)
+{
+}
+
+Result<void> JobEntryService::Submit(const JobGraph& aJob,
+                                     MonotonicTime aDeadline)
+{
+  return Append(aJob.mId, mPorts.mCodec.Encode(aJob), "submit", aDeadline);
+}
+
+Result<void> JobEntryService::Cancel(const JobId& aJob,
+                                     MonotonicTime aDeadline)
+{
+  return Append(
+    aJob, mPorts.mCodec.Encode(JobCancellation{ aJob }), "cancel", aDeadline);
+}
+
+// The record is the same at each try, so a try that took effect unseen does no
+// harm. Only when every try is known to have done nothing is the caller told
+// that nothing was taken.
+Result<void> JobEntryService::Append(const JobId& aJob,
+                                     const KeyedEntry& aEntry,
+                                     const char* aWhat,
+                                     MonotonicTime aDeadline)
+{
+  const KeyedPlace place{ KeyedTopic::kIntake, ShardOfJob(aJob, mShards) };
+  const MonotonicTime begin = mPorts.mClock.Now();
+  bool mayHaveTaken = false;
+  Failure last;
+  int tries = 0;
+  do {
+    tries++;
+    mPorts.mMetrics.Add(Counter::kLogAppends, 1);
+    const Result<void> done = mPorts.mLog.Append(place, { aEntry });
+    if (done) {
+      mPorts.mMetrics.Record(Timing::kAppendUs, mPorts.mClock.Now() - begin);
+      mPorts.mEvents.Write(EventLevel::kInfo,
+                           "job_recorded",
+                           { { "job", aJob.Text() },
+                             { "what", aWhat },
+                             { "tries", std::to_string(tries) },
+                             { "shard", std::to_string(place.mPartition) } });
+      return Done();
+    }
+    last = done.error();
+    mPorts.mMetrics.Add(Counter::kLogFailures, 1);
+    if (last.mKind == FailureKind::kLogAnswerLost) {
+      mayHaveTaken = true;
+    } else if (!mayHaveTaken) {
+      break; // nothing was done, and the caller can come back later
+    }
+    Pause(mPorts.mClock.Now() + kBetweenTries);
+  } while (mPorts.mClock.Now() + kAnswerTime < aDeadline);
+  mPorts.mEvents.Write(
+    EventLevel::kWarn,
+    mayHaveTaken ? "job_unknown" : "job_refused",
+    { { "job", aJob.Text() },
+      { "what", aWhat },
+      { "tries", std::to_string(tries) },
+      { "kind", std::string(kFailureKindNames.Name(last.mKind)) },
+      { "detail", last.mDetail } });
+  return Fail(mayHaveTaken ? FailureKind::kUnknownOutcome
+                           : FailureKind::kLogUnavailable,
+              aWhat,
+              last.mDetail);
+}
+
+Result<std::optional<JobPhase>> JobEntryService::Phase(const JobId& aJob,
+                                                       MonotonicTime aDeadline)
+{
+  PeerQuestion question;
+  question.mShard = ShardOfJob(aJob, mShards);
+  question.mJob = aJob;
+  const Result<PeerAnswer> answer = Ask(question, aDeadline);
+  if (!answer) {
+    return answer.error();
+  }
+  return answer.value().mPhase;
+}
+
+Result<uint64_t> JobEntryService::Waiting(const QueueId& aQueue,
+                                          MonotonicTime aDeadline)
+{
+  uint64_t sum = 0;
+  for (ShardNumber shard = 0; shard < mShards; shard++) {
+    PeerQuestion question;
+    question.mKind = PeerQuestionKind::kWaitingJobs;
+    question.mShard = shard;
+    question.mQueue = aQueue;
+    const Result<PeerAnswer> answer = Ask(question, aDeadline);
+    if (!answer) {
+      return answer.error();
+    }
+    sum += answer.value().mWaiting;
+  }
+  return sum;
+}
+
+Result<PeerAnswer> JobEntryService::Ask(const PeerQuestion& aQuestion,
+                                        MonotonicTime aDeadline)
+{
+  Failure why = Fail(FailureKind::kNotReady, "owner", "nobody is known");
+  do {
+    const PeerAnswer own = mPorts.mKeeper.OnQuestion(aQuestion);
+    if (own.mOwns) {
+      return own;
+    }
+    const auto owner = mPorts.mKeeper.OwnerOf(aQuestion.mShard);
+    if (owner) {
+      const auto left = std::chrono::duration_cast<Milliseconds>(
+        aDeadline - mPorts.mClock.Now());
+      const Result<PeerAnswer> answer = mPorts.mPeers.Ask(
+        *owner,
+        aQuestion,
+        std::clamp(left, Milliseconds(1), kAskTimeout));
+      if (answer && answer.value().mOwns) {
+        return answer;
+      }
+      why = answer ? Fail(FailureKind::kNotReady, "owner", "has not loaded yet")
+                   : answer.error();
+    }
+    mPorts.mKeeper.Doubt();
+    Pause(mPorts.mClock.Now() + kBetweenTries);
+  } while (mPorts.mClock.Now() + kLeastForAsking < aDeadline);
+  mPorts.mEvents.Write(
+    EventLevel::kWarn,
+    "question_unanswered",
+    { { "job", aQuestion.mJob.Text() },
+      { "shard", std::to_string(aQuestion.mShard) },
+      { "kind", std::string(kFailureKindNames.Name(why.mKind)) },
+      { "why", why.mDetail } });
+  return Fail(FailureKind::kNotReady, "owner", why.mDetail);
+}
+
+void JobEntryService::Pause(MonotonicTime aUntil)
+{
+  const auto until =
+    Steady::now() + (aUntil - mPorts.mClock.Now());
+  MutexLock lock(mMutex);
+  while (mNever.WaitUntil(mMutex, until)) {
+  }
+}
+
+} // namespace mulberryvalve
--- /dev/null
+++ b/mulberryvalve/app/jobs/shard_runtime.cc
@@ -0,0 +1,572 @@
+#include "mulberryvalve/app/jobs/shard_runtime.h"
+
+#include "mulberryvalve/app/jobs/keyed_cursor.h"
+
+#include <algorithm>
+#include <utility>
+#include <xxhash.h>
+
+namespace mulberryvalve {
+namespace {
+
+using Steady = std::chrono::steady_clock;
+
+// Deadlines that no message announces are looked at this often.
+constexpr Milliseconds kTick{ 100 };
+// Changes that come within this time share an append.
+constexpr Milliseconds kAppendGap{ 25 };
+constexpr Milliseconds kRetryAppend{ 150 };
+constexpr Milliseconds kRetryLoad{ 200 };
+constexpr Milliseconds kIntakeWait{ 1000 };
+constexpr Milliseconds kRetryIntake{ 200 };
+constexpr Milliseconds kWorkerInterval{ 400 };
+
+ShardNumber ShardOf(const std::string& aText, ShardNumber aShards)
+{
+  return static_cast<ShardNumber>(XXH64(aText.data(), aText.size(), 0) %
+                                  aShards);
+}
+
+} // namespace
+
+ShardNumber ShardOfJob(const JobId& aJob, ShardNumber aShards)
+{
+  return ShardOf(aJob.Text(), aShards);
+}
+
+ShardNumber ShardOfWorker(const WorkerId& aWorker, ShardNumber aShards)
+{
+  return ShardOf(aWorker.Text(), aShards);
+}
+
+ShardRuntime::ShardRuntime(ShardRuntimeOptions aOptions,
+                           ShardRuntimePorts aPorts)
+  : mOptions(std::move(aOptions))
+  , mPorts(aPorts)
+  , mConfig(aPorts.mConfig.Present())
+{
+}
+
+ShardRuntime::~ShardRuntime()
+{
+  BeginStop();
+  if (mMain.joinable()) {
+    mMain.join();
+  }
+}
+
+void ShardRuntime::Start()
+{
+  mMain = std::thread([this] { Run(); });
+}
+
+void ShardRuntime::OnProof(MonotonicTime aSentAt)
+{
+  MutexLock lock(mMutex);
+  mProvedAt = std::max(mProvedAt, aSentAt);
+}
+
+void ShardRuntime::BeginStop()
+{
+  MutexLock lock(mMutex);
+  mStopping = true;
+  mOver = true;
+  for (auto& [id, lane] : mLanes) {
+    lane->BeginStop();
+  }
+  mCond.NotifyAll();
+  mWriteCond.NotifyAll();
+}
+
+bool ShardRuntime::Owns() const
+{
+  MutexLock lock(mMutex);
+  return mShard != nullptr && !mOver && ProvedAt(mPorts.mClock.Now());
+}
+
+std::optional<JobPhase> ShardRuntime::Phase(const JobId& aJob) const
+{
+  MutexLock lock(mMutex);
+  return mShard == nullptr ? std::nullopt : mShard->Phase(aJob);
+}
+
+uint64_t ShardRuntime::Waiting(const QueueId& aQueue) const
+{
+  MutexLock lock(mMutex);
+  return mShard == nullptr ? 0 : mShard->Waiting(aQueue);
+}
+
+void ShardRuntime::Run()
+{
+  if (Claim() && Load()) {
+    std::thread intake([this] { FollowIntake(); });
+    std::thread workers([this] { FollowWorkers(); });
+    WriteProgress();
+    intake.join();
+    workers.join();
+  }
+  BeginStop();
+  std::map<WorkerId, std::unique_ptr<WorkerLane>> lanes;
+  {
+    MutexLock lock(mMutex);
+    lanes.swap(mLanes);
+  }
+  lanes.clear();
+  CloseEndedLanes();
+  mPorts.mEvents.Write(EventLevel::kInfo,
+                       "shard_ended",
+                       { { "shard", std::to_string(mOptions.mShard) },
+                         { "epoch",
+                           std::to_string(mOptions.mEpoch.Value()) } });
+  mEnded = true;
+}
+
+bool ShardRuntime::Claim()
+{
+  const OwnerNote note{ mOptions.mEpoch, mOptions.mInstance };
+  while (true) {
+    const MonotonicTime sentAt = mPorts.mClock.Now();
+    mSequence = 1;
+    const Result<void> claimed =
+      AppendOnce({ mPorts.mCodec.Encode(note) });
+    if (claimed) {
+      OnProof(sentAt);
+      mSequence++;
+      mPorts.mEvents.Write(
+        EventLevel::kInfo,
+        "shard_claimed",
+        { { "shard", std::to_string(mOptions.mShard) },
+          { "epoch", std::to_string(mOptions.mEpoch.Value()) } });
+      return true;
+    }
+    LogFault("claim", claimed.error());
+    if (claimed.error().mKind == FailureKind::kNotOwner) {
+      FindRival();
+      GiveUp("a higher epoch has written");
+      return false;
+    }
+    if (!PauseUntil(Steady::now() + kRetryLoad)) {
+      return false;
+    }
+  }
+}
+
+// A higher epoch than the group gives stands on the log when the group began
+// to count anew.
+void ShardRuntime::FindRival()
+{
+  const Result<KeyedPage> page =
+    mPorts.mLog.Newest(Place(KeyedTopic::kProgress));
+  if (!page) {
+    LogFault("find_rival", page.error());
+    return;
+  }
+  for (const KeyedEntry& entry : page.value().mEntries) {
+    const Result<ProgressItem> item = mPorts.mCodec.DecodeProgress(entry);
+    if (item && std::holds_alternative<OwnerNote>(item.value())) {
+      mRival = std::get<OwnerNote>(item.value()).mEpoch.Value();
+    }
+  }
+}
+
+bool ShardRuntime::Load()
+{
+  const MonotonicTime claimedAt = mPorts.mClock.Now();
+  Result<KeyedPage> progress = Fail(FailureKind::kNotReady);
+  Result<KeyedPage> intake = Fail(FailureKind::kNotReady);
+  while (!progress || !intake) {
+    if (!progress) {
+      progress = mPorts.mLog.Newest(Place(KeyedTopic::kProgress));
+    }
+    if (!intake) {
+      intake = mPorts.mLog.Newest(Place(KeyedTopic::kIntake));
+    }
+    if (progress && intake) {
+      break;
+    }
+    LogFault("load", progress ? intake.error() : progress.error());
+    if (!PauseUntil(Steady::now() + kRetryLoad)) {
+      return false;
+    }
+  }
+  JobShardOptions options;
+  options.mEpoch = mOptions.mEpoch;
+  options.mLease = mOptions.mLease;
+  options.mProofLimit = mOptions.mProofLimit;
+  auto shard =
+    std::make_unique<JobShard>(options, mPorts.mPlacement, claimedAt);
+  std::map<JobId, JobRecord> records;
+  for (const KeyedEntry& entry : progress.value().mEntries) {
+    Result<ProgressItem> item = mPorts.mCodec.DecodeProgress(entry);
+    if (!item) {
+      LogFault("progress_record", item.error());
+    } else if (auto* record = std::get_if<JobRecord>(&item.value())) {
+      records[record->mId] = std::move(*record);
+    } else if (auto* worker = std::get_if<KnownWorker>(&item.value())) {
+      shard->InheritWorker(*worker);
+    }
+  }
+  std::vector<JobId> cancelled;
+  size_t jobs = 0;
+  for (const KeyedEntry& entry : intake.value().mEntries) {
+    Result<IntakeItem> item = mPorts.mCodec.DecodeIntake(entry);
+    if (!item) {
+      LogFault("intake_record", item.error());
+    } else if (auto* job = std::get_if<JobGraph>(&item.value())) {
+      const auto record = records.find(job->mId);
+      shard->Inherit(std::move(*job),
+                     record == records.end() ? nullptr : &record->second);
+      jobs++;
+    } else if (auto* cancel = std::get_if<JobCancellation>(&item.value())) {
+      cancelled.push_back(cancel->mJob);
+    }
+  }
+  for (const JobId& job : cancelled) {
+    shard->OnCancel(job, claimedAt);
+  }
+  mIntakeNext = intake.value().mNext;
+  mPorts.mEvents.Write(EventLevel::kInfo,
+                       "shard_loaded",
+                       { { "shard", std::to_string(mOptions.mShard) },
+                         { "epoch", std::to_string(mOptions.mEpoch.Value()) },
+                         { "jobs", std::to_string(jobs) },
+                         { "records", std::to_string(records.size()) },
+                         { "intake_next", std::to_string(mIntakeNext) } });
+  MutexLock lock(mMutex);
+  mShard = std::move(shard);
+  mConfig = mPorts.mConfig.Present();
+  mShard->OnConfig(*mConfig);
+  OpenLanes();
+  Act();
+  return true;
+}
+
+void ShardRuntime::WriteProgress()
+{
+  Steady::time_point next = Steady::now() + kTick;
+  while (true) {
+    ProgressBatch batch;
+    {
+      MutexLock lock(mMutex);
+      while (!mStopping && !mShard->NeedsAppend() && Steady::now() < next) {
+        mWriteCond.WaitUntil(mMutex, next);
+      }
+      if (mStopping) {
+        return;
+      }
+      if (Steady::now() >= next) {
+        next = Steady::now() + kTick;
+        Act();
+      }
+      batch = mShard->TakeProgress(mPorts.mClock.Now());
+    }
+    if (batch.Empty()) {
+      continue;
+    }
+    CloseEndedLanes();
+    AppendProgress(batch);
+    if (mOver || !PauseUntil(Steady::now() + kAppendGap)) {
+      return;
+    }
+  }
+}
+
+void ShardRuntime::AppendProgress(const ProgressBatch& aBatch)
+{
+  std::vector<KeyedEntry> entries;
+  for (const JobRecord& record : aBatch.mJobs) {
+    entries.push_back(mPorts.mCodec.Encode(record));
+  }
+  for (const JobId& job : aBatch.mRetired) {
+    entries.push_back(mPorts.mCodec.DropProgress(job));
+  }
+  for (const KnownWorker& worker : aBatch.mWorkers) {
+    entries.push_back(mPorts.mCodec.Encode(worker));
+  }
+  for (const WorkerId& worker : aBatch.mForgotten) {
+    entries.push_back(mPorts.mCodec.DropWorker(worker));
+  }
+  while (true) {
+    const MonotonicTime sentAt = mPorts.mClock.Now();
+    const Result<void> done = AppendOnce(entries);
+    if (done) {
+      OnProof(sentAt);
+      break;
+    }
+    LogFault("append_progress", done.error());
+    if (done.error().mKind == FailureKind::kNotOwner) {
+      GiveUp("a higher epoch has written");
+      return;
+    }
+    // The same sequence again: it takes effect once, whatever became of it.
+    if (!PauseUntil(Steady::now() + kRetryAppend)) {
+      return;
+    }
+    MutexLock lock(mMutex);
+    Act();
+  }
+  mSequence++;
+  {
+    MutexLock lock(mMutex);
+    mShard->OnDurable(aBatch);
+    for (const ProgressBatch::EndsTaken& ends : aBatch.mEnds) {
+      const auto lane = mLanes.find(ends.mWorker);
+      if (lane != mLanes.end()) {
+        lane->second->OnDurable();
+      }
+    }
+    Act();
+  }
+  DropFromIntake(aBatch.mRetired);
+}
+
+Result<void> ShardRuntime::AppendOnce(const std::vector<KeyedEntry>& aEntries)
+{
+  mPorts.mMetrics.Add(Counter::kLogAppends, 1);
+  mPorts.mMetrics.Add(Counter::kLogAppendRecords, aEntries.size());
+  return mPorts.mLog.AppendFenced(
+    FencedAppend{ Place(KeyedTopic::kProgress), mOptions.mEpoch, mSequence },
+    aEntries);
+}
+
+void ShardRuntime::DropFromIntake(const std::vector<JobId>& aRetired)
+{
+  std::vector<KeyedEntry> drops;
+  for (const JobId& job : aRetired) {
+    const std::vector<KeyedEntry> both = mPorts.mCodec.DropIntake(job);
+    drops.insert(drops.end(), both.begin(), both.end());
+  }
+  if (drops.empty()) {
+    return;
+  }
+  const Result<void> done =
+    mPorts.mLog.Append(Place(KeyedTopic::kIntake), drops);
+  if (!done) {
+    LogFault("drop_from_intake", done.error());
+  }
+}
+
+void ShardRuntime::FollowIntake()
+{
+  KeyedCursor cursor(mPorts.mLog, Place(KeyedTopic::kIntake), mIntakeNext);
+  while (!mOver) {
+    mPorts.mMetrics.Add(Counter::kLogReads, 1);
+    const Result<KeyedChanges> changes = cursor.Next(kIntakeWait);
+    if (changes) {
+      TakeIntake(changes.value().mEntries);
+      continue;
+    }
+    LogFault("read_intake", changes.error());
+    if (!PauseUntil(Steady::now() + kRetryIntake)) {
+      return;
+    }
+  }
+}
+
+void ShardRuntime::TakeIntake(const std::vector<KeyedEntry>& aEntries)
+{
+  if (aEntries.empty()) {
+    return;
+  }
+  std::vector<IntakeItem> items;
+  for (const KeyedEntry& entry : aEntries) {
+    Result<IntakeItem> item = mPorts.mCodec.DecodeIntake(entry);
+    if (item) {
+      items.push_back(std::move(item.value()));
+    } else {
+      LogFault("intake_record", item.error());
+    }
+  }
+  MutexLock lock(mMutex);
+  const MonotonicTime now = mPorts.mClock.Now();
+  for (IntakeItem& item : items) {
+    if (auto* job = std::get_if<JobGraph>(&item)) {
+      mShard->OnJob(std::move(*job));
+    } else if (auto* cancel = std::get_if<JobCancellation>(&item)) {
+      mShard->OnCancel(cancel->mJob, now);
+    }
+  }
+  Act();
+}
+
+void ShardRuntime::FollowWorkers()
+{
+  const std::unique_ptr<WorkerFeed> feed = mPorts.mFeeds.Open();
+  Steady::time_point next = Steady::now();
+  while (PauseUntil(next)) {
+    next = Steady::now() + kWorkerInterval;
+    const Result<std::vector<WorkerFacts>> all = feed->Next();
+    if (!all) {
+      LogFault("read_workers", all.error());
+      continue;
+    }
+    std::vector<WorkerFacts> mine;
+    for (const WorkerFacts& facts : all.value()) {
+      if (ShardOfWorker(facts.mId, mOptions.mShards) == mOptions.mShard) {
+        mine.push_back(facts);
+      }
+    }
+    MutexLock lock(mMutex);
+    mShard->OnWorkers(mine, mPorts.mClock.Now());
+    OpenLanes();
+    Act();
+  }
+}
+
+void ShardRuntime::OpenLanes()
+{
+  if (mStopping) {
+    return;
+  }
+  LaneHost& host = *this;
+  for (const auto& [id, room] : mShard->Workers().All()) {
+    std::unique_ptr<WorkerLane>& lane = mLanes[id];
+    if (lane != nullptr && lane->Ended()) {
+      lane->BeginStop();
+      mEndedLanes.push_back(std::move(lane));
+    }
+    if (lane == nullptr) {
+      lane = std::make_unique<WorkerLane>(id, host, mPorts.mWorkers);
+    }
+  }
+}
+
+void ShardRuntime::CloseEndedLanes()
+{
+  std::vector<std::unique_ptr<WorkerLane>> ended;
+  MutexLock lock(mMutex);
+  ended.swap(mEndedLanes);
+}
+
+void ShardRuntime::Act()
+{
+  const std::shared_ptr<const ClusterConfig> config = mPorts.mConfig.Present();
+  if (config != mConfig) {
+    mConfig = config;
+    mShard->OnConfig(*config);
+  }
+  const MonotonicTime now = mPorts.mClock.Now();
+  const bool mayStart = ProvedAt(now) && !mStopping && config->mVersion > 0;
+  std::vector<TaskOrder> orders =
+    mShard->Decide(mayStart, now, mPorts.mClock.WallNow());
+  for (TaskOrder& order : orders) {
+    const auto lane = mLanes.find(order.mWorker);
+    if (lane != mLanes.end()) {
+      lane->second->Post(std::move(order));
+    }
+  }
+  LogDecisions();
+  if (mShard->IsFenced() && !mOver) {
+    mOver = true;
+    mStopping = true;
+    mCond.NotifyAll();
+    mPorts.mEvents.Write(
+      EventLevel::kWarn,
+      "shard_given_up",
+      { { "shard", std::to_string(mOptions.mShard) },
+        { "epoch", std::to_string(mOptions.mEpoch.Value()) },
+        { "why", "a worker obeys a newer owner" } });
+  }
+  if (mShard->NeedsAppend() || mStopping) {
+    mWriteCond.NotifyAll();
+  }
+}
+
+void ShardRuntime::LogDecisions()
+{
+  for (const JobDecision& decision : mShard->TakeDecisions()) {
+    std::vector<EventField> fields;
+    fields.push_back({ "shard", std::to_string(mOptions.mShard) });
+    fields.push_back({ "epoch", std::to_string(mOptions.mEpoch.Value()) });
+    if (!decision.mJob.Empty()) {
+      fields.push_back({ "job", decision.mJob.Text() });
+    }
+    if (!decision.mTask.empty()) {
+      fields.push_back({ "task", decision.mTask });
+      fields.push_back({ "run", std::to_string(decision.mRun) });
+    }
+    if (!decision.mWorker.Empty()) {
+      fields.push_back({ "worker", decision.mWorker.Text() });
+    }
+    fields.push_back({ "why", decision.mWhy });
+    mPorts.mEvents.Write(
+      EventLevel::kInfo, kDecisionKindNames.Name(decision.mKind), fields);
+  }
+}
+
+bool ShardRuntime::ProvedAt(MonotonicTime aNow) const
+{
+  return aNow < mProvedAt + mOptions.mProofLimit;
+}
+
+bool ShardRuntime::PauseUntil(Steady::time_point aUntil)
+{
+  MutexLock lock(mMutex);
+  while (!mStopping && Steady::now() < aUntil) {
+    mCond.WaitUntil(mMutex, aUntil);
+  }
+  return !mStopping;
+}
+
+void ShardRuntime::GiveUp(const char* aWhy)
+{
+  mPorts.mEvents.Write(EventLevel::kWarn,
+                       "shard_given_up",
+                       { { "shard", std::to_string(mOptions.mShard) },
+                         { "epoch", std::to_string(mOptions.mEpoch.Value()) },
+                         { "why", aWhy } });
+  BeginStop();
+}
+
+void ShardRuntime::LogFault(const char* aWhat, const Failure& aFailure)
+{
+  mPorts.mMetrics.Add(Counter::kLogFailures, 1);
+  mPorts.mEvents.Write(
+    EventLevel::kWarn,
+    "shard_fault",
+    { { "shard", std::to_string(mOptions.mShard) },
+      { "epoch", std::to_string(mOptions.mEpoch.Value()) },
+      { "what", aWhat },
+      { "kind", std::string(kFailureKindNames.Name(aFailure.mKind)) },
+      { "field", aFailure.mField },
+      { "detail", aFailure.mDetail } });
+}
+
+std::optional<HoldOrder> ShardRuntime::NextHold(const WorkerId& aWorker)
+{
+  MutexLock lock(mMutex);
+  const MonotonicTime now = mPorts.mClock.Now();
+  return mShard->NextHold(aWorker, ProvedAt(now) && !mStopping, now);
+}
+
+bool ShardRuntime::OnHold(const HoldOrder& aOrder,
+                          const HoldReply& aReply,
+                          MonotonicTime aSentAt)
+{
+  MutexLock lock(mMutex);
+  mShard->OnHold(aOrder, aReply, aSentAt, mPorts.mClock.Now());
+  Act();
+  const WorkerRoom* room = mShard->Workers().Find(aOrder.mWorker);
+  return room == nullptr || room->mDurable == room->mTaken;
+}
+
+bool ShardRuntime::MaySend(const TaskOrder& aOrder)
+{
+  MutexLock lock(mMutex);
+  return !mStopping && ProvedAt(mPorts.mClock.Now()) &&
+         mShard->IsWanted(aOrder);
+}
+
+void ShardRuntime::OnOrder(const TaskOrder& aOrder, const OrderReply& aReply)
+{
+  MutexLock lock(mMutex);
+  mShard->OnOrder(aOrder, aReply, mPorts.mClock.Now());
+  Act();
+}
+
+MonotonicTime ShardRuntime::Now() const
+{
+  return mPorts.mClock.Now();
+}
+
+} // namespace mulberryvalve
--- /dev/null
+++ b/mulberryvalve/app/jobs/shard_runtime.h
@@ -0,0 +1,163 @@
+// ShardRuntime: owns one shard under one epoch: it follows the shard's records
+// and workers, lets JobShard decide and carries out what was decided.
+#ifndef MULBERRYVALVE_APP_JOBS_SHARD_RUNTIME_H_
+#define MULBERRYVALVE_APP_JOBS_SHARD_RUNTIME_H_
+
+#include "mulberryvalve/app/jobs/config_view.h"
+#include "mulberryvalve/app/jobs/worker_lane.h"
+#include "mulberryvalve/core/base/mutex.h"
+#include "mulberryvalve/core/jobs/job_shard.h"
+#include "mulberryvalve/ports/out/clock.h"
+#include "mulberryvalve/ports/out/cluster_feeds.h"
+#include "mulberryvalve/ports/out/event_log.h"
+#include "mulberryvalve/ports/out/job_log_codec.h"
+#include "mulberryvalve/ports/out/keyed_log.h"
+#include "mulberryvalve/ports/out/metrics.h"
+#include "mulberryvalve/ports/out/shard_group.h"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace mulberryvalve {
+
+// WorkerFeeds opens feeds of the list of workers, one a shard's owner.
+class WorkerFeeds
+{
+public:
+  virtual ~WorkerFeeds() = default;
+
+  // Open returns a new feed. Thread-safe.
+  virtual std::unique_ptr<WorkerFeed> Open() = 0;
+};
+
+// ShardRuntimeOptions say which shard is owned, as whom.
+struct ShardRuntimeOptions
+{
+  ShardNumber mShard = 0;
+  ShardNumber mShards = 1;
+  Epoch mEpoch;
+  std::string mInstance;
+  LeaseTerms mLease;
+  // Without a proof of ownership for this long nothing is started or renewed.
+  Milliseconds mProofLimit{ 10000 };
+};
+
+// ShardRuntimePorts are what an owner works with; all must outlive it.
+struct ShardRuntimePorts
+{
+  KeyedLog& mLog;
+  const JobLogCodec& mCodec;
+  TaskWorkerPort& mWorkers;
+  WorkerFeeds& mFeeds;
+  const ConfigView& mConfig;
+  const JobPlacement& mPlacement;
+  const Clock& mClock;
+  Metrics& mMetrics;
+  EventLog& mEvents;
+};
+
+// ShardOfJob and ShardOfWorker deal jobs and workers to shards by a hash of
+// their id, so that each shard has its part of every failure domain. Neither
+// moves during its life.
+ShardNumber ShardOfJob(const JobId& aJob, ShardNumber aShards);
+ShardNumber ShardOfWorker(const WorkerId& aWorker, ShardNumber aShards);
+
+// ShardRuntime's methods are thread-safe. Its state has one lock, which is
+// taken before the locks of its lanes.
+class ShardRuntime : private LaneHost
+{
+public:
+  ShardRuntime(ShardRuntimeOptions aOptions, ShardRuntimePorts aPorts);
+  ~ShardRuntime() override;
+
+  // Start begins the threads. Call once.
+  void Start();
+
+  // OnProof says that the shard was still held by a call sent at aSentAt.
+  void OnProof(MonotonicTime aSentAt);
+
+  // BeginStop ends all decisions; the threads end after the calls under way.
+  void BeginStop();
+
+  // Ended tells whether all threads have ended, so that destroying this object
+  // does not block.
+  bool Ended() const { return mEnded; }
+
+  // IsOver tells whether the shard is owned by another or given up.
+  bool IsOver() const { return mOver; }
+
+  // EpochHeld returns the epoch of this ownership.
+  Epoch EpochHeld() const { return mOptions.mEpoch; }
+
+  // Rival returns the epoch of the owner that the claim met on the log; zero
+  // when there was none.
+  Epoch Rival() const { return Epoch(mRival); }
+
+  // Owns tells whether the shard's records are read and ownership is proved.
+  // Phase and Waiting answer for the shard while it does.
+  bool Owns() const;
+  std::optional<JobPhase> Phase(const JobId& aJob) const;
+  uint64_t Waiting(const QueueId& aQueue) const;
+
+private:
+  std::optional<HoldOrder> NextHold(const WorkerId& aWorker) override;
+  bool OnHold(const HoldOrder& aOrder,
+              const HoldReply& aReply,
+              MonotonicTime aSentAt) override;
+  bool MaySend(const TaskOrder& aOrder) override;
+  void OnOrder(const TaskOrder& aOrder, const OrderReply& aReply) override;
+  MonotonicTime Now() const override;
+
+  void Run();
+  bool Claim();
+  void FindRival();
+  bool Load();
+  void WriteProgress();
+  void AppendProgress(const ProgressBatch& aBatch);
+  Result<void> AppendOnce(const std::vector<KeyedEntry>& aEntries);
+  void DropFromIntake(const std::vector<JobId>& aRetired);
+  void FollowIntake();
+  void TakeIntake(const std::vector<KeyedEntry>& aEntries);
+  void FollowWorkers();
+  void OpenLanes() MV_REQUIRES(mMutex);
+  void CloseEndedLanes();
+  void Act() MV_REQUIRES(mMutex);
+  void LogDecisions() MV_REQUIRES(mMutex);
+  bool ProvedAt(MonotonicTime aNow) const MV_REQUIRES(mMutex);
+  bool PauseUntil(std::chrono::steady_clock::time_point aUntil);
+  void GiveUp(const char* aWhy);
+  void LogFault(const char* aWhat, const Failure& aFailure);
+  KeyedPlace Place(KeyedTopic aTopic) const
+  {
+    return KeyedPlace{ aTopic, mOptions.mShard };
+  }
+
+  const ShardRuntimeOptions mOptions;
+  ShardRuntimePorts mPorts;
+  mutable Mutex mMutex;
+  // Wakes pauses, when the ownership ends.
+  CondVar mCond;
+  // Wakes the writer, when something is to be made durable.
+  CondVar mWriteCond;
+  std::unique_ptr<JobShard> mShard MV_GUARDED_BY(mMutex);
+  std::map<WorkerId, std::unique_ptr<WorkerLane>> mLanes MV_GUARDED_BY(mMutex);
+  // Lanes that have ended; they are joined without the lock.
+  std::vector<std::unique_ptr<WorkerLane>> mEndedLanes MV_GUARDED_BY(mMutex);
+  std::shared_ptr<const ClusterConfig> mConfig MV_GUARDED_BY(mMutex);
+  MonotonicTime mProvedAt MV_GUARDED_BY(mMutex);
+  bool mStopping MV_GUARDED_BY(mMutex) = false;
+  uint64_t mSequence = 0;
+  uint64_t mIntakeNext = 0;
+  std::atomic<uint64_t> mRival{ 0 };
+  std::atomic<bool> mOver{ false };
+  std::atomic<bool> mEnded{ false };
+  std::thread mMain;
+};
+
+} // namespace mulberryvalve
+
+#endif // MULBERRYVALVE_APP_JOBS_SHARD_RUNTIME_H_
--- /dev/null
+++ b/mulberryvalve/app/log/bounded_event_log.h
@@ -0,0 +1,62 @@
+// BoundedEventLog: an event log that never holds up who writes to it.
+#ifndef MULBERRYVALVE_APP_LOG_BOUNDED_EVENT_LOG_H_
+#define MULBERRYVALVE_APP_LOG_BOUNDED_EVENT_LOG_H_
+
+#include "mulberryvalve/core/base/mutex.h"
+#include "mulberryvalve/ports/out/event_log.h"
+
+#include <cstdint>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace mulberryvalve {
+
+// BoundedEventLog hands events to another log on a thread of its own. What does
+// not fit into its queue, because the reader is slow, is dropped, counted and
+// told of in a line of its own. Thread-safe; Write does not block.
+class BoundedEventLog : public EventLog
+{
+public:
+  // aLog must outlive this object.
+  explicit BoundedEventLog(EventLog& aLog);
+
+  // ~BoundedEventLog writes what is queued.
+  ~BoundedEventLog() override;
+  BoundedEventLog(const BoundedEventLog&) = delete;
+  BoundedEventLog& operator=(const BoundedEventLog&) = delete;
+
+  void Write(EventLevel aLevel,
+             std::string_view aName,
+             const std::vector<EventField>& aFields) override;
+
+private:
+  // OwnedField keeps the key, whose text may not outlive the call.
+  struct OwnedField
+  {
+    std::string mKey;
+    std::string mValue;
+  };
+
+  struct Event
+  {
+    EventLevel mLevel = EventLevel::kInfo;
+    std::string mName;
+    std::vector<OwnedField> mFields;
+  };
+
+  void Run();
+  void Pass(const Event& aEvent);
+
+  EventLog& mLog;
+  Mutex mMutex;
+  CondVar mCond;
+  std::vector<Event> mQueue MV_GUARDED_BY(mMutex);
+  uint64_t mDropped MV_GUARDED_BY(mMutex) = 0;
+  bool mStopping MV_GUARDED_BY(mMutex) = false;
+  std::thread mThread;
+};
+
+} // namespace mulberryvalve
+
+#endif // MULBERRYVALVE_APP_LOG_BOUNDED_EVENT_LOG_H_
--- /dev/null
+++ b/mulberryvalve/core/jobs/job_book.cc
@@ -0,0 +1,275 @@
+#include "mulberryvalve/core/jobs/job_book.h"
+
+#include <utility>
+
+namespace mulberryvalve {
+
+JobEntry* JobBook::Add(JobGraph aGraph)
+{
+  const JobId id = aGraph.mId;
+  const auto [found, isNew] = mJobs.try_emplace(id);
+  if (!isNew) {
+    return nullptr;
+  }
+  JobEntry& job = found->second;
+  job.mGraph = std::move(aGraph);
+  job.mArrival = ++mLastArrival;
+  job.mOccurrences.resize(job.mGraph.Occurrences());
+  for (auto& steps : job.mOccurrences) {
+    for (const StepSpec& spec : job.mGraph.mSteps) {
+      StepState& step = steps.emplace_back();
+      step.mTasks.resize(spec.mCount);
+      step.mWaiting = spec.mCount;
+    }
+  }
+  if (job.mGraph.mRecurrence.mTimes > 0) {
+    mRecurring.insert(id);
+  }
+  for (uint32_t number = 0; number < job.mOccurrences.size(); number++) {
+    for (uint32_t step = 0; step < job.mGraph.mSteps.size(); step++) {
+      Reopen(job, StepRef{ id, number, step });
+    }
+  }
+  return &job;
+}
+
+void JobBook::Restore(JobEntry& aJob, const JobRecord& aRecord)
+{
+  aJob.mPhase = aRecord.mPhase;
+  aJob.mShown = aRecord.mPhase;
+  for (const TaskRecord& record : aRecord.mTasks) {
+    const TaskRef ref{ { aJob.mGraph.mId, record.mOccurrence, record.mStep },
+                       record.mIndex };
+    StepTask* task = FindTask(ref);
+    if (task == nullptr) {
+      continue;
+    }
+    task->mFailures = record.mFailures;
+    task->mCountedRun = record.mCountedRun;
+    task->mCheckpoint = record.mCheckpoint;
+    aJob.mBegun = true;
+    if (record.mDone) {
+      Finish(ref);
+    }
+  }
+  if (IsOver(aJob.mPhase)) {
+    Close(aJob);
+  }
+}
+
+JobEntry* JobBook::Find(const JobId& aId)
+{
+  const auto found = mJobs.find(aId);
+  return found == mJobs.end() ? nullptr : &found->second;
+}
+
+const JobEntry* JobBook::Find(const JobId& aId) const
+{
+  const auto found = mJobs.find(aId);
+  return found == mJobs.end() ? nullptr : &found->second;
+}
+
+const StepTask* JobBook::FindTask(const TaskRef& aTask) const
+{
+  const JobEntry* job = Find(aTask.mStep.mJob);
+  if (job == nullptr || aTask.mStep.mOccurrence >= job->mOccurrences.size()) {
+    return nullptr;
+  }
+  const auto& steps = job->mOccurrences[aTask.mStep.mOccurrence];
+  if (aTask.mStep.mStep >= steps.size()) {
+    return nullptr;
+  }
+  const auto& tasks = steps[aTask.mStep.mStep].mTasks;
+  return aTask.mIndex < tasks.size() ? &tasks[aTask.mIndex] : nullptr;
+}
+
+StepTask* JobBook::FindTask(const TaskRef& aTask)
+{
+  return const_cast<StepTask*>(std::as_const(*this).FindTask(aTask));
+}
+
+StepState& JobBook::StepOf(const StepRef& aStep)
+{
+  return mJobs.at(aStep.mJob).mOccurrences[aStep.mOccurrence][aStep.mStep];
+}
+
+const StepSpec& JobBook::SpecOf(const StepRef& aStep) const
+{
+  return mJobs.at(aStep.mJob).mGraph.mSteps[aStep.mStep];
+}
+
+void JobBook::Place(const TaskRef& aTask,
+                    const WorkerId& aWorker,
+                    RunNumber aRun)
+{
+  JobEntry& job = mJobs.at(aTask.mStep.mJob);
+  StepState& step = StepOf(aTask.mStep);
+  StepTask& task = step.mTasks[aTask.mIndex];
+  step.mWaiting--;
+  step.mSiblings[aWorker]++;
+  task.mPhase = TaskPhase::kStarting;
+  task.mWorker = aWorker;
+  task.mRun = aRun;
+  task.mPacePercent = 100;
+  task.mAnsweredAt = MonotonicTime();
+  job.mBegun = true;
+  if (step.mWaiting == 0) {
+    mOpen.erase(OrderOf(job, aTask.mStep));
+  }
+}
+
+void JobBook::Settle(const TaskRef& aTask)
+{
+  JobEntry& job = mJobs.at(aTask.mStep.mJob);
+  StepState& step = StepOf(aTask.mStep);
+  StepTask& task = step.mTasks[aTask.mIndex];
+  if (--step.mSiblings[task.mWorker] == 0) {
+    step.mSiblings.erase(task.mWorker);
+  }
+  task.mWorker = WorkerId();
+  if (task.mDone) {
+    task.mPhase = TaskPhase::kDone;
+    return;
+  }
+  task.mPhase = TaskPhase::kWaiting;
+  step.mWaiting++;
+  Reopen(job, aTask.mStep);
+}
+
+void JobBook::Finish(const TaskRef& aTask)
+{
+  JobEntry& job = mJobs.at(aTask.mStep.mJob);
+  StepState& step = StepOf(aTask.mStep);
+  StepTask& task = step.mTasks[aTask.mIndex];
+  if (task.mDone) {
+    return;
+  }
+  task.mDone = true;
+  step.mDone++;
+  if (task.mPhase == TaskPhase::kWaiting) {
+    task.mPhase = TaskPhase::kDone;
+    step.mWaiting--;
+  }
+  if (step.mWaiting == 0) {
+    mOpen.erase(OrderOf(job, aTask.mStep));
+  }
+  if (step.mDone == step.mTasks.size()) {
+    OpenFollowers(job, aTask.mStep);
+  }
+}
+
+void JobBook::OpenDue(WallTime aWall)
+{
+  mWall = aWall;
+  for (const JobId& id : mRecurring) {
+    const JobEntry& job = mJobs.at(id);
+    for (uint32_t number = 0; number < job.mOccurrences.size(); number++) {
+      for (uint32_t step = 0; step < job.mGraph.mSteps.size(); step++) {
+        Reopen(job, StepRef{ id, number, step });
+      }
+    }
+  }
+}
+
+void JobBook::Close(const JobEntry& aJob)
+{
+  for (uint32_t number = 0; number < aJob.mOccurrences.size(); number++) {
+    for (uint32_t step = 0; step < aJob.mGraph.mSteps.size(); step++) {
+      mOpen.erase(OrderOf(aJob, StepRef{ aJob.mGraph.mId, number, step }));
+    }
+  }
+  mRecurring.erase(aJob.mGraph.mId);
+}
+
+void JobBook::Retire(const JobId& aId)
+{
+  mJobs.erase(aId);
+}
+
+JobRecord JobBook::ToRecord(const JobEntry& aJob) const
+{
+  JobRecord record{ aJob.mGraph.mId, aJob.mPhase, {} };
+  for (uint32_t number = 0; number < aJob.mOccurrences.size(); number++) {
+    const auto& steps = aJob.mOccurrences[number];
+    for (uint32_t step = 0; step < steps.size(); step++) {
+      const auto& tasks = steps[step].mTasks;
+      for (uint32_t index = 0; index < tasks.size(); index++) {
+        const StepTask& task = tasks[index];
+        if (task.mCountedRun == RunNumber() && !task.mDone) {
+          continue;
+        }
+        record.mTasks.push_back(TaskRecord{ number,
+                                            step,
+                                            index,
+                                            task.mDone,
+                                            task.mFailures,
+                                            task.mCountedRun,
+                                            task.mCheckpoint });
+      }
+    }
+  }
+  return record;
+}
+
+bool JobBook::AllDone(const JobEntry& aJob)
+{
+  for (const auto& steps : aJob.mOccurrences) {
+    for (const StepState& step : steps) {
+      if (step.mDone < step.mTasks.size()) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+size_t JobBook::Waiting(const QueueId& aQueue) const
+{
+  size_t count = 0;
+  for (const auto& [id, job] : mJobs) {
+    const bool waits = !job.mBegun && !IsOver(job.mPhase);
+    count += waits && job.mGraph.mQueue == aQueue ? 1 : 0;
+  }
+  return count;
+}
+
+OpenStep JobBook::OrderOf(const JobEntry& aJob, const StepRef& aStep)
+{
+  return OpenStep{ aJob.mGraph.mRules.mPriority, aJob.mArrival, aStep };
+}
+
+bool JobBook::IsDue(const JobEntry& aJob, const StepRef& aStep) const
+{
+  const Recurrence& recurrence = aJob.mGraph.mRecurrence;
+  if (recurrence.mTimes > 0) {
+    const int64_t due = recurrence.mFirst.mMilliseconds +
+                        recurrence.mInterval.count() * aStep.mOccurrence;
+    if (mWall.mMilliseconds < due) {
+      return false;
+    }
+  }
+  const auto& steps = aJob.mOccurrences[aStep.mOccurrence];
+  for (const uint32_t before : aJob.mGraph.mSteps[aStep.mStep].mAfter) {
+    if (steps[before].mDone < steps[before].mTasks.size()) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void JobBook::Reopen(const JobEntry& aJob, const StepRef& aStep)
+{
+  const StepState& step = aJob.mOccurrences[aStep.mOccurrence][aStep.mStep];
+  if (step.mWaiting > 0 && !IsOver(aJob.mPhase) && IsDue(aJob, aStep)) {
+    mOpen.insert(OrderOf(aJob, aStep));
+  }
+}
+
+void JobBook::OpenFollowers(const JobEntry& aJob, const StepRef& aStep)
+{
+  for (uint32_t step = 0; step < aJob.mGraph.mSteps.size(); step++) {
+    Reopen(aJob, StepRef{ aStep.mJob, aStep.mOccurrence, step });
+  }
+}
+
+} // namespace mulberryvalve
--- /dev/null
+++ b/mulberryvalve/core/jobs/job_book.h
@@ -0,0 +1,125 @@
+// JobBook: the jobs of a shard with the state of each task.
+#ifndef MULBERRYVALVE_CORE_JOBS_JOB_BOOK_H_
+#define MULBERRYVALVE_CORE_JOBS_JOB_BOOK_H_
+
+#include "mulberryvalve/core/jobs/job_state.h"
+
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace mulberryvalve {
+
+// StepState is one step of one occurrence.
+struct StepState
+{
+  std::vector<StepTask> mTasks;
+  uint32_t mWaiting = 0;
+  uint32_t mDone = 0;
+  // How many of the tasks each worker has.
+  std::map<WorkerId, uint32_t> mSiblings;
+};
+
+// JobEntry is one job.
+struct JobEntry
+{
+  JobGraph mGraph;
+  JobPhase mPhase = JobPhase::kQueued;
+  // The phase that callers may be told: it is durable.
+  JobPhase mShown = JobPhase::kQueued;
+  // A former owner may have started tasks of it.
+  bool mInherited = false;
+  // A task of it has been started.
+  bool mBegun = false;
+  // Its place in the order of acceptance.
+  uint64_t mArrival = 0;
+  // The highest run number given under the present epoch.
+  RunNumber mLastRun;
+  MonotonicTime mOverSince;
+  std::vector<std::vector<StepState>> mOccurrences;
+};
+
+// OpenStep is a step with waiting tasks whose turn has come, in the order in
+// which steps are served.
+struct OpenStep
+{
+  int mPriority = 0;
+  uint64_t mArrival = 0;
+  StepRef mStep;
+
+  friend bool operator<(const OpenStep& aLeft, const OpenStep& aRight)
+  {
+    return std::tie(aLeft.mPriority, aLeft.mArrival, aLeft.mStep) <
+           std::tie(aRight.mPriority, aRight.mArrival, aRight.mStep);
+  }
+};
+
+// JobBook is not synchronised. References to entries hold until Retire.
+class JobBook
+{
+public:
+  // Add takes in a job; a job that is known stays as it is. It returns the new
+  // entry or null.
+  JobEntry* Add(JobGraph aGraph);
+
+  // Restore sets a job that was just added to its durable progress.
+  void Restore(JobEntry& aJob, const JobRecord& aRecord);
+
+  JobEntry* Find(const JobId& aId);
+  const JobEntry* Find(const JobId& aId) const;
+
+  // FindTask returns the task, or null when its job, step or index is unknown.
+  StepTask* FindTask(const TaskRef& aTask);
+  const StepTask* FindTask(const TaskRef& aTask) const;
+
+  // StepOf and SpecOf return the parts of a step that exists.
+  StepState& StepOf(const StepRef& aStep);
+  const StepSpec& SpecOf(const StepRef& aStep) const;
+
+  // Place, Settle and Finish move a task between its phases and keep the
+  // counts of its step. Place charges nothing.
+  void Place(const TaskRef& aTask, const WorkerId& aWorker, RunNumber aRun);
+  void Settle(const TaskRef& aTask);
+  void Finish(const TaskRef& aTask);
+
+  // Open returns the steps with waiting tasks whose turn has come, and those
+  // of occurrences that are due by aWall.
+  const std::set<OpenStep>& Open() const { return mOpen; }
+  void OpenDue(WallTime aWall);
+
+  // Close takes the steps of a job out of the order.
+  void Close(const JobEntry& aJob);
+
+  // Retire forgets a job.
+  void Retire(const JobId& aId);
+
+  // ToRecord returns the durable progress of a job.
+  JobRecord ToRecord(const JobEntry& aJob) const;
+
+  // AllDone tells whether each task of the job has ended done.
+  static bool AllDone(const JobEntry& aJob);
+
+  // Waiting counts the jobs of a queue of which no task was started.
+  size_t Waiting(const QueueId& aQueue) const;
+
+  // All returns every job.
+  const std::unordered_map<JobId, JobEntry>& All() const { return mJobs; }
+  std::unordered_map<JobId, JobEntry>& All() { return mJobs; }
+
+private:
+  static OpenStep OrderOf(const JobEntry& aJob, const StepRef& aStep);
+  bool IsDue(const JobEntry& aJob, const StepRef& aStep) const;
+  void Reopen(const JobEntry& aJob, const StepRef& aStep);
+  void OpenFollowers(const JobEntry& aJob, const StepRef& aStep);
+
+  std::unordered_map<JobId, JobEntry> mJobs;
+  std::set<OpenStep> mOpen;
+  std::set<JobId> mRecurring;
+  WallTime mWall;
+  uint64_t mLastArrival = 0;
+};
+
+} // namespace mulberryvalve
+
+#endif // MULBERRYVALVE_CORE_JOBS_JOB_BOOK_H_
--- /dev/null
+++ b/mulberryvalve/core/jobs/job_decision.h
@@ -0,0 +1,65 @@
+// JobDecision: one decision of a shard's owner, for the process log.
+#ifndef MULBERRYVALVE_CORE_JOBS_JOB_DECISION_H_
+#define MULBERRYVALVE_CORE_JOBS_JOB_DECISION_H_
+
+#include "mulberryvalve/core/base/enum_table.h"
+#include "mulberryvalve/core/jobs/job_graph.h"
+
+#include <string>
+
+namespace mulberryvalve {
+
+enum class DecisionKind
+{
+  kJobKnown,       // a job was taken in from the log
+  kJobCancelled,   // its cancellation was taken in
+  kJobOver,        // all tasks are done, or one failed too often
+  kTaskPlaced,     // a start was ordered
+  kTaskAdopted,    // a run of a former owner was found
+  kTaskEnded,      // a worker listed an end
+  kTaskLost,       // a run is on no list of its worker any more
+  kTaskUnsettled,  // a start or stop got no answer
+  kTaskStopped,    // a stop was ordered
+  kWorkerKnown,    // a worker answered with its lists for the first time
+  kWorkerSilent,   // a worker did not answer
+  kWorkerBack,     // it answers again
+  kWorkerLapsed,   // all that ran there has ended for lack of renewal
+  kWorkerReborn,   // it lives anew and knows nothing of before
+  kWorkerAvoided,  // it gets nothing new for a while
+  kWorkerFenced,   // it obeys a newer owner
+};
+
+inline constexpr EnumTable<DecisionKind, 16> kDecisionKindNames{ { {
+  { DecisionKind::kJobKnown, "job_known" },
+  { DecisionKind::kJobCancelled, "job_cancelled" },
+  { DecisionKind::kJobOver, "job_over" },
+  { DecisionKind::kTaskPlaced, "task_placed" },
+  { DecisionKind::kTaskAdopted, "task_adopted" },
+  { DecisionKind::kTaskEnded, "task_ended" },
+  { DecisionKind::kTaskLost, "task_lost" },
+  { DecisionKind::kTaskUnsettled, "task_unsettled" },
+  { DecisionKind::kTaskStopped, "task_stopped" },
+  { DecisionKind::kWorkerKnown, "worker_known" },
+  { DecisionKind::kWorkerSilent, "worker_silent" },
+  { DecisionKind::kWorkerBack, "worker_back" },
+  { DecisionKind::kWorkerLapsed, "worker_lapsed" },
+  { DecisionKind::kWorkerReborn, "worker_reborn" },
+  { DecisionKind::kWorkerAvoided, "worker_avoided" },
+  { DecisionKind::kWorkerFenced, "worker_fenced" },
+} } };
+
+// JobDecision names what was decided, about which job or task and worker, and
+// on what grounds. Fields that do not apply are empty.
+struct JobDecision
+{
+  DecisionKind mKind = DecisionKind::kJobKnown;
+  JobId mJob;
+  std::string mTask;
+  WorkerId mWorker;
+  uint64_t mRun = 0;
+  std::string mWhy;
+};
+
+} // namespace mulberryvalve
+
+#endif // MULBERRYVALVE_CORE_JOBS_JOB_DECISION_H_
--- /dev/null
+++ b/mulberryvalve/core/jobs/job_placement.h
@@ -0,0 +1,54 @@
+// JobPlacement: which worker a task of a step goes to.
+#ifndef MULBERRYVALVE_CORE_JOBS_JOB_PLACEMENT_H_
+#define MULBERRYVALVE_CORE_JOBS_JOB_PLACEMENT_H_
+
+#include "mulberryvalve/core/jobs/worker_table.h"
+
+#include <map>
+#include <set>
+
+namespace mulberryvalve {
+
+// PlacementQuery is one task to place. All references must outlive the call.
+struct PlacementQuery
+{
+  const StepSpec& mStep;
+  const ServiceId& mService;
+  // How many tasks of the same step and occurrence each worker has.
+  const std::map<WorkerId, uint32_t>& mSiblings;
+  // Failure domains that get nothing new.
+  const std::set<DomainId>& mDomainsOut;
+  // Set when all tasks of the step must be in one rack and some are.
+  RackId mOnlyRack;
+  MonotonicTime mNow;
+};
+
+// MayPlace tells whether aWorker may run the task at all: its service, state,
+// label, domain, room and the limit of tasks of one step.
+bool MayPlace(const PlacementQuery& aQuery, const WorkerRoom& aWorker);
+
+// JobPlacement chooses among the workers that may run a task. Implementations
+// hold no state that needs a lock.
+class JobPlacement
+{
+public:
+  virtual ~JobPlacement() = default;
+
+  // Choose returns the best worker, or null when none may run the task.
+  virtual WorkerRoom* Choose(const PlacementQuery& aQuery,
+                             WorkerTable& aWorkers) const = 0;
+};
+
+// SeparatingPlacement keeps tasks that fill away from workers with lasting
+// tasks, packs lasting tasks together and spreads the others by their number.
+// It answers the pattern of batch work that disturbs services beside it.
+class SeparatingPlacement : public JobPlacement
+{
+public:
+  WorkerRoom* Choose(const PlacementQuery& aQuery,
+                     WorkerTable& aWorkers) const override;
+};
+
+} // namespace mulberryvalve
+
+#endif // MULBERRYVALVE_CORE_JOBS_JOB_PLACEMENT_H_
--- /dev/null
+++ b/mulberryvalve/core/jobs/job_shard.cc
@@ -0,0 +1,288 @@
+#include "mulberryvalve/core/jobs/job_shard.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberryvalve {
+namespace {
+
+constexpr size_t kJobsPerBatch = 400;
+// Decisions that nobody collects are dropped beyond this.
+constexpr size_t kMaxDecisions = 4096;
+
+} // namespace
+
+JobShard::JobShard(JobShardOptions aOptions,
+                   const JobPlacement& aPlacement,
+                   MonotonicTime aClaimedAt)
+  : mOptions(aOptions)
+  , mPlacement(aPlacement)
+  , mClaimedAt(aClaimedAt)
+  , mWorkers(aOptions.mLease)
+{
+}
+
+void JobShard::Inherit(JobGraph aGraph, const JobRecord* aRecord)
+{
+  JobEntry* job = mBook.Add(std::move(aGraph));
+  if (job == nullptr) {
+    return;
+  }
+  job->mInherited = true;
+  if (aRecord != nullptr) {
+    mBook.Restore(*job, *aRecord);
+  }
+  if (IsOver(job->mPhase)) {
+    job->mOverSince = mClaimedAt;
+  }
+}
+
+void JobShard::InheritWorker(const KnownWorker& aWorker)
+{
+  WorkerRoom& room = mWorkers.All()[aWorker.mId];
+  room.mFacts.mId = aWorker.mId;
+  room.mFacts.mEndpoint = aWorker.mEndpoint;
+  room.mFacts.mService = aWorker.mService;
+  room.mListed = false;
+  room.mRecorded = true;
+  room.mBirth = aWorker.mBirth;
+  const Milliseconds lease =
+    mOptions.mLease.mLength + 10 * mOptions.mLease.mMargin;
+  mUnasked[aWorker.mId] = mClaimedAt + mOptions.mProofLimit + lease;
+}
+
+void JobShard::OnJob(JobGraph aGraph)
+{
+  const JobId id = aGraph.mId;
+  JobEntry* job = mBook.Add(std::move(aGraph));
+  if (job == nullptr) {
+    return;
+  }
+  NoteJob(DecisionKind::kJobKnown, id, job->mGraph.mQueue.Text());
+  if (mCancelledEarly.erase(id) != 0) {
+    EndJob(*job, JobPhase::kCancelled, mClaimedAt);
+  }
+}
+
+void JobShard::OnCancel(const JobId& aJob, MonotonicTime aNow)
+{
+  JobEntry* job = mBook.Find(aJob);
+  if (job == nullptr) {
+    mCancelledEarly.insert(aJob);
+    return;
+  }
+  if (IsOver(job->mPhase)) {
+    return;
+  }
+  NoteJob(DecisionKind::kJobCancelled, aJob, "asked by its caller");
+  EndJob(*job, JobPhase::kCancelled, aNow);
+}
+
+void JobShard::OnConfig(const ClusterConfig& aConfig)
+{
+  mConfig = aConfig;
+}
+
+void JobShard::OnWorkers(const std::vector<WorkerFacts>& aWorkers,
+                         MonotonicTime aNow)
+{
+  std::set<WorkerId> listed;
+  for (const WorkerFacts& facts : aWorkers) {
+    listed.insert(facts.mId);
+    WorkerRoom& room = mWorkers.All()[facts.mId];
+    const bool moved =
+      room.mFacts.mEndpoint.mAddress != facts.mEndpoint.mAddress ||
+      room.mFacts.mEndpoint.mPort != facts.mEndpoint.mPort;
+    room.mFacts = facts;
+    room.mListed = true;
+    if (room.mBirth == Birth()) {
+      room.mBirth = facts.mBirth;
+    }
+    if (room.mBirth < facts.mBirth && room.mBirth != Birth()) {
+      ResetLife(room, facts.mBirth);
+    }
+    if (!room.mRecorded || moved) {
+      mDirtyWorkers.insert(facts.mId);
+    }
+    room.mLeavesAt.reset();
+    if (facts.mRemaining) {
+      room.mLeavesAt = aNow + *facts.mRemaining;
+    }
+  }
+  for (auto row = mWorkers.All().begin(); row != mWorkers.All().end();) {
+    WorkerRoom& room = row->second;
+    room.mListed = listed.count(row->first) != 0;
+    const bool waited = mUnasked.count(row->first) != 0;
+    if (room.mListed || !room.mSilent || !room.mTasks.empty() || waited ||
+        aNow < room.mLapsesAt) {
+      ++row;
+      continue;
+    }
+    NoteWorker(DecisionKind::kWorkerLapsed, row->first, "left the list");
+    mDirtyWorkers.erase(row->first);
+    mForgotten.insert(row->first);
+    row = mWorkers.All().erase(row);
+  }
+}
+
+ProgressBatch JobShard::TakeProgress(MonotonicTime aNow)
+{
+  ProgressBatch batch;
+  while (!mDirtyJobs.empty() && batch.mJobs.size() < kJobsPerBatch) {
+    const JobEntry* job = mBook.Find(*mDirtyJobs.begin());
+    mDirtyJobs.erase(mDirtyJobs.begin());
+    if (job != nullptr) {
+      batch.mJobs.push_back(mBook.ToRecord(*job));
+    }
+  }
+  for (auto& [id, job] : mBook.All()) {
+    const bool settled = IsOver(job.mPhase) && job.mShown == job.mPhase;
+    if (settled && aNow - job.mOverSince >= mOptions.mKeepOver &&
+        batch.mRetired.size() < kJobsPerBatch) {
+      batch.mRetired.push_back(id);
+    }
+  }
+  for (const WorkerId& id : mDirtyWorkers) {
+    const WorkerRoom* room = mWorkers.Find(id);
+    if (room != nullptr) {
+      batch.mWorkers.push_back(KnownWorker{
+        id, room->mFacts.mEndpoint, room->mFacts.mService, room->mBirth });
+    }
+  }
+  mDirtyWorkers.clear();
+  batch.mForgotten.assign(mForgotten.begin(), mForgotten.end());
+  mForgotten.clear();
+  if (!mDirtyJobs.empty()) {
+    return batch;
+  }
+  for (const auto& [id, room] : mWorkers.All()) {
+    if (room.mDurable < room.mTaken) {
+      batch.mEnds.push_back({ id, room.mBirth, room.mTaken });
+    }
+  }
+  return batch;
+}
+
+void JobShard::OnDurable(const ProgressBatch& aBatch)
+{
+  for (const JobRecord& record : aBatch.mJobs) {
+    JobEntry* job = mBook.Find(record.mId);
+    if (job != nullptr) {
+      job->mShown = record.mPhase;
+    }
+  }
+  for (const JobId& id : aBatch.mRetired) {
+    mBook.Retire(id);
+  }
+  for (const KnownWorker& worker : aBatch.mWorkers) {
+    WorkerRoom* room = mWorkers.Find(worker.mId);
+    if (room != nullptr) {
+      room->mRecorded = true;
+    }
+  }
+  for (const ProgressBatch::EndsTaken& ends : aBatch.mEnds) {
+    WorkerRoom* room = mWorkers.Find(ends.mWorker);
+    if (room != nullptr && room->mBirth == ends.mBirth) {
+      room->mDurable = std::max(room->mDurable, ends.mNumber);
+    }
+  }
+}
+
+void JobShard::PutBack(const ProgressBatch& aBatch)
+{
+  for (const JobRecord& record : aBatch.mJobs) {
+    mDirtyJobs.insert(record.mId);
+  }
+  for (const KnownWorker& worker : aBatch.mWorkers) {
+    mDirtyWorkers.insert(worker.mId);
+  }
+  for (const WorkerId& id : aBatch.mForgotten) {
+    if (mWorkers.Find(id) == nullptr) {
+      mForgotten.insert(id);
+    }
+  }
+}
+
+std::optional<JobPhase> JobShard::Phase(const JobId& aJob) const
+{
+  const JobEntry* job = mBook.Find(aJob);
+  if (job == nullptr) {
+    return std::nullopt;
+  }
+  if (IsOver(job->mShown)) {
+    return job->mShown;
+  }
+  return job->mBegun ? JobPhase::kRunning : JobPhase::kQueued;
+}
+
+std::vector<JobDecision> JobShard::TakeDecisions()
+{
+  return std::exchange(mDecisions, {});
+}
+
+void JobShard::Free(const TaskRef& aTask)
+{
+  StepTask* task = mBook.FindTask(aTask);
+  if (task == nullptr || !IsPlaced(task->mPhase)) {
+    return;
+  }
+  WorkerRoom* room = mWorkers.Find(task->mWorker);
+  if (room != nullptr) {
+    mWorkers.Release(*room, aTask, mBook.SpecOf(aTask.mStep));
+  }
+  mRepeat.erase(aTask);
+  mBook.Settle(aTask);
+}
+
+void JobShard::Avoid(WorkerRoom& aWorker,
+                     MonotonicTime aUntil,
+                     const char* aWhy)
+{
+  if (aUntil <= aWorker.mAvoidUntil) {
+    return;
+  }
+  aWorker.mAvoidUntil = aUntil;
+  NoteWorker(DecisionKind::kWorkerAvoided, aWorker.mFacts.mId, aWhy);
+}
+
+const QueueRules& JobShard::RulesOf(const JobEntry& aJob) const
+{
+  const auto found = mConfig.mRules.find(aJob.mGraph.mQueue);
+  return found == mConfig.mRules.end() ? aJob.mGraph.mRules : found->second;
+}
+
+void JobShard::Note(DecisionKind aKind,
+                    const TaskRef& aTask,
+                    const WorkerId& aWorker,
+                    RunNumber aRun,
+                    std::string aWhy)
+{
+  if (mDecisions.size() < kMaxDecisions) {
+    mDecisions.push_back(JobDecision{ aKind,
+                                      aTask.mStep.mJob,
+                                      aTask.Text(),
+                                      aWorker,
+                                      aRun.Value(),
+                                      std::move(aWhy) });
+  }
+}
+
+void JobShard::NoteJob(DecisionKind aKind, const JobId& aJob, std::string aWhy)
+{
+  if (mDecisions.size() < kMaxDecisions) {
+    mDecisions.push_back(
+      JobDecision{ aKind, aJob, "", WorkerId(), 0, std::move(aWhy) });
+  }
+}
+
+void JobShard::NoteWorker(DecisionKind aKind,
+                          const WorkerId& aWorker,
+                          std::string aWhy)
+{
+  if (mDecisions.size() < kMaxDecisions) {
+    mDecisions.push_back(
+      JobDecision{ aKind, JobId(), "", aWorker, 0, std::move(aWhy) });
+  }
+}
+
+} // namespace mulberryvalve
--- /dev/null
+++ b/mulberryvalve/core/jobs/job_shard.h
@@ -0,0 +1,243 @@
+// JobShard: the decisions of a shard's owner under one epoch: what is started
+// where, what is stopped, and what is to be made durable.
+#ifndef MULBERRYVALVE_CORE_JOBS_JOB_SHARD_H_
+#define MULBERRYVALVE_CORE_JOBS_JOB_SHARD_H_
+
+#include "mulberryvalve/core/jobs/cluster_config.h"
+#include "mulberryvalve/core/jobs/job_book.h"
+#include "mulberryvalve/core/jobs/job_decision.h"
+#include "mulberryvalve/core/jobs/job_placement.h"
+#include "mulberryvalve/core/jobs/worker_table.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace mulberryvalve {
+
+// JobShardOptions are the figures of one owner.
+struct JobShardOptions
+{
+  Epoch mEpoch;
+  LeaseTerms mLease;
+  // A former owner acts no more this long after its last proof of ownership.
+  Milliseconds mProofLimit{ 10000 };
+  // How long callers can ask for a job that is over.
+  Milliseconds mKeepOver{ 150000 };
+};
+
+// KnownWorker is a worker that an owner has used, as its successor finds it on
+// the log.
+struct KnownWorker
+{
+  WorkerId mId;
+  Endpoint mEndpoint;
+  ServiceId mService;
+  Birth mBirth;
+};
+
+// ProgressBatch is what is to be made durable next. OnDurable takes it back.
+struct ProgressBatch
+{
+  // EndsTaken says up to where a worker's ends are part of the batch.
+  struct EndsTaken
+  {
+    WorkerId mWorker;
+    Birth mBirth;
+    EndNumber mNumber;
+  };
+
+  std::vector<JobRecord> mJobs;
+  std::vector<JobId> mRetired;
+  std::vector<KnownWorker> mWorkers;
+  std::vector<WorkerId> mForgotten;
+  std::vector<EndsTaken> mEnds;
+
+  // Empty tells whether nothing needs an append.
+  bool Empty() const
+  {
+    return mJobs.empty() && mRetired.empty() && mWorkers.empty() &&
+           mForgotten.empty();
+  }
+};
+
+// JobShard is not synchronised: its owner holds the shard's lock. It sends
+// nothing: orders are returned, and their answers are given back.
+class JobShard
+{
+public:
+  // aPlacement must outlive this object. aClaimedAt is when the claim of the
+  // epoch was durable.
+  JobShard(JobShardOptions aOptions,
+           const JobPlacement& aPlacement,
+           MonotonicTime aClaimedAt);
+
+  // Inherit takes in a job that was handed in before the claim, with its
+  // durable progress. InheritWorker takes in a worker of former owners.
+  void Inherit(JobGraph aGraph, const JobRecord* aRecord);
+  void InheritWorker(const KnownWorker& aWorker);
+
+  // OnJob and OnCancel take in what callers handed in, in the order of the log.
+  // A job or a cancellation that is known changes nothing.
+  void OnJob(JobGraph aGraph);
+  void OnCancel(const JobId& aJob, MonotonicTime aNow);
+
+  // OnConfig puts a configuration in force.
+  void OnConfig(const ClusterConfig& aConfig);
+
+  // OnWorkers takes in the whole list of workers of this shard.
+  void OnWorkers(const std::vector<WorkerFacts>& aWorkers, MonotonicTime aNow);
+
+  // NextHold returns the renewal that is due for a worker, or nothing when the
+  // worker is not known any more. aMayRenew says whether ownership is proved.
+  std::optional<HoldOrder> NextHold(const WorkerId& aWorker,
+                                    bool aMayRenew,
+                                    MonotonicTime aNow);
+
+  // OnHold takes in the answer to aOrder, which was sent at aSentAt.
+  void OnHold(const HoldOrder& aOrder,
+              const HoldReply& aReply,
+              MonotonicTime aSentAt,
+              MonotonicTime aNow);
+
+  // OnOrder takes in the answer to aOrder.
+  void OnOrder(const TaskOrder& aOrder,
+               const OrderReply& aReply,
+               MonotonicTime aNow);
+
+  // IsWanted tells whether a start that was ordered is still to be sent; stops
+  // always are.
+  bool IsWanted(const TaskOrder& aOrder) const;
+
+  // Decide returns the orders to send now. aMayStart says whether ownership is
+  // proved well enough to start something.
+  std::vector<TaskOrder> Decide(bool aMayStart,
+                                MonotonicTime aNow,
+                                WallTime aWall);
+
+  // TakeProgress returns what changed since the last call. OnDurable says that
+  // it is on the log, PutBack that it may not be.
+  ProgressBatch TakeProgress(MonotonicTime aNow);
+  void OnDurable(const ProgressBatch& aBatch);
+  void PutBack(const ProgressBatch& aBatch);
+
+  // NeedsAppend tells whether TakeProgress would return something.
+  bool NeedsAppend() const
+  {
+    return !mDirtyJobs.empty() || !mDirtyWorkers.empty() || !mForgotten.empty();
+  }
+
+  // Phase returns what a caller may be told of a job, or nothing when there is
+  // no such job.
+  std::optional<JobPhase> Phase(const JobId& aJob) const;
+
+  // Waiting counts the jobs of a queue of which no task was started.
+  size_t Waiting(const QueueId& aQueue) const { return mBook.Waiting(aQueue); }
+
+  // IsFenced tells whether a worker obeys a newer owner: this one must end.
+  bool IsFenced() const { return mFenced; }
+
+  // TakeDecisions returns the decisions since the last call, oldest first.
+  std::vector<JobDecision> TakeDecisions();
+
+  // Workers returns the present view of the workers.
+  const WorkerTable& Workers() const { return mWorkers; }
+
+private:
+  struct ForeignRun
+  {
+    TaskRef mTask;
+    RunNumber mRun;
+    WorkerId mWorker;
+
+    friend bool operator<(const ForeignRun& aLeft, const ForeignRun& aRight)
+    {
+      return std::tie(aLeft.mTask, aLeft.mRun, aLeft.mWorker) <
+             std::tie(aRight.mTask, aRight.mRun, aRight.mWorker);
+    }
+  };
+
+  // Ends and lists (job_shard_lists.cc).
+  void TakeEnd(WorkerRoom& aWorker, const EndedRow& aRow, MonotonicTime aNow);
+  void CountEnd(StepTask& aTask, const EndedRow& aRow);
+  void JudgeWorker(WorkerRoom& aWorker,
+                   const EndedRow& aRow,
+                   MonotonicTime aNow);
+  void TakeRunning(WorkerRoom& aWorker,
+                   const RunningRow& aRow,
+                   MonotonicTime aNow);
+  void FreeMissing(WorkerRoom& aWorker,
+                   const HoldReply& aReply,
+                   MonotonicTime aSentAt);
+  void OnSilent(WorkerRoom& aWorker, OrderOutcome aOutcome);
+  void ResetLife(WorkerRoom& aWorker, Birth aBirth);
+  void FreeAll(WorkerRoom& aWorker, const char* aWhy);
+  void FreeLapsed(MonotonicTime aNow);
+  void FinishTask(const TaskRef& aTask);
+  void FinishGang(const TaskRef& aTask, MonotonicTime aNow);
+  void FollowJob(JobEntry& aJob, MonotonicTime aNow);
+  void EndJob(JobEntry& aJob, JobPhase aPhase, MonotonicTime aNow);
+
+  // Orders (job_shard_orders.cc).
+  void PlaceOpen(MonotonicTime aNow);
+  bool PlaceOne(JobEntry& aJob, const TaskRef& aTask, MonotonicTime aNow);
+  void PlaceGang(JobEntry& aJob, const StepRef& aStep, MonotonicTime aNow);
+  WorkerRoom* Choose(const JobEntry& aJob,
+                     const StepRef& aStep,
+                     MonotonicTime aNow);
+  void OrderStart(JobEntry& aJob,
+                  const TaskRef& aTask,
+                  WorkerRoom& aWorker,
+                  RunNumber aRun,
+                  MonotonicTime aNow);
+  void OrderStop(const TaskRef& aTask, const char* aWhy);
+  void SendStop(const TaskRef& aTask,
+                RunNumber aRun,
+                const WorkerRoom& aWorker);
+  void RepeatStops(MonotonicTime aNow);
+  void MoveOffLeaving(MonotonicTime aNow);
+  bool IsBlocked(const JobEntry& aJob, MonotonicTime aNow);
+  RunNumber NextRun(JobEntry& aJob);
+  void OnStartOutcome(const TaskOrder& aOrder,
+                      OrderOutcome aOutcome,
+                      MonotonicTime aNow);
+  void OnStopOutcome(const TaskOrder& aOrder,
+                     OrderOutcome aOutcome,
+                     MonotonicTime aNow);
+
+  void Free(const TaskRef& aTask);
+  void Avoid(WorkerRoom& aWorker, MonotonicTime aUntil, const char* aWhy);
+  const QueueRules& RulesOf(const JobEntry& aJob) const;
+  void Note(DecisionKind aKind,
+            const TaskRef& aTask,
+            const WorkerId& aWorker,
+            RunNumber aRun,
+            std::string aWhy);
+  void NoteJob(DecisionKind aKind, const JobId& aJob, std::string aWhy);
+  void NoteWorker(DecisionKind aKind, const WorkerId& aWorker, std::string aWhy);
+
+  const JobShardOptions mOptions;
+  const JobPlacement& mPlacement;
+  const MonotonicTime mClaimedAt;
+  JobBook mBook;
+  WorkerTable mWorkers;
+  ClusterConfig mConfig;
+  // Workers of former owners that have not answered yet, and until when they
+  // may run what a former owner started.
+  std::map<WorkerId, MonotonicTime> mUnasked;
+  std::set<JobId> mCancelledEarly;
+  std::set<JobId> mDirtyJobs;
+  std::set<WorkerId> mDirtyWorkers;
+  std::set<WorkerId> mForgotten;
+  // Stops to send again when there is no sign of the end by then.
+  std::map<TaskRef, MonotonicTime> mRepeat;
+  std::map<ForeignRun, MonotonicTime> mForeign;
+  std::vector<TaskOrder> mOrders;
+  std::vector<JobDecision> mDecisions;
+  bool mFenced = false;
+};
+
+} // namespace mulberryvalve
+
+#endif // MULBERRYVALVE_CORE_JOBS_JOB_SHARD_H_
--- /dev/null
+++ b/mulberryvalve/core/jobs/job_shard_lists.cc
@@ -0,0 +1,346 @@
+// What JobShard makes of the lists and the silence of workers.
+#include "mulberryvalve/core/jobs/job_shard.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace mulberryvalve {
+namespace {
+
+// A worker that fails this many tasks of different jobs in a row is suspected.
+constexpr int kFailuresToAvoid = 4;
+constexpr Milliseconds kFirstAvoidance{ 1500 };
+constexpr int kMaxAvoidanceDoublings = 3;
+// A stop of a run that nobody knows is repeated at this interval.
+constexpr Milliseconds kForeignStopInterval{ 1000 };
+
+} // namespace
+
+std::optional<HoldOrder> JobShard::NextHold(const WorkerId& aWorker,
+                                            bool aMayRenew,
+                                            MonotonicTime aNow)
+{
+  WorkerRoom* room = mWorkers.Find(aWorker);
+  if (room == nullptr) {
+    return std::nullopt;
+  }
+  return mWorkers.NextHold(*room, mOptions.mEpoch, aMayRenew, aNow);
+}
+
+void JobShard::OnHold(const HoldOrder& aOrder,
+                      const HoldReply& aReply,
+                      MonotonicTime aSentAt,
+                      MonotonicTime aNow)
+{
+  WorkerRoom* room = mWorkers.Find(aOrder.mWorker);
+  if (room == nullptr) {
+    return;
+  }
+  if (aReply.mOutcome == OrderOutcome::kFenced) {
+    mFenced = true;
+    NoteWorker(DecisionKind::kWorkerFenced, aOrder.mWorker, "hold");
+    return;
+  }
+  if (aReply.mOutcome != OrderOutcome::kAccepted) {
+    OnSilent(*room, aReply.mOutcome);
+    return;
+  }
+  const Birth birth = aReply.mReading.mBirth;
+  if (birth < room->mBirth) {
+    return; // said by a life that is over
+  }
+  if (room->mBirth < birth) {
+    if (room->mBirth != Birth()) {
+      ResetLife(*room, birth);
+    }
+    room->mBirth = birth;
+  }
+  if (room->mSilent) {
+    room->mSilent = false;
+    NoteWorker(DecisionKind::kWorkerBack, aOrder.mWorker, "answers");
+  }
+  mWorkers.OnReading(*room, aReply.mReading, aNow);
+  for (const EndedRow& row : aReply.mEnded) {
+    TakeEnd(*room, row, aNow);
+  }
+  for (const RunningRow& row : aReply.mRunning) {
+    TakeRunning(*room, row, aNow);
+  }
+  FreeMissing(*room, aReply, aSentAt);
+  if (!room->mInventoried) {
+    room->mInventoried = true;
+    mUnasked.erase(aOrder.mWorker);
+    NoteWorker(DecisionKind::kWorkerKnown,
+               aOrder.mWorker,
+               std::to_string(aReply.mRunning.size()) + " running");
+  }
+}
+
+void JobShard::TakeEnd(WorkerRoom& aWorker,
+                       const EndedRow& aRow,
+                       MonotonicTime aNow)
+{
+  if (aRow.mNumber <= aWorker.mTaken) {
+    return;
+  }
+  aWorker.mTaken = aRow.mNumber;
+  StepTask* task = mBook.FindTask(aRow.mTask);
+  if (task == nullptr) {
+    return;
+  }
+  const JobId& id = aRow.mTask.mStep.mJob;
+  Note(DecisionKind::kTaskEnded,
+       aRow.mTask,
+       aWorker.mFacts.mId,
+       aRow.mRun,
+       std::string(kEndKindNames.Name(aRow.mHow)));
+  const bool present = IsPlaced(task->mPhase) &&
+                       task->mWorker == aWorker.mFacts.mId &&
+                       task->mRun == aRow.mRun;
+  if (task->mCountedRun < aRow.mRun) {
+    CountEnd(*task, aRow);
+    mDirtyJobs.insert(id);
+    JudgeWorker(aWorker, aRow, aNow);
+  }
+  if (present) {
+    Free(aRow.mTask);
+  }
+  if (aRow.mHow == EndKind::kDone) {
+    FinishTask(aRow.mTask);
+    FinishGang(aRow.mTask, aNow);
+  }
+  FollowJob(*mBook.Find(id), aNow);
+}
+
+void JobShard::CountEnd(StepTask& aTask, const EndedRow& aRow)
+{
+  aTask.mCountedRun = aRow.mRun;
+  if (aRow.mHow == EndKind::kFailed) {
+    aTask.mFailures++;
+  }
+  if (aRow.mCheckpoint.Empty()) {
+    return;
+  }
+  aTask.mCheckpoint = aRow.mCheckpoint;
+  const StepRef& step = aRow.mTask.mStep;
+  if (mBook.SpecOf(step).mGang) {
+    // One checkpoint is valid for all members and must be the same for all.
+    for (StepTask& member : mBook.StepOf(step).mTasks) {
+      member.mCheckpoint = aRow.mCheckpoint;
+    }
+  }
+}
+
+void JobShard::JudgeWorker(WorkerRoom& aWorker,
+                           const EndedRow& aRow,
+                           MonotonicTime aNow)
+{
+  if (aRow.mHow == EndKind::kDone) {
+    aWorker.mFailuresInRow = 0;
+  }
+  if (aRow.mHow != EndKind::kFailed) {
+    return;
+  }
+  aWorker.mFailuresInRow++;
+  if (aWorker.mFailuresInRow < kFailuresToAvoid) {
+    return;
+  }
+  const int doublings = std::min(aWorker.mFailuresInRow - kFailuresToAvoid,
+                                 kMaxAvoidanceDoublings);
+  Avoid(aWorker, aNow + kFirstAvoidance * (1 << doublings), "fails all");
+}
+
+void JobShard::FinishTask(const TaskRef& aTask)
+{
+  const StepTask* task = mBook.FindTask(aTask);
+  if (task->mDone || mBook.SpecOf(aTask.mStep).mLasting) {
+    return;
+  }
+  mBook.Finish(aTask);
+  if (IsPlaced(task->mPhase) && task->mPhase != TaskPhase::kStopping) {
+    OrderStop(aTask, "another run is done");
+  }
+}
+
+void JobShard::FinishGang(const TaskRef& aTask, MonotonicTime aNow)
+{
+  if (!mBook.SpecOf(aTask.mStep).mGang) {
+    return;
+  }
+  const size_t members = mBook.StepOf(aTask.mStep).mTasks.size();
+  for (uint32_t index = 0; index < members; index++) {
+    const TaskRef member{ aTask.mStep, index };
+    mBook.Finish(member);
+    // Members end together; a stop follows when one is still listed later.
+    mRepeat.emplace(member, aNow + kForeignStopInterval);
+  }
+}
+
+void JobShard::FollowJob(JobEntry& aJob, MonotonicTime aNow)
+{
+  if (IsOver(aJob.mPhase)) {
+    return;
+  }
+  if (JobBook::AllDone(aJob)) {
+    EndJob(aJob, JobPhase::kCompleted, aNow);
+    return;
+  }
+  const int limit = RulesOf(aJob).mMaxAttempts;
+  if (limit <= 0) {
+    return;
+  }
+  for (uint32_t number = 0; number < aJob.mOccurrences.size(); number++) {
+    for (uint32_t step = 0; step < aJob.mGraph.mSteps.size(); step++) {
+      const StepSpec& spec = aJob.mGraph.mSteps[step];
+      if (spec.mLasting) {
+        continue;
+      }
+      int gangFailures = 0;
+      for (const StepTask& task : aJob.mOccurrences[number][step].mTasks) {
+        gangFailures += task.mFailures;
+        const int failures = spec.mGang ? gangFailures : task.mFailures;
+        if (!task.mDone && failures >= limit) {
+          EndJob(aJob, JobPhase::kFailed, aNow);
+          return;
+        }
+      }
+    }
+  }
+}
+
+void JobShard::EndJob(JobEntry& aJob, JobPhase aPhase, MonotonicTime aNow)
+{
+  const JobId& id = aJob.mGraph.mId;
+  aJob.mPhase = aPhase;
+  aJob.mOverSince = aNow;
+  mBook.Close(aJob);
+  mDirtyJobs.insert(id);
+  NoteJob(
+    DecisionKind::kJobOver, id, std::string(kJobPhaseNames.Name(aPhase)));
+  for (uint32_t number = 0; number < aJob.mOccurrences.size(); number++) {
+    for (uint32_t step = 0; step < aJob.mGraph.mSteps.size(); step++) {
+      const auto& tasks = aJob.mOccurrences[number][step].mTasks;
+      for (uint32_t index = 0; index < tasks.size(); index++) {
+        if (IsPlaced(tasks[index].mPhase)) {
+          OrderStop(TaskRef{ { id, number, step }, index }, "its job is over");
+        }
+      }
+    }
+  }
+}
+
+void JobShard::TakeRunning(WorkerRoom& aWorker,
+                           const RunningRow& aRow,
+                           MonotonicTime aNow)
+{
+  StepTask* task = mBook.FindTask(aRow.mTask);
+  const WorkerId& id = aWorker.mFacts.mId;
+  if (task != nullptr && IsPlaced(task->mPhase) && task->mWorker == id &&
+      task->mRun == aRow.mRun) {
+    if (task->mPhase == TaskPhase::kUnsettled) {
+      task->mPhase = TaskPhase::kRunning;
+      task->mAnsweredAt = aNow;
+      mRepeat.erase(aRow.mTask);
+    }
+    if (!aRow.mCheckpoint.Empty()) {
+      task->mCheckpoint = aRow.mCheckpoint;
+    }
+    return;
+  }
+  const JobEntry* job = mBook.Find(aRow.mTask.mStep.mJob);
+  const bool adoptable = task != nullptr && !IsOver(job->mPhase) &&
+                         task->mPhase == TaskPhase::kWaiting &&
+                         task->mCountedRun < aRow.mRun;
+  if (adoptable) {
+    Note(DecisionKind::kTaskAdopted, aRow.mTask, id, aRow.mRun, "listed");
+    mBook.Place(aRow.mTask, id, aRow.mRun);
+    task->mPhase = TaskPhase::kRunning;
+    task->mAnsweredAt = aNow;
+    mWorkers.Charge(aWorker, aRow.mTask, mBook.SpecOf(aRow.mTask.mStep));
+    return;
+  }
+  MonotonicTime& repeatAt = mForeign[ForeignRun{ aRow.mTask, aRow.mRun, id }];
+  if (repeatAt <= aNow) {
+    repeatAt = aNow + kForeignStopInterval;
+    Note(DecisionKind::kTaskStopped, aRow.mTask, id, aRow.mRun, "not wanted");
+    SendStop(aRow.mTask, aRow.mRun, aWorker);
+  }
+}
+
+void JobShard::FreeMissing(WorkerRoom& aWorker,
+                           const HoldReply& aReply,
+                           MonotonicTime aSentAt)
+{
+  std::set<TaskRef> present;
+  for (const RunningRow& row : aReply.mRunning) {
+    present.insert(row.mTask);
+  }
+  const std::vector<TaskRef> charged(aWorker.mTasks.begin(),
+                                     aWorker.mTasks.end());
+  for (const TaskRef& ref : charged) {
+    const StepTask* task = mBook.FindTask(ref);
+    const bool answered = task->mPhase == TaskPhase::kRunning ||
+                          task->mPhase == TaskPhase::kStopping;
+    if (answered && task->mAnsweredAt != MonotonicTime() &&
+        task->mAnsweredAt < aSentAt && present.count(ref) == 0) {
+      Note(DecisionKind::kTaskLost,
+           ref,
+           aWorker.mFacts.mId,
+           task->mRun,
+           std::string(kTaskPhaseNames.Name(task->mPhase)) +
+             ", not on the worker's lists");
+      Free(ref);
+    }
+  }
+}
+
+void JobShard::OnSilent(WorkerRoom& aWorker, OrderOutcome aOutcome)
+{
+  if (aWorker.mSilent) {
+    return;
+  }
+  aWorker.mSilent = true;
+  NoteWorker(DecisionKind::kWorkerSilent,
+             aWorker.mFacts.mId,
+             std::string(kOrderOutcomeNames.Name(aOutcome)));
+}
+
+void JobShard::ResetLife(WorkerRoom& aWorker, Birth aBirth)
+{
+  NoteWorker(
+    DecisionKind::kWorkerReborn, aWorker.mFacts.mId, "its birth changed");
+  FreeAll(aWorker, "its worker was born anew");
+  aWorker.mBirth = aBirth;
+  aWorker.mTaken = EndNumber();
+  aWorker.mDurable = EndNumber();
+  aWorker.mClock.reset();
+  aWorker.mLeaseUntil = WorkerTime();
+  aWorker.mInventoried = false;
+  aWorker.mFailuresInRow = 0;
+  mDirtyWorkers.insert(aWorker.mFacts.mId);
+}
+
+void JobShard::FreeAll(WorkerRoom& aWorker, const char* aWhy)
+{
+  const std::vector<TaskRef> charged(aWorker.mTasks.begin(),
+                                     aWorker.mTasks.end());
+  for (const TaskRef& ref : charged) {
+    const StepTask* task = mBook.FindTask(ref);
+    Note(DecisionKind::kTaskLost, ref, aWorker.mFacts.mId, task->mRun, aWhy);
+    Free(ref);
+  }
+}
+
+void JobShard::FreeLapsed(MonotonicTime aNow)
+{
+  for (auto& [id, room] : mWorkers.All()) {
+    if (!room.mSilent || room.mTasks.empty() || aNow < room.mLapsesAt ||
+        mUnasked.count(id) != 0) {
+      continue;
+    }
+    NoteWorker(DecisionKind::kWorkerLapsed, id, "silent beyond its leases");
+    FreeAll(room, "its lease is over");
+  }
+}
+
+} // namespace mulberryvalve
--- /dev/null
+++ b/mulberryvalve/core/jobs/job_shard_orders.cc
@@ -0,0 +1,373 @@
+// What JobShard orders: starts, stops and their answers.
+#include "mulberryvalve/core/jobs/job_shard.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberryvalve {
+namespace {
+
+// A stop without a sign of its end is sent again after this.
+constexpr Milliseconds kRepeatStop{ 700 };
+constexpr Milliseconds kAvoidRefusing{ 500 };
+constexpr Milliseconds kAvoidUnhealthy{ 1500 };
+// Checkpointing tasks leave a worker this long before it may be gone: a stop
+// and the answer to it take less.
+constexpr Milliseconds kLeaveBefore{ 1500 };
+// Run numbers of an epoch start above all numbers of earlier epochs.
+constexpr uint64_t kRunsPerEpoch = 1 << 14;
+
+// Refused remembers the least demand that found no worker, to pass over steps
+// that ask for as much.
+class Refused
+{
+public:
+  bool Covers(const StepSpec& aStep) const
+  {
+    const auto& least = mLeast[Kind(aStep)];
+    return least && least->FitsIn(aStep.mDemand);
+  }
+
+  void Add(const StepSpec& aStep)
+  {
+    const bool special = !aStep.mRequiredLabel.Empty() ||
+                         aStep.mMaxPerWorker > 0 || aStep.mSameRack;
+    auto& least = mLeast[Kind(aStep)];
+    if (!special && (!least || aStep.mDemand.FitsIn(*least))) {
+      least = aStep.mDemand;
+    }
+  }
+
+private:
+  static size_t Kind(const StepSpec& aStep)
+  {
+    return (aStep.mFills ? 1U : 0U) + (aStep.mLasting ? 2U : 0U);
+  }
+
+  std::optional<Resources> mLeast[4];
+};
+
+} // namespace
+
+std::vector<TaskOrder> JobShard::Decide(bool aMayStart,
+                                        MonotonicTime aNow,
+                                        WallTime aWall)
+{
+  FreeLapsed(aNow);
+  RepeatStops(aNow);
+  MoveOffLeaving(aNow);
+  mBook.OpenDue(aWall);
+  if (aMayStart) {
+    PlaceOpen(aNow);
+  }
+  return std::exchange(mOrders, {});
+}
+
+bool JobShard::IsWanted(const TaskOrder& aOrder) const
+{
+  if (aOrder.mKind != OrderKind::kStart) {
+    return true;
+  }
+  const StepTask* task = mBook.FindTask(aOrder.mTask);
+  return task != nullptr && task->mPhase == TaskPhase::kStarting &&
+         task->mWorker == aOrder.mWorker && task->mRun == aOrder.mRun;
+}
+
+void JobShard::PlaceOpen(MonotonicTime aNow)
+{
+  const std::vector<OpenStep> open(mBook.Open().begin(), mBook.Open().end());
+  Refused refused;
+  for (const OpenStep& entry : open) {
+    JobEntry& job = *mBook.Find(entry.mStep.mJob);
+    const StepSpec& spec = mBook.SpecOf(entry.mStep);
+    if (IsBlocked(job, aNow) || refused.Covers(spec)) {
+      continue;
+    }
+    if (spec.mGang) {
+      PlaceGang(job, entry.mStep, aNow);
+      continue;
+    }
+    for (uint32_t index = 0; index < spec.mCount; index++) {
+      const TaskRef ref{ entry.mStep, index };
+      const bool waits = mBook.FindTask(ref)->mPhase == TaskPhase::kWaiting;
+      if (waits && !PlaceOne(job, ref, aNow)) {
+        refused.Add(spec);
+        break;
+      }
+    }
+  }
+}
+
+bool JobShard::PlaceOne(JobEntry& aJob,
+                        const TaskRef& aTask,
+                        MonotonicTime aNow)
+{
+  WorkerRoom* worker = Choose(aJob, aTask.mStep, aNow);
+  if (worker == nullptr) {
+    return false;
+  }
+  OrderStart(aJob, aTask, *worker, NextRun(aJob), aNow);
+  return true;
+}
+
+// Either all members that wait are started or none, and only once no member of
+// an earlier run is left.
+void JobShard::PlaceGang(JobEntry& aJob,
+                         const StepRef& aStep,
+                         MonotonicTime aNow)
+{
+  const StepSpec& spec = mBook.SpecOf(aStep);
+  StepState& step = mBook.StepOf(aStep);
+  if (step.mWaiting != step.mTasks.size()) {
+    return;
+  }
+  std::vector<WorkerRoom*> chosen;
+  for (uint32_t index = 0; index < spec.mCount; index++) {
+    WorkerRoom* worker = Choose(aJob, aStep, aNow);
+    if (worker == nullptr) {
+      break;
+    }
+    mWorkers.Charge(*worker, TaskRef{ aStep, index }, spec);
+    step.mSiblings[worker->mFacts.mId]++;
+    chosen.push_back(worker);
+  }
+  for (uint32_t index = 0; index < chosen.size(); index++) {
+    mWorkers.Release(*chosen[index], TaskRef{ aStep, index }, spec);
+  }
+  step.mSiblings.clear();
+  if (chosen.size() < spec.mCount) {
+    return;
+  }
+  const RunNumber run = NextRun(aJob);
+  for (uint32_t index = 0; index < spec.mCount; index++) {
+    OrderStart(aJob, TaskRef{ aStep, index }, *chosen[index], run, aNow);
+  }
+}
+
+WorkerRoom* JobShard::Choose(const JobEntry& aJob,
+                             const StepRef& aStep,
+                             MonotonicTime aNow)
+{
+  const StepSpec& spec = mBook.SpecOf(aStep);
+  const StepState& step = mBook.StepOf(aStep);
+  RackId onlyRack;
+  if (spec.mSameRack && !step.mSiblings.empty()) {
+    const WorkerRoom* first = mWorkers.Find(step.mSiblings.begin()->first);
+    onlyRack = first == nullptr ? RackId() : first->mFacts.mRack;
+  }
+  const PlacementQuery query{ spec,
+                              RulesOf(aJob).mService,
+                              step.mSiblings,
+                              mConfig.mDomainsOut,
+                              onlyRack,
+                              aNow };
+  return mPlacement.Choose(query, mWorkers);
+}
+
+void JobShard::OrderStart(JobEntry& aJob,
+                          const TaskRef& aTask,
+                          WorkerRoom& aWorker,
+                          RunNumber aRun,
+                          MonotonicTime aNow)
+{
+  const StepSpec& spec = mBook.SpecOf(aTask.mStep);
+  const std::optional<WorkerTime> until =
+    mWorkers.LeaseForStart(aWorker, aNow);
+  if (!until) {
+    return;
+  }
+  mBook.Place(aTask, aWorker.mFacts.mId, aRun);
+  mWorkers.Charge(aWorker, aTask, spec);
+  TaskOrder order;
+  order.mKind = OrderKind::kStart;
+  order.mTask = aTask;
+  order.mRun = aRun;
+  order.mWorker = aWorker.mFacts.mId;
+  order.mEndpoint = aWorker.mFacts.mEndpoint;
+  order.mEpoch = mOptions.mEpoch;
+  order.mUntil = *until;
+  order.mSpecification = aJob.mGraph.mSpecification;
+  order.mCheckpoint = mBook.FindTask(aTask)->mCheckpoint;
+  mOrders.push_back(std::move(order));
+  Note(DecisionKind::kTaskPlaced,
+       aTask,
+       aWorker.mFacts.mId,
+       aRun,
+       "free cpu " + std::to_string(aWorker.Room().mCpuMillis) + ", filling " +
+         std::to_string(aWorker.mFilling) + ", lasting " +
+         std::to_string(aWorker.mLasting));
+  if (spec.mLasting && spec.mTailTarget.count() > 0) {
+    const std::vector<TaskRef> others(aWorker.mTasks.begin(),
+                                      aWorker.mTasks.end());
+    for (const TaskRef& other : others) {
+      if (mBook.SpecOf(other.mStep).mFills) {
+        OrderStop(other, "makes way for a task with a tail target");
+      }
+    }
+  }
+}
+
+void JobShard::OrderStop(const TaskRef& aTask, const char* aWhy)
+{
+  StepTask* task = mBook.FindTask(aTask);
+  if (!IsPlaced(task->mPhase) || task->mPhase == TaskPhase::kStopping) {
+    return;
+  }
+  Note(DecisionKind::kTaskStopped, aTask, task->mWorker, task->mRun, aWhy);
+  task->mPhase = TaskPhase::kStopping;
+  task->mAnsweredAt = MonotonicTime();
+  mRepeat[aTask] = MonotonicTime();
+}
+
+void JobShard::SendStop(const TaskRef& aTask,
+                        RunNumber aRun,
+                        const WorkerRoom& aWorker)
+{
+  TaskOrder order;
+  order.mKind = OrderKind::kStop;
+  order.mTask = aTask;
+  order.mRun = aRun;
+  order.mWorker = aWorker.mFacts.mId;
+  order.mEndpoint = aWorker.mFacts.mEndpoint;
+  order.mEpoch = mOptions.mEpoch;
+  mOrders.push_back(std::move(order));
+}
+
+void JobShard::RepeatStops(MonotonicTime aNow)
+{
+  for (auto row = mRepeat.begin(); row != mRepeat.end();) {
+    const StepTask* task = mBook.FindTask(row->first);
+    if (task == nullptr || !IsPlaced(task->mPhase)) {
+      row = mRepeat.erase(row);
+      continue;
+    }
+    const WorkerRoom* worker = mWorkers.Find(task->mWorker);
+    if (row->second <= aNow && worker != nullptr && !worker->mSilent) {
+      row->second = aNow + kRepeatStop;
+      SendStop(row->first, task->mRun, *worker);
+    }
+    ++row;
+  }
+}
+
+void JobShard::MoveOffLeaving(MonotonicTime aNow)
+{
+  for (auto& [id, worker] : mWorkers.All()) {
+    if (worker.mFacts.mState != WorkerState::kLeaving || worker.mSilent) {
+      continue;
+    }
+    const bool soon =
+      worker.mLeavesAt && *worker.mLeavesAt - kLeaveBefore <= aNow;
+    for (const TaskRef& ref : worker.mTasks) {
+      const StepSpec& spec = mBook.SpecOf(ref.mStep);
+      if (spec.mLasting || (soon && spec.mCheckpointing)) {
+        OrderStop(ref, "its worker leaves");
+      }
+    }
+  }
+}
+
+bool JobShard::IsBlocked(const JobEntry& aJob, MonotonicTime aNow)
+{
+  if (!aJob.mInherited) {
+    return false;
+  }
+  for (auto row = mUnasked.begin(); row != mUnasked.end();) {
+    row = row->second <= aNow ? mUnasked.erase(row) : std::next(row);
+  }
+  return !mUnasked.empty();
+}
+
+RunNumber JobShard::NextRun(JobEntry& aJob)
+{
+  const RunNumber first(mOptions.mEpoch.Value() * kRunsPerEpoch);
+  aJob.mLastRun = std::max(aJob.mLastRun, first).Next();
+  return aJob.mLastRun;
+}
+
+void JobShard::OnOrder(const TaskOrder& aOrder,
+                       const OrderReply& aReply,
+                       MonotonicTime aNow)
+{
+  WorkerRoom* worker = mWorkers.Find(aOrder.mWorker);
+  if (aReply.mOutcome == OrderOutcome::kFenced) {
+    mFenced = true;
+    NoteWorker(DecisionKind::kWorkerFenced, aOrder.mWorker, "order");
+    return;
+  }
+  if (worker != nullptr && aReply.mOutcome == OrderOutcome::kAccepted) {
+    mWorkers.OnReading(*worker, aReply.mReading, aNow);
+  }
+  const StepTask* task = mBook.FindTask(aOrder.mTask);
+  const bool present = task != nullptr && IsPlaced(task->mPhase) &&
+                       task->mWorker == aOrder.mWorker &&
+                       task->mRun == aOrder.mRun;
+  if (!present) {
+    return;
+  }
+  if (aOrder.mKind == OrderKind::kStart) {
+    OnStartOutcome(aOrder, aReply.mOutcome, aNow);
+  } else if (aOrder.mKind == OrderKind::kStop) {
+    OnStopOutcome(aOrder, aReply.mOutcome, aNow);
+  }
+}
+
+void JobShard::OnStartOutcome(const TaskOrder& aOrder,
+                              OrderOutcome aOutcome,
+                              MonotonicTime aNow)
+{
+  StepTask& task = *mBook.FindTask(aOrder.mTask);
+  WorkerRoom* worker = mWorkers.Find(aOrder.mWorker);
+  if (aOutcome == OrderOutcome::kAccepted) {
+    if (task.mPhase == TaskPhase::kStarting) {
+      task.mPhase = TaskPhase::kRunning;
+      task.mAnsweredAt = aNow;
+    }
+    return;
+  }
+  if (aOutcome == OrderOutcome::kUnknown) {
+    Note(DecisionKind::kTaskUnsettled,
+         aOrder.mTask,
+         aOrder.mWorker,
+         aOrder.mRun,
+         "its start got no answer");
+    if (task.mPhase == TaskPhase::kStarting) {
+      task.mPhase = TaskPhase::kUnsettled;
+      mRepeat[aOrder.mTask] = aNow + kRepeatStop;
+    }
+    if (worker != nullptr) {
+      Avoid(*worker, aNow + kAvoidUnhealthy, "a start got no answer");
+    }
+    return;
+  }
+  // The worker has done nothing and will do nothing for this run, or it runs
+  // from an earlier message; the next lists tell.
+  if (worker != nullptr) {
+    const bool unhealthy = aOutcome == OrderOutcome::kUnhealthy;
+    Avoid(*worker,
+          aNow + (unhealthy ? kAvoidUnhealthy : kAvoidRefusing),
+          kOrderOutcomeNames.Name(aOutcome).data());
+  }
+  Note(DecisionKind::kTaskLost,
+       aOrder.mTask,
+       aOrder.mWorker,
+       aOrder.mRun,
+       std::string(kOrderOutcomeNames.Name(aOutcome)));
+  Free(aOrder.mTask);
+}
+
+void JobShard::OnStopOutcome(const TaskOrder& aOrder,
+                             OrderOutcome aOutcome,
+                             MonotonicTime aNow)
+{
+  StepTask& task = *mBook.FindTask(aOrder.mTask);
+  if (aOutcome != OrderOutcome::kAccepted) {
+    return; // it is repeated
+  }
+  task.mPhase = TaskPhase::kStopping;
+  if (task.mAnsweredAt == MonotonicTime()) {
+    task.mAnsweredAt = aNow;
+  }
+}
+
+} // namespace mulberryvalve
--- /dev/null
+++ b/mulberryvalve/core/jobs/worker_table.cc
@@ -0,0 +1,141 @@
+#include "mulberryvalve/core/jobs/worker_table.h"
+
+#include <algorithm>
+
+namespace mulberryvalve {
+namespace {
+
+constexpr int64_t kPerMille = 1000;
+// A start carries the present lease while at least this much of it is left, so
+// that starts seldom lengthen a lease.
+constexpr Milliseconds kLeastLeaseForStart{ 2500 };
+
+int64_t MillisecondsBetween(MonotonicTime aFrom, MonotonicTime aTo)
+{
+  return std::chrono::duration_cast<Milliseconds>(aTo - aFrom).count();
+}
+
+} // namespace
+
+WorkerRoom* WorkerTable::Find(const WorkerId& aId)
+{
+  const auto found = mWorkers.find(aId);
+  return found == mWorkers.end() ? nullptr : &found->second;
+}
+
+const WorkerRoom* WorkerTable::Find(const WorkerId& aId) const
+{
+  const auto found = mWorkers.find(aId);
+  return found == mWorkers.end() ? nullptr : &found->second;
+}
+
+void WorkerTable::Charge(WorkerRoom& aWorker,
+                         const TaskRef& aTask,
+                         const StepSpec& aStep)
+{
+  if (!aWorker.mTasks.insert(aTask).second) {
+    return;
+  }
+  Resources demand = aStep.mDemand;
+  if (aStep.mFills) {
+    aWorker.mFilling++;
+    aWorker.mFillingCpu += demand.mCpuMillis;
+    demand.mCpuMillis = 0;
+  }
+  aWorker.mLasting += aStep.mLasting ? 1 : 0;
+  aWorker.mCharged += demand;
+}
+
+void WorkerTable::Release(WorkerRoom& aWorker,
+                          const TaskRef& aTask,
+                          const StepSpec& aStep)
+{
+  if (aWorker.mTasks.erase(aTask) == 0) {
+    return;
+  }
+  Resources demand = aStep.mDemand;
+  if (aStep.mFills) {
+    aWorker.mFilling--;
+    aWorker.mFillingCpu -= demand.mCpuMillis;
+    demand.mCpuMillis = 0;
+  }
+  aWorker.mLasting -= aStep.mLasting ? 1 : 0;
+  aWorker.mCharged -= demand;
+}
+
+WorkerTime WorkerTable::ClockAt(const WorkerRoom& aWorker,
+                                MonotonicTime aNow) const
+{
+  return WorkerTime{ aWorker.mClock->mMilliseconds +
+                     MillisecondsBetween(aWorker.mClockAt, aNow) };
+}
+
+void WorkerTable::Grant(WorkerRoom& aWorker,
+                        WorkerTime aUntil,
+                        MonotonicTime aNow)
+{
+  if (aUntil.mMilliseconds <= aWorker.mLeaseUntil.mMilliseconds) {
+    return;
+  }
+  aWorker.mLeaseUntil = aUntil;
+  // The worker's clock was read before mClockAt and may be slow since then.
+  const int64_t left =
+    aUntil.mMilliseconds - aWorker.mClock->mMilliseconds;
+  const int64_t slowest =
+    left * kPerMille / (kPerMille - mTerms.mClockDriftPerMille);
+  aWorker.mLapsesAt =
+    std::max(aWorker.mClockAt + Milliseconds(slowest), aNow) + mTerms.mMargin;
+}
+
+HoldOrder WorkerTable::NextHold(WorkerRoom& aWorker,
+                                Epoch aEpoch,
+                                bool aMayRenew,
+                                MonotonicTime aNow)
+{
+  HoldOrder order;
+  order.mWorker = aWorker.mFacts.mId;
+  order.mEndpoint = aWorker.mFacts.mEndpoint;
+  order.mEpoch = aEpoch;
+  order.mSeen = aWorker.mDurable;
+  if (!aWorker.mClock || aWorker.mSilent || !aMayRenew) {
+    return order;
+  }
+  const WorkerTime until{ ClockAt(aWorker, aNow).mMilliseconds +
+                          mTerms.mLength.count() };
+  Grant(aWorker, until, aNow);
+  order.mUntil = until;
+  // A worker answers at once while it lists ends that it was not told of.
+  const bool allSeen = aWorker.mDurable == aWorker.mTaken;
+  order.mWait = allSeen ? mTerms.mWait : Milliseconds(0);
+  return order;
+}
+
+std::optional<WorkerTime> WorkerTable::LeaseForStart(WorkerRoom& aWorker,
+                                                     MonotonicTime aNow)
+{
+  if (!aWorker.mClock) {
+    return std::nullopt;
+  }
+  const WorkerTime clock = ClockAt(aWorker, aNow);
+  const int64_t left =
+    aWorker.mLeaseUntil.mMilliseconds - clock.mMilliseconds;
+  if (left < kLeastLeaseForStart.count()) {
+    Grant(aWorker,
+          WorkerTime{ clock.mMilliseconds + mTerms.mLength.count() },
+          aNow);
+  }
+  return aWorker.mLeaseUntil;
+}
+
+void WorkerTable::OnReading(WorkerRoom& aWorker,
+                            const WorkerReading& aReading,
+                            MonotonicTime aNow)
+{
+  if (!aReading.mClock) {
+    return;
+  }
+  aWorker.mClock = aReading.mClock;
+  aWorker.mClockAt = aNow;
+}
+
+} // namespace mulberryvalve
--- /dev/null
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -0,0 +1,117 @@
+// WorkerTable: the workers of a shard, their leases and what is charged to
+// them.
+#ifndef MULBERRYVALVE_CORE_JOBS_WORKER_TABLE_H_
+#define MULBERRYVALVE_CORE_JOBS_WORKER_TABLE_H_
+
+#include "mulberryvalve/core/jobs/worker_orders.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace mulberryvalve {
+
+// LeaseTerms are the figures of the leases on workers' own clocks.
+struct LeaseTerms
+{
+  // How far each renewal reaches; below the longest lease a worker grants.
+  Milliseconds mLength{ 5500 };
+  // How long a renewal waits for an end before it answers.
+  Milliseconds mWait{ 1500 };
+  // What a worker's clock may lag behind, in parts of a thousand.
+  int64_t mClockDriftPerMille = 20;
+  // Added to the end of a lease before it counts as over.
+  Milliseconds mMargin{ 150 };
+};
+
+// WorkerRoom is one worker as the owner sees it.
+struct WorkerRoom
+{
+  WorkerFacts mFacts;
+  // False once the list of workers names it no more.
+  bool mListed = true;
+  // It has answered this owner with its lists in its present life.
+  bool mInventoried = false;
+  // The last renewal had no answer; nothing new is started meanwhile.
+  bool mSilent = false;
+  // Its name is durable, so that a successor asks it before it acts.
+  bool mRecorded = false;
+  Birth mBirth;
+  // The last reading of its clock and when that arrived here.
+  std::optional<WorkerTime> mClock;
+  MonotonicTime mClockAt;
+  // The farthest lease that any message to it asked for.
+  WorkerTime mLeaseUntil;
+  // When all that runs there has ended for lack of renewal.
+  MonotonicTime mLapsesAt;
+  // Ends up to mTaken are taken in here, up to mDurable on the log as well.
+  EndNumber mTaken;
+  EndNumber mDurable;
+  // Nothing is started there before this time.
+  MonotonicTime mAvoidUntil;
+  int mFailuresInRow = 0;
+  // When a leaving worker may be gone, by its last word.
+  std::optional<MonotonicTime> mLeavesAt;
+  // The tasks that are charged to it.
+  std::set<TaskRef> mTasks;
+  Resources mCharged;
+  int mLasting = 0;
+  int mFilling = 0;
+  int64_t mFillingCpu = 0;
+
+  // Room returns what is not committed. It is negative when the worker shrank.
+  Resources Room() const { return mFacts.mCapacity - mCharged; }
+};
+
+// WorkerTable is not synchronised.
+class WorkerTable
+{
+public:
+  explicit WorkerTable(LeaseTerms aTerms)
+    : mTerms(aTerms)
+  {
+  }
+
+  // Find returns the worker, or null.
+  WorkerRoom* Find(const WorkerId& aId);
+  const WorkerRoom* Find(const WorkerId& aId) const;
+
+  // All returns every worker by id.
+  std::map<WorkerId, WorkerRoom>& All() { return mWorkers; }
+  const std::map<WorkerId, WorkerRoom>& All() const { return mWorkers; }
+
+  // Charge and Release move one task of aStep onto and off a worker.
+  void Charge(WorkerRoom& aWorker, const TaskRef& aTask, const StepSpec& aStep);
+  void Release(WorkerRoom& aWorker,
+               const TaskRef& aTask,
+               const StepSpec& aStep);
+
+  // NextHold returns the renewal to send at aNow and counts its lease as
+  // granted. A silent worker is asked for its lists only.
+  HoldOrder NextHold(WorkerRoom& aWorker,
+                     Epoch aEpoch,
+                     bool aMayRenew,
+                     MonotonicTime aNow);
+
+  // LeaseForStart returns the lease that a start at aNow carries, counted as
+  // granted, or nothing while the worker's clock is not known.
+  std::optional<WorkerTime> LeaseForStart(WorkerRoom& aWorker,
+                                          MonotonicTime aNow);
+
+  // OnReading takes in a reading of the worker's clock that arrived at aNow.
+  void OnReading(WorkerRoom& aWorker,
+                 const WorkerReading& aReading,
+                 MonotonicTime aNow);
+
+private:
+  WorkerTime ClockAt(const WorkerRoom& aWorker, MonotonicTime aNow) const;
+  void Grant(WorkerRoom& aWorker, WorkerTime aUntil, MonotonicTime aNow);
+
+  const LeaseTerms mTerms;
+  std::map<WorkerId, WorkerRoom> mWorkers;
+};
+
+} // namespace mulberryvalve
+
+#endif // MULBERRYVALVE_CORE_JOBS_WORKER_TABLE_H_
--- /dev/null
+++ b/mulberryvalve/ports/out/keyed_log.h
@@ -0,0 +1,96 @@
+// KeyedLog: partitions of the platform's log that keep the newest record of
+// each key for good.
+#ifndef MULBERRYVALVE_PORTS_OUT_KEYED_LOG_H_
+#define MULBERRYVALVE_PORTS_OUT_KEYED_LOG_H_
+
+#include "mulberryvalve/core/base/enum_table.h"
+#include "mulberryvalve/core/base/failure.h"
+#include "mulberryvalve/core/base/time.h"
+#include "mulberryvalve/core/model/ids.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mulberryvalve {
+
+// KeyedTopic names what a partition holds.
+enum class KeyedTopic
+{
+  kIntake,    // jobs and cancellations, written by any instance
+  kProgress,  // progress of jobs and known workers, written by owners
+  kOperators, // what operators want
+  kWorkers,   // what workers say of themselves
+};
+
+inline constexpr EnumTable<KeyedTopic, 4> kKeyedTopicNames{ { {
+  { KeyedTopic::kIntake, "intake" },
+  { KeyedTopic::kProgress, "progress" },
+  { KeyedTopic::kOperators, "operators" },
+  { KeyedTopic::kWorkers, "workers" },
+} } };
+
+// KeyedPlace is one partition of a topic.
+struct KeyedPlace
+{
+  KeyedTopic mTopic = KeyedTopic::kIntake;
+  uint32_t mPartition = 0;
+};
+
+// KeyedEntry is a record; without a value its key is dropped.
+struct KeyedEntry
+{
+  std::string mKey;
+  std::optional<std::string> mValue;
+};
+
+// KeyedPage is a run of records and where the next one will stand. Offsets
+// count from 0 here.
+struct KeyedPage
+{
+  std::vector<KeyedEntry> mEntries;
+  uint64_t mNext = 0;
+};
+
+// FencedAppend proves its writer: the log refuses it once a higher epoch has
+// written. A repeat with the same sequence takes effect once.
+struct FencedAppend
+{
+  KeyedPlace mPlace;
+  Epoch mEpoch;
+  uint64_t mSequence = 0;
+};
+
+// KeyedLog's implementations are thread-safe and block up to the time given.
+// Errors of all: kLogUnavailable and kLogRateLimited (nothing was done),
+// kLogAnswerLost (it may have been done or may yet be), kMalformed.
+class KeyedLog
+{
+public:
+  virtual ~KeyedLog() = default;
+
+  // Newest returns the newest record of each key, and where to read on. It is
+  // no snapshot: records that come meanwhile may be part of it.
+  virtual Result<KeyedPage> Newest(const KeyedPlace& aPlace) = 0;
+
+  // Read returns the records from aFrom on, waiting up to aWait for one.
+  // Errors also: kOffsetExpired.
+  virtual Result<KeyedPage> Read(const KeyedPlace& aPlace,
+                                 uint64_t aFrom,
+                                 Milliseconds aWait) = 0;
+
+  // Append adds aEntries, all or none.
+  virtual Result<void> Append(const KeyedPlace& aPlace,
+                              const std::vector<KeyedEntry>& aEntries) = 0;
+
+  // AppendFenced adds aEntries in the name of an owner. Errors also:
+  // kNotOwner when a higher epoch has written.
+  virtual Result<void> AppendFenced(
+    const FencedAppend& aProof,
+    const std::vector<KeyedEntry>& aEntries) = 0;
+};
+
+} // namespace mulberryvalve
+
+#endif // MULBERRYVALVE_PORTS_OUT_KEYED_LOG_H_
