--- a/mulberryvalve/app/jobs/shard_keeper.cc
+++ b/mulberryvalve/app/jobs/shard_keeper.cc
@@ -88,20 +88,7 @@
       runtime = found->second;
     }
   }
-  PeerAnswer answer;
-  answer.mOwns = runtime != nullptr && runtime->Owns();
-  if (!answer.mOwns) {
-    return answer;
-  }
-  switch (aQuestion.mKind) {
-    case PeerQuestionKind::kJobPhase:
-      answer.mPhase = runtime->Phase(aQuestion.mJob);
-      break;
-    case PeerQuestionKind::kWaitingJobs:
-      answer.mWaiting = runtime->Waiting(aQuestion.mQueue);
-      break;
-  }
-  return answer;
+  return runtime == nullptr ? PeerAnswer() : runtime->Answer(aQuestion);
 }
 
 void ShardKeeper::Run()
--- a/mulberryvalve/app/jobs/shard_runtime.cc
+++ b/mulberryvalve/app/jobs/shard_runtime.cc
@@ -20,6 +20,9 @@
 constexpr Milliseconds kIntakeWait{ 1000 };
 constexpr Milliseconds kRetryIntake{ 200 };
 constexpr Milliseconds kWorkerInterval{ 400 };
+// An owner that read the intake this long ago does not say that a job is
+// unknown; the wait of a read and a repetition are shorter.
+constexpr Milliseconds kIntakeFresh{ 2000 };
 
 ShardNumber ShardOf(const std::string& aText, ShardNumber aShards)
 {
@@ -78,22 +81,27 @@
   mWriteCond.NotifyAll();
 }
 
-bool ShardRuntime::Owns() const
+PeerAnswer ShardRuntime::Answer(const PeerQuestion& aQuestion) const
 {
   MutexLock lock(mMutex);
-  return mShard != nullptr && !mOver && ProvedAt(mPorts.mClock.Now());
-}
-
-std::optional<JobPhase> ShardRuntime::Phase(const JobId& aJob) const
-{
-  MutexLock lock(mMutex);
-  return mShard == nullptr ? std::nullopt : mShard->Phase(aJob);
-}
-
-uint64_t ShardRuntime::Waiting(const QueueId& aQueue) const
-{
-  MutexLock lock(mMutex);
-  return mShard == nullptr ? 0 : mShard->Waiting(aQueue);
+  PeerAnswer answer;
+  const MonotonicTime now = mPorts.mClock.Now();
+  if (mShard == nullptr || mOver || !ProvedAt(now)) {
+    return answer;
+  }
+  const bool fresh = now < mIntakeReadAt + kIntakeFresh;
+  switch (aQuestion.mKind) {
+    case PeerQuestionKind::kJobPhase:
+      answer.mPhase = mShard->Phase(aQuestion.mJob);
+      // What is not known may be on the log unread.
+      answer.mOwns = answer.mPhase.has_value() || fresh;
+      break;
+    case PeerQuestionKind::kWaitingJobs:
+      answer.mWaiting = mShard->Waiting(aQuestion.mQueue);
+      answer.mOwns = fresh;
+      break;
+  }
+  return answer;
 }
 
 void ShardRuntime::Run()
@@ -234,6 +242,7 @@
                          { "intake_next", std::to_string(mIntakeNext) } });
   MutexLock lock(mMutex);
   mShard = std::move(shard);
+  mIntakeReadAt = claimedAt;
   mConfig = mPorts.mConfig.Present();
   mShard->OnConfig(*mConfig);
   OpenLanes();
@@ -353,7 +362,7 @@
     mPorts.mMetrics.Add(Counter::kLogReads, 1);
     const Result<KeyedChanges> changes = cursor.Next(kIntakeWait);
     if (changes) {
-      TakeIntake(changes.value().mEntries);
+      TakeIntake(changes.value().mEntries, mPorts.mClock.Now());
       continue;
     }
     LogFault("read_intake", changes.error());
@@ -363,9 +372,12 @@
   }
 }
 
-void ShardRuntime::TakeIntake(const std::vector<KeyedEntry>& aEntries)
+void ShardRuntime::TakeIntake(const std::vector<KeyedEntry>& aEntries,
+                              MonotonicTime aReadAt)
 {
   if (aEntries.empty()) {
+    MutexLock lock(mMutex);
+    mIntakeReadAt = aReadAt;
     return;
   }
   std::vector<IntakeItem> items;
@@ -378,6 +390,7 @@
     }
   }
   MutexLock lock(mMutex);
+  mIntakeReadAt = aReadAt;
   const MonotonicTime now = mPorts.mClock.Now();
   for (IntakeItem& item : items) {
     if (auto* job = std::get_if<JobGraph>(&item)) {
@@ -446,9 +459,11 @@
     mShard->OnConfig(*config);
   }
   const MonotonicTime now = mPorts.mClock.Now();
-  const bool mayStart = ProvedAt(now) && !mStopping && config->mVersion > 0;
+  OwnershipProof proof;
+  proof.mProvedAt = mProvedAt;
+  proof.mMayStart = ProvedAt(now) && !mStopping && config->mVersion > 0;
   std::vector<TaskOrder> orders =
-    mShard->Decide(mayStart, now, mPorts.mClock.WallNow());
+    mShard->Decide(proof, now, mPorts.mClock.WallNow());
   for (TaskOrder& order : orders) {
     const auto lane = mLanes.find(order.mWorker);
     if (lane != mLanes.end()) {
--- a/mulberryvalve/app/jobs/shard_runtime.h
+++ b/mulberryvalve/app/jobs/shard_runtime.h
@@ -13,6 +13,7 @@
 #include "mulberryvalve/ports/out/job_log_codec.h"
 #include "mulberryvalve/ports/out/keyed_log.h"
 #include "mulberryvalve/ports/out/metrics.h"
+#include "mulberryvalve/ports/out/peer_calls.h"
 #include "mulberryvalve/ports/out/shard_group.h"
 
 #include <atomic>
@@ -97,11 +98,10 @@
   // when there was none.
   Epoch Rival() const { return Epoch(mRival); }
 
-  // Owns tells whether the shard's records are read and ownership is proved.
-  // Phase and Waiting answer for the shard while it does.
-  bool Owns() const;
-  std::optional<JobPhase> Phase(const JobId& aJob) const;
-  uint64_t Waiting(const QueueId& aQueue) const;
+  // Answer returns what is known. Before the shard's records are read, without
+  // proof of ownership, or when what is asked may be on the log unread, it says
+  // that the shard is not owned.
+  PeerAnswer Answer(const PeerQuestion& aQuestion) const;
 
 private:
   std::optional<HoldOrder> NextHold(const WorkerId& aWorker) override;
@@ -121,7 +121,8 @@
   Result<void> AppendOnce(const std::vector<KeyedEntry>& aEntries);
   void DropFromIntake(const std::vector<JobId>& aRetired);
   void FollowIntake();
-  void TakeIntake(const std::vector<KeyedEntry>& aEntries);
+  void TakeIntake(const std::vector<KeyedEntry>& aEntries,
+                  MonotonicTime aReadAt);
   void FollowWorkers();
   void OpenLanes() MV_REQUIRES(mMutex);
   void CloseEndedLanes();
@@ -149,6 +150,7 @@
   std::vector<std::unique_ptr<WorkerLane>> mEndedLanes MV_GUARDED_BY(mMutex);
   std::shared_ptr<const ClusterConfig> mConfig MV_GUARDED_BY(mMutex);
   MonotonicTime mProvedAt MV_GUARDED_BY(mMutex);
+  MonotonicTime mIntakeReadAt MV_GUARDED_BY(mMutex);
   bool mStopping MV_GUARDED_BY(mMutex) = false;
   uint64_t mSequence = 0;
   uint64_t mIntakeNext = 0;
--- a/mulberryvalve/core/jobs/job_placement.cc
+++ b/mulberryvalve/core/jobs/job_placement.cc
@@ -35,7 +35,8 @@
 {
   const int64_t capacity =
     std::max<int64_t>(1, aWorker.mFacts.mCapacity.mCpuMillis);
-  const int64_t used = aWorker.mCharged.mCpuMillis + aWorker.mFillingCpu;
+  const int64_t used = aWorker.mCharged.mCpuMillis +
+                       aWorker.mFillingDemand.mCpuMillis;
   return used * kPerTask / capacity;
 }
 
@@ -61,18 +62,16 @@
 // A worker with tasks that have a target for their tail is not disturbed.
 bool Disturbs(const StepSpec& aStep, const WorkerRoom& aWorker)
 {
-  return (aStep.mFills && aWorker.mLasting > 0) ||
-         (aStep.mLasting && aStep.mTailTarget.count() > 0 &&
-          aWorker.mFilling > 0);
+  return aStep.mFills && aWorker.mLasting > 0;
 }
 
 } // namespace
 
-bool MayPlace(const PlacementQuery& aQuery, const WorkerRoom& aWorker)
+bool IsOpenTo(const PlacementQuery& aQuery, const WorkerRoom& aWorker)
 {
   const WorkerFacts& facts = aWorker.mFacts;
   if (!aWorker.mListed || !aWorker.mInventoried || aWorker.mSilent ||
-      !aWorker.mRecorded || facts.mState != WorkerState::kLive ||
+      !aWorker.mRecorded || aWorker.mForeignUnknown || facts.mState != WorkerState::kLive ||
       aQuery.mNow < aWorker.mAvoidUntil) {
     return false;
   }
@@ -91,11 +90,28 @@
       return false;
     }
   }
+  if (!aQuery.mStep.mLasting && aQuery.mNow < aWorker.mKeptForLastingUntil) {
+    return false;
+  }
+  return true;
+}
+
+bool MayPlace(const PlacementQuery& aQuery, const WorkerRoom& aWorker)
+{
   Resources demand = aQuery.mStep.mDemand;
   if (aQuery.mStep.mFills) {
     demand.mCpuMillis = 0;
   }
-  return demand.FitsIn(aWorker.Room());
+  return IsOpenTo(aQuery, aWorker) && demand.FitsIn(aWorker.Room());
+}
+
+bool MayPlaceWithoutFilling(const PlacementQuery& aQuery,
+                            const WorkerRoom& aWorker)
+{
+  Resources given = aWorker.mFillingDemand;
+  given.mCpuMillis = 0;
+  return IsOpenTo(aQuery, aWorker) &&
+         aQuery.mStep.mDemand.FitsIn(aWorker.Room() + given);
 }
 
 WorkerRoom* SeparatingPlacement::Choose(const PlacementQuery& aQuery,
--- a/mulberryvalve/core/jobs/job_placement.h
+++ b/mulberryvalve/core/jobs/job_placement.h
@@ -23,10 +23,18 @@
   MonotonicTime mNow;
 };
 
-// MayPlace tells whether aWorker may run the task at all: its service, state,
-// label, domain, room and the limit of tasks of one step.
+// IsOpenTo tells whether aWorker may run the task but for its room: by its
+// service, state, label, domain and the limit of tasks of one step.
+bool IsOpenTo(const PlacementQuery& aQuery, const WorkerRoom& aWorker);
+
+// MayPlace tells whether aWorker may run the task now.
 bool MayPlace(const PlacementQuery& aQuery, const WorkerRoom& aWorker);
 
+// MayPlaceWithoutFilling tells whether aWorker could run the task once the
+// tasks that fill were stopped there.
+bool MayPlaceWithoutFilling(const PlacementQuery& aQuery,
+                            const WorkerRoom& aWorker);
+
 // JobPlacement chooses among the workers that may run a task. Implementations
 // hold no state that needs a lock.
 class JobPlacement
--- a/mulberryvalve/core/jobs/job_shard.h
+++ b/mulberryvalve/core/jobs/job_shard.h
@@ -27,6 +27,16 @@
   Milliseconds mKeepOver{ 150000 };
 };
 
+// OwnershipProof is how well an owner knows that it still is one.
+struct OwnershipProof
+{
+  // When the last call was sent whose answer showed that nobody else had
+  // claimed the shard.
+  MonotonicTime mProvedAt;
+  // The proof is recent enough to start something.
+  bool mMayStart = false;
+};
+
 // KnownWorker is a worker that an owner has used, as its successor finds it on
 // the log.
 struct KnownWorker
@@ -110,9 +120,8 @@
   // always are.
   bool IsWanted(const TaskOrder& aOrder) const;
 
-  // Decide returns the orders to send now. aMayStart says whether ownership is
-  // proved well enough to start something.
-  std::vector<TaskOrder> Decide(bool aMayStart,
+  // Decide returns the orders to send now.
+  std::vector<TaskOrder> Decide(const OwnershipProof& aProof,
                                 MonotonicTime aNow,
                                 WallTime aWall);
 
@@ -167,13 +176,14 @@
   void TakeRunning(WorkerRoom& aWorker,
                    const RunningRow& aRow,
                    MonotonicTime aNow);
+  void ChargeForeign(WorkerRoom& aWorker, const TaskRef& aTask);
   void FreeMissing(WorkerRoom& aWorker,
                    const HoldReply& aReply,
                    MonotonicTime aSentAt);
   void OnSilent(WorkerRoom& aWorker, OrderOutcome aOutcome);
   void ResetLife(WorkerRoom& aWorker, Birth aBirth);
   void FreeAll(WorkerRoom& aWorker, const char* aWhy);
-  void FreeLapsed(MonotonicTime aNow);
+  void FreeLapsed(const OwnershipProof& aProof, MonotonicTime aNow);
   void FinishTask(const TaskRef& aTask);
   void FinishGang(const TaskRef& aTask, MonotonicTime aNow);
   void FollowJob(JobEntry& aJob, MonotonicTime aNow);
@@ -186,6 +196,11 @@
   WorkerRoom* Choose(const JobEntry& aJob,
                      const StepRef& aStep,
                      MonotonicTime aNow);
+  PlacementQuery QueryFor(const JobEntry& aJob,
+                          const StepRef& aStep,
+                          MonotonicTime aNow);
+  void MakeRoom(const JobEntry& aJob, const StepRef& aStep, MonotonicTime aNow);
+  void StopFilling(const WorkerRoom& aWorker, const char* aWhy);
   void OrderStart(JobEntry& aJob,
                   const TaskRef& aTask,
                   WorkerRoom& aWorker,
--- a/mulberryvalve/core/jobs/job_shard_lists.cc
+++ b/mulberryvalve/core/jobs/job_shard_lists.cc
@@ -63,6 +63,8 @@
   for (const EndedRow& row : aReply.mEnded) {
     TakeEnd(*room, row, aNow);
   }
+  room->mForeign = Resources();
+  room->mForeignUnknown = false;
   for (const RunningRow& row : aReply.mRunning) {
     TakeRunning(*room, row, aNow);
   }
@@ -259,6 +261,7 @@
     mWorkers.Charge(aWorker, aRow.mTask, mBook.SpecOf(aRow.mTask.mStep));
     return;
   }
+  ChargeForeign(aWorker, aRow.mTask);
   MonotonicTime& repeatAt = mForeign[ForeignRun{ aRow.mTask, aRow.mRun, id }];
   if (repeatAt <= aNow) {
     repeatAt = aNow + kForeignStopInterval;
@@ -267,6 +270,21 @@
   }
 }
 
+// A run that is to be stopped takes room until the worker lists it no more.
+void JobShard::ChargeForeign(WorkerRoom& aWorker, const TaskRef& aTask)
+{
+  if (mBook.FindTask(aTask) == nullptr) {
+    aWorker.mForeignUnknown = true;
+    return;
+  }
+  const StepSpec& spec = mBook.SpecOf(aTask.mStep);
+  Resources demand = spec.mDemand;
+  if (spec.mFills) {
+    demand.mCpuMillis = 0;
+  }
+  aWorker.mForeign += demand;
+}
+
 void JobShard::FreeMissing(WorkerRoom& aWorker,
                            const HoldReply& aReply,
                            MonotonicTime aSentAt)
@@ -317,6 +335,8 @@
   aWorker.mLeaseUntil = WorkerTime();
   aWorker.mInventoried = false;
   aWorker.mFailuresInRow = 0;
+  aWorker.mForeign = Resources();
+  aWorker.mForeignUnknown = false;
   mDirtyWorkers.insert(aWorker.mFacts.mId);
 }
 
@@ -331,11 +351,13 @@
   }
 }
 
-void JobShard::FreeLapsed(MonotonicTime aNow)
+// A successor renews what a silent worker runs. So a lease is over only when
+// nobody else had claimed the shard by its end.
+void JobShard::FreeLapsed(const OwnershipProof& aProof, MonotonicTime aNow)
 {
   for (auto& [id, room] : mWorkers.All()) {
     if (!room.mSilent || room.mTasks.empty() || aNow < room.mLapsesAt ||
-        mUnasked.count(id) != 0) {
+        aProof.mProvedAt < room.mLapsesAt || mUnasked.count(id) != 0) {
       continue;
     }
     NoteWorker(DecisionKind::kWorkerLapsed, id, "silent beyond its leases");
--- a/mulberryvalve/core/jobs/job_shard_orders.cc
+++ b/mulberryvalve/core/jobs/job_shard_orders.cc
@@ -14,6 +14,8 @@
 // Checkpointing tasks leave a worker this long before it may be gone: a stop
 // and the answer to it take less.
 constexpr Milliseconds kLeaveBefore{ 1500 };
+// A stop and the lists that show it take less.
+constexpr Milliseconds kKeepForLasting{ 2500 };
 // Run numbers of an epoch start above all numbers of earlier epochs.
 constexpr uint64_t kRunsPerEpoch = 1 << 14;
 
@@ -49,15 +51,15 @@
 
 } // namespace
 
-std::vector<TaskOrder> JobShard::Decide(bool aMayStart,
+std::vector<TaskOrder> JobShard::Decide(const OwnershipProof& aProof,
                                         MonotonicTime aNow,
                                         WallTime aWall)
 {
-  FreeLapsed(aNow);
+  FreeLapsed(aProof, aNow);
   RepeatStops(aNow);
   MoveOffLeaving(aNow);
   mBook.OpenDue(aWall);
-  if (aMayStart) {
+  if (aProof.mMayStart) {
     PlaceOpen(aNow);
   }
   return std::exchange(mOrders, {});
@@ -104,6 +106,9 @@
 {
   WorkerRoom* worker = Choose(aJob, aTask.mStep, aNow);
   if (worker == nullptr) {
+    if (mBook.SpecOf(aTask.mStep).mLasting) {
+      MakeRoom(aJob, aTask.mStep, aNow);
+    }
     return false;
   }
   OrderStart(aJob, aTask, *worker, NextRun(aJob), aNow);
@@ -147,6 +152,13 @@
 WorkerRoom* JobShard::Choose(const JobEntry& aJob,
                              const StepRef& aStep,
                              MonotonicTime aNow)
+{
+  return mPlacement.Choose(QueryFor(aJob, aStep, aNow), mWorkers);
+}
+
+PlacementQuery JobShard::QueryFor(const JobEntry& aJob,
+                                  const StepRef& aStep,
+                                  MonotonicTime aNow)
 {
   const StepSpec& spec = mBook.SpecOf(aStep);
   const StepState& step = mBook.StepOf(aStep);
@@ -155,13 +167,46 @@
     const WorkerRoom* first = mWorkers.Find(step.mSiblings.begin()->first);
     onlyRack = first == nullptr ? RackId() : first->mFacts.mRack;
   }
-  const PlacementQuery query{ spec,
-                              RulesOf(aJob).mService,
-                              step.mSiblings,
-                              mConfig.mDomainsOut,
-                              onlyRack,
-                              aNow };
-  return mPlacement.Choose(query, mWorkers);
+  return PlacementQuery{ spec,
+                         RulesOf(aJob).mService,
+                         step.mSiblings,
+                         mConfig.mDomainsOut,
+                         onlyRack,
+                         aNow };
+}
+
+// Stops what fills on the worker that has the least of it and would have room
+// for a lasting task then.
+void JobShard::MakeRoom(const JobEntry& aJob,
+                        const StepRef& aStep,
+                        MonotonicTime aNow)
+{
+  const PlacementQuery query = QueryFor(aJob, aStep, aNow);
+  WorkerRoom* best = nullptr;
+  for (auto& [id, worker] : mWorkers.All()) {
+    const bool underWay = aNow < worker.mKeptForLastingUntil;
+    if (!MayPlaceWithoutFilling(query, worker) || underWay) {
+      continue;
+    }
+    if (best == nullptr || worker.mFilling < best->mFilling) {
+      best = &worker;
+    }
+  }
+  if (best != nullptr) {
+    best->mKeptForLastingUntil = aNow + kKeepForLasting;
+    StopFilling(*best, "makes room for a lasting task");
+  }
+}
+
+void JobShard::StopFilling(const WorkerRoom& aWorker, const char* aWhy)
+{
+  const std::vector<TaskRef> tasks(aWorker.mTasks.begin(),
+                                   aWorker.mTasks.end());
+  for (const TaskRef& ref : tasks) {
+    if (mBook.SpecOf(ref.mStep).mFills) {
+      OrderStop(ref, aWhy);
+    }
+  }
 }
 
 void JobShard::OrderStart(JobEntry& aJob,
@@ -197,13 +242,7 @@
          std::to_string(aWorker.mFilling) + ", lasting " +
          std::to_string(aWorker.mLasting));
   if (spec.mLasting && spec.mTailTarget.count() > 0) {
-    const std::vector<TaskRef> others(aWorker.mTasks.begin(),
-                                      aWorker.mTasks.end());
-    for (const TaskRef& other : others) {
-      if (mBook.SpecOf(other.mStep).mFills) {
-        OrderStop(other, "makes way for a task with a tail target");
-      }
-    }
+    StopFilling(aWorker, "makes way for a task with a tail target");
   }
 }
 
@@ -295,7 +334,7 @@
     NoteWorker(DecisionKind::kWorkerFenced, aOrder.mWorker, "order");
     return;
   }
-  if (worker != nullptr && aReply.mOutcome == OrderOutcome::kAccepted) {
+  if (worker != nullptr && aReply.mReading.mBirth == worker->mBirth) {
     mWorkers.OnReading(*worker, aReply.mReading, aNow);
   }
   const StepTask* task = mBook.FindTask(aOrder.mTask);
--- a/mulberryvalve/core/jobs/worker_table.cc
+++ b/mulberryvalve/core/jobs/worker_table.cc
@@ -39,7 +39,7 @@
   Resources demand = aStep.mDemand;
   if (aStep.mFills) {
     aWorker.mFilling++;
-    aWorker.mFillingCpu += demand.mCpuMillis;
+    aWorker.mFillingDemand += demand;
     demand.mCpuMillis = 0;
   }
   aWorker.mLasting += aStep.mLasting ? 1 : 0;
@@ -56,7 +56,7 @@
   Resources demand = aStep.mDemand;
   if (aStep.mFills) {
     aWorker.mFilling--;
-    aWorker.mFillingCpu -= demand.mCpuMillis;
+    aWorker.mFillingDemand -= demand;
     demand.mCpuMillis = 0;
   }
   aWorker.mLasting -= aStep.mLasting ? 1 : 0;
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -56,12 +56,19 @@
   // The tasks that are charged to it.
   std::set<TaskRef> mTasks;
   Resources mCharged;
+  // What runs there and is no task of this owner's: it is being stopped. When
+  // the demand of such a run is not known, nothing is started beside it.
+  Resources mForeign;
+  bool mForeignUnknown = false;
   int mLasting = 0;
   int mFilling = 0;
-  int64_t mFillingCpu = 0;
+  // What the tasks that fill would take if nothing limited them.
+  Resources mFillingDemand;
+  // Room is being made for a lasting task; until then only such are placed.
+  MonotonicTime mKeptForLastingUntil;
 
   // Room returns what is not committed. It is negative when the worker shrank.
-  Resources Room() const { return mFacts.mCapacity - mCharged; }
+  Resources Room() const { return mFacts.mCapacity - mCharged - mForeign; }
 };
 
 // WorkerTable is not synchronised.
