--- a/mulberryvalve/adapters/http/http_client_pool.cc
+++ b/mulberryvalve/adapters/http/http_client_pool.cc
@@ -1,93 +1,98 @@
 #include "mulberryvalve/adapters/http/http_client_pool.h"
 
+#include "mulberryvalve/adapters/http/client_socket.h"
 #include "mulberryvalve/core/base/mutex.h"
 
 #include <algorithm>
 #include <array>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <functional>
-#include <httplib.h>
 #include <iterator>
 #include <map>
-#include <poll.h>
 #include <strings.h>
 
 namespace mulberryvalve {
 namespace {
 
+namespace http = boost::beast::http;
 using Steady = std::chrono::steady_clock;
+using Parser = http::response_parser<http::string_body>;
 
 constexpr size_t kShards = 16;
 constexpr Milliseconds kMaxConnect{ 500 };
 constexpr std::chrono::seconds kMaxIdle{ 20 };
-constexpr int kStatusNoContent = 204;
+constexpr size_t kReadBytes = 16 * 1024;
+constexpr uint64_t kMaxBodyBytes = 16 * 1024 * 1024;
 
 std::string KeyOf(const Endpoint& aEndpoint)
 {
   return aEndpoint.mAddress + ":" + std::to_string(aEndpoint.mPort);
 }
 
-httplib::Headers ToHeaders(const std::vector<HttpHeader>& aHeaders)
-{
-  httplib::Headers headers;
-  for (const HttpHeader& header : aHeaders) {
-    headers.emplace(header.mName, header.mValue);
-  }
-  return headers;
-}
-
-HttpOutcome OutcomeOf(httplib::Error aError)
-{
-  const bool never = aError == httplib::Error::Connection ||
-                     aError == httplib::Error::ConnectionTimeout ||
-                     aError == httplib::Error::BindIPAddress;
-  return never ? HttpOutcome::kNotConnected : HttpOutcome::kLost;
-}
-
 // Connection is one kept-alive connection; mUsedAt is when it last answered.
 struct Connection
 {
-  std::unique_ptr<httplib::Client> mClient;
+  std::unique_ptr<ClientSocket> mSocket;
   Steady::time_point mUsedAt;
 };
 
-httplib::Request MakeRequest(const HttpCall& aCall, Steady::time_point aEnd)
+std::string RequestText(const std::string& aHost, const HttpCall& aCall)
 {
-  httplib::Request request;
-  request.method = aCall.mMethod == HttpMethod::kGet ? "GET" : "POST";
-  request.path = aCall.mPath;
-  request.headers = ToHeaders(aCall.mHeaders);
-  if (aCall.mMethod == HttpMethod::kPost) {
-    request.set_header("Content-Type", "application/json");
-    request.body = aCall.mBody;
+  const bool isPost = aCall.mMethod == HttpMethod::kPost;
+  std::string text = isPost ? "POST " : "GET ";
+  text += aCall.mPath + " HTTP/1.1\r\nHost: " + aHost + "\r\n";
+  for (const HttpHeader& header : aCall.mHeaders) {
+    text += header.mName + ": " + header.mValue + "\r\n";
   }
-  request.progress = [aEnd](uint64_t, uint64_t) {
-    return Steady::now() < aEnd;
-  };
-  return request;
-}
-
-// An idle connection has nothing to read. Bytes there belong to no call of
-// ours, and an end says that the other side closed it.
-bool IsQuiet(const httplib::Client& aClient)
-{
-  pollfd polled{ static_cast<int>(aClient.socket()), POLLIN, 0 };
-  return aClient.is_socket_open() != 0 && poll(&polled, 1, 0) == 0;
+  if (isPost) {
+    text += "Content-Type: application/json\r\nContent-Length: " +
+            std::to_string(aCall.mBody.size()) + "\r\n";
+  }
+  return text + "\r\n" + aCall.mBody;
 }
 
-// Without a length an answer that was cut short looks whole.
-bool HasLength(const httplib::Response& aResponse)
+// Reads one answer whole. An answer that is known to end only with its
+// connection may be cut short, so it does not count.
+bool ReadAnswer(ClientSocket& aSocket, Steady::time_point aEnd, Parser& aParser)
 {
-  return aResponse.has_header("Content-Length") ||
-         aResponse.has_header("Transfer-Encoding") ||
-         aResponse.status == kStatusNoContent;
+  aParser.body_limit(kMaxBodyBytes);
+  aParser.eager(true);
+  std::string pending;
+  while (!aParser.is_done()) {
+    const size_t before = pending.size();
+    pending.resize(before + kReadBytes);
+    const size_t got =
+      aSocket.Read(pending.data() + before, kReadBytes, aEnd);
+    pending.resize(before + got);
+    if (got == 0) {
+      return false;
+    }
+    boost::system::error_code error;
+    const size_t used =
+      aParser.put(boost::asio::buffer(pending), error);
+    pending.erase(0, used);
+    if (error && error != http::error::need_more) {
+      return false;
+    }
+    if (aParser.is_header_done() && aParser.need_eof()) {
+      return false;
+    }
+  }
+  return pending.empty();
 }
 
-HttpAnswer ToAnswer(httplib::Response aResponse)
+HttpAnswer ToAnswer(Parser& aParser)
 {
-  HttpAnswer answer{ HttpOutcome::kAnswered, aResponse.status, {}, {} };
-  answer.mBody = std::move(aResponse.body);
-  for (const auto& [name, value] : aResponse.headers) {
-    answer.mHeaders.push_back(HttpHeader{ name, value });
+  auto& message = aParser.get();
+  HttpAnswer answer{ HttpOutcome::kAnswered,
+                     static_cast<int>(message.result_int()),
+                     std::move(message.body()),
+                     {} };
+  for (const auto& field : message) {
+    answer.mHeaders.push_back(
+      HttpHeader{ std::string(field.name_string()),
+                  std::string(field.value()) });
   }
   return answer;
 }
@@ -115,26 +120,29 @@
   HttpAnswer Exchange(const Endpoint& aEndpoint, const HttpCall& aCall)
   {
     const Steady::time_point begin = Steady::now();
+    const Steady::time_point end = begin + aCall.mTimeout;
     const std::string key = KeyOf(aEndpoint);
     Connection connection = Take(key, begin);
-    const bool isNew = connection.mClient == nullptr;
-    if (isNew) {
-      connection.mClient = Connect(aEndpoint);
+    if (connection.mSocket == nullptr) {
+      const Milliseconds connect = std::min(aCall.mTimeout / 2, kMaxConnect);
+      connection.mSocket = ClientSocket::Connect(aEndpoint, begin + connect);
     }
-    SetLimits(*connection.mClient, aCall.mTimeout, isNew);
-    httplib::Request request = MakeRequest(aCall, begin + aCall.mTimeout);
-    httplib::Response response;
-    httplib::Error error = httplib::Error::Success;
-    if (!connection.mClient->send(request, response, error)) {
+    if (connection.mSocket == nullptr) {
       DropOlder(key, Steady::now());
-      return HttpAnswer{ OutcomeOf(error), 0, "", {} };
+      return HttpAnswer{ HttpOutcome::kNotConnected, 0, "", {} };
     }
-    if (!HasLength(response)) {
+    Parser parser;
+    const bool answered =
+      connection.mSocket->Write(RequestText(key, aCall), end) &&
+      ReadAnswer(*connection.mSocket, end, parser);
+    if (!answered) {
+      DropOlder(key, Steady::now());
       return HttpAnswer{ HttpOutcome::kLost, 0, "", {} };
     }
-    HttpAnswer answer = ToAnswer(std::move(response));
+    const bool keep = parser.keep_alive();
+    HttpAnswer answer = ToAnswer(parser);
     const std::string echoed = answer.Header(aCall.mEchoedHeader.mName);
-    if (echoed.empty() || echoed == aCall.mEchoedHeader.mValue) {
+    if (keep && (echoed.empty() || echoed == aCall.mEchoedHeader.mValue)) {
       Keep(key, std::move(connection));
     }
     return answer;
@@ -147,27 +155,6 @@
     std::map<std::string, std::vector<Connection>> mIdle MV_GUARDED_BY(mMutex);
   };
 
-  static std::unique_ptr<httplib::Client> Connect(const Endpoint& aEndpoint)
-  {
-    auto client =
-      std::make_unique<httplib::Client>(aEndpoint.mAddress, aEndpoint.mPort);
-    client->set_keep_alive(true);
-    client->set_tcp_nodelay(true);
-    client->set_follow_location(false);
-    return client;
-  }
-
-  // Connecting and waiting together stay within aTimeout.
-  static void SetLimits(httplib::Client& aClient,
-                        Milliseconds aTimeout,
-                        bool aIsNew)
-  {
-    const Milliseconds connect = std::min(aTimeout / 2, kMaxConnect);
-    aClient.set_connection_timeout(connect);
-    aClient.set_read_timeout(aIsNew ? aTimeout - connect : aTimeout);
-    aClient.set_write_timeout(aIsNew ? aTimeout - connect : aTimeout);
-  }
-
   Shard& ShardOf(const std::string& aKey)
   {
     return mShards[std::hash<std::string>()(aKey) % kShards];
@@ -182,10 +169,10 @@
     MutexLock lock(shard.mMutex);
     std::vector<Connection>& idle = shard.mIdle[aKey];
     TakeOlder(idle, aNow - kMaxIdle, closed);
-    while (!idle.empty() && taken.mClient == nullptr) {
+    while (!idle.empty() && taken.mSocket == nullptr) {
       Connection last = std::move(idle.back());
       idle.pop_back();
-      (IsQuiet(*last.mClient) ? taken : closed.emplace_back()) =
+      (last.mSocket->IsQuiet() ? taken : closed.emplace_back()) =
         std::move(last);
     }
     return taken;
--- /dev/null
+++ b/mulberryvalve/core/jobs/interference_book.cc
@@ -0,0 +1,82 @@
+#include "mulberryvalve/core/jobs/interference_book.h"
+
+#include <algorithm>
+
+namespace mulberryvalve {
+namespace {
+
+// The weight of a pair that was not seen yet: that of most pairs.
+constexpr double kUnseenWeight = 0.8;
+// How much of an error one observation mends.
+constexpr double kLearningRate = 0.08;
+// Excesses beyond this say no more than that the pressure is heavy.
+constexpr double kMostExcess = 2.0;
+constexpr double kMostWeight = 20.0;
+// The load at which a service shows its least tail: services are never idle.
+constexpr double kLeastLoad = 0.2;
+constexpr double kLeastShare = 0.02;
+
+} // namespace
+
+double InterferenceBook::LoadOf(ImageNumber aServing, int64_t aTail)
+{
+  int64_t& least = mLeastTails.try_emplace(aServing, aTail).first->second;
+  least = std::min(least, aTail);
+  const double idleTail = static_cast<double>(least) * (1 - kLeastLoad);
+  return 1 - idleTail / static_cast<double>(aTail);
+}
+
+void InterferenceBook::Learn(ImageNumber aServing,
+                             double aExcess,
+                             const std::vector<FillingShare>& aFilling)
+{
+  double squares = 0;
+  for (const FillingShare& filling : aFilling) {
+    squares += filling.mShare * filling.mShare;
+  }
+  if (squares < kLeastShare * kLeastShare) {
+    return;
+  }
+  const double excess = std::clamp(aExcess, 0.0, kMostExcess);
+  const double expected =
+    std::min(kMostExcess, Pressure(aServing, aFilling));
+  const double step = kLearningRate * (excess - expected) / squares;
+  for (const FillingShare& filling : aFilling) {
+    double& weight = WeightAt(aServing, filling.mImage);
+    weight = std::clamp(weight + step * filling.mShare, 0.0, kMostWeight);
+  }
+}
+
+double InterferenceBook::Weight(ImageNumber aServing,
+                                ImageNumber aFilling) const
+{
+  if (aServing >= mWeights.size() || aFilling >= mWeights[aServing].size()) {
+    return kUnseenWeight;
+  }
+  return mWeights[aServing][aFilling];
+}
+
+double& InterferenceBook::WeightAt(ImageNumber aServing, ImageNumber aFilling)
+{
+  if (aServing >= mWeights.size()) {
+    mWeights.resize(aServing + 1);
+  }
+  std::vector<double>& row = mWeights[aServing];
+  if (aFilling >= row.size()) {
+    row.resize(aFilling + 1, kUnseenWeight);
+  }
+  return row[aFilling];
+}
+
+double InterferenceBook::Pressure(
+  ImageNumber aServing,
+  const std::vector<FillingShare>& aFilling) const
+{
+  double pressure = 0;
+  for (const FillingShare& filling : aFilling) {
+    pressure += filling.mShare * Weight(aServing, filling.mImage);
+  }
+  return pressure;
+}
+
+} // namespace mulberryvalve
--- /dev/null
+++ b/mulberryvalve/core/jobs/interference_book.h
@@ -0,0 +1,60 @@
+// InterferenceBook: how much tasks that fill slow down tasks that serve, learned
+// by pairs of images. It answers the pattern of batch work of which some kinds
+// disturb some services heavily and most hardly at all.
+#ifndef MULBERRYVALVE_CORE_JOBS_INTERFERENCE_BOOK_H_
+#define MULBERRYVALVE_CORE_JOBS_INTERFERENCE_BOOK_H_
+
+#include "mulberryvalve/core/jobs/job_graph.h"
+
+#include <map>
+#include <vector>
+
+namespace mulberryvalve {
+
+// FillingShare is the share of a worker's processors that tasks of one image
+// that fill take, from 0 to 1.
+struct FillingShare
+{
+  ImageNumber mImage = 0;
+  double mShare = 0;
+};
+
+// InterferenceBook is not synchronised.
+//
+// A serving task is taken for a queue: with the load L (0 to 1) its tail is its
+// least tail divided by 1 - L. Tasks beside it raise L by a factor of 1 plus
+// their pressure, which is the sum of their shares, each weighted by the pair of
+// images.
+class InterferenceBook
+{
+public:
+  // LoadOf returns the load that a tail of aTail milliseconds tells of, and
+  // takes the tail in as one of the image's. aTail must be above zero.
+  double LoadOf(ImageNumber aServing, int64_t aTail);
+
+  // Learn takes in that a task of aServing had aExcess more load than its
+  // undisturbed siblings (0.5 is half as much again) beside aFilling.
+  void Learn(ImageNumber aServing,
+             double aExcess,
+             const std::vector<FillingShare>& aFilling);
+
+  // Weight returns the pressure of a whole worker's share of aFilling on
+  // aServing.
+  double Weight(ImageNumber aServing, ImageNumber aFilling) const;
+
+  // Pressure sums over what fills.
+  double Pressure(ImageNumber aServing,
+                  const std::vector<FillingShare>& aFilling) const;
+
+private:
+  double& WeightAt(ImageNumber aServing, ImageNumber aFilling);
+
+  // By serving image, then by image that fills; pairs beyond the end were not
+  // seen yet.
+  std::vector<std::vector<double>> mWeights;
+  std::map<ImageNumber, int64_t> mLeastTails;
+};
+
+} // namespace mulberryvalve
+
+#endif // MULBERRYVALVE_CORE_JOBS_INTERFERENCE_BOOK_H_
--- a/mulberryvalve/core/jobs/job_book.cc
+++ b/mulberryvalve/core/jobs/job_book.cc
@@ -14,6 +14,9 @@
   JobEntry& job = found->second;
   job.mGraph = std::move(aGraph);
   job.mArrival = ++mLastArrival;
+  for (StepSpec& spec : job.mGraph.mSteps) {
+    spec.mImageNumber = mImages.NumberOf(spec.mImage);
+  }
   job.mOccurrences.resize(job.mGraph.Occurrences());
   for (auto& steps : job.mOccurrences) {
     for (const StepSpec& spec : job.mGraph.mSteps) {
--- a/mulberryvalve/core/jobs/job_book.h
+++ b/mulberryvalve/core/jobs/job_book.h
@@ -2,6 +2,7 @@
 #ifndef MULBERRYVALVE_CORE_JOBS_JOB_BOOK_H_
 #define MULBERRYVALVE_CORE_JOBS_JOB_BOOK_H_
 
+#include "mulberryvalve/core/jobs/image_table.h"
 #include "mulberryvalve/core/jobs/job_state.h"
 
 #include <map>
@@ -113,6 +114,7 @@
   void Reopen(const JobEntry& aJob, const StepRef& aStep);
   void OpenFollowers(const JobEntry& aJob, const StepRef& aStep);
 
+  ImageTable mImages;
   std::unordered_map<JobId, JobEntry> mJobs;
   std::set<OpenStep> mOpen;
   std::set<JobId> mRecurring;
--- a/mulberryvalve/core/jobs/job_decision.h
+++ b/mulberryvalve/core/jobs/job_decision.h
@@ -27,9 +27,10 @@
   kWorkerReborn,   // it lives anew and knows nothing of before
   kWorkerAvoided,  // it gets nothing new for a while
   kWorkerFenced,   // it obeys a newer owner
+  kWorkerPaced,    // tasks that fill work at another speed there
 };
 
-inline constexpr EnumTable<DecisionKind, 16> kDecisionKindNames{ { {
+inline constexpr EnumTable<DecisionKind, 17> kDecisionKindNames{ { {
   { DecisionKind::kJobKnown, "job_known" },
   { DecisionKind::kJobCancelled, "job_cancelled" },
   { DecisionKind::kJobOver, "job_over" },
@@ -46,6 +47,7 @@
   { DecisionKind::kWorkerReborn, "worker_reborn" },
   { DecisionKind::kWorkerAvoided, "worker_avoided" },
   { DecisionKind::kWorkerFenced, "worker_fenced" },
+  { DecisionKind::kWorkerPaced, "worker_paced" },
 } } };
 
 // JobDecision names what was decided, about which job or task and worker, and
--- a/mulberryvalve/core/jobs/job_graph.h
+++ b/mulberryvalve/core/jobs/job_graph.h
@@ -20,6 +20,10 @@
 using ImageId = StrongId<struct ImageIdTag>;
 using WorkerLabel = StrongId<struct WorkerLabelTag>;
 
+// ImageNumber stands for an image within one process, so that pairs of images
+// are found by index. Numbers are dense from 0.
+using ImageNumber = uint32_t;
+
 // RunNumber orders the starts of one task; a later start has a higher one.
 using RunNumber = StrongNumber<struct RunNumberTag>;
 
@@ -61,6 +65,8 @@
   // At most this many tasks on one worker; zero means no limit.
   uint32_t mMaxPerWorker = 0;
   ImageId mImage;
+  // Given by the book that the job is in.
+  ImageNumber mImageNumber = 0;
   // The limit of the tail of the response times that a lasting task's own
   // users see; zero when there is none.
   Milliseconds mTailTarget{ 0 };
--- a/mulberryvalve/core/jobs/job_placement.cc
+++ b/mulberryvalve/core/jobs/job_placement.cc
@@ -1,28 +1,19 @@
 #include "mulberryvalve/core/jobs/job_placement.h"
 
 #include <algorithm>
-#include <optional>
+#include <vector>
 
 namespace mulberryvalve {
 namespace {
 
-// Lower costs are better. The first part decides, then the second.
-struct Cost
-{
-  int64_t mClass = 0;
-  int64_t mLoad = 0;
-
-  friend bool operator<(const Cost& aLeft, const Cost& aRight)
-  {
-    return aLeft.mClass != aRight.mClass ? aLeft.mClass < aRight.mClass
-                                         : aLeft.mLoad < aRight.mLoad;
-  }
-};
-
-// Data on another rack makes a task several times as long, which weighs more
-// than any other difference.
+// Costs are in hundredths of a worker's use; the lowest wins. Data on another
+// rack makes a task several times as long, which weighs more than any use.
 constexpr int64_t kFarFromData = 1000;
-constexpr int64_t kPerTask = 100;
+// A pressure that raises the load of a service by a tenth weighs like this much
+// of a worker's use.
+constexpr double kCostOfPressure = 300;
+// Beyond this pressure services miss their target at the top of their load.
+constexpr double kMostPressure = 0.35;
 
 bool HasLabel(const WorkerFacts& aFacts, const WorkerLabel& aLabel)
 {
@@ -31,38 +22,86 @@
            aFacts.mLabels.end();
 }
 
-int64_t LoadOf(const WorkerRoom& aWorker)
+// What serving tasks leave of their share, in hundredths; a worker's tasks that
+// fill get it.
+constexpr int64_t kServingUsesPercent = 50;
+constexpr int64_t kPercent = 100;
+
+int64_t CapacityOf(const WorkerRoom& aWorker)
+{
+  return std::max<int64_t>(1, aWorker.mFacts.mCapacity.mCpuMillis);
+}
+
+// What is likely in use, with the serving tasks at their usual load.
+int64_t UsedOf(const WorkerRoom& aWorker)
 {
-  const int64_t capacity =
-    std::max<int64_t>(1, aWorker.mFacts.mCapacity.mCpuMillis);
-  const int64_t used = aWorker.mCharged.mCpuMillis +
-                       aWorker.mFillingDemand.mCpuMillis;
-  return used * kPerTask / capacity;
+  const int64_t idle =
+    aWorker.mServingCpu * (kPercent - kServingUsesPercent) / kPercent;
+  return aWorker.mCharged.mCpuMillis + aWorker.mForeign.mCpuMillis - idle +
+         aWorker.mFillingDemand.mCpuMillis;
 }
 
-Cost CostOf(const StepSpec& aStep, const WorkerRoom& aWorker)
+// The pressure on the serving image that feels most of what fills a worker,
+// with aMore of aImage added.
+double WorstPressure(const InterferenceBook& aBook,
+                     const WorkerRoom& aWorker,
+                     ImageNumber aImage,
+                     int64_t aMore)
 {
-  Cost cost;
-  const bool far =
-    !aStep.mDataRack.Empty() && aStep.mDataRack != aWorker.mFacts.mRack;
-  cost.mClass = far ? kFarFromData : 0;
-  if (aStep.mLasting) {
-    // Beside other lasting tasks first, and on the fullest of these.
-    cost.mClass += aWorker.mLasting > 0 ? 0 : 1 + aWorker.mFilling;
-    cost.mLoad = -LoadOf(aWorker);
-    return cost;
+  double worst = 0;
+  const std::vector<FillingShare> filling =
+    aWorker.Filling(kFullPace, aImage, aMore);
+  for (const auto& [serving, count] : aWorker.mServingImages) {
+    worst = std::max(worst, aBook.Pressure(serving, filling));
+  }
+  return worst;
+}
+
+// The pressure that a step's task meets or makes on a worker.
+double PressureWith(const PlacementQuery& aQuery, const WorkerRoom& aWorker)
+{
+  const StepSpec& step = aQuery.mStep;
+  if (step.mFills) {
+    return aWorker.mServing == 0
+             ? 0
+             : WorstPressure(aQuery.mInterference,
+                             aWorker,
+                             step.mImageNumber,
+                             step.mDemand.mCpuMillis);
   }
-  cost.mLoad = LoadOf(aWorker);
-  if (!aStep.mFills) {
-    cost.mClass += aWorker.mFilling > 0 ? 1 : 0;
+  if (step.mTailTarget.count() > 0 && aWorker.mFilling > 0) {
+    return aQuery.mInterference.Pressure(
+      step.mImageNumber, aWorker.Filling(kFullPace, 0, 0));
   }
-  return cost;
+  return 0;
+}
+
+int64_t CostOf(const PlacementQuery& aQuery, const WorkerRoom& aWorker)
+{
+  const StepSpec& step = aQuery.mStep;
+  const int64_t used =
+    step.mLasting ? aWorker.mCharged.mCpuMillis : UsedOf(aWorker);
+  const bool far =
+    !step.mDataRack.Empty() && step.mDataRack != aWorker.mFacts.mRack;
+  const double pressure = PressureWith(aQuery, aWorker);
+  return used * kPercent / CapacityOf(aWorker) + (far ? kFarFromData : 0) +
+         static_cast<int64_t>(pressure * kCostOfPressure);
 }
 
-// A worker with tasks that have a target for their tail is not disturbed.
-bool Disturbs(const StepSpec& aStep, const WorkerRoom& aWorker)
+// A task that fills is not added where it would get nothing, or where tasks
+// that serve would miss their target.
+bool IsUseless(const PlacementQuery& aQuery, const WorkerRoom& aWorker)
 {
-  return aStep.mFills && aWorker.mLasting > 0;
+  const StepSpec& step = aQuery.mStep;
+  if (!step.mFills) {
+    return false;
+  }
+  if (aWorker.mServing > 0 &&
+      (!MayAddFilling(aWorker.mPace) ||
+       PressureWith(aQuery, aWorker) > kMostPressure)) {
+    return true;
+  }
+  return UsedOf(aWorker) + step.mDemand.mCpuMillis > CapacityOf(aWorker);
 }
 
 } // namespace
@@ -114,16 +153,16 @@
          aQuery.mStep.mDemand.FitsIn(aWorker.Room() + given);
 }
 
-WorkerRoom* SeparatingPlacement::Choose(const PlacementQuery& aQuery,
+WorkerRoom* LearnedPlacement::Choose(const PlacementQuery& aQuery,
                                         WorkerTable& aWorkers) const
 {
   WorkerRoom* best = nullptr;
-  Cost bestCost;
+  int64_t bestCost = 0;
   for (auto& [id, worker] : aWorkers.All()) {
-    if (!MayPlace(aQuery, worker) || Disturbs(aQuery.mStep, worker)) {
+    if (!MayPlace(aQuery, worker) || IsUseless(aQuery, worker)) {
       continue;
     }
-    const Cost cost = CostOf(aQuery.mStep, worker);
+    const int64_t cost = CostOf(aQuery, worker);
     if (best == nullptr || cost < bestCost) {
       best = &worker;
       bestCost = cost;
--- a/mulberryvalve/core/jobs/job_placement.h
+++ b/mulberryvalve/core/jobs/job_placement.h
@@ -16,6 +16,8 @@
   const ServiceId& mService;
   // How many tasks of the same step and occurrence each worker has.
   const std::map<WorkerId, uint32_t>& mSiblings;
+  // What is known of how images disturb each other.
+  const InterferenceBook& mInterference;
   // Failure domains that get nothing new.
   const std::set<DomainId>& mDomainsOut;
   // Set when all tasks of the step must be in one rack and some are.
@@ -47,10 +49,10 @@
                              WorkerTable& aWorkers) const = 0;
 };
 
-// SeparatingPlacement keeps tasks that fill away from workers with lasting
-// tasks, packs lasting tasks together and spreads the others by their number.
-// It answers the pattern of batch work that disturbs services beside it.
-class SeparatingPlacement : public JobPlacement
+// LearnedPlacement spreads by what is likely in use and by how much the images
+// that would meet disturb each other. It answers the pattern of batch work that
+// takes what services leave unused, beside those whom it hardly disturbs.
+class LearnedPlacement : public JobPlacement
 {
 public:
   WorkerRoom* Choose(const PlacementQuery& aQuery,
--- a/mulberryvalve/core/jobs/job_shard.cc
+++ b/mulberryvalve/core/jobs/job_shard.cc
@@ -58,6 +58,7 @@
   if (job == nullptr) {
     return;
   }
+  mChanged = true;
   NoteJob(DecisionKind::kJobKnown, id, job->mGraph.mQueue.Text());
   if (mCancelledEarly.erase(id) != 0) {
     EndJob(*job, JobPhase::kCancelled, mClaimedAt);
@@ -81,6 +82,7 @@
 void JobShard::OnConfig(const ClusterConfig& aConfig)
 {
   mConfig = aConfig;
+  mChanged = true;
 }
 
 void JobShard::OnWorkers(const std::vector<WorkerFacts>& aWorkers,
@@ -232,6 +234,7 @@
   }
   mRepeat.erase(aTask);
   mBook.Settle(aTask);
+  mChanged = true;
 }
 
 void JobShard::Avoid(WorkerRoom& aWorker,
--- a/mulberryvalve/core/jobs/job_shard.h
+++ b/mulberryvalve/core/jobs/job_shard.h
@@ -180,6 +180,17 @@
   void FreeMissing(WorkerRoom& aWorker,
                    const HoldReply& aReply,
                    MonotonicTime aSentAt);
+  void FollowTails(WorkerRoom& aWorker,
+                   const HoldReply& aReply,
+                   MonotonicTime aSentAt,
+                   MonotonicTime aNow);
+  void LearnFrom(const WorkerRoom& aWorker,
+                 const RunningRow& aRow,
+                 const StepSpec& aSpec,
+                 MonotonicTime aNow);
+  bool StopHeavy(const WorkerRoom& aWorker,
+                 ImageNumber aServing,
+                 int aWorst);
   void OnSilent(WorkerRoom& aWorker, OrderOutcome aOutcome);
   void ResetLife(WorkerRoom& aWorker, Birth aBirth);
   void FreeAll(WorkerRoom& aWorker, const char* aWhy);
@@ -206,10 +217,11 @@
                   WorkerRoom& aWorker,
                   RunNumber aRun,
                   MonotonicTime aNow);
-  void OrderStop(const TaskRef& aTask, const char* aWhy);
+  void OrderStop(const TaskRef& aTask, const std::string& aWhy);
   void SendStop(const TaskRef& aTask,
                 RunNumber aRun,
                 const WorkerRoom& aWorker);
+  void SendPaces(const WorkerRoom& aWorker);
   void RepeatStops(MonotonicTime aNow);
   void MoveOffLeaving(MonotonicTime aNow);
   bool IsBlocked(const JobEntry& aJob, MonotonicTime aNow);
@@ -232,12 +244,22 @@
   void NoteJob(DecisionKind aKind, const JobId& aJob, std::string aWhy);
   void NoteWorker(DecisionKind aKind, const WorkerId& aWorker, std::string aWhy);
 
+  // TailReport is the load that a serving task's last report told of.
+  struct TailReport
+  {
+    double mLoad = 0;
+    MonotonicTime mAt;
+  };
+
   const JobShardOptions mOptions;
   const JobPlacement& mPlacement;
   const MonotonicTime mClaimedAt;
   JobBook mBook;
   WorkerTable mWorkers;
   ClusterConfig mConfig;
+  InterferenceBook mInterference;
+  // The reports of the tasks of each step, by their index.
+  std::map<StepRef, std::map<uint32_t, TailReport>> mTails;
   // Workers of former owners that have not answered yet, and until when they
   // may run what a former owner started.
   std::map<WorkerId, MonotonicTime> mUnasked;
@@ -250,6 +272,9 @@
   std::map<ForeignRun, MonotonicTime> mForeign;
   std::vector<TaskOrder> mOrders;
   std::vector<JobDecision> mDecisions;
+  // Something happened that may let a waiting task start.
+  bool mChanged = true;
+  MonotonicTime mPlaceAgainAt;
   bool mFenced = false;
 };
 
--- a/mulberryvalve/core/jobs/job_shard_lists.cc
+++ b/mulberryvalve/core/jobs/job_shard_lists.cc
@@ -69,8 +69,10 @@
     TakeRunning(*room, row, aNow);
   }
   FreeMissing(*room, aReply, aSentAt);
+  FollowTails(*room, aReply, aSentAt, aNow);
   if (!room->mInventoried) {
     room->mInventoried = true;
+    mChanged = true;
     mUnasked.erase(aOrder.mWorker);
     NoteWorker(DecisionKind::kWorkerKnown,
                aOrder.mWorker,
@@ -159,6 +161,7 @@
     return;
   }
   mBook.Finish(aTask);
+  mChanged = true;
   if (IsPlaced(task->mPhase) && task->mPhase != TaskPhase::kStopping) {
     OrderStop(aTask, "another run is done");
   }
--- a/mulberryvalve/core/jobs/job_shard_orders.cc
+++ b/mulberryvalve/core/jobs/job_shard_orders.cc
@@ -16,37 +16,45 @@
 constexpr Milliseconds kLeaveBefore{ 1500 };
 // A stop and the lists that show it take less.
 constexpr Milliseconds kKeepForLasting{ 2500 };
+// Steps that found no worker are tried again this often without a cause.
+constexpr Milliseconds kPlaceAgain{ 100 };
 // Run numbers of an epoch start above all numbers of earlier epochs.
 constexpr uint64_t kRunsPerEpoch = 1 << 14;
 
-// Refused remembers the least demand that found no worker, to pass over steps
-// that ask for as much.
+// Refused remembers, by image and kind of task, the least demand that found no
+// worker, to pass over steps that ask for as much.
 class Refused
 {
 public:
   bool Covers(const StepSpec& aStep) const
   {
-    const auto& least = mLeast[Kind(aStep)];
-    return least && least->FitsIn(aStep.mDemand);
+    const auto found = mLeast.find(KindOf(aStep));
+    return found != mLeast.end() && found->second.FitsIn(aStep.mDemand);
   }
 
   void Add(const StepSpec& aStep)
   {
     const bool special = !aStep.mRequiredLabel.Empty() ||
                          aStep.mMaxPerWorker > 0 || aStep.mSameRack;
-    auto& least = mLeast[Kind(aStep)];
-    if (!special && (!least || aStep.mDemand.FitsIn(*least))) {
-      least = aStep.mDemand;
+    if (special) {
+      return;
+    }
+    const auto [found, isNew] =
+      mLeast.try_emplace(KindOf(aStep), aStep.mDemand);
+    if (!isNew && aStep.mDemand.FitsIn(found->second)) {
+      found->second = aStep.mDemand;
     }
   }
 
 private:
-  static size_t Kind(const StepSpec& aStep)
+  using Kind = std::tuple<bool, bool, ImageNumber>;
+
+  static Kind KindOf(const StepSpec& aStep)
   {
-    return (aStep.mFills ? 1U : 0U) + (aStep.mLasting ? 2U : 0U);
+    return { aStep.mFills, aStep.mLasting, aStep.mImageNumber };
   }
 
-  std::optional<Resources> mLeast[4];
+  std::map<Kind, Resources> mLeast;
 };
 
 } // namespace
@@ -59,7 +67,9 @@
   RepeatStops(aNow);
   MoveOffLeaving(aNow);
   mBook.OpenDue(aWall);
-  if (aProof.mMayStart) {
+  if (aProof.mMayStart && (mChanged || aNow >= mPlaceAgainAt)) {
+    mChanged = false;
+    mPlaceAgainAt = aNow + kPlaceAgain;
     PlaceOpen(aNow);
   }
   return std::exchange(mOrders, {});
@@ -170,6 +180,7 @@
   return PlacementQuery{ spec,
                          RulesOf(aJob).mService,
                          step.mSiblings,
+                         mInterference,
                          mConfig.mDomainsOut,
                          onlyRack,
                          aNow };
@@ -241,12 +252,9 @@
        "free cpu " + std::to_string(aWorker.Room().mCpuMillis) + ", filling " +
          std::to_string(aWorker.mFilling) + ", lasting " +
          std::to_string(aWorker.mLasting));
-  if (spec.mLasting && spec.mTailTarget.count() > 0) {
-    StopFilling(aWorker, "makes way for a task with a tail target");
-  }
 }
 
-void JobShard::OrderStop(const TaskRef& aTask, const char* aWhy)
+void JobShard::OrderStop(const TaskRef& aTask, const std::string& aWhy)
 {
   StepTask* task = mBook.FindTask(aTask);
   if (!IsPlaced(task->mPhase) || task->mPhase == TaskPhase::kStopping) {
@@ -348,6 +356,9 @@
     OnStartOutcome(aOrder, aReply.mOutcome, aNow);
   } else if (aOrder.mKind == OrderKind::kStop) {
     OnStopOutcome(aOrder, aReply.mOutcome, aNow);
+  } else if (aReply.mOutcome != OrderOutcome::kAccepted) {
+    // The next report sends it again.
+    mBook.FindTask(aOrder.mTask)->mPacePercent = 0;
   }
 }
 
@@ -361,6 +372,9 @@
     if (task.mPhase == TaskPhase::kStarting) {
       task.mPhase = TaskPhase::kRunning;
       task.mAnsweredAt = aNow;
+      if (worker != nullptr) {
+        SendPaces(*worker);
+      }
     }
     return;
   }
--- /dev/null
+++ b/mulberryvalve/core/jobs/job_shard_test.cc
@@ -0,0 +1,229 @@
+// JobShard against workers that keep their contract, under cuts, lost answers
+// and changes of owner.
+#include "mulberryvalve/core/jobs/job_world_fake.h"
+
+#include "CppUTest/TestHarness.h"
+
+namespace mulberryvalve {
+namespace {
+
+constexpr Milliseconds kLong{ 60000 };
+
+void CheckNoFindings(const JobWorld& aWorld)
+{
+  for (const std::string& finding : aWorld.Findings()) {
+    FAIL(finding.c_str());
+  }
+}
+
+void CheckPhase(FakeOwner& aOwner, const char* aJob, JobPhase aPhase)
+{
+  const auto phase = aOwner.mShard->Phase(JobId(aJob));
+  CHECK(phase.has_value());
+  STRCMP_EQUAL(std::string(kJobPhaseNames.Name(aPhase)).c_str(),
+               std::string(kJobPhaseNames.Name(*phase)).c_str());
+}
+
+} // namespace
+
+TEST_GROUP(JobShardTest){};
+
+TEST(JobShardTest, RunsTheStepsOfAJobInTheirOrder)
+{
+  JobWorld world(4);
+  FakeOwner& owner = world.AddOwner();
+  JobGraph job = OneStepJob("j", 6, 1000);
+  job.mSteps.push_back(job.mSteps[0]);
+  job.mSteps[1].mAfter = { 0 };
+  world.Submit(job);
+  world.RunFor(Milliseconds(600));
+  CHECK_EQUAL(6U, world.Running());
+  world.RunFor(Milliseconds(3000));
+  CheckPhase(owner, "j", JobPhase::kCompleted);
+  CheckNoFindings(world);
+}
+
+TEST(JobShardTest, FailsAJobOnlyAfterItsAttempts)
+{
+  JobWorld world(4);
+  FakeOwner& owner = world.AddOwner();
+  world.mEndOf = [](const TaskRef&, RunNumber) { return EndKind::kFailed; };
+  JobGraph job = OneStepJob("j", 1, 1000);
+  job.mRules.mMaxAttempts = 3;
+  world.Submit(job);
+  world.RunFor(Milliseconds(1300));
+  CheckPhase(owner, "j", JobPhase::kRunning);
+  world.RunFor(Milliseconds(5000));
+  CheckPhase(owner, "j", JobPhase::kFailed);
+}
+
+// An owner that was cut off with its log took the leases of silent workers for
+// over, while its successor renewed them.
+TEST(JobShardTest, LeaseIsOverOnlyWithProofOfOwnership)
+{
+  JobWorld world(3);
+  FakeOwner& former = world.AddOwner();
+  world.mDurationOf = [](const TaskRef&) { return kLong; };
+  world.Submit(OneStepJob("j", 3, 9000));
+  world.RunFor(Milliseconds(1000));
+  CHECK_EQUAL(3U, world.Running());
+  former.mLinks[world.Worker(0).mFacts.mId] = LinkState::kCut;
+  world.AddOwner();
+  // The others answer to the former owner until they are fenced, so it is
+  // kept from asking them.
+  former.mLinks[world.Worker(1).mFacts.mId] = LinkState::kCut;
+  former.mLinks[world.Worker(2).mFacts.mId] = LinkState::kCut;
+  world.RunFor(Milliseconds(9000));
+  former.mLinks.clear();
+  world.RunFor(Milliseconds(3000));
+  CheckNoFindings(world);
+}
+
+// Runs of a job that was cancelled during a change of owner were stopped, but
+// took no room in the successor's eyes.
+TEST(JobShardTest, UnwantedRunsTakeRoomUntilTheyEnd)
+{
+  JobWorld world(1);
+  FakeOwner& former = world.AddOwner();
+  world.mDurationOf = [](const TaskRef&) { return kLong; };
+  world.Submit(OneStepJob("a", 1, 16000));
+  world.RunFor(Milliseconds(1000));
+  former.mActs = false;
+  former.mReachesLog = false;
+  world.Cancel(JobId("a"));
+  world.AddOwner();
+  world.Submit(OneStepJob("b", 1, 16000));
+  world.RunFor(Milliseconds(3000));
+  CHECK_EQUAL(1U, world.Running());
+  CheckNoFindings(world);
+}
+
+// A start without an answer may have begun: it is found on the lists, or
+// stopped before the task is started elsewhere.
+TEST(JobShardTest, StartWithoutAnswerRunsOnce)
+{
+  JobWorld world(2);
+  FakeOwner& owner = world.AddOwner();
+  world.RunFor(Milliseconds(400));
+  for (size_t number = 0; number < 2; number++) {
+    owner.mLinks[world.Worker(number).mFacts.mId] = LinkState::kNoAnswers;
+  }
+  world.Submit(OneStepJob("j", 4, 1000));
+  world.RunFor(Milliseconds(200));
+  owner.mLinks.clear();
+  world.RunFor(Milliseconds(6000));
+  CheckPhase(owner, "j", JobPhase::kCompleted);
+  CheckNoFindings(world);
+}
+
+// A successor waits for workers of its predecessor that it does not reach.
+TEST(JobShardTest, SuccessorWaitsForSilentWorkers)
+{
+  JobWorld world(2);
+  FakeOwner& former = world.AddOwner();
+  world.mDurationOf = [](const TaskRef&) { return kLong; };
+  world.Submit(OneStepJob("j", 2, 10000));
+  world.RunFor(Milliseconds(1000));
+  CHECK_EQUAL(2U, world.Running());
+  FakeOwner& next = world.AddOwner();
+  next.mLinks[world.Worker(0).mFacts.mId] = LinkState::kCut;
+  former.mLinks[world.Worker(1).mFacts.mId] = LinkState::kCut;
+  world.RunFor(Milliseconds(30000));
+  CheckNoFindings(world);
+}
+
+TEST(JobShardTest, RebornWorkerRunsNothingOfBefore)
+{
+  JobWorld world(2);
+  FakeOwner& owner = world.AddOwner();
+  world.mDurationOf = [](const TaskRef&) { return Milliseconds(2000); };
+  world.Submit(OneStepJob("j", 4, 4000));
+  world.RunFor(Milliseconds(500));
+  world.Reborn(world.Worker(0).mFacts.mId);
+  world.RunFor(Milliseconds(8000));
+  CheckPhase(owner, "j", JobPhase::kCompleted);
+  CheckNoFindings(world);
+}
+
+// A lasting task found no worker without tasks that fill, and waited.
+TEST(JobShardTest, LastingTaskGetsRoomFromTasksThatFill)
+{
+  JobWorld world(1);
+  world.AddOwner();
+  world.mDurationOf = [](const TaskRef&) { return kLong; };
+  JobGraph batch = OneStepJob("batch", 4, 3000);
+  batch.mSteps[0].mFills = true;
+  batch.mSteps[0].mDemand.mMemoryMb = 16000;
+  world.Submit(batch);
+  world.RunFor(Milliseconds(600));
+  CHECK_EQUAL(4U, world.Running());
+  JobGraph watch = OneStepJob("watch", 1, 3000);
+  watch.mSteps[0].mLasting = true;
+  watch.mSteps[0].mTailTarget = Milliseconds(18);
+  watch.mSteps[0].mDemand.mMemoryMb = 8000;
+  world.Submit(watch);
+  world.RunFor(Milliseconds(2000));
+  const TaskRef task{ { JobId("watch"), 0, 0 }, 0 };
+  CHECK_EQUAL(1U, world.Worker(0).mRuns.count(task));
+  CheckNoFindings(world);
+}
+
+// Random cuts, lost answers, rebirths and changes of owner: nothing is started
+// twice or beyond a worker's capacity, and once all is whole everything ends.
+TEST(JobShardTest, KeepsItsPromisesUnderRandomTrouble)
+{
+  for (uint32_t seed = 1; seed <= 60; seed++) {
+    std::mt19937 random(seed);
+    const auto pick = [&random](uint32_t aBelow) {
+      return static_cast<uint32_t>(random() % aBelow);
+    };
+    JobWorld world(6);
+    world.AddOwner();
+    world.mDurationOf = [](const TaskRef& aTask) {
+      return Milliseconds(300 + 200 * (aTask.mIndex % 7));
+    };
+    size_t owners = 1;
+    for (int round = 0; round < 40; round++) {
+      JobGraph job = OneStepJob(
+        "j" + std::to_string(round), 1 + pick(6), 500 * (1 + pick(12)));
+      job.mSteps[0].mFills = pick(3) == 0;
+      world.Submit(job);
+      FakeOwner& owner = world.Owner(owners - 1);
+      const WorkerId worker = world.Worker(pick(6)).mFacts.mId;
+      switch (pick(8)) {
+        case 0:
+          owner.mLinks[worker] = LinkState::kCut;
+          break;
+        case 1:
+          owner.mLinks[worker] = LinkState::kNoAnswers;
+          break;
+        case 2:
+          owner.mLinks.clear();
+          break;
+        case 3:
+          world.Reborn(worker);
+          break;
+        case 4:
+          world.AddOwner();
+          owners++;
+          break;
+        case 5:
+          world.Cancel(JobId("j" + std::to_string(pick(40))));
+          break;
+        default:
+          break;
+      }
+      world.RunFor(Milliseconds(100 * (1 + pick(10))));
+    }
+    for (size_t number = 0; number < owners; number++) {
+      world.Owner(number).mLinks.clear();
+    }
+    world.RunFor(Milliseconds(40000));
+    for (const std::string& finding : world.Findings()) {
+      FAIL(("seed " + std::to_string(seed) + ": " + finding).c_str());
+    }
+    CHECK_EQUAL(0U, world.Running());
+  }
+}
+
+} // namespace mulberryvalve
--- /dev/null
+++ b/mulberryvalve/core/jobs/job_world_fake.cc
@@ -0,0 +1,387 @@
+#include "mulberryvalve/core/jobs/job_world_fake.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberryvalve {
+namespace {
+
+constexpr Milliseconds kTick{ 20 };
+constexpr Milliseconds kStopTakes{ 200 };
+constexpr int64_t kLongestLeaseMs = 6000;
+const ServiceId kService("service");
+
+bool Reaches(const FakeOwner& aOwner, const WorkerId& aWorker)
+{
+  const auto link = aOwner.mLinks.find(aWorker);
+  return link == aOwner.mLinks.end() || link->second != LinkState::kCut;
+}
+
+bool Hears(const FakeOwner& aOwner, const WorkerId& aWorker)
+{
+  const auto link = aOwner.mLinks.find(aWorker);
+  return link == aOwner.mLinks.end() || link->second == LinkState::kWhole;
+}
+
+} // namespace
+
+WorkerTime FakeWorkerNode::ClockAt(MonotonicTime aNow) const
+{
+  return WorkerTime{
+    std::chrono::duration_cast<Milliseconds>(aNow - mBornAt).count()
+  };
+}
+
+JobWorld::JobWorld(size_t aWorkers)
+  : mDurationOf([](const TaskRef&) { return Milliseconds(500); })
+  , mEndOf([](const TaskRef&, RunNumber) { return EndKind::kDone; })
+{
+  for (size_t number = 0; number < aWorkers; number++) {
+    FakeWorkerNode worker;
+    worker.mFacts.mId = WorkerId("w" + std::to_string(100 + number));
+    worker.mFacts.mService = kService;
+    worker.mFacts.mDomain = DomainId("d" + std::to_string(number % 3));
+    worker.mFacts.mRack = RackId("r" + std::to_string(number / 8));
+    worker.mFacts.mCapacity = Resources{ 16000, 64000, 0 };
+    worker.mFacts.mBirth = worker.mBirth;
+    worker.mTail = [](const FakeWorkerNode&, const TaskRef&) { return 5; };
+    mWorkers[worker.mFacts.mId] = worker;
+  }
+  mConfig.mVersion = 1;
+  mNow = MonotonicTime(std::chrono::seconds(1000));
+}
+
+FakeOwner& JobWorld::AddOwner()
+{
+  auto owner = std::make_unique<FakeOwner>();
+  mLastEpoch = mLastEpoch.Next();
+  owner->mEpoch = mLastEpoch;
+  owner->mProvedAt = mNow;
+  JobShardOptions options;
+  options.mEpoch = owner->mEpoch;
+  owner->mShard = std::make_unique<JobShard>(options, mPlacement, mNow);
+  owner->mShard->OnConfig(mConfig);
+  for (const auto& [id, worker] : mKnown) {
+    owner->mShard->InheritWorker(worker);
+  }
+  for (const JobGraph& job : mJobs) {
+    const auto record = mRecords.find(job.mId);
+    owner->mShard->Inherit(
+      job, record == mRecords.end() ? nullptr : &record->second);
+  }
+  for (const JobId& job : mCancelled) {
+    owner->mShard->OnCancel(job, mNow);
+  }
+  for (auto& other : mOwners) {
+    other->mReachesLog = false;
+  }
+  mOwners.push_back(std::move(owner));
+  return *mOwners.back();
+}
+
+void JobWorld::Submit(JobGraph aJob)
+{
+  aJob.mRules.mService = kService;
+  mJobs.push_back(aJob);
+  for (auto& owner : mOwners) {
+    if (owner->mReachesLog) {
+      owner->mShard->OnJob(aJob);
+    }
+  }
+}
+
+void JobWorld::Cancel(const JobId& aJob)
+{
+  mCancelled.insert(aJob);
+  for (auto& owner : mOwners) {
+    if (owner->mReachesLog) {
+      owner->mShard->OnCancel(aJob, mNow);
+    }
+  }
+}
+
+void JobWorld::Step()
+{
+  mNow += kTick;
+  for (auto& [id, worker] : mWorkers) {
+    StepWorker(worker);
+  }
+  for (auto& owner : mOwners) {
+    if (owner->mActs && !owner->mShard->IsFenced()) {
+      StepOwner(*owner);
+    }
+  }
+}
+
+void JobWorld::RunFor(Milliseconds aLength)
+{
+  const MonotonicTime until = mNow + aLength;
+  while (mNow < until) {
+    Step();
+  }
+}
+
+void JobWorld::Reborn(const WorkerId& aWorker)
+{
+  FakeWorkerNode& worker = mWorkers.at(aWorker);
+  worker.mBirth = worker.mBirth.Next();
+  worker.mFacts.mBirth = worker.mBirth;
+  worker.mBornAt = mNow;
+  worker.mFence = Epoch();
+  worker.mLease = WorkerTime();
+  worker.mRuns.clear();
+  worker.mEnded.clear();
+  worker.mClosed.clear();
+  worker.mLastEnd = EndNumber();
+}
+
+FakeWorkerNode& JobWorld::Worker(size_t aIndex)
+{
+  return std::next(mWorkers.begin(), static_cast<long>(aIndex))->second;
+}
+
+size_t JobWorld::Running() const
+{
+  size_t count = 0;
+  for (const auto& [id, worker] : mWorkers) {
+    count += worker.mRuns.size();
+  }
+  return count;
+}
+
+void JobWorld::StepWorker(FakeWorkerNode& aWorker)
+{
+  std::vector<std::pair<TaskRef, EndKind>> ends;
+  const bool lapsed =
+    aWorker.mLease.mMilliseconds <= aWorker.ClockAt(mNow).mMilliseconds;
+  for (const auto& [task, run] : aWorker.mRuns) {
+    if (run.mEndsAt <= mNow) {
+      ends.emplace_back(task, run.mStopping ? EndKind::kStopped : run.mEnd);
+    } else if (lapsed) {
+      ends.emplace_back(task, EndKind::kLapsed);
+    }
+  }
+  for (const auto& [task, how] : ends) {
+    End(aWorker, task, how);
+  }
+}
+
+void JobWorld::StepOwner(FakeOwner& aOwner)
+{
+  if (aOwner.mReachesLog) {
+    aOwner.mProvedAt = mNow;
+    std::vector<WorkerFacts> facts;
+    for (const auto& [id, worker] : mWorkers) {
+      facts.push_back(worker.mFacts);
+    }
+    aOwner.mShard->OnWorkers(facts, mNow);
+  }
+  const bool proved =
+    mNow < aOwner.mProvedAt + JobShardOptions().mProofLimit;
+  for (auto& [id, worker] : mWorkers) {
+    MonotonicTime& next = aOwner.mNextHold[id];
+    if (mNow < next) {
+      continue;
+    }
+    const auto order = aOwner.mShard->NextHold(id, proved, mNow);
+    if (!order) {
+      continue;
+    }
+    HoldReply reply;
+    if (Reaches(aOwner, id)) {
+      HoldReply said = Hold(worker, *order);
+      if (Hears(aOwner, id)) {
+        reply = std::move(said);
+      }
+    }
+    aOwner.mShard->OnHold(*order, reply, mNow - kTick / 2, mNow);
+    next = mNow + Milliseconds(100);
+  }
+  OwnershipProof proof{ aOwner.mProvedAt, proved };
+  for (const TaskOrder& order :
+       aOwner.mShard->Decide(proof, mNow, WallTime{ 0 })) {
+    Carry(aOwner, order);
+  }
+  Persist(aOwner);
+}
+
+void JobWorld::Carry(FakeOwner& aOwner, const TaskOrder& aOrder)
+{
+  OrderReply reply;
+  if (Reaches(aOwner, aOrder.mWorker)) {
+    const OrderReply said = Apply(mWorkers.at(aOrder.mWorker), aOrder);
+    if (Hears(aOwner, aOrder.mWorker)) {
+      reply = said;
+    }
+  }
+  aOwner.mShard->OnOrder(aOrder, reply, mNow);
+}
+
+OrderReply JobWorld::Apply(FakeWorkerNode& aWorker, const TaskOrder& aOrder)
+{
+  OrderReply reply;
+  reply.mReading.mClock = aWorker.ClockAt(mNow);
+  reply.mReading.mBirth = aWorker.mBirth;
+  if (aOrder.mEpoch < aWorker.mFence) {
+    reply.mOutcome = OrderOutcome::kFenced;
+    return reply;
+  }
+  aWorker.mFence = aOrder.mEpoch;
+  reply.mOutcome = OrderOutcome::kAccepted;
+  const auto run = aWorker.mRuns.find(aOrder.mTask);
+  switch (aOrder.mKind) {
+    case OrderKind::kStart:
+      reply.mOutcome = Start(aWorker, aOrder);
+      break;
+    case OrderKind::kStop:
+      if (run != aWorker.mRuns.end() && run->second.mRun <= aOrder.mRun) {
+        run->second.mStopping = true;
+        run->second.mEndsAt = std::min(run->second.mEndsAt, mNow + kStopTakes);
+      }
+      aWorker.mClosed[aOrder.mTask] =
+        std::max(aWorker.mClosed[aOrder.mTask], aOrder.mRun);
+      break;
+    case OrderKind::kPace:
+      break;
+  }
+  return reply;
+}
+
+OrderOutcome JobWorld::Start(FakeWorkerNode& aWorker, const TaskOrder& aOrder)
+{
+  const int64_t clock = aWorker.ClockAt(mNow).mMilliseconds;
+  if (aOrder.mUntil.mMilliseconds <= clock) {
+    return OrderOutcome::kTooLate;
+  }
+  if (aOrder.mRun <= aWorker.mClosed[aOrder.mTask]) {
+    return OrderOutcome::kOutdated;
+  }
+  aWorker.mLease.mMilliseconds =
+    std::max(aWorker.mLease.mMilliseconds,
+             std::min(aOrder.mUntil.mMilliseconds, clock + kLongestLeaseMs));
+  CheckStart(aWorker, aOrder.mTask);
+  FakeRun run;
+  run.mRun = aOrder.mRun;
+  run.mStartedAt = mNow;
+  run.mEndsAt = mNow + mDurationOf(aOrder.mTask);
+  run.mEnd = mEndOf(aOrder.mTask, aOrder.mRun);
+  aWorker.mRuns[aOrder.mTask] = run;
+  return OrderOutcome::kAccepted;
+}
+
+HoldReply JobWorld::Hold(FakeWorkerNode& aWorker, const HoldOrder& aOrder)
+{
+  HoldReply reply;
+  reply.mReading.mClock = aWorker.ClockAt(mNow);
+  reply.mReading.mBirth = aWorker.mBirth;
+  if (aOrder.mEpoch < aWorker.mFence) {
+    reply.mOutcome = OrderOutcome::kFenced;
+    return reply;
+  }
+  aWorker.mFence = aOrder.mEpoch;
+  if (aOrder.mUntil) {
+    const int64_t longest =
+      aWorker.ClockAt(mNow).mMilliseconds + kLongestLeaseMs;
+    aWorker.mLease.mMilliseconds =
+      std::max(aWorker.mLease.mMilliseconds,
+               std::min(aOrder.mUntil->mMilliseconds, longest));
+  }
+  for (const EndedRow& row : aWorker.mEnded) {
+    if (row.mNumber <= aOrder.mSeen && row.mHow == EndKind::kDone) {
+      mNotedDone.insert(row.mTask);
+    }
+  }
+  aWorker.mEnded.erase(std::remove_if(aWorker.mEnded.begin(),
+                                      aWorker.mEnded.end(),
+                                      [&](const EndedRow& aRow) {
+                                        return aRow.mNumber <= aOrder.mSeen;
+                                      }),
+                       aWorker.mEnded.end());
+  reply.mOutcome = OrderOutcome::kAccepted;
+  reply.mEnded = aWorker.mEnded;
+  for (const auto& [task, run] : aWorker.mRuns) {
+    RunningRow row;
+    row.mTask = task;
+    row.mRun = run.mRun;
+    row.mPercent = 100;
+    row.mUsage = SpecOf(task).mTailTarget.count() > 0
+                   ? aWorker.mTail(aWorker, task)
+                   : SpecOf(task).mDemand.mCpuMillis;
+    reply.mRunning.push_back(row);
+  }
+  return reply;
+}
+
+void JobWorld::End(FakeWorkerNode& aWorker, const TaskRef& aTask, EndKind aHow)
+{
+  const RunNumber run = aWorker.mRuns.at(aTask).mRun;
+  aWorker.mRuns.erase(aTask);
+  aWorker.mClosed[aTask] = std::max(aWorker.mClosed[aTask], run);
+  aWorker.mLastEnd = aWorker.mLastEnd.Next();
+  aWorker.mEnded.push_back(
+    EndedRow{ aWorker.mLastEnd, aTask, run, aHow, CheckpointId() });
+}
+
+void JobWorld::CheckStart(const FakeWorkerNode& aWorker, const TaskRef& aTask)
+{
+  Resources used = SpecOf(aTask).mDemand;
+  used.mCpuMillis = SpecOf(aTask).mFills ? 0 : used.mCpuMillis;
+  for (const auto& [task, run] : aWorker.mRuns) {
+    Resources demand = SpecOf(task).mDemand;
+    demand.mCpuMillis = SpecOf(task).mFills ? 0 : demand.mCpuMillis;
+    used += demand;
+  }
+  if (!used.FitsIn(aWorker.mFacts.mCapacity)) {
+    mFindings.push_back("over capacity: " + aTask.Text());
+  }
+  for (const auto& [id, worker] : mWorkers) {
+    if (worker.mRuns.count(aTask) != 0) {
+      mFindings.push_back("two runs: " + aTask.Text());
+    }
+  }
+  if (mNotedDone.count(aTask) != 0) {
+    mFindings.push_back("started after it was done: " + aTask.Text());
+  }
+}
+
+const StepSpec& JobWorld::SpecOf(const TaskRef& aTask) const
+{
+  const auto job =
+    std::find_if(mJobs.begin(), mJobs.end(), [&](const JobGraph& aJob) {
+      return aJob.mId == aTask.mStep.mJob;
+    });
+  return job->mSteps[aTask.mStep.mStep];
+}
+
+void JobWorld::Persist(FakeOwner& aOwner)
+{
+  if (!aOwner.mReachesLog || !aOwner.mShard->NeedsAppend()) {
+    return;
+  }
+  const ProgressBatch batch = aOwner.mShard->TakeProgress(mNow);
+  for (const JobRecord& record : batch.mJobs) {
+    mRecords[record.mId] = record;
+  }
+  for (const KnownWorker& worker : batch.mWorkers) {
+    mKnown[worker.mId] = worker;
+  }
+  for (const WorkerId& worker : batch.mForgotten) {
+    mKnown.erase(worker);
+  }
+  aOwner.mShard->OnDurable(batch);
+}
+
+JobGraph OneStepJob(const std::string& aId, uint32_t aCount, int64_t aCpu)
+{
+  JobGraph job;
+  job.mId = JobId(aId);
+  job.mQueue = QueueId("queue");
+  StepSpec step;
+  step.mCount = aCount;
+  step.mDemand = Resources{ aCpu, 1000, 0 };
+  step.mEstimate = Milliseconds(500);
+  job.mSteps.push_back(step);
+  return job;
+}
+
+} // namespace mulberryvalve
--- /dev/null
+++ b/mulberryvalve/core/jobs/job_world_fake.h
@@ -0,0 +1,134 @@
+// A world of one shard for tests: workers that keep the contract of
+// TaskWorkerPort on a manual clock, and a checker of what must always hold.
+#ifndef MULBERRYVALVE_CORE_JOBS_JOB_WORLD_FAKE_H_
+#define MULBERRYVALVE_CORE_JOBS_JOB_WORLD_FAKE_H_
+
+#include "mulberryvalve/core/jobs/job_shard.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mulberryvalve {
+
+// FakeRun is a run present on a fake worker.
+struct FakeRun
+{
+  RunNumber mRun;
+  MonotonicTime mStartedAt;
+  MonotonicTime mEndsAt;
+  EndKind mEnd = EndKind::kDone;
+  bool mStopping = false;
+};
+
+// LinkState is what becomes of messages between an owner and a worker.
+enum class LinkState
+{
+  kWhole,
+  kCut,        // nothing arrives
+  kNoAnswers,  // orders arrive, answers do not
+};
+
+// FakeWorkerNode is one worker.
+struct FakeWorkerNode
+{
+  WorkerFacts mFacts;
+  Birth mBirth{ 1 };
+  MonotonicTime mBornAt;
+  Epoch mFence;
+  WorkerTime mLease;
+  std::map<TaskRef, FakeRun> mRuns;
+  std::vector<EndedRow> mEnded;
+  EndNumber mLastEnd;
+  std::map<TaskRef, RunNumber> mClosed;
+  // What its reports say of serving tasks, in milliseconds.
+  std::function<int64_t(const FakeWorkerNode&, const TaskRef&)> mTail;
+
+  WorkerTime ClockAt(MonotonicTime aNow) const;
+};
+
+// FakeOwner is an owner with its own view of time, links and proof.
+struct FakeOwner
+{
+  std::unique_ptr<JobShard> mShard;
+  Epoch mEpoch;
+  std::map<WorkerId, LinkState> mLinks;
+  std::map<WorkerId, MonotonicTime> mNextHold;
+  MonotonicTime mProvedAt;
+  bool mActs = true;
+  // While false nothing that it decides becomes durable.
+  bool mReachesLog = true;
+};
+
+// JobWorld advances in steps. Findings of its checker are texts that begin with
+// the name of what was broken.
+class JobWorld
+{
+public:
+  explicit JobWorld(size_t aWorkers);
+
+  // AddOwner claims the shard for a new owner and makes it inherit what is
+  // durable. The former owners go on until they are told or fenced.
+  FakeOwner& AddOwner();
+
+  // Submit hands a job in; it is durable at once.
+  void Submit(JobGraph aJob);
+
+  // Cancel makes a cancellation durable.
+  void Cancel(const JobId& aJob);
+
+  // Step advances all by one tick and checks.
+  void Step();
+
+  // RunFor steps for a time.
+  void RunFor(Milliseconds aLength);
+
+  // Reborn ends a worker's life and begins the next.
+  void Reborn(const WorkerId& aWorker);
+
+  FakeWorkerNode& Worker(size_t aIndex);
+  FakeOwner& Owner(size_t aIndex) { return *mOwners[aIndex]; }
+  MonotonicTime Now() const { return mNow; }
+  const std::vector<std::string>& Findings() const { return mFindings; }
+  size_t Running() const;
+
+  // How long a task runs once started; an end kind may be set by mEndOf.
+  std::function<Milliseconds(const TaskRef&)> mDurationOf;
+  std::function<EndKind(const TaskRef&, RunNumber)> mEndOf;
+
+private:
+  void StepWorker(FakeWorkerNode& aWorker);
+  void StepOwner(FakeOwner& aOwner);
+  void Carry(FakeOwner& aOwner, const TaskOrder& aOrder);
+  OrderReply Apply(FakeWorkerNode& aWorker, const TaskOrder& aOrder);
+  OrderOutcome Start(FakeWorkerNode& aWorker, const TaskOrder& aOrder);
+  HoldReply Hold(FakeWorkerNode& aWorker, const HoldOrder& aOrder);
+  void End(FakeWorkerNode& aWorker, const TaskRef& aTask, EndKind aHow);
+  void CheckStart(const FakeWorkerNode& aWorker, const TaskRef& aTask);
+  const StepSpec& SpecOf(const TaskRef& aTask) const;
+  void Persist(FakeOwner& aOwner);
+
+  LearnedPlacement mPlacement;
+  MonotonicTime mNow;
+  std::map<WorkerId, FakeWorkerNode> mWorkers;
+  std::vector<std::unique_ptr<FakeOwner>> mOwners;
+  std::vector<JobGraph> mJobs;
+  std::set<JobId> mCancelled;
+  std::map<JobId, JobRecord> mRecords;
+  std::map<WorkerId, KnownWorker> mKnown;
+  std::set<TaskRef> mNotedDone;
+  ClusterConfig mConfig;
+  Epoch mLastEpoch;
+  std::vector<std::string> mFindings;
+};
+
+// OneStepJob returns a job of one step.
+JobGraph OneStepJob(const std::string& aId, uint32_t aCount, int64_t aCpu);
+
+} // namespace mulberryvalve
+
+#endif // MULBERRYVALVE_CORE_JOBS_JOB_WORLD_FAKE_H_
--- a/mulberryvalve/core/jobs/worker_table.cc
+++ b/mulberryvalve/core/jobs/worker_table.cc
@@ -15,8 +15,37 @@
   return std::chrono::duration_cast<Milliseconds>(aTo - aFrom).count();
 }
 
+bool IsServing(const StepSpec& aStep)
+{
+  return aStep.mLasting && aStep.mTailTarget.count() > 0;
+}
+
 } // namespace
 
+std::vector<FillingShare> WorkerRoom::Filling(int aPercent,
+                                              ImageNumber aImage,
+                                              int64_t aMore) const
+{
+  const double whole =
+    static_cast<double>(std::max<int64_t>(1, mFacts.mCapacity.mCpuMillis));
+  const double pace = static_cast<double>(aPercent) / kFullPace;
+  std::vector<FillingShare> shares;
+  bool added = aMore == 0;
+  for (const auto& [image, cpu] : mFillingCpuByImage) {
+    double asked = static_cast<double>(cpu);
+    if (!added && image == aImage) {
+      asked += static_cast<double>(aMore);
+      added = true;
+    }
+    shares.push_back(FillingShare{ image, asked * pace / whole });
+  }
+  if (!added) {
+    shares.push_back(
+      FillingShare{ aImage, static_cast<double>(aMore) * pace / whole });
+  }
+  return shares;
+}
+
 WorkerRoom* WorkerTable::Find(const WorkerId& aId)
 {
   const auto found = mWorkers.find(aId);
@@ -40,9 +69,15 @@
   if (aStep.mFills) {
     aWorker.mFilling++;
     aWorker.mFillingDemand += demand;
+    aWorker.mFillingCpuByImage[aStep.mImageNumber] += demand.mCpuMillis;
     demand.mCpuMillis = 0;
   }
   aWorker.mLasting += aStep.mLasting ? 1 : 0;
+  if (IsServing(aStep)) {
+    aWorker.mServing++;
+    aWorker.mServingCpu += demand.mCpuMillis;
+    aWorker.mServingImages[aStep.mImageNumber]++;
+  }
   aWorker.mCharged += demand;
 }
 
@@ -57,9 +92,21 @@
   if (aStep.mFills) {
     aWorker.mFilling--;
     aWorker.mFillingDemand -= demand;
+    int64_t& ofImage = aWorker.mFillingCpuByImage[aStep.mImageNumber];
+    ofImage -= demand.mCpuMillis;
+    if (ofImage <= 0) {
+      aWorker.mFillingCpuByImage.erase(aStep.mImageNumber);
+    }
     demand.mCpuMillis = 0;
   }
   aWorker.mLasting -= aStep.mLasting ? 1 : 0;
+  if (IsServing(aStep)) {
+    aWorker.mServing--;
+    aWorker.mServingCpu -= demand.mCpuMillis;
+    if (--aWorker.mServingImages[aStep.mImageNumber] == 0) {
+      aWorker.mServingImages.erase(aStep.mImageNumber);
+    }
+  }
   aWorker.mCharged -= demand;
 }
 
@@ -106,7 +153,9 @@
   order.mUntil = until;
   // A worker answers at once while it lists ends that it was not told of.
   const bool allSeen = aWorker.mDurable == aWorker.mTaken;
-  order.mWait = allSeen ? mTerms.mWait : Milliseconds(0);
+  const Milliseconds wait =
+    aWorker.NeedsPacing() ? mTerms.mWatchfulWait : mTerms.mWait;
+  order.mWait = allSeen ? wait : Milliseconds(0);
   return order;
 }
 
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -3,6 +3,8 @@
 #ifndef MULBERRYVALVE_CORE_JOBS_WORKER_TABLE_H_
 #define MULBERRYVALVE_CORE_JOBS_WORKER_TABLE_H_
 
+#include "mulberryvalve/core/jobs/interference_book.h"
+#include "mulberryvalve/core/jobs/pace_control.h"
 #include "mulberryvalve/core/jobs/worker_orders.h"
 
 #include <map>
@@ -19,6 +21,9 @@
   Milliseconds mLength{ 5500 };
   // How long a renewal waits for an end before it answers.
   Milliseconds mWait{ 1500 };
+  // The same where tasks that fill work beside tasks that serve, so that the
+  // reports of these are seen twice a second.
+  Milliseconds mWatchfulWait{ 400 };
   // What a worker's clock may lag behind, in parts of a thousand.
   int64_t mClockDriftPerMille = 20;
   // Added to the end of a lease before it counts as over.
@@ -61,12 +66,30 @@
   Resources mForeign;
   bool mForeignUnknown = false;
   int mLasting = 0;
+  // The lasting tasks whose tail has a target, and their share of mCharged.
+  int mServing = 0;
+  int64_t mServingCpu = 0;
   int mFilling = 0;
   // What the tasks that fill would take if nothing limited them.
   Resources mFillingDemand;
+  // How many serving tasks of each image it has, and what share of its
+  // processors the tasks of each image that fill ask for.
+  std::map<ImageNumber, int> mServingImages;
+  std::map<ImageNumber, int64_t> mFillingCpuByImage;
+  // How fast the tasks that fill work beside those that serve.
+  PaceState mPace;
   // Room is being made for a lasting task; until then only such are placed.
   MonotonicTime mKeptForLastingUntil;
 
+  // NeedsPacing tells whether tasks that fill may disturb tasks that serve.
+  bool NeedsPacing() const { return mServing > 0 && mFilling > 0; }
+
+  // Filling returns the shares of what fills at aPercent of its speed, with
+  // aMore thousandths of a core of aImage added.
+  std::vector<FillingShare> Filling(int aPercent,
+                                    ImageNumber aImage,
+                                    int64_t aMore) const;
+
   // Room returns what is not committed. It is negative when the worker shrank.
   Resources Room() const { return mFacts.mCapacity - mCharged - mForeign; }
 };
