--- a/mulberryvalve/core/jobs/interference_book.cc
+++ b/mulberryvalve/core/jobs/interference_book.cc
@@ -26,6 +26,17 @@
   return 1 - idleTail / static_cast<double>(aTail);
 }
 
+double InterferenceBook::LimitOf(ImageNumber aServing, int64_t aTarget) const
+{
+  const auto least = mLeastTails.find(aServing);
+  if (least == mLeastTails.end()) {
+    return 1;
+  }
+  const double idleTail =
+    static_cast<double>(least->second) * (1 - kLeastLoad);
+  return 1 - idleTail / static_cast<double>(aTarget);
+}
+
 void InterferenceBook::Learn(ImageNumber aServing,
                              double aExcess,
                              const std::vector<FillingShare>& aFilling)
--- a/mulberryvalve/core/jobs/interference_book.h
+++ b/mulberryvalve/core/jobs/interference_book.h
@@ -32,6 +32,9 @@
   // takes the tail in as one of the image's. aTail must be above zero.
   double LoadOf(ImageNumber aServing, int64_t aTail);
 
+  // LimitOf returns the load at which a tail of aTarget milliseconds is reached.
+  double LimitOf(ImageNumber aServing, int64_t aTarget) const;
+
   // Learn takes in that a task of aServing had aExcess more load than its
   // undisturbed siblings (0.5 is half as much again) beside aFilling.
   void Learn(ImageNumber aServing,
--- a/mulberryvalve/core/jobs/job_placement.cc
+++ b/mulberryvalve/core/jobs/job_placement.cc
@@ -12,8 +12,17 @@
 // A pressure that raises the load of a service by a tenth weighs like this much
 // of a worker's use.
 constexpr double kCostOfPressure = 300;
+// A first serving task on a worker, and one of another image than those there.
+constexpr int64_t kCostOfOpening = 30;
+constexpr int64_t kCostOfMixing = 80;
 // Beyond this pressure services miss their target at the top of their load.
 constexpr double kMostPressure = 0.35;
+// One task alone that presses this hard had better work elsewhere.
+constexpr double kHeavyPressure = 0.2;
+// Hundredths of a tail's target, and of the full pace, from which on nothing
+// that fills is added.
+constexpr int kRatioNear = 90;
+constexpr int kPaceToAdd = 70;
 
 bool HasLabel(const WorkerFacts& aFacts, const WorkerLabel& aLabel)
 {
@@ -76,6 +85,16 @@
   return 0;
 }
 
+// The fewer images serve on a worker, the more images that fill disturb none of
+// them.
+int64_t CostOfCompany(const StepSpec& aStep, const WorkerRoom& aWorker)
+{
+  if (aWorker.mServingImages.count(aStep.mImageNumber) != 0) {
+    return 0;
+  }
+  return aWorker.mServingImages.empty() ? kCostOfOpening : kCostOfMixing;
+}
+
 int64_t CostOf(const PlacementQuery& aQuery, const WorkerRoom& aWorker)
 {
   const StepSpec& step = aQuery.mStep;
@@ -84,10 +103,32 @@
   const bool far =
     !step.mDataRack.Empty() && step.mDataRack != aWorker.mFacts.mRack;
   const double pressure = PressureWith(aQuery, aWorker);
-  return used * kPercent / CapacityOf(aWorker) + (far ? kFarFromData : 0) +
+  const int64_t company = step.mLasting ? CostOfCompany(step, aWorker) : 0;
+  return company + used * kPercent / CapacityOf(aWorker) + (far ? kFarFromData : 0) +
          static_cast<int64_t>(pressure * kCostOfPressure);
 }
 
+// Tells whether a task that fills would press too hard on a service, by itself
+// or with what is there, or comes where a tail is near its target already.
+bool PressesTooMuch(const PlacementQuery& aQuery, const WorkerRoom& aWorker)
+{
+  if (aWorker.mPace.mRatioPercent >= kRatioNear ||
+      aWorker.mPace.mPercent < kPaceToAdd) {
+    return true;
+  }
+  const StepSpec& step = aQuery.mStep;
+  const double share = static_cast<double>(step.mDemand.mCpuMillis) /
+                       static_cast<double>(CapacityOf(aWorker));
+  for (const auto& [serving, count] : aWorker.mServingImages) {
+    const double weight =
+      aQuery.mInterference.Weight(serving, step.mImageNumber);
+    if (weight * share >= kHeavyPressure) {
+      return true;
+    }
+  }
+  return PressureWith(aQuery, aWorker) > kMostPressure;
+}
+
 // A task that fills is not added where it would get nothing, or where tasks
 // that serve would miss their target.
 bool IsUseless(const PlacementQuery& aQuery, const WorkerRoom& aWorker)
@@ -96,9 +137,7 @@
   if (!step.mFills) {
     return false;
   }
-  if (aWorker.mServing > 0 &&
-      (!MayAddFilling(aWorker.mPace) ||
-       PressureWith(aQuery, aWorker) > kMostPressure)) {
+  if (aWorker.mServing > 0 && PressesTooMuch(aQuery, aWorker)) {
     return true;
   }
   return UsedOf(aWorker) + step.mDemand.mCpuMillis > CapacityOf(aWorker);
--- a/mulberryvalve/core/jobs/job_shard.h
+++ b/mulberryvalve/core/jobs/job_shard.h
@@ -186,7 +186,7 @@
                    MonotonicTime aNow);
   void LearnFrom(const WorkerRoom& aWorker,
                  const RunningRow& aRow,
-                 const StepSpec& aSpec,
+                 double aLoad,
                  MonotonicTime aNow);
   bool StopHeavy(const WorkerRoom& aWorker,
                  ImageNumber aServing,
@@ -211,7 +211,7 @@
                           const StepRef& aStep,
                           MonotonicTime aNow);
   void MakeRoom(const JobEntry& aJob, const StepRef& aStep, MonotonicTime aNow);
-  void StopFilling(const WorkerRoom& aWorker, const char* aWhy);
+  void StopFilling(const WorkerRoom& aWorker, const std::string& aWhy);
   void OrderStart(JobEntry& aJob,
                   const TaskRef& aTask,
                   WorkerRoom& aWorker,
--- a/mulberryvalve/core/jobs/job_shard_orders.cc
+++ b/mulberryvalve/core/jobs/job_shard_orders.cc
@@ -209,7 +209,7 @@
   }
 }
 
-void JobShard::StopFilling(const WorkerRoom& aWorker, const char* aWhy)
+void JobShard::StopFilling(const WorkerRoom& aWorker, const std::string& aWhy)
 {
   const std::vector<TaskRef> tasks(aWorker.mTasks.begin(),
                                    aWorker.mTasks.end());
--- a/mulberryvalve/core/jobs/job_shard_tails.cc
+++ b/mulberryvalve/core/jobs/job_shard_tails.cc
@@ -13,10 +13,11 @@
 // covers half a second.
 constexpr Milliseconds kComparable{ 700 };
 // A load this low says nothing in comparison.
-constexpr double kLeastLoad = 0.12;
+constexpr double kLeastLoad = 0.3;
+constexpr size_t kLeastSiblings = 2;
 // A task that fills and adds this much to the load of a service by itself had
 // better work elsewhere.
-constexpr double kHeavyPressure = 0.3;
+constexpr double kHeavyPressure = 0.2;
 constexpr int kHarmedPercent = 90;
 
 } // namespace
@@ -30,6 +31,9 @@
     aWorker.mPace = PaceState();
     return;
   }
+  const std::vector<FillingShare> atFullPace =
+    aWorker.Filling(kFullPace, 0, 0);
+  std::vector<ServingReport> reports;
   int worst = 0;
   ImageNumber worstImage = 0;
   for (const RunningRow& row : aReply.mRunning) {
@@ -41,28 +45,34 @@
     if (target <= 0) {
       continue;
     }
-    LearnFrom(aWorker, row, spec, aNow);
+    ServingReport report;
+    report.mLoad = mInterference.LoadOf(spec.mImageNumber, row.mUsage);
+    report.mLimit = mInterference.LimitOf(spec.mImageNumber, target);
+    LearnFrom(aWorker, row, report.mLoad, aNow);
+    report.mPressure = mInterference.Pressure(spec.mImageNumber, atFullPace);
+    reports.push_back(report);
     const int ratio = static_cast<int>(row.mUsage * kPercent / target);
     if (ratio > worst) {
       worst = ratio;
       worstImage = spec.mImageNumber;
     }
   }
-  const bool settled = aWorker.mPace.mNextReportFrom <= aSentAt;
-  if (settled && worst >= kHarmedPercent &&
-      StopHeavy(aWorker, worstImage, worst)) {
+  aWorker.mPace.mRatioPercent = worst;
+  if (aWorker.mFilling == 0) {
+    aWorker.mPace = PaceState();
     aWorker.mPace.mRatioPercent = worst;
-    aWorker.mPace.mNextReportFrom = aNow + kComparable;
     return;
   }
+  if (worst >= kHarmedPercent) {
+    StopHeavy(aWorker, worstImage, worst);
+  }
   const int before = aWorker.mPace.mPercent;
   const PaceVerdict verdict =
-    OnTailReport(aWorker.mPace, worst, aSentAt, aNow);
+    OnReports(aWorker.mPace, reports, aSentAt, aNow);
   if (verdict == PaceVerdict::kMove) {
-    StopFilling(aWorker, "paced low for long");
-  }
-  if (aWorker.mFilling == 0) {
-    aWorker.mPace.mPercent = kFullPace;
+    StopFilling(aWorker,
+                "a tail stays at " + std::to_string(worst) +
+                  " percent of its target");
   } else if (verdict == PaceVerdict::kChange) {
     NoteWorker(DecisionKind::kWorkerPaced,
                aWorker.mFacts.mId,
@@ -74,31 +84,36 @@
   SendPaces(aWorker);
 }
 
-// Siblings of one job have the same load at a time. The least of their reports
-// is that of the least disturbed.
+// Siblings of one job have the same load at a time. What a task has more than
+// the middle one of the others, cleared of what is known to press on these, is
+// due to what fills beside it.
 void JobShard::LearnFrom(const WorkerRoom& aWorker,
                          const RunningRow& aRow,
-                         const StepSpec& aSpec,
+                         double aLoad,
                          MonotonicTime aNow)
 {
-  const double load = mInterference.LoadOf(aSpec.mImageNumber, aRow.mUsage);
+  const StepSpec& spec = mBook.SpecOf(aRow.mTask.mStep);
+  const std::vector<FillingShare> filling =
+    aWorker.Filling(aWorker.mPace.mPercent, 0, 0);
   auto& reports = mTails[aRow.mTask.mStep];
-  double least = load;
-  size_t others = 0;
+  std::vector<double> others;
   for (const auto& [index, report] : reports) {
     if (index != aRow.mTask.mIndex && aNow - report.mAt < kComparable) {
-      least = std::min(least, report.mLoad);
-      others++;
+      others.push_back(report.mLoad);
     }
   }
-  reports[aRow.mTask.mIndex] = TailReport{ load, aNow };
-  if (others == 0 || least < kLeastLoad || aWorker.mFilling == 0) {
+  const double pressure =
+    mInterference.Pressure(spec.mImageNumber, filling);
+  reports[aRow.mTask.mIndex] = TailReport{ aLoad / (1 + pressure), aNow };
+  if (others.size() < kLeastSiblings || aWorker.mFilling == 0) {
     return;
   }
-  mInterference.Learn(
-    aSpec.mImageNumber,
-    load / least - 1,
-    aWorker.Filling(aWorker.mPace.mPercent, 0, 0));
+  const auto middle =
+    others.begin() + static_cast<long>(others.size() / 2);
+  std::nth_element(others.begin(), middle, others.end());
+  if (*middle >= kLeastLoad) {
+    mInterference.Learn(spec.mImageNumber, aLoad / *middle - 1, filling);
+  }
 }
 
 // Stops what disturbs a service most by itself. It returns whether there was
--- a/mulberryvalve/core/jobs/pace_control.h
+++ b/mulberryvalve/core/jobs/pace_control.h
@@ -6,21 +6,34 @@
 
 #include "mulberryvalve/core/base/time.h"
 
+#include <vector>
+
 namespace mulberryvalve {
 
 inline constexpr int kFullPace = 100;
 
-// PaceState is the control of one worker. mRatioPercent is the worst tail of
-// its serving tasks in hundredths of its target, as last reported.
+// PaceState is the control of one worker.
 struct PaceState
 {
   int mPercent = kFullPace;
+  // The worst tail in hundredths of its target, as last reported.
   int mRatioPercent = 0;
-  MonotonicTime mReportedAt;
-  // A report counts only when it was taken after the last change took effect.
+  // A report counts only when it was asked for after the last change could
+  // show in it.
   MonotonicTime mNextReportFrom;
-  // Since when the pace is so low that tasks had better work elsewhere.
-  MonotonicTime mLowSince;
+  // Since when some tail is over its target in every report.
+  MonotonicTime mOverSince;
+};
+
+// ServingReport is what the last report says of one serving task.
+struct ServingReport
+{
+  // Its load, between 0 and 1, with what presses on it; see InterferenceBook.
+  double mLoad = 0;
+  // The load at which its tail reaches the target.
+  double mLimit = 1;
+  // The pressure of what fills beside it, at full speed.
+  double mPressure = 0;
 };
 
 // PaceVerdict is what a report calls for.
@@ -28,20 +41,17 @@
 {
   kKeep,
   kChange, // PaceState::mPercent has changed
-  kMove,   // the tasks that fill had better work elsewhere
+  kMove,   // what fills must leave the worker
 };
 
-// OnTailReport takes in that the worst tail is aRatioPercent of its target in a
-// report that was asked for at aAskedAt. One report causes one change at most:
-// steps down follow how far the target is missed, steps up are small.
-PaceVerdict OnTailReport(PaceState& aState,
-                         int aRatioPercent,
-                         MonotonicTime aAskedAt,
-                         MonotonicTime aNow);
-
-// MayAddFilling tells whether the last report leaves room for one more task
-// that fills.
-bool MayAddFilling(const PaceState& aState);
+// OnReports takes in a report that was asked for at aAskedAt. The pace is set so
+// that no task's load passes its limit, by what is known of the pressure. When
+// that was wrong and a tail stays over its target, the pace is halved, and then
+// what fills is moved before the tail was over for long.
+PaceVerdict OnReports(PaceState& aState,
+                      const std::vector<ServingReport>& aReports,
+                      MonotonicTime aAskedAt,
+                      MonotonicTime aNow);
 
 } // namespace mulberryvalve
 
