--- a/mulberryvalve/core/jobs/interference_book.cc
+++ b/mulberryvalve/core/jobs/interference_book.cc
@@ -7,8 +7,10 @@
 
 // The weight of a pair that was not seen yet: that of most pairs.
 constexpr double kUnseenWeight = 0.8;
-// How much of an error one observation mends.
-constexpr double kLearningRate = 0.08;
+// How much of an error an observation mends: the first, and any of many.
+constexpr double kFirstRate = 0.4;
+constexpr double kLeastRate = 0.03;
+constexpr double kObservationsToHalve = 4;
 // Excesses beyond this say no more than that the pressure is heavy.
 constexpr double kMostExcess = 2.0;
 constexpr double kMostWeight = 20.0;
@@ -51,30 +53,35 @@
   const double excess = std::clamp(aExcess, 0.0, kMostExcess);
   const double expected =
     std::min(kMostExcess, Pressure(aServing, aFilling));
-  const double step = kLearningRate * (excess - expected) / squares;
+  const double error = (excess - expected) / squares;
   for (const FillingShare& filling : aFilling) {
-    double& weight = WeightAt(aServing, filling.mImage);
-    weight = std::clamp(weight + step * filling.mShare, 0.0, kMostWeight);
+    PairWeight& pair = PairAt(aServing, filling.mImage);
+    const double rate = std::max(
+      kLeastRate, kFirstRate / (1 + pair.mObservations / kObservationsToHalve));
+    pair.mWeight = std::clamp(
+      pair.mWeight + rate * error * filling.mShare, 0.0, kMostWeight);
+    pair.mObservations += filling.mShare >= kLeastShare ? 1 : 0;
   }
 }
 
 double InterferenceBook::Weight(ImageNumber aServing,
                                 ImageNumber aFilling) const
 {
-  if (aServing >= mWeights.size() || aFilling >= mWeights[aServing].size()) {
+  if (aServing >= mPairs.size() || aFilling >= mPairs[aServing].size()) {
     return kUnseenWeight;
   }
-  return mWeights[aServing][aFilling];
+  return mPairs[aServing][aFilling].mWeight;
 }
 
-double& InterferenceBook::WeightAt(ImageNumber aServing, ImageNumber aFilling)
+InterferenceBook::PairWeight& InterferenceBook::PairAt(ImageNumber aServing,
+                                                       ImageNumber aFilling)
 {
-  if (aServing >= mWeights.size()) {
-    mWeights.resize(aServing + 1);
+  if (aServing >= mPairs.size()) {
+    mPairs.resize(aServing + 1);
   }
-  std::vector<double>& row = mWeights[aServing];
+  std::vector<PairWeight>& row = mPairs[aServing];
   if (aFilling >= row.size()) {
-    row.resize(aFilling + 1, kUnseenWeight);
+    row.resize(aFilling + 1, PairWeight{ kUnseenWeight, 0 });
   }
   return row[aFilling];
 }
--- a/mulberryvalve/core/jobs/interference_book.h
+++ b/mulberryvalve/core/jobs/interference_book.h
@@ -50,11 +50,19 @@
                   const std::vector<FillingShare>& aFilling) const;
 
 private:
-  double& WeightAt(ImageNumber aServing, ImageNumber aFilling);
+  // PairWeight is what is known of one pair. The more observations it rests
+  // on, the less one more of them changes it.
+  struct PairWeight
+  {
+    double mWeight = 0;
+    int mObservations = 0;
+  };
+
+  PairWeight& PairAt(ImageNumber aServing, ImageNumber aFilling);
 
   // By serving image, then by image that fills; pairs beyond the end were not
   // seen yet.
-  std::vector<std::vector<double>> mWeights;
+  std::vector<std::vector<PairWeight>> mPairs;
   std::map<ImageNumber, int64_t> mLeastTails;
 };
 
--- a/mulberryvalve/core/jobs/job_placement.cc
+++ b/mulberryvalve/core/jobs/job_placement.cc
@@ -18,11 +18,11 @@
 // Beyond this pressure services miss their target at the top of their load.
 constexpr double kMostPressure = 0.35;
 // One task alone that presses this hard had better work elsewhere.
-constexpr double kHeavyPressure = 0.2;
+constexpr double kHeavyPressure = 0.35;
 // Hundredths of a tail's target, and of the full pace, from which on nothing
 // that fills is added.
-constexpr int kRatioNear = 90;
-constexpr int kPaceToAdd = 70;
+constexpr int kRatioNear = 95;
+constexpr int kPaceToAdd = 60;
 
 bool HasLabel(const WorkerFacts& aFacts, const WorkerLabel& aLabel)
 {
--- a/mulberryvalve/core/jobs/job_shard.h
+++ b/mulberryvalve/core/jobs/job_shard.h
@@ -187,7 +187,10 @@
   void LearnFrom(const WorkerRoom& aWorker,
                  const RunningRow& aRow,
                  double aLoad,
+                 const std::vector<FillingShare>& aFilling,
                  MonotonicTime aNow);
+  std::vector<FillingShare> ReportedFilling(const WorkerRoom& aWorker,
+                                            const HoldReply& aReply) const;
   bool StopHeavy(const WorkerRoom& aWorker,
                  ImageNumber aServing,
                  int aWorst);
--- a/mulberryvalve/core/jobs/job_shard_orders.cc
+++ b/mulberryvalve/core/jobs/job_shard_orders.cc
@@ -234,6 +234,9 @@
   }
   mBook.Place(aTask, aWorker.mFacts.mId, aRun);
   mWorkers.Charge(aWorker, aTask, spec);
+  if (spec.mFills) {
+    aWorker.mFillingSince = aNow;
+  }
   TaskOrder order;
   order.mKind = OrderKind::kStart;
   order.mTask = aTask;
--- a/mulberryvalve/core/jobs/job_shard_tails.cc
+++ b/mulberryvalve/core/jobs/job_shard_tails.cc
@@ -3,6 +3,7 @@
 #include "mulberryvalve/core/jobs/job_shard.h"
 
 #include <algorithm>
+#include <map>
 #include <vector>
 
 namespace mulberryvalve {
@@ -17,7 +18,7 @@
 constexpr size_t kLeastSiblings = 2;
 // A task that fills and adds this much to the load of a service by itself had
 // better work elsewhere.
-constexpr double kHeavyPressure = 0.2;
+constexpr double kHeavyPressure = 0.3;
 constexpr int kHarmedPercent = 90;
 
 } // namespace
@@ -33,6 +34,7 @@
   }
   const std::vector<FillingShare> atFullPace =
     aWorker.Filling(kFullPace, 0, 0);
+  const std::vector<FillingShare> reported = ReportedFilling(aWorker, aReply);
   std::vector<ServingReport> reports;
   int worst = 0;
   ImageNumber worstImage = 0;
@@ -48,7 +50,7 @@
     ServingReport report;
     report.mLoad = mInterference.LoadOf(spec.mImageNumber, row.mUsage);
     report.mLimit = mInterference.LimitOf(spec.mImageNumber, target);
-    LearnFrom(aWorker, row, report.mLoad, aNow);
+    LearnFrom(aWorker, row, report.mLoad, reported, aNow);
     report.mPressure = mInterference.Pressure(spec.mImageNumber, atFullPace);
     reports.push_back(report);
     const int ratio = static_cast<int>(row.mUsage * kPercent / target);
@@ -81,20 +83,46 @@
                  " percent, worst tail " + std::to_string(worst) +
                  " percent of its target");
   }
+  if (aWorker.mPace.mPercent != before) {
+    aWorker.mFillingSince = aNow;
+  }
   SendPaces(aWorker);
 }
 
+// The shares of a worker's processors that tasks that fill used, as reported.
+std::vector<FillingShare> JobShard::ReportedFilling(
+  const WorkerRoom& aWorker,
+  const HoldReply& aReply) const
+{
+  const double whole = static_cast<double>(
+    std::max<int64_t>(1, aWorker.mFacts.mCapacity.mCpuMillis));
+  std::map<ImageNumber, double> shares;
+  for (const RunningRow& row : aReply.mRunning) {
+    if (mBook.FindTask(row.mTask) == nullptr) {
+      continue;
+    }
+    const StepSpec& spec = mBook.SpecOf(row.mTask.mStep);
+    if (spec.mFills) {
+      shares[spec.mImageNumber] += static_cast<double>(row.mUsage) / whole;
+    }
+  }
+  std::vector<FillingShare> filling;
+  for (const auto& [image, share] : shares) {
+    filling.push_back(FillingShare{ image, share });
+  }
+  return filling;
+}
+
 // Siblings of one job have the same load at a time. What a task has more than
 // the middle one of the others, cleared of what is known to press on these, is
 // due to what fills beside it.
 void JobShard::LearnFrom(const WorkerRoom& aWorker,
                          const RunningRow& aRow,
                          double aLoad,
+                         const std::vector<FillingShare>& aFilling,
                          MonotonicTime aNow)
 {
   const StepSpec& spec = mBook.SpecOf(aRow.mTask.mStep);
-  const std::vector<FillingShare> filling =
-    aWorker.Filling(aWorker.mPace.mPercent, 0, 0);
   auto& reports = mTails[aRow.mTask.mStep];
   std::vector<double> others;
   for (const auto& [index, report] : reports) {
@@ -103,16 +131,17 @@
     }
   }
   const double pressure =
-    mInterference.Pressure(spec.mImageNumber, filling);
+    mInterference.Pressure(spec.mImageNumber, aFilling);
   reports[aRow.mTask.mIndex] = TailReport{ aLoad / (1 + pressure), aNow };
-  if (others.size() < kLeastSiblings || aWorker.mFilling == 0) {
+  const bool settled = aNow - aWorker.mFillingSince >= kComparable;
+  if (others.size() < kLeastSiblings || aFilling.empty() || !settled) {
     return;
   }
   const auto middle =
     others.begin() + static_cast<long>(others.size() / 2);
   std::nth_element(others.begin(), middle, others.end());
   if (*middle >= kLeastLoad) {
-    mInterference.Learn(spec.mImageNumber, aLoad / *middle - 1, filling);
+    mInterference.Learn(spec.mImageNumber, aLoad / *middle - 1, aFilling);
   }
 }
 
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -76,6 +76,8 @@
   // processors the tasks of each image that fill ask for.
   std::map<ImageNumber, int> mServingImages;
   std::map<ImageNumber, int64_t> mFillingCpuByImage;
+  // When what fills, or its pace, last changed.
+  MonotonicTime mFillingSince;
   // How fast the tasks that fill work beside those that serve.
   PaceState mPace;
   // Room is being made for a lasting task; until then only such are placed.
