--- a/mulberryvalve/core/jobs/job_book.cc
+++ b/mulberryvalve/core/jobs/job_book.cc
@@ -114,9 +114,11 @@
   task.mWorker = aWorker;
   task.mRun = aRun;
   task.mPacePercent = 100;
+  task.mIsTolerated = false;
   task.mAnsweredAt = MonotonicTime();
   job.mBegun = true;
   if (step.mWaiting == 0) {
+    step.mWaitingSince = MonotonicTime();
     mOpen.erase(OrderOf(job, aTask.mStep));
   }
 }
--- a/mulberryvalve/core/jobs/job_book.h
+++ b/mulberryvalve/core/jobs/job_book.h
@@ -18,6 +18,8 @@
   std::vector<StepTask> mTasks;
   uint32_t mWaiting = 0;
   uint32_t mDone = 0;
+  // Since when tasks wait whose turn has come; zero while none does.
+  MonotonicTime mWaitingSince;
   // How many of the tasks each worker has.
   std::map<WorkerId, uint32_t> mSiblings;
 };
--- a/mulberryvalve/core/jobs/job_placement.cc
+++ b/mulberryvalve/core/jobs/job_placement.cc
@@ -116,6 +116,9 @@
       aWorker.mPace.mPercent < kPaceToAdd) {
     return true;
   }
+  if (aQuery.mHasWaited) {
+    return false;
+  }
   const StepSpec& step = aQuery.mStep;
   const double share = static_cast<double>(step.mDemand.mCpuMillis) /
                        static_cast<double>(CapacityOf(aWorker));
@@ -192,6 +195,19 @@
          aQuery.mStep.mDemand.FitsIn(aWorker.Room() + given);
 }
 
+bool MostIsUnused(const WorkerTable& aWorkers)
+{
+  int64_t used = 0;
+  int64_t capacity = 0;
+  for (const auto& [id, worker] : aWorkers.All()) {
+    if (worker.mListed && worker.mInventoried && !worker.mSilent) {
+      used += UsedOf(worker);
+      capacity += CapacityOf(worker);
+    }
+  }
+  return 2 * used < capacity;
+}
+
 WorkerRoom* LearnedPlacement::Choose(const PlacementQuery& aQuery,
                                         WorkerTable& aWorkers) const
 {
--- a/mulberryvalve/core/jobs/job_placement.h
+++ b/mulberryvalve/core/jobs/job_placement.h
@@ -22,6 +22,9 @@
   const std::set<DomainId>& mDomainsOut;
   // Set when all tasks of the step must be in one rack and some are.
   RackId mOnlyRack;
+  // The step has waited so long that it may press on services, at the pace that
+  // these bear.
+  bool mHasWaited = false;
   MonotonicTime mNow;
 };
 
@@ -37,6 +40,10 @@
 bool MayPlaceWithoutFilling(const PlacementQuery& aQuery,
                             const WorkerRoom& aWorker);
 
+// MostIsUnused tells whether more than half of the processors of all workers
+// that can be used are likely unused.
+bool MostIsUnused(const WorkerTable& aWorkers);
+
 // JobPlacement chooses among the workers that may run a task. Implementations
 // hold no state that needs a lock.
 class JobPlacement
--- a/mulberryvalve/core/jobs/job_shard.h
+++ b/mulberryvalve/core/jobs/job_shard.h
@@ -210,6 +210,9 @@
   WorkerRoom* Choose(const JobEntry& aJob,
                      const StepRef& aStep,
                      MonotonicTime aNow);
+  bool HasWaited(const JobEntry& aJob,
+                 const StepState& aStep,
+                 MonotonicTime aNow) const;
   PlacementQuery QueryFor(const JobEntry& aJob,
                           const StepRef& aStep,
                           MonotonicTime aNow);
@@ -275,6 +278,7 @@
   std::map<ForeignRun, MonotonicTime> mForeign;
   std::vector<TaskOrder> mOrders;
   std::vector<JobDecision> mDecisions;
+  bool mMostIsUnused = false;
   // Something happened that may let a waiting task start.
   bool mChanged = true;
   MonotonicTime mPlaceAgainAt;
--- a/mulberryvalve/core/jobs/job_shard_lists.cc
+++ b/mulberryvalve/core/jobs/job_shard_lists.cc
@@ -43,6 +43,12 @@
   }
   if (aReply.mOutcome != OrderOutcome::kAccepted) {
     OnSilent(*room, aReply.mOutcome);
+    if (aReply.mOutcome == OrderOutcome::kGone) {
+      // Its process is over, and with it all that ran there.
+      FreeAll(*room, "another worker answers at its address");
+      mUnasked.erase(aOrder.mWorker);
+      mChanged = true;
+    }
     return;
   }
   const Birth birth = aReply.mReading.mBirth;
--- a/mulberryvalve/core/jobs/job_shard_orders.cc
+++ b/mulberryvalve/core/jobs/job_shard_orders.cc
@@ -16,6 +16,8 @@
 constexpr Milliseconds kLeaveBefore{ 1500 };
 // A stop and the lists that show it take less.
 constexpr Milliseconds kKeepForLasting{ 2500 };
+// Work that waits while most workers are free is lost after three seconds.
+constexpr Milliseconds kHasWaited{ 2000 };
 // Steps that found no worker are tried again this often without a cause.
 constexpr Milliseconds kPlaceAgain{ 100 };
 // Run numbers of an epoch start above all numbers of earlier epochs.
@@ -26,13 +28,13 @@
 class Refused
 {
 public:
-  bool Covers(const StepSpec& aStep) const
+  bool Covers(const StepSpec& aStep, bool aHasWaited) const
   {
-    const auto found = mLeast.find(KindOf(aStep));
+    const auto found = mLeast.find(KindOf(aStep, aHasWaited));
     return found != mLeast.end() && found->second.FitsIn(aStep.mDemand);
   }
 
-  void Add(const StepSpec& aStep)
+  void Add(const StepSpec& aStep, bool aHasWaited)
   {
     const bool special = !aStep.mRequiredLabel.Empty() ||
                          aStep.mMaxPerWorker > 0 || aStep.mSameRack;
@@ -40,23 +42,35 @@
       return;
     }
     const auto [found, isNew] =
-      mLeast.try_emplace(KindOf(aStep), aStep.mDemand);
+      mLeast.try_emplace(KindOf(aStep, aHasWaited), aStep.mDemand);
     if (!isNew && aStep.mDemand.FitsIn(found->second)) {
       found->second = aStep.mDemand;
     }
   }
 
 private:
-  using Kind = std::tuple<bool, bool, ImageNumber>;
+  using Kind = std::tuple<bool, bool, bool, ImageNumber>;
 
-  static Kind KindOf(const StepSpec& aStep)
+  static Kind KindOf(const StepSpec& aStep, bool aHasWaited)
   {
-    return { aStep.mFills, aStep.mLasting, aStep.mImageNumber };
+    return { aHasWaited, aStep.mFills, aStep.mLasting, aStep.mImageNumber };
   }
 
   std::map<Kind, Resources> mLeast;
 };
 
+bool HasPlacedTask(const JobEntry& aJob)
+{
+  for (const auto& steps : aJob.mOccurrences) {
+    for (const StepState& step : steps) {
+      if (!step.mSiblings.empty()) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 } // namespace
 
 std::vector<TaskOrder> JobShard::Decide(const OwnershipProof& aProof,
@@ -87,12 +101,18 @@
 
 void JobShard::PlaceOpen(MonotonicTime aNow)
 {
+  mMostIsUnused = MostIsUnused(mWorkers);
   const std::vector<OpenStep> open(mBook.Open().begin(), mBook.Open().end());
   Refused refused;
   for (const OpenStep& entry : open) {
     JobEntry& job = *mBook.Find(entry.mStep.mJob);
     const StepSpec& spec = mBook.SpecOf(entry.mStep);
-    if (IsBlocked(job, aNow) || refused.Covers(spec)) {
+    StepState& step = mBook.StepOf(entry.mStep);
+    if (step.mWaitingSince == MonotonicTime()) {
+      step.mWaitingSince = aNow;
+    }
+    const bool hasWaited = HasWaited(job, step, aNow);
+    if (IsBlocked(job, aNow) || refused.Covers(spec, hasWaited)) {
       continue;
     }
     if (spec.mGang) {
@@ -103,7 +123,7 @@
       const TaskRef ref{ entry.mStep, index };
       const bool waits = mBook.FindTask(ref)->mPhase == TaskPhase::kWaiting;
       if (waits && !PlaceOne(job, ref, aNow)) {
-        refused.Add(spec);
+        refused.Add(spec, hasWaited);
         break;
       }
     }
@@ -166,6 +186,16 @@
   return mPlacement.Choose(QueryFor(aJob, aStep, aNow), mWorkers);
 }
 
+// A job of which nothing runs, though most of the workers' processors are
+// unused, is placed where it presses on services too.
+bool JobShard::HasWaited(const JobEntry& aJob,
+                         const StepState& aStep,
+                         MonotonicTime aNow) const
+{
+  return mMostIsUnused && aNow - aStep.mWaitingSince >= kHasWaited &&
+         !HasPlacedTask(aJob);
+}
+
 PlacementQuery JobShard::QueryFor(const JobEntry& aJob,
                                   const StepRef& aStep,
                                   MonotonicTime aNow)
@@ -183,6 +213,7 @@
                          mInterference,
                          mConfig.mDomainsOut,
                          onlyRack,
+                         HasWaited(aJob, step, aNow),
                          aNow };
 }
 
@@ -232,7 +263,9 @@
   if (!until) {
     return;
   }
+  const bool tolerated = HasWaited(aJob, mBook.StepOf(aTask.mStep), aNow);
   mBook.Place(aTask, aWorker.mFacts.mId, aRun);
+  mBook.FindTask(aTask)->mIsTolerated = tolerated;
   mWorkers.Charge(aWorker, aTask, spec);
   if (spec.mFills) {
     aWorker.mFillingSince = aNow;
--- a/mulberryvalve/core/jobs/job_shard_tails.cc
+++ b/mulberryvalve/core/jobs/job_shard_tails.cc
@@ -159,7 +159,8 @@
   for (const TaskRef& ref : tasks) {
     const StepSpec& spec = mBook.SpecOf(ref.mStep);
     if (!spec.mFills ||
-        mBook.FindTask(ref)->mPhase != TaskPhase::kRunning) {
+        mBook.FindTask(ref)->mPhase != TaskPhase::kRunning ||
+        mBook.FindTask(ref)->mIsTolerated) {
       continue;
     }
     const double share = static_cast<double>(spec.mDemand.mCpuMillis) / whole;
--- a/mulberryvalve/core/jobs/job_shard_test.cc
+++ b/mulberryvalve/core/jobs/job_shard_test.cc
@@ -145,6 +145,56 @@
   CheckNoFindings(world);
 }
 
+// Another worker answers at the address of one that crashed during a change of
+// owner: what ran there is over, and need not be waited for.
+TEST(JobShardTest, WorkerWhoseAddressWasTakenOverIsGone)
+{
+  JobWorld world(2);
+  FakeOwner& former = world.AddOwner();
+  world.mDurationOf = [](const TaskRef&) { return kLong; };
+  world.Submit(OneStepJob("j", 2, 8000));
+  world.RunFor(Milliseconds(1000));
+  former.mActs = false;
+  FakeOwner& next = world.AddOwner();
+  const WorkerId gone = world.Worker(0).mFacts.mId;
+  next.mLinks[gone] = LinkState::kReplaced;
+  world.Reborn(gone);
+  world.RunFor(Milliseconds(2000));
+  CHECK_EQUAL(2U, world.Worker(1).mRuns.size());
+  CheckNoFindings(world);
+}
+
+// Batch work of an image that presses on every service is still started, once
+// it has waited, while most of the workers are free.
+TEST(JobShardTest, HeavyBatchIsStartedAfterAWhile)
+{
+  JobWorld world(2);
+  world.AddOwner();
+  world.mDurationOf = [](const TaskRef&) { return kLong; };
+  for (size_t number = 0; number < 2; number++) {
+    // Every task that fills doubles the load of those who serve beside it.
+    world.Worker(number).mTail = [](const FakeWorkerNode& aWorker,
+                                    const TaskRef& aTask) -> int64_t {
+      const bool pressed = aWorker.mRuns.size() > 1;
+      const bool second = aTask.mIndex == 1;
+      return pressed && second ? 17 : 8;
+    };
+  }
+  JobGraph watch = OneStepJob("watch", 4, 3000);
+  watch.mSteps[0].mLasting = true;
+  watch.mSteps[0].mTailTarget = Milliseconds(18);
+  watch.mSteps[0].mMaxPerWorker = 2;
+  world.Submit(watch);
+  world.RunFor(Milliseconds(2000));
+  JobGraph batch = OneStepJob("batch", 1, 9000);
+  batch.mSteps[0].mFills = true;
+  batch.mSteps[0].mImage = ImageId("heavy");
+  world.Submit(batch);
+  world.RunFor(Milliseconds(6000));
+  CHECK_EQUAL(5U, world.Running());
+  CheckNoFindings(world);
+}
+
 // A lasting task found no worker without tasks that fill, and waited.
 TEST(JobShardTest, LastingTaskGetsRoomFromTasksThatFill)
 {
--- a/mulberryvalve/core/jobs/job_state.h
+++ b/mulberryvalve/core/jobs/job_state.h
@@ -97,6 +97,9 @@
   CheckpointId mCheckpoint;
   // Since when the worker's lists are certain to reflect the last answer.
   MonotonicTime mAnsweredAt;
+  // It was placed where it presses on services, since it had waited; it is
+  // paced there, not moved.
+  bool mIsTolerated = false;
   // How much of its speed the task was told to work at.
   int mPacePercent = 100;
 };
--- a/mulberryvalve/core/jobs/job_world_fake.cc
+++ b/mulberryvalve/core/jobs/job_world_fake.cc
@@ -14,7 +14,9 @@
 bool Reaches(const FakeOwner& aOwner, const WorkerId& aWorker)
 {
   const auto link = aOwner.mLinks.find(aWorker);
-  return link == aOwner.mLinks.end() || link->second != LinkState::kCut;
+  return link == aOwner.mLinks.end() ||
+         link->second == LinkState::kWhole ||
+         link->second == LinkState::kNoAnswers;
 }
 
 bool Hears(const FakeOwner& aOwner, const WorkerId& aWorker)
@@ -23,6 +25,12 @@
   return link == aOwner.mLinks.end() || link->second == LinkState::kWhole;
 }
 
+bool IsReplaced(const FakeOwner& aOwner, const WorkerId& aWorker)
+{
+  const auto link = aOwner.mLinks.find(aWorker);
+  return link != aOwner.mLinks.end() && link->second == LinkState::kReplaced;
+}
+
 } // namespace
 
 WorkerTime FakeWorkerNode::ClockAt(MonotonicTime aNow) const
@@ -194,6 +202,9 @@
         reply = std::move(said);
       }
     }
+    if (IsReplaced(aOwner, id)) {
+      reply.mOutcome = OrderOutcome::kGone;
+    }
     aOwner.mShard->OnHold(*order, reply, mNow - kTick / 2, mNow);
     next = mNow + Milliseconds(100);
   }
--- a/mulberryvalve/core/jobs/job_world_fake.h
+++ b/mulberryvalve/core/jobs/job_world_fake.h
@@ -31,6 +31,7 @@
   kWhole,
   kCut,        // nothing arrives
   kNoAnswers,  // orders arrive, answers do not
+  kReplaced,   // another worker answers at the address
 };
 
 // FakeWorkerNode is one worker.
