--- a/mulberryvalve/core/jobs/job_placement.cc
+++ b/mulberryvalve/core/jobs/job_placement.cc
@@ -13,16 +13,18 @@
 // of a worker's use.
 constexpr double kCostOfPressure = 300;
 // A first serving task on a worker, and one of another image than those there.
-constexpr int64_t kCostOfOpening = 30;
-constexpr int64_t kCostOfMixing = 80;
-// Beyond this pressure services miss their target at the top of their load.
-constexpr double kMostPressure = 0.35;
+constexpr int64_t kCostOfOpening = 100;
+constexpr int64_t kCostOfMixing = 150;
+// Services are at the top of their load for a short part of the time, and what
+// fills is paced then: more is let in than is borne at the top.
+constexpr double kBearableTimes = 2.0;
+constexpr double kLeastPressure = 0.1;
 // One task alone that presses this hard had better work elsewhere.
-constexpr double kHeavyPressure = 0.35;
+constexpr double kHeavyPressure = 0.25;
 // Hundredths of a tail's target, and of the full pace, from which on nothing
 // that fills is added.
-constexpr int kRatioNear = 95;
-constexpr int kPaceToAdd = 60;
+constexpr int kRatioNear = 105;
+constexpr int kPaceToAdd = 40;
 
 bool HasLabel(const WorkerFacts& aFacts, const WorkerLabel& aLabel)
 {
@@ -99,7 +101,7 @@
 {
   const StepSpec& step = aQuery.mStep;
   const int64_t used =
-    step.mLasting ? aWorker.mCharged.mCpuMillis : UsedOf(aWorker);
+    step.mLasting ? CapacityOf(aWorker)-aWorker.mCharged.mCpuMillis : UsedOf(aWorker);
   const bool far =
     !step.mDataRack.Empty() && step.mDataRack != aWorker.mFacts.mRack;
   const double pressure = PressureWith(aQuery, aWorker);
@@ -129,7 +131,8 @@
       return true;
     }
   }
-  return PressureWith(aQuery, aWorker) > kMostPressure;
+  return PressureWith(aQuery, aWorker) >
+         kBearableTimes * aWorker.mBearablePressure + kLeastPressure;
 }
 
 // A task that fills is not added where it would get nothing, or where tasks
--- a/mulberryvalve/core/jobs/job_shard.h
+++ b/mulberryvalve/core/jobs/job_shard.h
@@ -184,11 +184,11 @@
                    const HoldReply& aReply,
                    MonotonicTime aSentAt,
                    MonotonicTime aNow);
-  void LearnFrom(const WorkerRoom& aWorker,
-                 const RunningRow& aRow,
-                 double aLoad,
-                 const std::vector<FillingShare>& aFilling,
-                 MonotonicTime aNow);
+  double LearnFrom(const WorkerRoom& aWorker,
+                   const RunningRow& aRow,
+                   double aLoad,
+                   const std::vector<FillingShare>& aFilling,
+                   MonotonicTime aNow);
   std::vector<FillingShare> ReportedFilling(const WorkerRoom& aWorker,
                                             const HoldReply& aReply) const;
   bool StopHeavy(const WorkerRoom& aWorker,
@@ -254,6 +254,8 @@
   struct TailReport
   {
     double mLoad = 0;
+    // The most that it was lately; it falls slowly.
+    double mPeak = 0;
     MonotonicTime mAt;
   };
 
--- a/mulberryvalve/core/jobs/job_shard_tails.cc
+++ b/mulberryvalve/core/jobs/job_shard_tails.cc
@@ -16,10 +16,15 @@
 // A load this low says nothing in comparison.
 constexpr double kLeastLoad = 0.3;
 constexpr size_t kLeastSiblings = 2;
+// Loads swing by about half; a top that was not seen for some swings is
+// forgotten, in loads a second.
+constexpr double kLeastPeak = 0.4;
+constexpr double kPeakFall = 0.01;
+constexpr double kMostBearable = 0.8;
 // A task that fills and adds this much to the load of a service by itself had
 // better work elsewhere.
-constexpr double kHeavyPressure = 0.3;
-constexpr int kHarmedPercent = 90;
+constexpr double kHeavyPressure = 0.5;
+constexpr int kHarmedPercent = 110;
 
 } // namespace
 
@@ -36,6 +41,7 @@
     aWorker.Filling(kFullPace, 0, 0);
   const std::vector<FillingShare> reported = ReportedFilling(aWorker, aReply);
   std::vector<ServingReport> reports;
+  double bearable = kMostBearable;
   int worst = 0;
   ImageNumber worstImage = 0;
   for (const RunningRow& row : aReply.mRunning) {
@@ -50,7 +56,9 @@
     ServingReport report;
     report.mLoad = mInterference.LoadOf(spec.mImageNumber, row.mUsage);
     report.mLimit = mInterference.LimitOf(spec.mImageNumber, target);
-    LearnFrom(aWorker, row, report.mLoad, reported, aNow);
+    const double peak =
+      LearnFrom(aWorker, row, report.mLoad, reported, aNow);
+    bearable = std::min(bearable, report.mLimit / peak - 1);
     report.mPressure = mInterference.Pressure(spec.mImageNumber, atFullPace);
     reports.push_back(report);
     const int ratio = static_cast<int>(row.mUsage * kPercent / target);
@@ -59,6 +67,7 @@
       worstImage = spec.mImageNumber;
     }
   }
+  aWorker.mBearablePressure = bearable;
   aWorker.mPace.mRatioPercent = worst;
   if (aWorker.mFilling == 0) {
     aWorker.mPace = PaceState();
@@ -113,10 +122,10 @@
   return filling;
 }
 
-// Siblings of one job have the same load at a time. What a task has more than
+// Returns the task's load at its top. Siblings of one job have the same load at a time. What a task has more than
 // the middle one of the others, cleared of what is known to press on these, is
 // due to what fills beside it.
-void JobShard::LearnFrom(const WorkerRoom& aWorker,
+double JobShard::LearnFrom(const WorkerRoom& aWorker,
                          const RunningRow& aRow,
                          double aLoad,
                          const std::vector<FillingShare>& aFilling,
@@ -132,10 +141,15 @@
   }
   const double pressure =
     mInterference.Pressure(spec.mImageNumber, aFilling);
-  reports[aRow.mTask.mIndex] = TailReport{ aLoad / (1 + pressure), aNow };
+  TailReport& own = reports[aRow.mTask.mIndex];
+  const double since =
+    std::chrono::duration<double>(aNow - own.mAt).count();
+  own.mLoad = aLoad / (1 + pressure);
+  own.mPeak = std::max({ kLeastPeak, own.mLoad, own.mPeak - kPeakFall * since });
+  own.mAt = aNow;
   const bool settled = aNow - aWorker.mFillingSince >= kComparable;
   if (others.size() < kLeastSiblings || aFilling.empty() || !settled) {
-    return;
+    return own.mPeak;
   }
   const auto middle =
     others.begin() + static_cast<long>(others.size() / 2);
@@ -143,6 +157,7 @@
   if (*middle >= kLeastLoad) {
     mInterference.Learn(spec.mImageNumber, aLoad / *middle - 1, aFilling);
   }
+  return own.mPeak;
 }
 
 // Stops what disturbs a service most by itself. It returns whether there was
--- a/mulberryvalve/core/jobs/pace_control.cc
+++ b/mulberryvalve/core/jobs/pace_control.cc
@@ -8,8 +8,8 @@
 
 // Loads are kept this far below their limit, and are taken to rise by this much
 // until the next report.
-constexpr double kBelowLimit = 0.03;
-constexpr double kRise = 0.03;
+constexpr double kBelowLimit = 0.0;
+constexpr double kRise = 0.015;
 // Less pressure than this is not worth an order.
 constexpr double kLeastPressure = 0.03;
 constexpr double kLeastLoad = 0.05;
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -78,6 +78,8 @@
   std::map<ImageNumber, int64_t> mFillingCpuByImage;
   // When what fills, or its pace, last changed.
   MonotonicTime mFillingSince;
+  // The pressure that every serving task bears at the top of its load.
+  double mBearablePressure = 0;
   // How fast the tasks that fill work beside those that serve.
   PaceState mPace;
   // Room is being made for a lasting task; until then only such are placed.
