--- a/mulberryvalve/app/jobs/job_entry_service.cc
+++ b/mulberryvalve/app/jobs/job_entry_service.cc
@@ -128,7 +128,7 @@
     if (owner) {
       const auto left = std::chrono::duration_cast<Milliseconds>(
         aDeadline - mPorts.mClock.Now());
-      const Result<PeerAnswer> answer = mPorts.mPeers.Ask(
+      Result<PeerAnswer> answer = mPorts.mPeers.Ask(
         *owner, aQuestion, std::clamp(left, Milliseconds(1), kAskTimeout));
       if (answer && answer.value().mOwns) {
         return answer;
--- a/mulberryvalve/app/jobs/shard_keeper.cc
+++ b/mulberryvalve/app/jobs/shard_keeper.cc
@@ -11,14 +11,20 @@
 // A member that is given a shard anew at the same generation counts on within
 // these.
 constexpr uint64_t kEpochsPerGeneration = 64;
+constexpr uint64_t kJoinsOneIn = 3;
+constexpr Milliseconds kStartSpread{ 600 };
+// A look that was found to be out of date is repeated after this.
+constexpr Milliseconds kLookAgain{ 250 };
 
 } // namespace
 
 ShardKeeper::ShardKeeper(ShardKeeperOptions aOptions,
                          ShardGroup& aGroup,
+                         RandomSource& aRandom,
                          ShardRuntimePorts aPorts)
   : mOptions(std::move(aOptions))
   , mGroup(aGroup)
+  , mRandom(aRandom)
   , mPorts(aPorts)
 {
 }
@@ -76,6 +82,7 @@
 {
   MutexLock lock(mMutex);
   mOwnersStale = true;
+  mCond.NotifyAll();
 }
 
 PeerAnswer ShardKeeper::OnQuestion(const PeerQuestion& aQuestion)
@@ -93,25 +100,100 @@
 
 void ShardKeeper::Run()
 {
+  bool isMember = false;
+  WaitAtStart();
   while (true) {
-    const Steady::time_point next = Steady::now() + mOptions.mJoinInterval;
-    JoinOnce();
-    RefreshOwners();
+    if (isMember) {
+      JoinOnce();
+      RefreshOwners();
+    } else {
+      const std::optional<GroupView> view = Look();
+      isMember = view && IsMissed(*view);
+    }
+    const Milliseconds interval =
+      isMember ? mOptions.mJoinInterval : mOptions.mLookInterval;
+    const Steady::time_point next = Steady::now() + interval;
     MutexLock lock(mMutex);
     ReapEnded();
+    if (isMember && !mIsMember) {
+      mIsMember = true;
+      continue; // joins at once
+    }
+    const Steady::time_point soon = Steady::now() + kLookAgain;
     while (!mStopping && Steady::now() < next) {
-      mCond.WaitUntil(mMutex, next);
+      const bool early = !isMember && mOwnersStale;
+      if (early && Steady::now() >= soon) {
+        break;
+      }
+      mCond.WaitUntil(mMutex, early ? std::min(next, soon) : next);
     }
     if (mStopping) {
       break;
     }
   }
+  if (!isMember) {
+    return;
+  }
   const Result<void> left = mGroup.Leave();
   if (!left) {
     LogFault("leave", left.error());
   }
 }
 
+// Instances that start together look at different times, so that the later
+// ones see the first as a member.
+void ShardKeeper::WaitAtStart()
+{
+  const auto wait = static_cast<int64_t>(
+    mRandom.Below(static_cast<uint64_t>(kStartSpread.count())));
+  const Steady::time_point until = Steady::now() + Milliseconds(wait);
+  MutexLock lock(mMutex);
+  while (!mStopping && Steady::now() < until) {
+    mCond.WaitUntil(mMutex, until);
+  }
+}
+
+// Where nobody is a member, every instance joins. Where some are missing, each
+// joins by chance, so that not all do at once.
+bool ShardKeeper::IsMissed(const GroupView& aView)
+{
+  if (aView.mMembers == 0 || aView.mOwners.size() < mOptions.mOwner.mShards) {
+    return true;
+  }
+  return aView.mMembers < mOptions.mMembers && mRandom.Below(kJoinsOneIn) == 0;
+}
+
+std::optional<GroupView> ShardKeeper::Look()
+{
+  const MonotonicTime sentAt = mPorts.mClock.Now();
+  const Result<GroupView> view = mGroup.View();
+  if (!view) {
+    bool lost = false;
+    {
+      MutexLock lock(mMutex);
+      lost = std::exchange(mReachable, false);
+    }
+    if (lost) {
+      LogFault("look", view.error());
+    }
+    return std::nullopt;
+  }
+  TakeView(view.value(), sentAt);
+  return view.value();
+}
+
+void ShardKeeper::TakeView(const GroupView& aView, MonotonicTime aSentAt)
+{
+  MutexLock lock(mMutex);
+  mLastContact = std::max(mLastContact, aSentAt);
+  mReachable = true;
+  mOwnersStale = false;
+  mOwners.clear();
+  for (const ShardOwnerRow& row : aView.mOwners) {
+    mOwners[row.mShard] = row.mPeer;
+  }
+}
+
 void ShardKeeper::JoinOnce()
 {
   Generation known;
@@ -213,19 +295,8 @@
     if (!mReachable || (!mOwnersStale && complete)) {
       return;
     }
-    mOwnersStale = false;
-  }
-  const Result<std::vector<ShardOwnerRow>> rows = mGroup.Owners();
-  if (!rows) {
-    LogFault("owners", rows.error());
-    Doubt();
-    return;
-  }
-  MutexLock lock(mMutex);
-  mOwners.clear();
-  for (const ShardOwnerRow& row : rows.value()) {
-    mOwners[row.mShard] = row.mPeer;
   }
+  (void)Look();
 }
 
 void ShardKeeper::LogFault(const char* aWhat, const Failure& aFailure)
--- a/mulberryvalve/app/jobs/shard_keeper.h
+++ b/mulberryvalve/app/jobs/shard_keeper.h
@@ -5,6 +5,7 @@
 
 #include "mulberryvalve/app/jobs/shard_runtime.h"
 #include "mulberryvalve/ports/out/peer_calls.h"
+#include "mulberryvalve/ports/out/random_source.h"
 
 #include <map>
 #include <memory>
@@ -21,15 +22,21 @@
   ShardRuntimeOptions mOwner;
   // How often the membership is renewed.
   Milliseconds mJoinInterval{ 350 };
+  // How often an instance that is no member looks at the group.
+  Milliseconds mLookInterval{ 1000 };
+  // So many members are enough: each change of members may move a shard, so
+  // the other instances stay out until members are missing.
+  size_t mMembers = 3;
 };
 
 // ShardKeeper's methods are thread-safe.
 class ShardKeeper : public PeerAnswerer
 {
 public:
-  // aGroup must outlive this object, as must what aPorts name.
+  // aGroup and aRandom must outlive this object, as must what aPorts name.
   ShardKeeper(ShardKeeperOptions aOptions,
               ShardGroup& aGroup,
+              RandomSource& aRandom,
               ShardRuntimePorts aPorts);
   ~ShardKeeper() override;
 
@@ -56,16 +63,21 @@
 
 private:
   void Run();
+  void WaitAtStart();
   void JoinOnce();
+  bool IsMissed(const GroupView& aView);
   void TakeShare(const GroupShare& aShare, MonotonicTime aSentAt);
   void OpenShard(ShardNumber aShard, Generation aGeneration)
     MV_REQUIRES(mMutex);
   void ReapEnded() MV_REQUIRES(mMutex);
+  std::optional<GroupView> Look();
+  void TakeView(const GroupView& aView, MonotonicTime aSentAt);
   void RefreshOwners();
   void LogFault(const char* aWhat, const Failure& aFailure);
 
   const ShardKeeperOptions mOptions;
   ShardGroup& mGroup;
+  RandomSource& mRandom;
   ShardRuntimePorts mPorts;
   mutable Mutex mMutex;
   CondVar mCond;
@@ -78,6 +90,7 @@
   std::map<ShardNumber, Endpoint> mOwners MV_GUARDED_BY(mMutex);
   bool mOwnersStale MV_GUARDED_BY(mMutex) = true;
   MonotonicTime mLastContact MV_GUARDED_BY(mMutex);
+  bool mIsMember MV_GUARDED_BY(mMutex) = false;
   bool mReachable MV_GUARDED_BY(mMutex) = false;
   bool mStopping MV_GUARDED_BY(mMutex) = false;
   std::thread mThread;
--- a/mulberryvalve/app/jobs/shard_runtime_feeds.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_feeds.cc
@@ -40,13 +40,16 @@
   const MonotonicTime claimedAt = mPorts.mClock.Now();
   Result<KeyedPage> progress = Fail(FailureKind::kNotReady);
   Result<KeyedPage> intake = Fail(FailureKind::kNotReady);
-  while (!progress || !intake) {
+  while (true) {
+    std::thread other([&] {
+      if (!intake) {
+        intake = mPorts.mLog.Newest(Place(KeyedTopic::kIntake));
+      }
+    });
     if (!progress) {
       progress = mPorts.mLog.Newest(Place(KeyedTopic::kProgress));
     }
-    if (!intake) {
-      intake = mPorts.mLog.Newest(Place(KeyedTopic::kIntake));
-    }
+    other.join();
     if (progress && intake) {
       break;
     }
--- a/mulberryvalve/core/jobs/job_book.cc
+++ b/mulberryvalve/core/jobs/job_book.cc
@@ -194,6 +194,9 @@
 JobRecord JobBook::ToRecord(const JobEntry& aJob) const
 {
   JobRecord record{ aJob.mGraph.mId, aJob.mPhase, {} };
+  if (IsOver(aJob.mPhase)) {
+    return record;
+  }
   for (uint32_t number = 0; number < aJob.mOccurrences.size(); number++) {
     const auto& steps = aJob.mOccurrences[number];
     for (uint32_t step = 0; step < steps.size(); step++) {
--- a/mulberryvalve/core/jobs/job_book.h
+++ b/mulberryvalve/core/jobs/job_book.h
@@ -97,7 +97,8 @@
   // Retire forgets a job.
   void Retire(const JobId& aId);
 
-  // ToRecord returns the durable progress of a job.
+  // ToRecord returns the durable progress of a job; of one that is over, its
+  // phase says all.
   JobRecord ToRecord(const JobEntry& aJob) const;
 
   // AllDone tells whether each task of the job has ended done.
--- a/mulberryvalve/core/jobs/job_shard.h
+++ b/mulberryvalve/core/jobs/job_shard.h
@@ -45,8 +45,8 @@
   Endpoint mEndpoint;
   ServiceId mService;
   Birth mBirth;
-  // Set while an owner has not reached it: for how long, from the writing of the
-  // record on, it may run what former owners started.
+  // Set while an owner has not reached it: for how long, from the writing of
+  // the record on, it may run what former owners started.
   std::optional<Milliseconds> mWaitLeft;
 };
 
--- a/mulberryvalve/core/jobs/job_shard_tails.cc
+++ b/mulberryvalve/core/jobs/job_shard_tails.cc
@@ -113,6 +113,7 @@
     }
   }
   std::vector<FillingShare> filling;
+  filling.reserve(shares.size());
   for (const auto& [image, share] : shares) {
     filling.push_back(FillingShare{ image, share });
   }
--- a/mulberryvalve/ports/out/shard_group.h
+++ b/mulberryvalve/ports/out/shard_group.h
@@ -33,6 +33,14 @@
   Endpoint mPeer;
 };
 
+// GroupView is what anyone may know of the group.
+struct GroupView
+{
+  std::vector<ShardOwnerRow> mOwners;
+  // How many members hold some part of the group's topic.
+  size_t mMembers = 0;
+};
+
 // ShardGroup's implementations are thread-safe and block for a bounded time.
 // Errors: those of KeyedLog.
 class ShardGroup
@@ -45,8 +53,8 @@
   // to others after this call.
   virtual Result<GroupShare> Join(Generation aKnown) = 0;
 
-  // Owners tells who holds which shard.
-  virtual Result<std::vector<ShardOwnerRow>> Owners() = 0;
+  // View tells who holds which shard.
+  virtual Result<GroupView> View() = 0;
 
   // Leave gives all shards up.
   virtual Result<void> Leave() = 0;
