--- /dev/null
+++ b/mulberryvalve/adapters/json/job_log_json_test.cc
@@ -0,0 +1,99 @@
+// What is encoded of jobs decodes to the same.
+#include "mulberryvalve/adapters/json/job_log_json.h"
+
+#include "CppUTest/TestHarness.h"
+
+namespace mulberryvalve {
+namespace {
+
+JobGraph FullJob()
+{
+  JobGraph job;
+  job.mId = JobId("5c0e7a21d94b36f8");
+  job.mQueue = QueueId("a.example/x/");
+  job.mRules = QueueRules{ ServiceId("s"), 2, 4, 250, Milliseconds(1000) };
+  job.mSpecification = "text \"quoted\"";
+  StepSpec step;
+  step.mCount = 3;
+  step.mDemand = Resources{ 1500, 256, 1 };
+  step.mEstimate = Milliseconds(900);
+  job.mSteps.push_back(step);
+  step.mAfter = { 0 };
+  step.mCheckpointing = step.mGang = step.mSameRack = step.mSpeculative = true;
+  step.mLasting = step.mFills = true;
+  step.mRequiredLabel = WorkerLabel("a");
+  step.mDataRack = RackId("r1");
+  step.mMaxPerWorker = 2;
+  step.mImage = ImageId("i");
+  step.mTailTarget = Milliseconds(18);
+  step.mMayMiss = 1;
+  job.mSteps.push_back(step);
+  job.mRecurrence =
+    Recurrence{ 3, WallTime{ 1780000000000 }, Milliseconds(2000) };
+  return job;
+}
+
+} // namespace
+
+TEST_GROUP(JobLogJsonTest){};
+
+TEST(JobLogJsonTest, JobsDecodeToTheSame)
+{
+  const JobLogJson codec;
+  const JobGraph job = FullJob();
+  const KeyedEntry entry = codec.Encode(job);
+  const Result<IntakeItem> item = codec.DecodeIntake(entry);
+  CHECK(item.has_value());
+  const auto& decoded = std::get<JobGraph>(item.value());
+  // Equal texts mean equal jobs: every field that is not at its default is
+  // written.
+  STRCMP_EQUAL(entry.mValue->c_str(), codec.Encode(decoded).mValue->c_str());
+  CHECK_EQUAL(3U, decoded.Occurrences());
+  CHECK(decoded.mSteps[1].mGang);
+  CHECK_EQUAL(18, decoded.mSteps[1].mTailTarget.count());
+  CHECK_FALSE(decoded.mSteps[0].mGang);
+}
+
+TEST(JobLogJsonTest, ProgressDecodesToTheSame)
+{
+  const JobLogJson codec;
+  JobRecord record;
+  record.mId = JobId("5c0e7a21d94b36f8");
+  record.mPhase = JobPhase::kRunning;
+  record.mTasks.push_back(
+    TaskRecord{ 1, 2, 3, true, 4, RunNumber(5), CheckpointId("c") });
+  const Result<ProgressItem> item = codec.DecodeProgress(codec.Encode(record));
+  const auto& decoded = std::get<JobRecord>(item.value());
+  CHECK(decoded.mPhase == JobPhase::kRunning);
+  CHECK_EQUAL(1U, decoded.mTasks.size());
+  CHECK(decoded.mTasks[0].mDone);
+  CHECK_EQUAL(5U, decoded.mTasks[0].mCountedRun.Value());
+  STRCMP_EQUAL("c", decoded.mTasks[0].mCheckpoint.Text().c_str());
+}
+
+TEST(JobLogJsonTest, WorkersKeepWhatIsLeftOfAWait)
+{
+  const JobLogJson codec;
+  KnownWorker worker;
+  worker.mId = WorkerId("w");
+  worker.mEndpoint = Endpoint{ "10.0.0.1", 80 };
+  worker.mBirth = Birth(7);
+  Result<ProgressItem> item = codec.DecodeProgress(codec.Encode(worker));
+  CHECK_FALSE(std::get<KnownWorker>(item.value()).mWaitLeft.has_value());
+  worker.mWaitLeft = Milliseconds(0);
+  item = codec.DecodeProgress(codec.Encode(worker));
+  CHECK_EQUAL(0, std::get<KnownWorker>(item.value()).mWaitLeft.value().count());
+}
+
+TEST(JobLogJsonTest, WhatCanNotBeReadIsAFault)
+{
+  const JobLogJson codec;
+  CHECK_FALSE(codec.DecodeIntake({ "id", "{" }).has_value());
+  CHECK_FALSE(codec.DecodeIntake({ "id", "{}" }).has_value());
+  CHECK_FALSE(codec.DecodeProgress({ "job/x", "{}" }).has_value());
+  CHECK_FALSE(codec.DecodeProgress({ "other", "{}" }).has_value());
+  const auto dropped = codec.DecodeIntake({ "id", std::nullopt });
+  CHECK(std::holds_alternative<DroppedRecord>(dropped.value()));
+}
+
+} // namespace mulberryvalve
--- /dev/null
+++ b/mulberryvalve/app/jobs/jobs_fake.h
@@ -0,0 +1,166 @@
+// Fakes for tests of the job services: a keyed log in memory with faults, a
+// group of one process and workers that end each task at once.
+#ifndef MULBERRYVALVE_APP_JOBS_JOBS_FAKE_H_
+#define MULBERRYVALVE_APP_JOBS_JOBS_FAKE_H_
+
+#include "mulberryvalve/app/jobs/job_entry_service.h"
+#include "mulberryvalve/core/base/mutex.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace mulberryvalve {
+
+class SilentEvents : public EventLog
+{
+public:
+  void Write(EventLevel,
+             std::string_view,
+             const std::vector<EventField>&) override
+  {
+  }
+};
+
+class NoMetrics : public Metrics
+{
+public:
+  void Add(Counter, uint64_t) override {}
+  void Set(Gauge, int64_t) override {}
+  void Record(Timing, Microseconds) override {}
+};
+
+class RealClock : public Clock
+{
+public:
+  MonotonicTime Now() const override
+  {
+    return MonotonicTime(std::chrono::duration_cast<Microseconds>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+  }
+  WallTime WallNow() const override { return WallTime{ 1 }; }
+};
+
+// AppendFault is what becomes of an append.
+enum class AppendFault
+{
+  kNone,
+  kRefused,    // nothing is done
+  kAnswerLost, // it is done, but its writer is not told
+  kLostWhole,  // nothing is done, and its writer is not told
+};
+
+// kAppendFaultDone marks the failure of an append that took effect.
+inline constexpr const char* kAppendFaultDone = "done";
+
+// MemoryLog is thread-safe.
+class MemoryLog : public KeyedLog
+{
+public:
+  // FailNext makes the next appends fail so, one each.
+  void FailNext(std::vector<AppendFault> aFaults);
+
+  // Forget drops all offsets, so that readers begin with the newest records.
+  void Forget();
+
+  // CountOf counts the appends to a topic that took effect.
+  size_t CountOf(KeyedTopic aTopic) const;
+
+  // Holds tells whether a key has a record.
+  bool Holds(KeyedTopic aTopic, const std::string& aKey) const;
+
+  Result<KeyedPage> Newest(const KeyedPlace& aPlace) override;
+  Result<KeyedPage> Read(const KeyedPlace& aPlace,
+                         uint64_t aFrom,
+                         Milliseconds aWait) override;
+  Result<void> Append(const KeyedPlace& aPlace,
+                      const std::vector<KeyedEntry>& aEntries) override;
+  Result<void> AppendFenced(const FencedAppend& aProof,
+                            const std::vector<KeyedEntry>& aEntries) override;
+
+private:
+  struct Partition
+  {
+    std::map<std::string, std::string> mNewest;
+    std::vector<KeyedEntry> mRecords;
+    uint64_t mFirst = 0;
+    Epoch mEpoch;
+    uint64_t mSequence = 0;
+    size_t mAppends = 0;
+  };
+
+  Result<void> Take(Partition& aPartition,
+                    const std::vector<KeyedEntry>& aEntries)
+    MV_REQUIRES(mMutex);
+
+  mutable Mutex mMutex;
+  CondVar mCond;
+  std::map<KeyedTopic, Partition> mPartitions MV_GUARDED_BY(mMutex);
+  std::deque<AppendFault> mFaults MV_GUARDED_BY(mMutex);
+};
+
+// OneGroup gives the shard to whoever joined last.
+class OneGroup : public ShardGroup
+{
+public:
+  explicit OneGroup(uint64_t aGeneration)
+    : mGeneration(aGeneration)
+  {
+  }
+
+  Result<GroupShare> Join(Generation aKnown) override;
+  Result<GroupView> View() override;
+  Result<void> Leave() override { return Done(); }
+
+private:
+  const uint64_t mGeneration;
+};
+
+// InstantWorker ends each task as done when it is listed next. Thread-safe.
+class InstantWorker : public TaskWorkerPort
+{
+public:
+  OrderReply Send(const TaskOrder& aOrder) override;
+  HoldReply Hold(const HoldOrder& aOrder) override;
+
+  // Starts counts the starts of a task.
+  size_t Starts(const TaskRef& aTask) const;
+
+private:
+  mutable Mutex mMutex;
+  CondVar mCond;
+  Epoch mFence MV_GUARDED_BY(mMutex);
+  std::vector<EndedRow> mEnded MV_GUARDED_BY(mMutex);
+  EndNumber mLast MV_GUARDED_BY(mMutex);
+  std::map<TaskRef, size_t> mStarts MV_GUARDED_BY(mMutex);
+};
+
+// OneWorkerFeeds lists one worker.
+class OneWorkerFeeds : public WorkerFeeds
+{
+public:
+  std::unique_ptr<WorkerFeed> Open() override;
+};
+
+class NoPeers : public PeerCalls
+{
+public:
+  Result<PeerAnswer> Ask(const Endpoint&,
+                         const PeerQuestion&,
+                         Milliseconds) override
+  {
+    return Fail(FailureKind::kPeerUnreachable);
+  }
+};
+
+class FixedRandom : public RandomSource
+{
+public:
+  uint64_t Below(uint64_t) override { return 0; }
+};
+
+} // namespace mulberryvalve
+
+#endif // MULBERRYVALVE_APP_JOBS_JOBS_FAKE_H_
--- /dev/null
+++ b/mulberryvalve/app/jobs/jobs_test.cc
@@ -0,0 +1,259 @@
+// The job services as they are composed in an instance, on a log in memory.
+#include "mulberryvalve/adapters/json/job_log_json.h"
+#include "mulberryvalve/app/jobs/jobs_fake.h"
+#include "mulberryvalve/app/log/bounded_event_log.h"
+
+#include "CppUTest/TestHarness.h"
+
+namespace mulberryvalve {
+namespace {
+
+constexpr Milliseconds kPatience{ 20000 };
+
+JobGraph SmallJob(const char* aId)
+{
+  JobGraph job;
+  job.mId = JobId(aId);
+  job.mQueue = QueueId("queue");
+  job.mRules.mService = ServiceId("service");
+  StepSpec step;
+  step.mCount = 2;
+  step.mDemand = Resources{ 1000, 100, 0 };
+  job.mSteps.push_back(step);
+  return job;
+}
+
+// Instance is what one process composes.
+class Instance
+{
+public:
+  Instance(MemoryLog& aLog, InstantWorker& aWorkers, uint64_t aGeneration)
+    : mGroup(aGeneration)
+    , mKeeper(ShardKeeperOptions(),
+              mGroup,
+              mRandom,
+              ShardRuntimePorts{ aLog,
+                                 mCodec,
+                                 aWorkers,
+                                 mFeeds,
+                                 mConfig,
+                                 mPlacement,
+                                 mClock,
+                                 mMetrics,
+                                 mEvents })
+    , mJobs(1,
+            JobEntryPorts{ aLog,
+                           mCodec,
+                           mPeers,
+                           mKeeper,
+                           mClock,
+                           mMetrics,
+                           mEvents })
+  {
+    ClusterConfig config;
+    config.mVersion = 1;
+    mConfig.Put(config);
+  }
+
+  void Start() { mKeeper.Start(); }
+  JobEntryService& Jobs() { return mJobs; }
+  MonotonicTime In(Milliseconds aTime) const { return mClock.Now() + aTime; }
+
+  // Await asks until the job is in aPhase; false when time is up.
+  bool Await(const char* aJob, JobPhase aPhase)
+  {
+    const MonotonicTime until = In(kPatience);
+    while (mClock.Now() < until) {
+      const auto phase = mJobs.Phase(JobId(aJob), In(Milliseconds(300)));
+      if (phase && phase.value() == aPhase) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+private:
+  RealClock mClock;
+  NoMetrics mMetrics;
+  SilentEvents mEvents;
+  FixedRandom mRandom;
+  NoPeers mPeers;
+  JobLogJson mCodec;
+  OneWorkerFeeds mFeeds;
+  LearnedPlacement mPlacement;
+  ConfigView mConfig;
+  OneGroup mGroup;
+  ShardKeeper mKeeper;
+  JobEntryService mJobs;
+};
+
+} // namespace
+
+TEST_GROUP(JobsTest){};
+
+TEST(JobsTest, JobIsDurableThenDoneThenShown)
+{
+  MemoryLog log;
+  InstantWorker workers;
+  Instance instance(log, workers, 1);
+  instance.Start();
+  const auto deadline = instance.In(kPatience);
+  CHECK(instance.Jobs().Submit(SmallJob("j"), deadline).has_value());
+  CHECK(log.Holds(KeyedTopic::kIntake, "j"));
+  CHECK(instance.Await("j", JobPhase::kCompleted));
+  CHECK(log.Holds(KeyedTopic::kProgress, "job/j"));
+  CHECK_EQUAL(1U, workers.Starts(TaskRef{ { JobId("j"), 0, 0 }, 0 }));
+}
+
+TEST(JobsTest, UnknownJobIsSaidToBeUnknown)
+{
+  MemoryLog log;
+  InstantWorker workers;
+  Instance instance(log, workers, 1);
+  instance.Start();
+  const auto phase =
+    instance.Jobs().Phase(JobId("none"), instance.In(kPatience));
+  CHECK(phase.has_value());
+  CHECK_FALSE(phase.value().has_value());
+}
+
+// A refusal says that nothing was taken; it must be true.
+TEST(JobsTest, RefusalOnlyWhenNothingWasTaken)
+{
+  MemoryLog log;
+  InstantWorker workers;
+  Instance instance(log, workers, 1);
+  log.FailNext({ AppendFault::kRefused });
+  const auto refused =
+    instance.Jobs().Submit(SmallJob("a"), instance.In(kPatience));
+  CHECK(FailureKind::kLogUnavailable == refused.error().mKind);
+  CHECK_FALSE(log.Holds(KeyedTopic::kIntake, "a"));
+  // The first try may have been taken, so a later refusal does not count.
+  log.FailNext({ AppendFault::kAnswerLost,
+                 AppendFault::kRefused,
+                 AppendFault::kRefused,
+                 AppendFault::kRefused,
+                 AppendFault::kRefused,
+                 AppendFault::kRefused,
+                 AppendFault::kRefused });
+  const auto unknown =
+    instance.Jobs().Submit(SmallJob("b"), instance.In(Milliseconds(400)));
+  CHECK(FailureKind::kUnknownOutcome == unknown.error().mKind);
+  log.FailNext({ AppendFault::kLostWhole });
+  CHECK(
+    instance.Jobs().Submit(SmallJob("c"), instance.In(kPatience)).has_value());
+}
+
+// The answers to appends are lost while ends are made durable: each takes
+// effect once and the job completes.
+TEST(JobsTest, LostAnswersOfTheLogAreSettled)
+{
+  MemoryLog log;
+  InstantWorker workers;
+  Instance instance(log, workers, 1);
+  instance.Start();
+  const auto up = instance.Jobs().Phase(JobId("j"), instance.In(kPatience));
+  CHECK(up.has_value());
+  log.FailNext({ AppendFault::kAnswerLost, AppendFault::kAnswerLost });
+  CHECK(
+    instance.Jobs().Submit(SmallJob("j"), instance.In(kPatience)).has_value());
+  CHECK(instance.Await("j", JobPhase::kCompleted));
+  CHECK_EQUAL(1U, workers.Starts(TaskRef{ { JobId("j"), 0, 0 }, 1 }));
+}
+
+TEST(JobsTest, ForgottenHistoryLosesNoJob)
+{
+  MemoryLog log;
+  InstantWorker workers;
+  Instance instance(log, workers, 1);
+  instance.Start();
+  CHECK(
+    instance.Jobs().Submit(SmallJob("a"), instance.In(kPatience)).has_value());
+  CHECK(instance.Await("a", JobPhase::kCompleted));
+  log.Forget();
+  CHECK(
+    instance.Jobs().Submit(SmallJob("b"), instance.In(kPatience)).has_value());
+  CHECK(instance.Await("b", JobPhase::kCompleted));
+}
+
+// The next owner knows what the former one has done, and fences it.
+TEST(JobsTest, SuccessorTakesOver)
+{
+  MemoryLog log;
+  InstantWorker workers;
+  Instance former(log, workers, 1);
+  former.Start();
+  CHECK(former.Jobs().Submit(SmallJob("a"), former.In(kPatience)).has_value());
+  CHECK(former.Await("a", JobPhase::kCompleted));
+  Instance next(log, workers, 2);
+  next.Start();
+  CHECK(next.Await("a", JobPhase::kCompleted));
+  CHECK(next.Jobs().Submit(SmallJob("b"), next.In(kPatience)).has_value());
+  CHECK(next.Await("b", JobPhase::kCompleted));
+  CHECK_EQUAL(1U, workers.Starts(TaskRef{ { JobId("a"), 0, 0 }, 0 }));
+  CHECK_EQUAL(1U, workers.Starts(TaskRef{ { JobId("b"), 0, 0 }, 0 }));
+}
+
+// The group counts anew from 1, as after the loss of all its members, while a
+// higher epoch stands on the log.
+TEST(JobsTest, OwnerOfAnEarlierGenerationGetsAboveTheLog)
+{
+  MemoryLog log;
+  InstantWorker workers;
+  {
+    Instance former(log, workers, 9);
+    former.Start();
+    CHECK(
+      former.Jobs().Submit(SmallJob("a"), former.In(kPatience)).has_value());
+    CHECK(former.Await("a", JobPhase::kCompleted));
+  }
+  Instance next(log, workers, 1);
+  next.Start();
+  CHECK(next.Await("a", JobPhase::kCompleted));
+}
+
+TEST_GROUP(BoundedEventLogTest){};
+
+// A reader that stops reading holds nobody up, and what was dropped is told.
+TEST(BoundedEventLogTest, SlowReaderHoldsNobodyUp)
+{
+  class Slow : public EventLog
+  {
+  public:
+    void Write(EventLevel,
+               std::string_view aName,
+               const std::vector<EventField>&) override
+    {
+      MutexLock lock(mMutex);
+      while (mBlocked) {
+        mCond.Wait(mMutex);
+      }
+      mLines++;
+      mTold = mTold || aName == "log_dropped";
+    }
+    void Unblock()
+    {
+      MutexLock lock(mMutex);
+      mBlocked = false;
+      mCond.NotifyAll();
+    }
+    Mutex mMutex;
+    CondVar mCond;
+    bool mBlocked = true;
+    bool mTold = false;
+    size_t mLines = 0;
+  };
+  Slow slow;
+  constexpr size_t kEvents = 50000;
+  {
+    BoundedEventLog log(slow);
+    for (size_t number = 0; number < kEvents; number++) {
+      log.Write(EventLevel::kInfo, "event", { { "key", "value" } });
+    }
+    slow.Unblock();
+  }
+  CHECK(slow.mTold);
+  CHECK(slow.mLines < kEvents);
+}
+
+} // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/job_placement.cc
+++ b/mulberryvalve/core/jobs/job_placement.cc
@@ -35,8 +35,10 @@
 
 // What serving tasks leave of their share, in hundredths; a worker's tasks that
 // fill get it.
-constexpr int64_t kServingUsesPercent = 50;
+constexpr int64_t kServingUsesPercent = 42;
 constexpr int64_t kPercent = 100;
+// Above this share of all processors in use, work waits for room that suits it.
+constexpr int64_t kMostlyUsedPercent = 60;
 
 int64_t CapacityOf(const WorkerRoom& aWorker)
 {
@@ -209,7 +211,7 @@
       capacity += CapacityOf(worker);
     }
   }
-  return 2 * used < capacity;
+  return used * kPercent < capacity * kMostlyUsedPercent;
 }
 
 WorkerRoom* LearnedPlacement::Choose(const PlacementQuery& aQuery,
--- a/mulberryvalve/core/jobs/job_placement.h
+++ b/mulberryvalve/core/jobs/job_placement.h
@@ -40,8 +40,8 @@
 bool MayPlaceWithoutFilling(const PlacementQuery& aQuery,
                             const WorkerRoom& aWorker);
 
-// MostIsUnused tells whether more than half of the processors of all workers
-// that can be used are likely unused.
+// MostIsUnused tells whether a good part of the processors of all workers that
+// can be used is likely unused.
 bool MostIsUnused(const WorkerTable& aWorkers);
 
 // JobPlacement chooses among the workers that may run a task. Implementations
