--- a/mulberryvalve/adapters/json/job_log_json.cc
+++ b/mulberryvalve/adapters/json/job_log_json.cc
@@ -165,28 +165,37 @@
   return job;
 }
 
-// A task's row is its place, whether it is done, its failures, the last run
-// that was counted and its checkpoint.
+// A task's row is its place, whether it is done, its failures, the runs whose
+// end was counted and its checkpoint.
 constexpr size_t kTaskColumns = 7;
+constexpr size_t kNumberColumns = 5;
 
 json TaskToJson(const TaskRecord& aTask)
 {
+  json counted = json::array();
+  for (const RunNumber run : aTask.mCounted) {
+    counted.push_back(run.Value());
+  }
   return json::array({ aTask.mOccurrence,
                        aTask.mStep,
                        aTask.mIndex,
                        aTask.mDone ? 1 : 0,
                        aTask.mFailures,
-                       aTask.mCountedRun.Value(),
+                       std::move(counted),
                        aTask.mCheckpoint.Text() });
 }
 
 Result<TaskRecord> TaskFromJson(const json& aRow)
 {
   bool good = aRow.is_array() && aRow.size() == kTaskColumns;
-  for (size_t column = 0; good && column + 1 < kTaskColumns; column++) {
+  for (size_t column = 0; good && column < kNumberColumns; column++) {
     good = aRow[column].is_number_unsigned();
   }
-  if (!good || !aRow[kTaskColumns - 1].is_string()) {
+  good = good && aRow[5].is_array() && aRow[6].is_string();
+  for (size_t run = 0; good && run < aRow[5].size(); run++) {
+    good = aRow[5][run].is_number_unsigned();
+  }
+  if (!good) {
     return Fail(FailureKind::kMalformed, "tasks", "a row is not readable");
   }
   TaskRecord task;
@@ -195,7 +204,9 @@
   task.mIndex = aRow[2].get<uint32_t>();
   task.mDone = aRow[3].get<int>() != 0;
   task.mFailures = aRow[4].get<int>();
-  task.mCountedRun = RunNumber(aRow[5].get<uint64_t>());
+  for (const json& run : aRow[5]) {
+    task.mCounted.emplace_back(run.get<uint64_t>());
+  }
   task.mCheckpoint = CheckpointId(aRow[6].get<std::string>());
   return task;
 }
--- a/mulberryvalve/adapters/json/job_log_json_test.cc
+++ b/mulberryvalve/adapters/json/job_log_json_test.cc
@@ -60,14 +60,15 @@
   JobRecord record;
   record.mId = JobId("5c0e7a21d94b36f8");
   record.mPhase = JobPhase::kRunning;
-  record.mTasks.push_back(
-    TaskRecord{ 1, 2, 3, true, 4, RunNumber(5), CheckpointId("c") });
+  record.mTasks.push_back(TaskRecord{
+    1, 2, 3, true, 4, { RunNumber(5), RunNumber(3) }, CheckpointId("c") });
   const Result<ProgressItem> item = codec.DecodeProgress(codec.Encode(record));
   const auto& decoded = std::get<JobRecord>(item.value());
   CHECK(decoded.mPhase == JobPhase::kRunning);
   CHECK_EQUAL(1U, decoded.mTasks.size());
   CHECK(decoded.mTasks[0].mDone);
-  CHECK_EQUAL(5U, decoded.mTasks[0].mCountedRun.Value());
+  CHECK_EQUAL(2U, decoded.mTasks[0].mCounted.size());
+  CHECK_EQUAL(3U, decoded.mTasks[0].mCounted[1].Value());
   STRCMP_EQUAL("c", decoded.mTasks[0].mCheckpoint.Text().c_str());
 }
 
--- a/mulberryvalve/app/jobs/config_follower.cc
+++ b/mulberryvalve/app/jobs/config_follower.cc
@@ -32,13 +32,16 @@
   mThread = std::thread([this] { Run(); });
 }
 
+void ConfigFollower::BeginStop()
+{
+  MutexLock lock(mMutex);
+  mStopping = true;
+  mCond.NotifyAll();
+}
+
 void ConfigFollower::Stop()
 {
-  {
-    MutexLock lock(mMutex);
-    mStopping = true;
-    mCond.NotifyAll();
-  }
+  BeginStop();
   if (mThread.joinable()) {
     mThread.join();
   }
--- a/mulberryvalve/app/jobs/config_follower.h
+++ b/mulberryvalve/app/jobs/config_follower.h
@@ -24,7 +24,9 @@
   // Start begins to follow. Call once.
   void Start();
 
-  // Stop ends the thread after the call under way.
+  // BeginStop makes the thread end after the call under way; Stop also waits
+  // for it.
+  void BeginStop();
   void Stop();
 
 private:
--- a/mulberryvalve/app/jobs/job_entry_service.cc
+++ b/mulberryvalve/app/jobs/job_entry_service.cc
@@ -69,7 +69,7 @@
       break; // nothing was done, and the caller can come back later
     }
     Pause(mPorts.mClock.Now() + kBetweenTries);
-  } while (mPorts.mClock.Now() + kAnswerTime < aDeadline);
+  } while (!mStopping && mPorts.mClock.Now() + kAnswerTime < aDeadline);
   mPorts.mEvents.Write(
     EventLevel::kWarn,
     mayHaveTaken ? "job_unknown" : "job_refused",
@@ -138,7 +138,7 @@
     }
     mPorts.mKeeper.Doubt();
     Pause(mPorts.mClock.Now() + kBetweenTries);
-  } while (mPorts.mClock.Now() + kLeastForAsking < aDeadline);
+  } while (!mStopping && mPorts.mClock.Now() + kLeastForAsking < aDeadline);
   mPorts.mEvents.Write(
     EventLevel::kWarn,
     "question_unanswered",
--- a/mulberryvalve/app/jobs/job_entry_service.h
+++ b/mulberryvalve/app/jobs/job_entry_service.h
@@ -6,6 +6,8 @@
 #include "mulberryvalve/ports/in/job_graph_api.h"
 #include "mulberryvalve/ports/out/peer_calls.h"
 
+#include <atomic>
+
 namespace mulberryvalve {
 
 // JobEntryPorts are what the service works with; all must outlive it.
@@ -28,6 +30,9 @@
 public:
   JobEntryService(ShardNumber aShards, JobEntryPorts aPorts);
 
+  // BeginStop makes calls end after the try under way.
+  void BeginStop() { mStopping = true; }
+
   Result<void> Submit(const JobGraph& aJob, MonotonicTime aDeadline) override;
   Result<void> Cancel(const JobId& aJob, MonotonicTime aDeadline) override;
   Result<std::optional<JobPhase>> Phase(const JobId& aJob,
@@ -46,6 +51,7 @@
 
   const ShardNumber mShards;
   JobEntryPorts mPorts;
+  std::atomic<bool> mStopping{ false };
   Mutex mMutex;
   CondVar mNever;
 };
--- a/mulberryvalve/core/jobs/job_book.cc
+++ b/mulberryvalve/core/jobs/job_book.cc
@@ -48,7 +48,7 @@
       continue;
     }
     task->mFailures = record.mFailures;
-    task->mCountedRun = record.mCountedRun;
+    task->mCounted = record.mCounted;
     task->mCheckpoint = record.mCheckpoint;
     aJob.mBegun = true;
     if (record.mDone) {
@@ -203,7 +203,7 @@
       const auto& tasks = steps[step].mTasks;
       for (uint32_t index = 0; index < tasks.size(); index++) {
         const StepTask& task = tasks[index];
-        if (task.mCountedRun == RunNumber() && !task.mDone) {
+        if (task.mCounted.empty() && !task.mDone) {
           continue;
         }
         record.mTasks.push_back(TaskRecord{ number,
@@ -211,7 +211,7 @@
                                             index,
                                             task.mDone,
                                             task.mFailures,
-                                            task.mCountedRun,
+                                            task.mCounted,
                                             task.mCheckpoint });
       }
     }
--- a/mulberryvalve/core/jobs/job_shard_lists.cc
+++ b/mulberryvalve/core/jobs/job_shard_lists.cc
@@ -9,6 +9,8 @@
 
 // A worker that fails this many tasks of different jobs in a row is suspected.
 constexpr int kFailuresToAvoid = 4;
+// Ends of older runs were made durable long ago, so no worker lists them.
+constexpr size_t kCountedRuns = 8;
 constexpr Milliseconds kFirstAvoidance{ 1500 };
 constexpr int kMaxAvoidanceDoublings = 3;
 // A stop of a run that nobody knows is repeated at this interval.
@@ -112,7 +114,7 @@
   const bool present = IsPlaced(task->mPhase) &&
                        task->mWorker == aWorker.mFacts.mId &&
                        task->mRun == aRow.mRun;
-  if (task->mCountedRun < aRow.mRun) {
+  if (!task->HasCounted(aRow.mRun)) {
     CountEnd(*task, aRow);
     mDirtyJobs.insert(id);
     JudgeWorker(aWorker, aRow, aNow);
@@ -129,7 +131,10 @@
 
 void JobShard::CountEnd(StepTask& aTask, const EndedRow& aRow)
 {
-  aTask.mCountedRun = aRow.mRun;
+  aTask.mCounted.push_back(aRow.mRun);
+  if (aTask.mCounted.size() > kCountedRuns) {
+    aTask.mCounted.erase(aTask.mCounted.begin());
+  }
   if (aRow.mHow == EndKind::kFailed) {
     aTask.mFailures++;
   }
@@ -265,7 +270,7 @@
   const JobEntry* job = mBook.Find(aRow.mTask.mStep.mJob);
   const bool adoptable = task != nullptr && !IsOver(job->mPhase) &&
                          task->mPhase == TaskPhase::kWaiting &&
-                         task->mCountedRun < aRow.mRun;
+                         !task->HasCounted(aRow.mRun);
   if (adoptable) {
     Note(DecisionKind::kTaskAdopted, aRow.mTask, id, aRow.mRun, "listed");
     mBook.Place(aRow.mTask, id, aRow.mRun);
--- a/mulberryvalve/core/jobs/job_shard_test.cc
+++ b/mulberryvalve/core/jobs/job_shard_test.cc
@@ -187,6 +187,40 @@
   CheckNoFindings(world);
 }
 
+// Two runs failed while no end could be made durable. The successor hears of
+// the later one first: both count.
+TEST(JobShardTest, EndsThatAreHeardOutOfOrderAllCount)
+{
+  const MonotonicTime now(std::chrono::seconds(1000));
+  const LearnedPlacement placement;
+  JobShard shard(JobShardOptions(), placement, now);
+  JobGraph job = OneStepJob("j", 1, 1000);
+  job.mRules.mMaxAttempts = 2;
+  shard.Inherit(job, nullptr);
+  std::vector<WorkerFacts> facts(2);
+  facts[0].mId = WorkerId("a");
+  facts[1].mId = WorkerId("b");
+  shard.OnWorkers(facts, now);
+  uint64_t run = 5;
+  for (const WorkerFacts& worker : facts) {
+    HoldOrder order;
+    order.mWorker = worker.mId;
+    HoldReply reply;
+    reply.mOutcome = OrderOutcome::kAccepted;
+    reply.mEnded.push_back(EndedRow{ EndNumber(1),
+                                     TaskRef{ { JobId("j"), 0, 0 }, 0 },
+                                     RunNumber(run),
+                                     EndKind::kFailed,
+                                     CheckpointId() });
+    run -= 2;
+    shard.OnHold(order, reply, now, now);
+    // The same list again changes nothing.
+    shard.OnHold(order, reply, now, now);
+  }
+  shard.OnDurable(shard.TakeProgress(now));
+  CHECK(JobPhase::kFailed == shard.Phase(JobId("j")));
+}
+
 // Another worker answers at the address of one that crashed during a change of
 // owner: what ran there is over, and need not be waited for.
 TEST(JobShardTest, WorkerWhoseAddressWasTakenOverIsGone)
--- a/mulberryvalve/core/jobs/job_state.h
+++ b/mulberryvalve/core/jobs/job_state.h
@@ -6,6 +6,7 @@
 #include "mulberryvalve/core/base/time.h"
 #include "mulberryvalve/core/jobs/job_graph.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace mulberryvalve {
@@ -90,9 +91,9 @@
   RunNumber mRun;
   // It has ended done; a run that is left of it is stopped.
   bool mDone = false;
-  // The last run whose end was taken in; an end that is listed again by a
-  // worker after a change of owner is not counted twice.
-  RunNumber mCountedRun;
+  // The runs whose end was taken in; an end that is listed again by a worker
+  // after a change of owner is not counted twice, and may be heard of late.
+  std::vector<RunNumber> mCounted;
   int mFailures = 0;
   CheckpointId mCheckpoint;
   // Since when the worker's lists are certain to reflect the last answer.
@@ -102,6 +103,12 @@
   bool mIsTolerated = false;
   // How much of its speed the task was told to work at.
   int mPacePercent = 100;
+
+  // HasCounted tells whether the end of a run was taken in.
+  bool HasCounted(RunNumber aRun) const
+  {
+    return std::find(mCounted.begin(), mCounted.end(), aRun) != mCounted.end();
+  }
 };
 
 // TaskRecord is the durable part of a task that is not as it was handed in.
@@ -112,7 +119,7 @@
   uint32_t mIndex = 0;
   bool mDone = false;
   int mFailures = 0;
-  RunNumber mCountedRun;
+  std::vector<RunNumber> mCounted;
   CheckpointId mCheckpoint;
 };
 
