--- a/mulberryvalve/core/jobs/job_book.h
+++ b/mulberryvalve/core/jobs/job_book.h
@@ -20,6 +20,8 @@
   uint32_t mDone = 0;
   // Since when tasks wait whose turn has come; zero while none does.
   MonotonicTime mWaitingSince;
+  // When it is next said why they wait.
+  MonotonicTime mExplainAt;
   // How many of the tasks each worker has.
   std::map<WorkerId, uint32_t> mSiblings;
 };
--- a/mulberryvalve/core/jobs/job_decision.h
+++ b/mulberryvalve/core/jobs/job_decision.h
@@ -15,6 +15,7 @@
   kJobCancelled,  // its cancellation was taken in
   kJobOver,       // all tasks are done, or one failed too often
   kTaskPlaced,    // a start was ordered
+  kStepWaits,     // tasks whose turn has come find no worker
   kTaskAdopted,   // a run of a former owner was found
   kTaskEnded,     // a worker listed an end
   kTaskLost,      // a run is on no list of its worker any more
@@ -30,11 +31,12 @@
   kWorkerPaced,   // tasks that fill work at another speed there
 };
 
-inline constexpr EnumTable<DecisionKind, 17> kDecisionKindNames{ { {
+inline constexpr EnumTable<DecisionKind, 18> kDecisionKindNames{ { {
   { DecisionKind::kJobKnown, "job_known" },
   { DecisionKind::kJobCancelled, "job_cancelled" },
   { DecisionKind::kJobOver, "job_over" },
   { DecisionKind::kTaskPlaced, "task_placed" },
+  { DecisionKind::kStepWaits, "step_waits" },
   { DecisionKind::kTaskAdopted, "task_adopted" },
   { DecisionKind::kTaskEnded, "task_ended" },
   { DecisionKind::kTaskLost, "task_lost" },
--- a/mulberryvalve/core/jobs/job_placement.cc
+++ b/mulberryvalve/core/jobs/job_placement.cc
@@ -154,33 +154,61 @@
 
 } // namespace
 
-bool IsOpenTo(const PlacementQuery& aQuery, const WorkerRoom& aWorker)
+PlacementRefusal OpenRefusal(const PlacementQuery& aQuery,
+                             const WorkerRoom& aWorker)
 {
   const WorkerFacts& facts = aWorker.mFacts;
-  if (!aWorker.mListed || !aWorker.mInventoried || aWorker.mSilent ||
-      !aWorker.mRecorded || aWorker.mForeignUnknown ||
-      facts.mState != WorkerState::kLive || aQuery.mNow < aWorker.mAvoidUntil) {
-    return false;
+  if (!aWorker.mListed || facts.mState != WorkerState::kLive) {
+    return PlacementRefusal::kLeaving;
   }
-  if (facts.mService != aQuery.mService ||
-      aQuery.mDomainsOut.count(facts.mDomain) != 0 ||
-      !HasLabel(facts, aQuery.mStep.mRequiredLabel)) {
-    return false;
+  if (!aWorker.mInventoried || aWorker.mSilent || !aWorker.mRecorded ||
+      aWorker.mForeignUnknown) {
+    return PlacementRefusal::kUnsure;
   }
-  if (!aQuery.mOnlyRack.Empty() && facts.mRack != aQuery.mOnlyRack) {
-    return false;
+  if (aQuery.mNow < aWorker.mAvoidUntil) {
+    return PlacementRefusal::kAvoided;
+  }
+  if (aQuery.mDomainsOut.count(facts.mDomain) != 0) {
+    return PlacementRefusal::kDomainOut;
+  }
+  if (facts.mService != aQuery.mService ||
+      !HasLabel(facts, aQuery.mStep.mRequiredLabel) ||
+      (!aQuery.mOnlyRack.Empty() && facts.mRack != aQuery.mOnlyRack)) {
+    return PlacementRefusal::kUnsuited;
   }
   if (aQuery.mStep.mMaxPerWorker > 0) {
     const auto siblings = aQuery.mSiblings.find(facts.mId);
     if (siblings != aQuery.mSiblings.end() &&
         siblings->second >= aQuery.mStep.mMaxPerWorker) {
-      return false;
+      return PlacementRefusal::kSiblings;
     }
   }
   if (!aQuery.mStep.mLasting && aQuery.mNow < aWorker.mKeptForLastingUntil) {
-    return false;
+    return PlacementRefusal::kNoRoom;
+  }
+  return PlacementRefusal::kNone;
+}
+
+bool IsOpenTo(const PlacementQuery& aQuery, const WorkerRoom& aWorker)
+{
+  return OpenRefusal(aQuery, aWorker) == PlacementRefusal::kNone;
+}
+
+PlacementRefusal RefusalOf(const PlacementQuery& aQuery,
+                           const WorkerRoom& aWorker)
+{
+  const PlacementRefusal open = OpenRefusal(aQuery, aWorker);
+  if (open != PlacementRefusal::kNone) {
+    return open;
+  }
+  if (!MayPlace(aQuery, aWorker)) {
+    return PlacementRefusal::kNoRoom;
+  }
+  if (!IsUseless(aQuery, aWorker)) {
+    return PlacementRefusal::kNone;
   }
-  return true;
+  const bool pressed = aWorker.mServing > 0 && PressesTooMuch(aQuery, aWorker);
+  return pressed ? PlacementRefusal::kPressure : PlacementRefusal::kAllUsed;
 }
 
 bool MayPlace(const PlacementQuery& aQuery, const WorkerRoom& aWorker)
--- a/mulberryvalve/core/jobs/job_placement.h
+++ b/mulberryvalve/core/jobs/job_placement.h
@@ -28,6 +28,38 @@
   MonotonicTime mNow;
 };
 
+// PlacementRefusal is why a worker does not get a task.
+enum class PlacementRefusal
+{
+  kNone,
+  kLeaving,   // it leaves or is not listed
+  kUnsure,    // what runs there is not known well enough
+  kAvoided,   // it refused or failed lately
+  kDomainOut, // its failure domain gets nothing new
+  kUnsuited,  // another service, label or rack is asked for
+  kSiblings,  // it has as many tasks of the step as it may
+  kNoRoom,    // its room is committed
+  kPressure,  // a service there would miss its target
+  kAllUsed,   // its processors are in use
+};
+
+inline constexpr EnumTable<PlacementRefusal, 10> kPlacementRefusalNames{ { {
+  { PlacementRefusal::kNone, "none" },
+  { PlacementRefusal::kLeaving, "leaving" },
+  { PlacementRefusal::kUnsure, "unsure" },
+  { PlacementRefusal::kAvoided, "avoided" },
+  { PlacementRefusal::kDomainOut, "domain_out" },
+  { PlacementRefusal::kUnsuited, "unsuited" },
+  { PlacementRefusal::kSiblings, "siblings" },
+  { PlacementRefusal::kNoRoom, "no_room" },
+  { PlacementRefusal::kPressure, "pressure" },
+  { PlacementRefusal::kAllUsed, "all_used" },
+} } };
+
+// RefusalOf returns why aWorker does not get the task now.
+PlacementRefusal RefusalOf(const PlacementQuery& aQuery,
+                           const WorkerRoom& aWorker);
+
 // IsOpenTo tells whether aWorker may run the task but for its room: by its
 // service, state, label, domain and the limit of tasks of one step.
 bool IsOpenTo(const PlacementQuery& aQuery, const WorkerRoom& aWorker);
--- a/mulberryvalve/core/jobs/job_shard.h
+++ b/mulberryvalve/core/jobs/job_shard.h
@@ -157,6 +157,9 @@
   const WorkerTable& Workers() const { return mWorkers; }
 
 private:
+  // A stop without a sign of its end is sent again after this.
+  static constexpr Milliseconds kRepeatStop{ 700 };
+
   struct ForeignRun
   {
     TaskRef mTask;
@@ -229,6 +232,9 @@
                 RunNumber aRun,
                 const WorkerRoom& aWorker);
   void SendPaces(const WorkerRoom& aWorker);
+  void ExplainWait(const JobEntry& aJob,
+                   const StepRef& aStep,
+                   MonotonicTime aNow);
   void NoteWaits(MonotonicTime aNow);
   void RepeatStops(MonotonicTime aNow);
   void MoveOffLeaving(MonotonicTime aNow);
--- a/mulberryvalve/core/jobs/job_shard_orders.cc
+++ b/mulberryvalve/core/jobs/job_shard_orders.cc
@@ -7,10 +7,6 @@
 namespace mulberryvalve {
 namespace {
 
-// A stop without a sign of its end is sent again after this.
-constexpr Milliseconds kRepeatStop{ 700 };
-constexpr Milliseconds kAvoidRefusing{ 500 };
-constexpr Milliseconds kAvoidUnhealthy{ 1500 };
 // Checkpointing tasks leave a worker this long before it may be gone: a stop
 // and the answer to it take less.
 constexpr Milliseconds kLeaveBefore{ 1500 };
@@ -18,6 +14,10 @@
 constexpr Milliseconds kKeepForLasting{ 2500 };
 // Work that waits while most workers are free is lost after three seconds.
 constexpr Milliseconds kHasWaited{ 2000 };
+// Why a step waits is said once it has waited for longer than a start takes,
+// and then from time to time.
+constexpr Milliseconds kFirstExplanation{ 1000 };
+constexpr Milliseconds kExplainAgain{ 5000 };
 // How often the rest of the wait for silent workers is made durable.
 constexpr Milliseconds kNoteWaits{ 2000 };
 // Steps that found no worker are tried again this often without a cause.
@@ -115,6 +115,7 @@
       step.mWaitingSince = aNow;
     }
     const bool hasWaited = HasWaited(job, step, aNow);
+    ExplainWait(job, entry.mStep, aNow);
     if (IsBlocked(job, aNow) || refused.Covers(spec, hasWaited)) {
       continue;
     }
@@ -133,6 +134,40 @@
   }
 }
 
+// Says, from time to time, what a step waits for: how many workers refuse it
+// for which reason.
+void JobShard::ExplainWait(const JobEntry& aJob,
+                           const StepRef& aStep,
+                           MonotonicTime aNow)
+{
+  StepState& step = mBook.StepOf(aStep);
+  const MonotonicTime due =
+    std::max(step.mExplainAt, step.mWaitingSince + kFirstExplanation);
+  if (aNow < due) {
+    return;
+  }
+  step.mExplainAt = aNow + kExplainAgain;
+  std::string why = std::to_string(step.mWaiting) + " tasks wait";
+  if (IsBlocked(aJob, aNow)) {
+    why += ", " + std::to_string(mUnasked.size()) +
+           " workers of the former owner have not answered";
+  }
+  const PlacementQuery query = QueryFor(aJob, aStep, aNow);
+  std::map<PlacementRefusal, int> counts;
+  for (const auto& [id, worker] : mWorkers.All()) {
+    counts[RefusalOf(query, worker)]++;
+  }
+  for (const auto& [refusal, count] : counts) {
+    why += ", " + std::string(kPlacementRefusalNames.Name(refusal)) + " " +
+           std::to_string(count);
+  }
+  Note(DecisionKind::kStepWaits,
+       TaskRef{ aStep, 0 },
+       WorkerId(),
+       RunNumber(),
+       std::move(why));
+}
+
 bool JobShard::PlaceOne(JobEntry& aJob,
                         const TaskRef& aTask,
                         MonotonicTime aNow)
@@ -382,95 +417,4 @@
   return aJob.mLastRun;
 }
 
-void JobShard::OnOrder(const TaskOrder& aOrder,
-                       const OrderReply& aReply,
-                       MonotonicTime aNow)
-{
-  WorkerRoom* worker = mWorkers.Find(aOrder.mWorker);
-  if (aReply.mOutcome == OrderOutcome::kFenced) {
-    mFenced = true;
-    NoteWorker(DecisionKind::kWorkerFenced, aOrder.mWorker, "order");
-    return;
-  }
-  if (worker != nullptr && aReply.mReading.mBirth == worker->mBirth) {
-    mWorkers.OnReading(*worker, aReply.mReading, aNow);
-  }
-  const StepTask* task = mBook.FindTask(aOrder.mTask);
-  const bool present = task != nullptr && IsPlaced(task->mPhase) &&
-                       task->mWorker == aOrder.mWorker &&
-                       task->mRun == aOrder.mRun;
-  if (!present) {
-    return;
-  }
-  if (aOrder.mKind == OrderKind::kStart) {
-    OnStartOutcome(aOrder, aReply.mOutcome, aNow);
-  } else if (aOrder.mKind == OrderKind::kStop) {
-    OnStopOutcome(aOrder, aReply.mOutcome, aNow);
-  } else if (aReply.mOutcome != OrderOutcome::kAccepted) {
-    // The next report sends it again.
-    mBook.FindTask(aOrder.mTask)->mPacePercent = 0;
-  }
-}
-
-void JobShard::OnStartOutcome(const TaskOrder& aOrder,
-                              OrderOutcome aOutcome,
-                              MonotonicTime aNow)
-{
-  StepTask& task = *mBook.FindTask(aOrder.mTask);
-  WorkerRoom* worker = mWorkers.Find(aOrder.mWorker);
-  if (aOutcome == OrderOutcome::kAccepted) {
-    if (task.mPhase == TaskPhase::kStarting) {
-      task.mPhase = TaskPhase::kRunning;
-      task.mAnsweredAt = aNow;
-      if (worker != nullptr) {
-        SendPaces(*worker);
-      }
-    }
-    return;
-  }
-  if (aOutcome == OrderOutcome::kUnknown) {
-    Note(DecisionKind::kTaskUnsettled,
-         aOrder.mTask,
-         aOrder.mWorker,
-         aOrder.mRun,
-         "its start got no answer");
-    if (task.mPhase == TaskPhase::kStarting) {
-      task.mPhase = TaskPhase::kUnsettled;
-      mRepeat[aOrder.mTask] = aNow + kRepeatStop;
-    }
-    if (worker != nullptr) {
-      Avoid(*worker, aNow + kAvoidUnhealthy, "a start got no answer");
-    }
-    return;
-  }
-  // The worker has done nothing and will do nothing for this run, or it runs
-  // from an earlier message; the next lists tell.
-  if (worker != nullptr) {
-    const bool unhealthy = aOutcome == OrderOutcome::kUnhealthy;
-    Avoid(*worker,
-          aNow + (unhealthy ? kAvoidUnhealthy : kAvoidRefusing),
-          kOrderOutcomeNames.Name(aOutcome).data());
-  }
-  Note(DecisionKind::kTaskLost,
-       aOrder.mTask,
-       aOrder.mWorker,
-       aOrder.mRun,
-       std::string(kOrderOutcomeNames.Name(aOutcome)));
-  Free(aOrder.mTask);
-}
-
-void JobShard::OnStopOutcome(const TaskOrder& aOrder,
-                             OrderOutcome aOutcome,
-                             MonotonicTime aNow)
-{
-  StepTask& task = *mBook.FindTask(aOrder.mTask);
-  if (aOutcome != OrderOutcome::kAccepted) {
-    return; // it is repeated
-  }
-  task.mPhase = TaskPhase::kStopping;
-  if (task.mAnsweredAt == MonotonicTime()) {
-    task.mAnsweredAt = aNow;
-  }
-}
-
 } // namespace mulberryvalve
--- /dev/null
+++ b/mulberryvalve/core/jobs/job_shard_outcomes.cc
@@ -0,0 +1,105 @@
+// What JobShard makes of the answers to its orders.
+#include "mulberryvalve/core/jobs/job_shard.h"
+
+#include <string>
+
+namespace mulberryvalve {
+namespace {
+
+constexpr Milliseconds kAvoidRefusing{ 500 };
+constexpr Milliseconds kAvoidUnhealthy{ 1500 };
+
+} // namespace
+
+void JobShard::OnOrder(const TaskOrder& aOrder,
+                       const OrderReply& aReply,
+                       MonotonicTime aNow)
+{
+  WorkerRoom* worker = mWorkers.Find(aOrder.mWorker);
+  if (aReply.mOutcome == OrderOutcome::kFenced) {
+    mFenced = true;
+    NoteWorker(DecisionKind::kWorkerFenced, aOrder.mWorker, "order");
+    return;
+  }
+  if (worker != nullptr && aReply.mReading.mBirth == worker->mBirth) {
+    mWorkers.OnReading(*worker, aReply.mReading, aNow);
+  }
+  const StepTask* task = mBook.FindTask(aOrder.mTask);
+  const bool present = task != nullptr && IsPlaced(task->mPhase) &&
+                       task->mWorker == aOrder.mWorker &&
+                       task->mRun == aOrder.mRun;
+  if (!present) {
+    return;
+  }
+  if (aOrder.mKind == OrderKind::kStart) {
+    OnStartOutcome(aOrder, aReply.mOutcome, aNow);
+  } else if (aOrder.mKind == OrderKind::kStop) {
+    OnStopOutcome(aOrder, aReply.mOutcome, aNow);
+  } else if (aReply.mOutcome != OrderOutcome::kAccepted) {
+    // The next report sends it again.
+    mBook.FindTask(aOrder.mTask)->mPacePercent = 0;
+  }
+}
+
+void JobShard::OnStartOutcome(const TaskOrder& aOrder,
+                              OrderOutcome aOutcome,
+                              MonotonicTime aNow)
+{
+  StepTask& task = *mBook.FindTask(aOrder.mTask);
+  WorkerRoom* worker = mWorkers.Find(aOrder.mWorker);
+  if (aOutcome == OrderOutcome::kAccepted) {
+    if (task.mPhase == TaskPhase::kStarting) {
+      task.mPhase = TaskPhase::kRunning;
+      task.mAnsweredAt = aNow;
+      if (worker != nullptr) {
+        SendPaces(*worker);
+      }
+    }
+    return;
+  }
+  if (aOutcome == OrderOutcome::kUnknown) {
+    Note(DecisionKind::kTaskUnsettled,
+         aOrder.mTask,
+         aOrder.mWorker,
+         aOrder.mRun,
+         "its start got no answer");
+    if (task.mPhase == TaskPhase::kStarting) {
+      task.mPhase = TaskPhase::kUnsettled;
+      mRepeat[aOrder.mTask] = aNow + kRepeatStop;
+    }
+    if (worker != nullptr) {
+      Avoid(*worker, aNow + kAvoidUnhealthy, "a start got no answer");
+    }
+    return;
+  }
+  // The worker has done nothing and will do nothing for this run, or it runs
+  // from an earlier message; the next lists tell.
+  if (worker != nullptr) {
+    const bool unhealthy = aOutcome == OrderOutcome::kUnhealthy;
+    Avoid(*worker,
+          aNow + (unhealthy ? kAvoidUnhealthy : kAvoidRefusing),
+          kOrderOutcomeNames.Name(aOutcome).data());
+  }
+  Note(DecisionKind::kTaskLost,
+       aOrder.mTask,
+       aOrder.mWorker,
+       aOrder.mRun,
+       std::string(kOrderOutcomeNames.Name(aOutcome)));
+  Free(aOrder.mTask);
+}
+
+void JobShard::OnStopOutcome(const TaskOrder& aOrder,
+                             OrderOutcome aOutcome,
+                             MonotonicTime aNow)
+{
+  StepTask& task = *mBook.FindTask(aOrder.mTask);
+  if (aOutcome != OrderOutcome::kAccepted) {
+    return; // it is repeated
+  }
+  task.mPhase = TaskPhase::kStopping;
+  if (task.mAnsweredAt == MonotonicTime()) {
+    task.mAnsweredAt = aNow;
+  }
+}
+
+} // namespace mulberryvalve
