Callers' appends are grouped, one call to the log at a time

Ruled out: the limit of calls a second (no 429). Test: BurstOfCallersSharesAppendsToASlowLog (40 callers, at most 10 appends; each append of its own made 40).

--- /dev/null
+++ b/mulberryvalve/app/jobs/group_append.h
@@ -0,0 +1,49 @@
+// GroupAppend: appends of many callers to one partition share calls to the log.
+#ifndef MULBERRYVALVE_APP_JOBS_GROUP_APPEND_H_
+#define MULBERRYVALVE_APP_JOBS_GROUP_APPEND_H_
+
+#include "mulberryvalve/core/base/mutex.h"
+#include "mulberryvalve/ports/out/keyed_log.h"
+
+#include <memory>
+#include <vector>
+
+namespace mulberryvalve {
+
+// GroupAppend has one call to the log under way at a time. What comes meanwhile
+// goes with the next call, so that a slow log is asked no more often than it
+// answers. Thread-safe.
+class GroupAppend
+{
+public:
+  // aLog must outlive this object.
+  GroupAppend(KeyedLog& aLog, KeyedPlace aPlace)
+    : mLog(aLog)
+    , mPlace(aPlace)
+  {
+  }
+
+  // Append adds aEntry and waits for the call that it went with; the outcome is
+  // that of the call. Errors: those of KeyedLog::Append.
+  Result<void> Append(const KeyedEntry& aEntry);
+
+private:
+  // Group is the entries of one call and, later, its outcome.
+  struct Group
+  {
+    std::vector<KeyedEntry> mEntries;
+    bool mDone = false;
+    Result<void> mOutcome = Done();
+  };
+
+  KeyedLog& mLog;
+  const KeyedPlace mPlace;
+  Mutex mMutex;
+  CondVar mCond;
+  std::shared_ptr<Group> mNext MV_GUARDED_BY(mMutex);
+  bool mUnderWay MV_GUARDED_BY(mMutex) = false;
+};
+
+} // namespace mulberryvalve
+
+#endif // MULBERRYVALVE_APP_JOBS_GROUP_APPEND_H_
--- a/mulberryvalve/app/jobs/job_entry_service.cc
+++ b/mulberryvalve/app/jobs/job_entry_service.cc
@@ -20,6 +20,10 @@
   : mShards(aShards)
   , mPorts(aPorts)
 {
+  for (ShardNumber shard = 0; shard < mShards; shard++) {
+    mIntakes.push_back(std::make_unique<GroupAppend>(
+      mPorts.mLog, KeyedPlace{ KeyedTopic::kIntake, shard }));
+  }
 }
 
 Result<void> JobEntryService::Submit(const JobGraph& aJob,
@@ -42,7 +46,7 @@
                                      const char* aWhat,
                                      MonotonicTime aDeadline)
 {
-  const KeyedPlace place{ KeyedTopic::kIntake, ShardOfJob(aJob, mShards) };
+  const ShardNumber shard = ShardOfJob(aJob, mShards);
   const MonotonicTime begin = mPorts.mClock.Now();
   bool mayHaveTaken = false;
   Failure last;
@@ -50,7 +54,7 @@
   do {
     tries++;
     mPorts.mMetrics.Add(Counter::kLogAppends, 1);
-    const Result<void> done = mPorts.mLog.Append(place, { aEntry });
+    const Result<void> done = mIntakes[shard]->Append(aEntry);
     if (done) {
       mPorts.mMetrics.Record(Timing::kAppendUs, mPorts.mClock.Now() - begin);
       mPorts.mEvents.Write(EventLevel::kInfo,
@@ -58,7 +62,7 @@
                            { { "job", aJob.Text() },
                              { "what", aWhat },
                              { "tries", std::to_string(tries) },
-                             { "shard", std::to_string(place.mPartition) } });
+                             { "shard", std::to_string(shard) } });
       return Done();
     }
     last = done.error();
--- a/mulberryvalve/app/jobs/job_entry_service.h
+++ b/mulberryvalve/app/jobs/job_entry_service.h
@@ -2,11 +2,14 @@
 #ifndef MULBERRYVALVE_APP_JOBS_JOB_ENTRY_SERVICE_H_
 #define MULBERRYVALVE_APP_JOBS_JOB_ENTRY_SERVICE_H_
 
+#include "mulberryvalve/app/jobs/group_append.h"
 #include "mulberryvalve/app/jobs/shard_keeper.h"
 #include "mulberryvalve/ports/in/job_graph_api.h"
 #include "mulberryvalve/ports/out/peer_calls.h"
 
 #include <atomic>
+#include <memory>
+#include <vector>
 
 namespace mulberryvalve {
 
@@ -51,6 +54,8 @@
 
   const ShardNumber mShards;
   JobEntryPorts mPorts;
+  // One for each shard's intake.
+  std::vector<std::unique_ptr<GroupAppend>> mIntakes;
   std::atomic<bool> mStopping{ false };
   Mutex mMutex;
   CondVar mNever;
--- a/mulberryvalve/app/jobs/jobs_fake.cc
+++ b/mulberryvalve/app/jobs/jobs_fake.cc
@@ -17,6 +17,12 @@
   mFaults.assign(aFaults.begin(), aFaults.end());
 }
 
+void MemoryLog::Slow(Milliseconds aEach)
+{
+  MutexLock lock(mMutex);
+  mEach = aEach;
+}
+
 void MemoryLog::Forget()
 {
   MutexLock lock(mMutex);
@@ -78,6 +84,16 @@
                                const std::vector<KeyedEntry>& aEntries)
 {
   MutexLock lock(mMutex);
+  while (mBusy) {
+    mTurn.Wait(mMutex);
+  }
+  mBusy = true;
+  const auto until = std::chrono::steady_clock::now() + mEach;
+  while (std::chrono::steady_clock::now() < until) {
+    mTurn.WaitUntil(mMutex, until);
+  }
+  mBusy = false;
+  mTurn.NotifyAll();
   return Take(mPartitions[aPlace.mTopic], aEntries);
 }
 
--- a/mulberryvalve/app/jobs/jobs_fake.h
+++ b/mulberryvalve/app/jobs/jobs_fake.h
@@ -62,6 +62,9 @@
   // FailNext makes the next appends fail so, one each.
   void FailNext(std::vector<AppendFault> aFaults);
 
+  // Slow makes each append take so long, one after the other.
+  void Slow(Milliseconds aEach);
+
   // Forget drops all offsets, so that readers begin with the newest records.
   void Forget();
 
@@ -99,6 +102,9 @@
   CondVar mCond;
   std::map<KeyedTopic, Partition> mPartitions MV_GUARDED_BY(mMutex);
   std::deque<AppendFault> mFaults MV_GUARDED_BY(mMutex);
+  Milliseconds mEach MV_GUARDED_BY(mMutex){ 0 };
+  bool mBusy MV_GUARDED_BY(mMutex) = false;
+  CondVar mTurn;
 };
 
 // OneGroup gives the shard to whoever joined last.
--- a/mulberryvalve/app/jobs/jobs_test.cc
+++ b/mulberryvalve/app/jobs/jobs_test.cc
@@ -3,6 +3,9 @@
 #include "mulberryvalve/app/jobs/jobs_fake.h"
 #include "mulberryvalve/app/log/bounded_event_log.h"
 
+#include <atomic>
+#include <thread>
+
 #include "CppUTest/TestHarness.h"
 
 namespace mulberryvalve {
@@ -144,6 +147,33 @@
     instance.Jobs().Submit(SmallJob("c"), instance.In(kPatience)).has_value());
 }
 
+// Many callers come while the log is slow: it is asked a few times, and none of
+// them waits for more than two of its answers.
+TEST(JobsTest, BurstOfCallersSharesAppendsToASlowLog)
+{
+  constexpr size_t kCallers = 40;
+  MemoryLog log;
+  InstantWorker workers;
+  Instance instance(log, workers, 1);
+  log.Slow(Milliseconds(20));
+  std::vector<std::thread> callers;
+  std::atomic<size_t> taken{ 0 };
+  for (size_t number = 0; number < kCallers; number++) {
+    callers.emplace_back([&, number] {
+      const std::string id = "j" + std::to_string(number);
+      const auto done =
+        instance.Jobs().Submit(SmallJob(id.c_str()), instance.In(kPatience));
+      taken += done.has_value() ? 1 : 0;
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  CHECK_EQUAL(kCallers, taken.load());
+  CHECK(log.Holds(KeyedTopic::kIntake, "j39"));
+  CHECK(log.CountOf(KeyedTopic::kIntake) <= kCallers / 4);
+}
+
 // The answers to appends are lost while ends are made durable: each takes
 // effect once and the job completes.
 TEST(JobsTest, LostAnswersOfTheLogAreSettled)
