A job is started only with a proof of ownership later than its reading

It read the job after the claim, and the worker had not been asked by the successor yet. Ruled out: adoption (the job was handed in after the claim), lapse (nothing was freed).

--- a/mulberryvalve/app/jobs/jobs_fake.cc
+++ b/mulberryvalve/app/jobs/jobs_fake.cc
@@ -110,6 +110,15 @@
   if (repeated) {
     return Done();
   }
+  const bool follows = partition.mEpoch < aProof.mEpoch ||
+                       aProof.mSequence == partition.mSequence + 1;
+  if (!follows) {
+    return Fail(FailureKind::kConflict, "sequence");
+  }
+  if (aEntries.empty()) {
+    partition.mEpoch = aProof.mEpoch;
+    return Done(); // takes up no sequence number
+  }
   Result<void> taken = Take(partition, aEntries);
   const bool done = taken || taken.error().mField == kAppendFaultDone;
   if (done) {
--- a/mulberryvalve/app/jobs/shard_runtime.cc
+++ b/mulberryvalve/app/jobs/shard_runtime.cc
@@ -158,9 +158,10 @@
   Steady::time_point next = Steady::now() + kTick;
   while (true) {
     ProgressBatch batch;
+    bool needsProof = false;
     {
       MutexLock lock(mMutex);
-      while (!mStopping && !mShard->NeedsAppend() && Steady::now() < next) {
+      while (!mStopping && !NeedsWrite() && Steady::now() < next) {
         mWriteCond.WaitUntil(mMutex, next);
       }
       if (mStopping) {
@@ -171,18 +172,29 @@
         Act();
       }
       batch = mShard->TakeProgress(mPorts.mClock.Now());
+      needsProof = mShard->NeedsProof();
     }
-    if (batch.Empty()) {
+    if (batch.Empty() && !needsProof) {
       continue;
     }
     CloseEndedLanes();
     AppendProgress(batch);
-    if (mOver || !PauseUntil(Steady::now() + kAppendGap)) {
+    const Steady::time_point gapEnds = Steady::now() + kAppendGap;
+    MutexLock lock(mMutex);
+    while (!mStopping && !mShard->NeedsProof() && Steady::now() < gapEnds) {
+      mWriteCond.WaitUntil(mMutex, gapEnds);
+    }
+    if (mStopping) {
       return;
     }
   }
 }
 
+bool ShardRuntime::NeedsWrite() const
+{
+  return mShard->NeedsAppend() || mShard->NeedsProof();
+}
+
 void ShardRuntime::AppendProgress(const ProgressBatch& aBatch)
 {
   std::vector<KeyedEntry> entries;
@@ -198,6 +210,11 @@
   for (const WorkerId& worker : aBatch.mForgotten) {
     entries.push_back(mPorts.mCodec.DropWorker(worker));
   }
+  if (entries.empty()) {
+    // Only a record takes up a sequence number; the owner's note will do.
+    entries.push_back(
+      mPorts.mCodec.Encode(OwnerNote{ mOptions.mEpoch, mOptions.mInstance }));
+  }
   while (true) {
     const MonotonicTime sentAt = mPorts.mClock.Now();
     const Result<void> done = AppendOnce(entries);
@@ -210,6 +227,10 @@
       GiveUp("a higher epoch has written");
       return;
     }
+    if (done.error().mKind == FailureKind::kConflict) {
+      GiveUp("the log expects another sequence");
+      return;
+    }
     // The same sequence again: it takes effect once, whatever became of it.
     if (!PauseUntil(Steady::now() + kRetryAppend)) {
       return;
@@ -296,7 +317,7 @@
                            { "epoch", std::to_string(mOptions.mEpoch.Value()) },
                            { "why", "a worker obeys a newer owner" } });
   }
-  if (mShard->NeedsAppend() || mStopping) {
+  if (NeedsWrite() || mStopping) {
     mWriteCond.NotifyAll();
   }
 }
--- a/mulberryvalve/app/jobs/shard_runtime.h
+++ b/mulberryvalve/app/jobs/shard_runtime.h
@@ -117,6 +117,7 @@
   void FindRival();
   bool Load();
   void WriteProgress();
+  bool NeedsWrite() const MV_REQUIRES(mMutex);
   void AppendProgress(const ProgressBatch& aBatch);
   Result<void> AppendOnce(const std::vector<KeyedEntry>& aEntries);
   void DropFromIntake(const std::vector<JobId>& aRetired);
--- a/mulberryvalve/app/jobs/shard_runtime_feeds.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_feeds.cc
@@ -167,7 +167,7 @@
   const MonotonicTime now = mPorts.mClock.Now();
   for (IntakeItem& item : items) {
     if (auto* job = std::get_if<JobGraph>(&item)) {
-      mShard->OnJob(std::move(*job));
+      mShard->OnJob(std::move(*job), now);
     } else if (auto* cancel = std::get_if<JobCancellation>(&item)) {
       mShard->OnCancel(cancel->mJob, now);
     }
--- a/mulberryvalve/core/jobs/job_book.h
+++ b/mulberryvalve/core/jobs/job_book.h
@@ -37,6 +37,9 @@
   bool mInherited = false;
   // A task of it has been started.
   bool mBegun = false;
+  // When it was read. A claim that supersedes this owner's may be older than
+  // that, so it is started only with a later proof of ownership.
+  MonotonicTime mKnownAt;
   // Its place in the order of acceptance.
   uint64_t mArrival = 0;
   // The highest run number given under the present epoch.
--- a/mulberryvalve/core/jobs/job_shard.cc
+++ b/mulberryvalve/core/jobs/job_shard.cc
@@ -57,13 +57,15 @@
   mUnasked[aWorker.mId] = mClaimedAt + wait + mOptions.mLease.mMargin;
 }
 
-void JobShard::OnJob(JobGraph aGraph)
+void JobShard::OnJob(JobGraph aGraph, MonotonicTime aNow)
 {
   const JobId id = aGraph.mId;
   JobEntry* job = mBook.Add(std::move(aGraph));
   if (job == nullptr) {
     return;
   }
+  job->mKnownAt = aNow;
+  mNewestKnown = std::max(mNewestKnown, aNow);
   mChanged = true;
   NoteJob(DecisionKind::kJobKnown, id, job->mGraph.mQueue.Text());
   if (mCancelledEarly.erase(id) != 0) {
--- a/mulberryvalve/core/jobs/job_shard.h
+++ b/mulberryvalve/core/jobs/job_shard.h
@@ -93,7 +93,7 @@
 
   // OnJob and OnCancel take in what callers handed in, in the order of the log.
   // A job or a cancellation that is known changes nothing.
-  void OnJob(JobGraph aGraph);
+  void OnJob(JobGraph aGraph, MonotonicTime aNow);
   void OnCancel(const JobId& aJob, MonotonicTime aNow);
 
   // OnConfig puts a configuration in force.
@@ -147,6 +147,10 @@
   // Waiting counts the jobs of a queue of which no task was started.
   size_t Waiting(const QueueId& aQueue) const { return mBook.Waiting(aQueue); }
 
+  // NeedsProof tells whether jobs wait for a proof of ownership that was asked
+  // for after they were read.
+  bool NeedsProof() const { return mProvedAt < mNewestKnown; }
+
   // IsFenced tells whether a worker obeys a newer owner: this one must end.
   bool IsFenced() const { return mFenced; }
 
@@ -292,6 +296,10 @@
   std::vector<TaskOrder> mOrders;
   std::vector<JobDecision> mDecisions;
   bool mMostIsUnused = false;
+  // The proof that the last decision rested on, and when the newest job was
+  // read.
+  MonotonicTime mProvedAt;
+  MonotonicTime mNewestKnown;
   // Something happened that may let a waiting task start.
   bool mChanged = true;
   MonotonicTime mPlaceAgainAt;
--- a/mulberryvalve/core/jobs/job_shard_orders.cc
+++ b/mulberryvalve/core/jobs/job_shard_orders.cc
@@ -80,6 +80,10 @@
                                         WallTime aWall)
 {
   FreeLapsed(aProof, aNow);
+  if (NeedsProof() && mProvedAt < aProof.mProvedAt) {
+    mChanged = true;
+  }
+  mProvedAt = std::max(mProvedAt, aProof.mProvedAt);
   RepeatStops(aNow);
   NoteWaits(aNow);
   MoveOffLeaving(aNow);
@@ -402,7 +406,7 @@
 bool JobShard::IsBlocked(const JobEntry& aJob, MonotonicTime aNow)
 {
   if (!aJob.mInherited) {
-    return false;
+    return mProvedAt < aJob.mKnownAt;
   }
   for (auto row = mUnasked.begin(); row != mUnasked.end();) {
     row = row->second <= aNow ? mUnasked.erase(row) : std::next(row);
--- a/mulberryvalve/core/jobs/job_shard_test.cc
+++ b/mulberryvalve/core/jobs/job_shard_test.cc
@@ -64,18 +64,24 @@
   JobWorld world(3);
   FakeOwner& former = world.AddOwner();
   world.mDurationOf = [](const TaskRef&) { return kLong; };
-  world.Submit(OneStepJob("j", 3, 9000));
+  world.Submit(OneStepJob("j", 2, 9000));
   world.RunFor(Milliseconds(1000));
-  CHECK_EQUAL(3U, world.Running());
-  former.mLinks[world.Worker(0).mFacts.mId] = LinkState::kCut;
-  world.AddOwner();
-  // The others answer to the former owner until they are fenced, so it is
-  // kept from asking them.
-  former.mLinks[world.Worker(1).mFacts.mId] = LinkState::kCut;
-  former.mLinks[world.Worker(2).mFacts.mId] = LinkState::kCut;
+  CHECK_EQUAL(2U, world.Running());
+  // The one worker without a task still answers the former owner only, and the
+  // successor renews the others.
+  FakeOwner& next = world.AddOwner();
+  size_t idle = 0;
+  for (size_t number = 0; number < 3; number++) {
+    const WorkerId id = world.Worker(number).mFacts.mId;
+    if (world.Worker(number).mRuns.empty()) {
+      next.mLinks[id] = LinkState::kCut;
+      idle++;
+    } else {
+      former.mLinks[id] = LinkState::kCut;
+    }
+  }
+  CHECK_EQUAL(1U, idle);
   world.RunFor(Milliseconds(9000));
-  former.mLinks.clear();
-  world.RunFor(Milliseconds(3000));
   CheckNoFindings(world);
 }
 
@@ -104,31 +110,54 @@
 {
   JobWorld world(2);
   FakeOwner& owner = world.AddOwner();
+  world.mDurationOf = [](const TaskRef&) { return Milliseconds(4000); };
   world.RunFor(Milliseconds(400));
-  for (size_t number = 0; number < 2; number++) {
-    owner.mLinks[world.Worker(number).mFacts.mId] = LinkState::kNoAnswers;
-  }
+  const WorkerId mute = world.Worker(0).mFacts.mId;
   world.Submit(OneStepJob("j", 4, 1000));
-  world.RunFor(Milliseconds(200));
+  owner.mLinks[mute] = LinkState::kNoAnswers;
+  owner.mNextHold[mute] = world.Now() + Milliseconds(300);
+  world.RunFor(Milliseconds(1500));
+  CHECK(world.Worker(0).mRuns.size() > 0);
   owner.mLinks.clear();
-  world.RunFor(Milliseconds(6000));
+  world.RunFor(Milliseconds(9000));
   CheckPhase(owner, "j", JobPhase::kCompleted);
   CheckNoFindings(world);
 }
 
-// A successor waits for workers of its predecessor that it does not reach.
+// An owner that was superseded still reads what callers hand in, and has a
+// worker that its successor does not reach.
+TEST(JobShardTest, JobOfAfterTheClaimIsStartedByTheSuccessorOnly)
+{
+  JobWorld world(2);
+  FakeOwner& former = world.AddOwner();
+  world.mDurationOf = [](const TaskRef&) { return kLong; };
+  world.RunFor(Milliseconds(1000));
+  FakeOwner& next = world.AddOwner();
+  former.mReadsIntake = true;
+  next.mLinks[world.Worker(0).mFacts.mId] = LinkState::kCut;
+  former.mLinks[world.Worker(1).mFacts.mId] = LinkState::kCut;
+  world.RunFor(Milliseconds(500));
+  world.Submit(OneStepJob("j", 1, 1000));
+  world.RunFor(Milliseconds(2000));
+  CHECK_EQUAL(1U, world.Running());
+  CheckNoFindings(world);
+}
+
+// A successor waits for workers of its predecessor that it does not reach, and
+// that the predecessor goes on renewing.
 TEST(JobShardTest, SuccessorWaitsForSilentWorkers)
 {
   JobWorld world(2);
   FakeOwner& former = world.AddOwner();
   world.mDurationOf = [](const TaskRef&) { return kLong; };
-  world.Submit(OneStepJob("j", 2, 10000));
+  world.Submit(OneStepJob("j", 2, 8000));
   world.RunFor(Milliseconds(1000));
-  CHECK_EQUAL(2U, world.Running());
+  CHECK_EQUAL(1U, world.Worker(0).mRuns.size());
   FakeOwner& next = world.AddOwner();
   next.mLinks[world.Worker(0).mFacts.mId] = LinkState::kCut;
   former.mLinks[world.Worker(1).mFacts.mId] = LinkState::kCut;
   world.RunFor(Milliseconds(30000));
+  CHECK_EQUAL(2U, world.Worker(1).mRuns.size());
   CheckNoFindings(world);
 }
 
--- a/mulberryvalve/core/jobs/job_world_fake.cc
+++ b/mulberryvalve/core/jobs/job_world_fake.cc
@@ -91,8 +91,8 @@
   aJob.mRules.mService = kService;
   mJobs.push_back(aJob);
   for (auto& owner : mOwners) {
-    if (owner->mReachesLog) {
-      owner->mShard->OnJob(aJob);
+    if (owner->mReachesLog || owner->mReadsIntake) {
+      owner->mShard->OnJob(aJob, mNow);
     }
   }
 }
--- a/mulberryvalve/core/jobs/job_world_fake.h
+++ b/mulberryvalve/core/jobs/job_world_fake.h
@@ -63,6 +63,8 @@
   bool mActs = true;
   // While false nothing that it decides becomes durable.
   bool mReachesLog = true;
+  // It still reads what callers hand in, though its claim is superseded.
+  bool mReadsIntake = false;
 };
 
 // JobWorld advances in steps. Findings of its checker are texts that begin with
