A proof of ownership serves new jobs for 1.5 s, and successors allow for that

Ruled out: room (lists of step_waits), the intake (job_known follows job_recorded). Now an owner starts a job that it read after its last proof for 1.5 s from that proof, and a successor treats jobs of its first 1.5 s like inherited ones.

--- a/mulberryvalve/app/jobs/shard_runtime.cc
+++ b/mulberryvalve/app/jobs/shard_runtime.cc
@@ -158,10 +158,9 @@
   Steady::time_point next = Steady::now() + kTick;
   while (true) {
     ProgressBatch batch;
-    bool needsProof = false;
     {
       MutexLock lock(mMutex);
-      while (!mStopping && !NeedsWrite() && Steady::now() < next) {
+      while (!mStopping && !mShard->NeedsAppend() && Steady::now() < next) {
         mWriteCond.WaitUntil(mMutex, next);
       }
       if (mStopping) {
@@ -172,29 +171,18 @@
         Act();
       }
       batch = mShard->TakeProgress(mPorts.mClock.Now());
-      needsProof = mShard->NeedsProof();
     }
-    if (batch.Empty() && !needsProof) {
+    if (batch.Empty()) {
       continue;
     }
     CloseEndedLanes();
     AppendProgress(batch);
-    const Steady::time_point gapEnds = Steady::now() + kAppendGap;
-    MutexLock lock(mMutex);
-    while (!mStopping && !mShard->NeedsProof() && Steady::now() < gapEnds) {
-      mWriteCond.WaitUntil(mMutex, gapEnds);
-    }
-    if (mStopping) {
+    if (mOver || !PauseUntil(Steady::now() + kAppendGap)) {
       return;
     }
   }
 }
 
-bool ShardRuntime::NeedsWrite() const
-{
-  return mShard->NeedsAppend() || mShard->NeedsProof();
-}
-
 void ShardRuntime::AppendProgress(const ProgressBatch& aBatch)
 {
   std::vector<KeyedEntry> entries;
@@ -210,11 +198,6 @@
   for (const WorkerId& worker : aBatch.mForgotten) {
     entries.push_back(mPorts.mCodec.DropWorker(worker));
   }
-  if (entries.empty()) {
-    // Only a record takes up a sequence number; the owner's note will do.
-    entries.push_back(
-      mPorts.mCodec.Encode(OwnerNote{ mOptions.mEpoch, mOptions.mInstance }));
-  }
   while (true) {
     const MonotonicTime sentAt = mPorts.mClock.Now();
     const Result<void> done = AppendOnce(entries);
@@ -317,7 +300,7 @@
                            { "epoch", std::to_string(mOptions.mEpoch.Value()) },
                            { "why", "a worker obeys a newer owner" } });
   }
-  if (NeedsWrite() || mStopping) {
+  if (mShard->NeedsAppend() || mStopping) {
     mWriteCond.NotifyAll();
   }
 }
@@ -404,7 +387,7 @@
 {
   MutexLock lock(mMutex);
   return !mStopping && ProvedAt(mPorts.mClock.Now()) &&
-         mShard->IsWanted(aOrder);
+         mShard->IsWanted(aOrder, mPorts.mClock.Now());
 }
 
 void ShardRuntime::OnOrder(const TaskOrder& aOrder, const OrderReply& aReply)
--- a/mulberryvalve/app/jobs/shard_runtime.h
+++ b/mulberryvalve/app/jobs/shard_runtime.h
@@ -117,12 +117,12 @@
   void FindRival();
   bool Load();
   void WriteProgress();
-  bool NeedsWrite() const MV_REQUIRES(mMutex);
   void AppendProgress(const ProgressBatch& aBatch);
   Result<void> AppendOnce(const std::vector<KeyedEntry>& aEntries);
   void DropFromIntake(const std::vector<JobId>& aRetired);
   void FollowIntake();
   void TakeIntake(const std::vector<KeyedEntry>& aEntries,
+                  MonotonicTime aNotBefore,
                   MonotonicTime aReadAt);
   void FollowWorkers();
   void OpenLanes() MV_REQUIRES(mMutex);
--- a/mulberryvalve/app/jobs/shard_runtime_feeds.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_feeds.cc
@@ -131,11 +131,15 @@
 void ShardRuntime::FollowIntake()
 {
   KeyedCursor cursor(mPorts.mLog, Place(KeyedTopic::kIntake), mIntakeNext);
+  MonotonicTime lastSentAt;
   while (!mOver) {
+    const MonotonicTime sentAt = mPorts.mClock.Now();
     mPorts.mMetrics.Add(Counter::kLogReads, 1);
     const Result<KeyedChanges> changes = cursor.Next(kIntakeWait);
     if (changes) {
-      TakeIntake(changes.value().mEntries, mPorts.mClock.Now());
+      // What the last read did not bring came after that was asked for.
+      TakeIntake(changes.value().mEntries, lastSentAt, mPorts.mClock.Now());
+      lastSentAt = sentAt;
       continue;
     }
     LogFault("read_intake", changes.error());
@@ -146,6 +150,7 @@
 }
 
 void ShardRuntime::TakeIntake(const std::vector<KeyedEntry>& aEntries,
+                              MonotonicTime aNotBefore,
                               MonotonicTime aReadAt)
 {
   if (aEntries.empty()) {
@@ -167,7 +172,7 @@
   const MonotonicTime now = mPorts.mClock.Now();
   for (IntakeItem& item : items) {
     if (auto* job = std::get_if<JobGraph>(&item)) {
-      mShard->OnJob(std::move(*job), now);
+      mShard->OnJob(std::move(*job), aNotBefore, now);
     } else if (auto* cancel = std::get_if<JobCancellation>(&item)) {
       mShard->OnCancel(cancel->mJob, now);
     }
--- a/mulberryvalve/core/jobs/job_book.h
+++ b/mulberryvalve/core/jobs/job_book.h
@@ -38,7 +38,7 @@
   // A task of it has been started.
   bool mBegun = false;
   // When it was read. A claim that supersedes this owner's may be older than
-  // that, so it is started only with a later proof of ownership.
+  // that, so a later proof of ownership is needed, or a fresh one.
   MonotonicTime mKnownAt;
   // Its place in the order of acceptance.
   uint64_t mArrival = 0;
--- a/mulberryvalve/core/jobs/job_shard.cc
+++ b/mulberryvalve/core/jobs/job_shard.cc
@@ -57,7 +57,9 @@
   mUnasked[aWorker.mId] = mClaimedAt + wait + mOptions.mLease.mMargin;
 }
 
-void JobShard::OnJob(JobGraph aGraph, MonotonicTime aNow)
+void JobShard::OnJob(JobGraph aGraph,
+                     MonotonicTime aNotBefore,
+                     MonotonicTime aNow)
 {
   const JobId id = aGraph.mId;
   JobEntry* job = mBook.Add(std::move(aGraph));
@@ -65,7 +67,9 @@
     return;
   }
   job->mKnownAt = aNow;
-  mNewestKnown = std::max(mNewestKnown, aNow);
+  // The former owner may have started it within its last fresh proof.
+  job->mInherited =
+    aNotBefore < mClaimedAt + mOptions.mFreshProof + mOptions.mLease.mMargin;
   mChanged = true;
   NoteJob(DecisionKind::kJobKnown, id, job->mGraph.mQueue.Text());
   if (mCancelledEarly.erase(id) != 0) {
--- a/mulberryvalve/core/jobs/job_shard.h
+++ b/mulberryvalve/core/jobs/job_shard.h
@@ -23,6 +23,9 @@
   LeaseTerms mLease;
   // A former owner acts no more this long after its last proof of ownership.
   Milliseconds mProofLimit{ 10000 };
+  // A job that was read after the last proof of ownership is started for this
+  // long after that proof only: several renewals of the membership.
+  Milliseconds mFreshProof{ 1500 };
   // How long callers can ask for a job that is over.
   Milliseconds mKeepOver{ 150000 };
 };
@@ -93,7 +96,9 @@
 
   // OnJob and OnCancel take in what callers handed in, in the order of the log.
   // A job or a cancellation that is known changes nothing.
-  void OnJob(JobGraph aGraph, MonotonicTime aNow);
+  // aNotBefore is a time before which the job was certainly not on the log,
+  // aNow when it was read.
+  void OnJob(JobGraph aGraph, MonotonicTime aNotBefore, MonotonicTime aNow);
   void OnCancel(const JobId& aJob, MonotonicTime aNow);
 
   // OnConfig puts a configuration in force.
@@ -121,7 +126,7 @@
 
   // IsWanted tells whether a start that was ordered is still to be sent; stops
   // always are.
-  bool IsWanted(const TaskOrder& aOrder) const;
+  bool IsWanted(const TaskOrder& aOrder, MonotonicTime aNow) const;
 
   // Decide returns the orders to send now.
   std::vector<TaskOrder> Decide(const OwnershipProof& aProof,
@@ -147,10 +152,6 @@
   // Waiting counts the jobs of a queue of which no task was started.
   size_t Waiting(const QueueId& aQueue) const { return mBook.Waiting(aQueue); }
 
-  // NeedsProof tells whether jobs wait for a proof of ownership that was asked
-  // for after they were read.
-  bool NeedsProof() const { return mProvedAt < mNewestKnown; }
-
   // IsFenced tells whether a worker obeys a newer owner: this one must end.
   bool IsFenced() const { return mFenced; }
 
@@ -243,6 +244,7 @@
   void RepeatStops(MonotonicTime aNow);
   void MoveOffLeaving(MonotonicTime aNow);
   bool IsBlocked(const JobEntry& aJob, MonotonicTime aNow);
+  bool IsProvedFor(const JobEntry& aJob, MonotonicTime aNow) const;
   RunNumber NextRun(JobEntry& aJob);
   void OnStartOutcome(const TaskOrder& aOrder,
                       OrderOutcome aOutcome,
@@ -296,10 +298,8 @@
   std::vector<TaskOrder> mOrders;
   std::vector<JobDecision> mDecisions;
   bool mMostIsUnused = false;
-  // The proof that the last decision rested on, and when the newest job was
-  // read.
+  // The proof that the last decision rested on.
   MonotonicTime mProvedAt;
-  MonotonicTime mNewestKnown;
   // Something happened that may let a waiting task start.
   bool mChanged = true;
   MonotonicTime mPlaceAgainAt;
--- a/mulberryvalve/core/jobs/job_shard_orders.cc
+++ b/mulberryvalve/core/jobs/job_shard_orders.cc
@@ -80,9 +80,6 @@
                                         WallTime aWall)
 {
   FreeLapsed(aProof, aNow);
-  if (NeedsProof() && mProvedAt < aProof.mProvedAt) {
-    mChanged = true;
-  }
   mProvedAt = std::max(mProvedAt, aProof.mProvedAt);
   RepeatStops(aNow);
   NoteWaits(aNow);
@@ -96,14 +93,15 @@
   return std::exchange(mOrders, {});
 }
 
-bool JobShard::IsWanted(const TaskOrder& aOrder) const
+bool JobShard::IsWanted(const TaskOrder& aOrder, MonotonicTime aNow) const
 {
   if (aOrder.mKind != OrderKind::kStart) {
     return true;
   }
   const StepTask* task = mBook.FindTask(aOrder.mTask);
   return task != nullptr && task->mPhase == TaskPhase::kStarting &&
-         task->mWorker == aOrder.mWorker && task->mRun == aOrder.mRun;
+         task->mWorker == aOrder.mWorker && task->mRun == aOrder.mRun &&
+         IsProvedFor(*mBook.Find(aOrder.mTask.mStep.mJob), aNow);
 }
 
 void JobShard::PlaceOpen(MonotonicTime aNow)
@@ -403,10 +401,19 @@
   }
 }
 
+// A successor may have claimed the shard before this owner read the job.
+bool JobShard::IsProvedFor(const JobEntry& aJob, MonotonicTime aNow) const
+{
+  return aJob.mKnownAt <= mProvedAt || aNow < mProvedAt + mOptions.mFreshProof;
+}
+
 bool JobShard::IsBlocked(const JobEntry& aJob, MonotonicTime aNow)
 {
+  if (!IsProvedFor(aJob, aNow)) {
+    return true;
+  }
   if (!aJob.mInherited) {
-    return mProvedAt < aJob.mKnownAt;
+    return false;
   }
   for (auto row = mUnasked.begin(); row != mUnasked.end();) {
     row = row->second <= aNow ? mUnasked.erase(row) : std::next(row);
--- a/mulberryvalve/core/jobs/job_world_fake.cc
+++ b/mulberryvalve/core/jobs/job_world_fake.cc
@@ -92,7 +92,7 @@
   mJobs.push_back(aJob);
   for (auto& owner : mOwners) {
     if (owner->mReachesLog || owner->mReadsIntake) {
-      owner->mShard->OnJob(aJob, mNow);
+      owner->mShard->OnJob(aJob, mNow, mNow);
     }
   }
 }
