--- a/mulberryvalve/app/jobs/shard_runtime.h
+++ b/mulberryvalve/app/jobs/shard_runtime.h
@@ -44,7 +44,7 @@
   std::string mInstance;
   LeaseTerms mLease;
   // Without a proof of ownership for this long nothing is started or renewed.
-  Milliseconds mProofLimit{ 10000 };
+  Milliseconds mProofLimit{ 6000 };
 };
 
 // ShardRuntimePorts are what an owner works with; all must outlive it.
--- a/mulberryvalve/core/jobs/job_shard.h
+++ b/mulberryvalve/core/jobs/job_shard.h
@@ -22,7 +22,7 @@
   Epoch mEpoch;
   LeaseTerms mLease;
   // A former owner acts no more this long after its last proof of ownership.
-  Milliseconds mProofLimit{ 10000 };
+  Milliseconds mProofLimit{ 6000 };
   // A job that was read after the last proof of ownership is started for this
   // long after that proof only: several renewals of the membership.
   Milliseconds mFreshProof{ 1500 };
