--- a/mulberryvalve/adapters/ws_call/ws_call_test.cc
+++ b/mulberryvalve/adapters/ws_call/ws_call_test.cc
@@ -1,6 +1,7 @@
 // Calls between instances over loopback.
 #include "mulberryvalve/adapters/ws_call/call_codec.h"
 #include "mulberryvalve/adapters/ws_call/ws_call_link.h"
+#include "tests/support/free_port.h"
 
 #include <atomic>
 #include <netinet/in.h>
@@ -38,20 +39,6 @@
   std::atomic<uint64_t> mAsked{ 0 };
 };
 
-// FreePort binds a port chosen by the system and lets it go.
-uint16_t FreePort()
-{
-  const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof address;
-  ::bind(descriptor, reinterpret_cast<sockaddr*>(&address), size);
-  ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
-  ::close(descriptor);
-  return ntohs(address.sin_port);
-}
-
 PeerQuestion About(const char* aJob)
 {
   PeerQuestion question;
--- a/tests/process/fleet.cc
+++ b/tests/process/fleet.cc
@@ -1,5 +1,7 @@
 #include "tests/process/fleet.h"
 
+#include "tests/support/free_port.h"
+
 #include <csignal>
 #include <sstream>
 #include <stdexcept>
--- a/tests/process/process.cc
+++ b/tests/process/process.cc
@@ -75,17 +75,4 @@
   return WIFEXITED(mStatus) ? WEXITSTATUS(mStatus) : -WTERMSIG(mStatus);
 }
 
-uint16_t FreePort()
-{
-  const int socketId = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof address;
-  bind(socketId, reinterpret_cast<sockaddr*>(&address), size);
-  getsockname(socketId, reinterpret_cast<sockaddr*>(&address), &size);
-  close(socketId);
-  return ntohs(address.sin_port);
-}
-
 } // namespace mulberryvalve
--- a/tests/process/process.h
+++ b/tests/process/process.h
@@ -37,9 +37,6 @@
   int mStatus = 0;
 };
 
-// FreePort returns a port that nothing listens on.
-uint16_t FreePort();
-
 } // namespace mulberryvalve
 
 #endif // TESTS_PROCESS_PROCESS_H_
