Two more copies of FreePort make room for the one of tests/support

Change: both are gone; ws_peer_port_test, caller_server_test and answers_test call tests/support/free_port.

--- a/mulberryvalve/adapters/http/answers_test.cc
+++ b/mulberryvalve/adapters/http/answers_test.cc
@@ -2,6 +2,7 @@
 #include "mulberryvalve/adapters/http/platform_client.h"
 #include "mulberryvalve/adapters/http/raw_client_fake.h"
 #include "mulberryvalve/adapters/http/worker_client.h"
+#include "tests/support/free_port.h"
 
 #include <httplib.h>
 #include <mutex>
--- a/mulberryvalve/adapters/http/caller_server_test.cc
+++ b/mulberryvalve/adapters/http/caller_server_test.cc
@@ -1,5 +1,6 @@
 #include "mulberryvalve/adapters/http/caller_server.h"
 #include "mulberryvalve/adapters/http/raw_client_fake.h"
+#include "tests/support/free_port.h"
 
 #include <atomic>
 #include <memory>
--- a/mulberryvalve/adapters/http/raw_client_fake.cc
+++ b/mulberryvalve/adapters/http/raw_client_fake.cc
@@ -77,15 +77,4 @@
   return std::chrono::steady_clock::now() < until;
 }
 
-uint16_t FreePort()
-{
-  const int probe = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address = Local(0);
-  socklen_t size = sizeof address;
-  (void)::bind(probe, reinterpret_cast<sockaddr*>(&address), size);
-  (void)::getsockname(probe, reinterpret_cast<sockaddr*>(&address), &size);
-  ::close(probe);
-  return ntohs(address.sin_port);
-}
-
 } // namespace mulberryvalve
--- a/mulberryvalve/adapters/http/raw_client_fake.h
+++ b/mulberryvalve/adapters/http/raw_client_fake.h
@@ -32,9 +32,6 @@
   int mSocket = -1;
 };
 
-// FreePort returns a port on which nobody listened a moment ago.
-uint16_t FreePort();
-
 } // namespace mulberryvalve
 
 #endif // MULBERRYVALVE_ADAPTERS_HTTP_RAW_CLIENT_FAKE_H_
--- a/mulberryvalve/adapters/ws_peer/relay_fake.cc
+++ b/mulberryvalve/adapters/ws_peer/relay_fake.cc
@@ -56,12 +56,6 @@
 
 } // namespace
 
-uint16_t FreePort()
-{
-  asio::io_context io;
-  return Tcp::acceptor(io, Loopback(0)).local_endpoint().port();
-}
-
 class RelayFake::Impl
 {
 public:
--- a/mulberryvalve/adapters/ws_peer/relay_fake.h
+++ b/mulberryvalve/adapters/ws_peer/relay_fake.h
@@ -8,9 +8,6 @@
 
 namespace mulberryvalve {
 
-// FreePort returns a loopback port that was free a moment ago.
-uint16_t FreePort();
-
 // RelayFake passes bytes between its port and a target port on loopback. Its
 // own thread does so until it is destroyed. Thread-safe.
 class RelayFake
--- a/mulberryvalve/adapters/ws_peer/ws_peer_port_test.cc
+++ b/mulberryvalve/adapters/ws_peer/ws_peer_port_test.cc
@@ -3,6 +3,7 @@
 #include "mulberryvalve/adapters/ws_peer/digest_codec.h"
 #include "mulberryvalve/adapters/ws_peer/relay_fake.h"
 #include "mulberryvalve/core/base/mutex.h"
+#include "tests/support/free_port.h"
 
 #include <arpa/inet.h>
 #include <cerrno>
