ConfigFollower waits on StopSignal, and JobShard::PutBack is gone

Cause: the read-through found that ConfigFollower kept a mutex, a condition and a flag which app/streams/stop_signal.h already is, and that nothing calls PutBack since the owner repeats a batch until it is on the log. Change: the one is called, the other removed. Behaviour is unchanged.

--- a/mulberryvalve/app/jobs/config_follower.cc
+++ b/mulberryvalve/app/jobs/config_follower.cc
@@ -34,9 +34,7 @@
 
 void ConfigFollower::BeginStop()
 {
-  MutexLock lock(mMutex);
-  mStopping = true;
-  mCond.NotifyAll();
+  mStop.Set();
 }
 
 void ConfigFollower::Stop()
@@ -50,7 +48,7 @@
 void ConfigFollower::Run()
 {
   bool reached = true;
-  while (Pause(Milliseconds(0))) {
+  while (!mStop.IsSet()) {
     Result<ClusterConfig> config = mFeed.Next(kWait);
     if (config) {
       reached = true;
@@ -65,18 +63,8 @@
           { "detail", config.error().mDetail },
           { "in_force", std::to_string(mView.Present()->mVersion) } });
     }
-    Pause(kRetry);
+    mStop.WaitUntil(Steady::now() + kRetry);
   }
 }
 
-bool ConfigFollower::Pause(Milliseconds aLength)
-{
-  const Steady::time_point until = Steady::now() + aLength;
-  MutexLock lock(mMutex);
-  while (!mStopping && Steady::now() < until) {
-    mCond.WaitUntil(mMutex, until);
-  }
-  return !mStopping;
-}
-
 } // namespace mulberryvalve
--- a/mulberryvalve/app/jobs/config_follower.h
+++ b/mulberryvalve/app/jobs/config_follower.h
@@ -3,7 +3,7 @@
 #define MULBERRYVALVE_APP_JOBS_CONFIG_FOLLOWER_H_
 
 #include "mulberryvalve/app/jobs/config_view.h"
-#include "mulberryvalve/core/base/mutex.h"
+#include "mulberryvalve/app/streams/stop_signal.h"
 #include "mulberryvalve/ports/out/cluster_feeds.h"
 #include "mulberryvalve/ports/out/event_log.h"
 
@@ -31,14 +31,11 @@
 
 private:
   void Run();
-  bool Pause(Milliseconds aLength);
 
   ConfigFeed& mFeed;
   ConfigView& mView;
   EventLog& mEvents;
-  Mutex mMutex;
-  CondVar mCond;
-  bool mStopping MV_GUARDED_BY(mMutex) = false;
+  StopSignal mStop;
   std::thread mThread;
 };
 
--- a/mulberryvalve/core/jobs/job_shard.cc
+++ b/mulberryvalve/core/jobs/job_shard.cc
@@ -215,21 +215,6 @@
   }
 }
 
-void JobShard::PutBack(const ProgressBatch& aBatch)
-{
-  for (const JobRecord& record : aBatch.mJobs) {
-    mDirtyJobs.insert(record.mId);
-  }
-  for (const KnownWorker& worker : aBatch.mWorkers) {
-    mDirtyWorkers.insert(worker.mId);
-  }
-  for (const WorkerId& id : aBatch.mForgotten) {
-    if (mWorkers.Find(id) == nullptr) {
-      mForgotten.insert(id);
-    }
-  }
-}
-
 std::optional<JobPhase> JobShard::Phase(const JobId& aJob) const
 {
   const JobEntry* job = mBook.Find(aJob);
--- a/mulberryvalve/core/jobs/job_shard.h
+++ b/mulberryvalve/core/jobs/job_shard.h
@@ -134,10 +134,9 @@
                                 WallTime aWall);
 
   // TakeProgress returns what changed since the last call. OnDurable says that
-  // it is on the log, PutBack that it may not be.
+  // it is on the log.
   ProgressBatch TakeProgress(MonotonicTime aNow);
   void OnDurable(const ProgressBatch& aBatch);
-  void PutBack(const ProgressBatch& aBatch);
 
   // NeedsAppend tells whether TakeProgress would return something.
   bool NeedsAppend() const
