An instance is a member of the group only while it owns a shard or one has no owner

Cause: three instances were members at a time, and the others joined when one was missing.

Change: instances look at the group every 0.5 s and join, by chance of a half, only when a shard has no owner. A member without a shard leaves. A member that was away for longer than its time in the group looks before it joins, and ends its shards when others own them.

Tests: AnInstanceStaysOutWhileTheShardHasAnOwner and AFormerOwnerDoesNotTakeTheShardBack fail with the former rule of joining; the latter also without the look before the join.

--- a/mulberryvalve/app/jobs/jobs_fake.cc
+++ b/mulberryvalve/app/jobs/jobs_fake.cc
@@ -169,6 +169,89 @@
   return view;
 }
 
+Result<GroupShare> DealtGroup::Join(uint16_t aPort)
+{
+  MutexLock lock(mMutex);
+  if (mCut.count(aPort) != 0) {
+    return Fail(FailureKind::kLogUnavailable);
+  }
+  mJoins[aPort]++;
+  const auto found = std::find(mMembers.begin(), mMembers.end(), aPort);
+  if (found == mMembers.end()) {
+    mMembers.push_back(aPort);
+    mGeneration++;
+  }
+  GroupShare share;
+  share.mGeneration = Generation(mGeneration);
+  if (mMembers.back() == aPort) {
+    share.mShards.push_back(0);
+  }
+  return share;
+}
+
+Result<GroupView> DealtGroup::View(uint16_t aPort)
+{
+  MutexLock lock(mMutex);
+  if (mCut.count(aPort) != 0) {
+    return Fail(FailureKind::kLogUnavailable);
+  }
+  mViews++;
+  mCond.NotifyAll();
+  GroupView view;
+  view.mMembers = mMembers.size();
+  if (!mMembers.empty()) {
+    view.mOwners.push_back(
+      ShardOwnerRow{ 0, Endpoint{ "10.0.0.1", mMembers.back() } });
+  }
+  return view;
+}
+
+Result<void> DealtGroup::Leave(uint16_t aPort)
+{
+  MutexLock lock(mMutex);
+  if (mCut.count(aPort) != 0) {
+    return Fail(FailureKind::kLogUnavailable);
+  }
+  Remove(aPort);
+  return Done();
+}
+
+void DealtGroup::CutOff(uint16_t aPort)
+{
+  MutexLock lock(mMutex);
+  mCut.insert(aPort);
+  Remove(aPort);
+}
+
+void DealtGroup::Reconnect(uint16_t aPort)
+{
+  MutexLock lock(mMutex);
+  mCut.erase(aPort);
+}
+
+void DealtGroup::Remove(uint16_t aPort)
+{
+  const auto gone = std::remove(mMembers.begin(), mMembers.end(), aPort);
+  mGeneration += gone == mMembers.end() ? 0 : 1;
+  mMembers.erase(gone, mMembers.end());
+}
+
+void DealtGroup::AwaitViews(size_t aCount)
+{
+  MutexLock lock(mMutex);
+  const size_t until = mViews + aCount;
+  while (mViews < until) {
+    mCond.Wait(mMutex);
+  }
+}
+
+size_t DealtGroup::Joins(uint16_t aPort) const
+{
+  MutexLock lock(mMutex);
+  const auto found = mJoins.find(aPort);
+  return found == mJoins.end() ? 0 : found->second;
+}
+
 OrderReply InstantWorker::Send(const TaskOrder& aOrder)
 {
   MutexLock lock(mMutex);
--- a/mulberryvalve/app/jobs/jobs_fake.h
+++ b/mulberryvalve/app/jobs/jobs_fake.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -124,6 +125,59 @@
   const uint64_t mGeneration;
 };
 
+// DealtGroup deals one shard anew at each change of its members: the newest
+// gets it. Thread-safe.
+class DealtGroup
+{
+public:
+  // Join, View and Leave are the calls of the member that is reached at aPort.
+  // Those of a member that is cut off fail.
+  Result<GroupShare> Join(uint16_t aPort);
+  Result<GroupView> View(uint16_t aPort);
+  Result<void> Leave(uint16_t aPort);
+
+  // CutOff makes a member unreachable and its time run out; Reconnect ends
+  // that.
+  void CutOff(uint16_t aPort);
+  void Reconnect(uint16_t aPort);
+
+  // AwaitViews blocks until View was called aCount more times.
+  void AwaitViews(size_t aCount);
+
+  // Joins counts the calls of a member.
+  size_t Joins(uint16_t aPort) const;
+
+private:
+  void Remove(uint16_t aPort) MV_REQUIRES(mMutex);
+
+  mutable Mutex mMutex;
+  CondVar mCond;
+  uint64_t mGeneration MV_GUARDED_BY(mMutex) = 1;
+  std::vector<uint16_t> mMembers MV_GUARDED_BY(mMutex);
+  std::set<uint16_t> mCut MV_GUARDED_BY(mMutex);
+  std::map<uint16_t, size_t> mJoins MV_GUARDED_BY(mMutex);
+  size_t mViews MV_GUARDED_BY(mMutex) = 0;
+};
+
+// DealtGroupMember is one instance's access to a DealtGroup.
+class DealtGroupMember : public ShardGroup
+{
+public:
+  DealtGroupMember(DealtGroup& aGroup, uint16_t aPort)
+    : mGroup(aGroup)
+    , mPort(aPort)
+  {
+  }
+
+  Result<GroupShare> Join(Generation) override { return mGroup.Join(mPort); }
+  Result<GroupView> View() override { return mGroup.View(mPort); }
+  Result<void> Leave() override { return mGroup.Leave(mPort); }
+
+private:
+  DealtGroup& mGroup;
+  const uint16_t mPort;
+};
+
 // InstantWorker ends each task as done when it is listed next. Thread-safe.
 class InstantWorker : public TaskWorkerPort
 {
--- a/mulberryvalve/app/jobs/jobs_test.cc
+++ b/mulberryvalve/app/jobs/jobs_test.cc
@@ -31,9 +31,17 @@
 {
 public:
   Instance(MemoryLog& aLog, InstantWorker& aWorkers, uint64_t aGeneration)
-    : mGroup(aGeneration)
-    , mKeeper(ShardKeeperOptions(),
-              mGroup,
+    : Instance(aLog, aWorkers, std::make_unique<OneGroup>(aGeneration))
+  {
+  }
+
+  Instance(MemoryLog& aLog,
+           InstantWorker& aWorkers,
+           std::unique_ptr<ShardGroup> aGroup,
+           uint16_t aPort = 0)
+    : mGroup(std::move(aGroup))
+    , mKeeper(OptionsAt(aPort),
+              *mGroup,
               mRandom,
               ShardRuntimePorts{ aLog,
                                  mCodec,
@@ -76,6 +84,16 @@
   }
 
 private:
+  static ShardKeeperOptions OptionsAt(uint16_t aPort)
+  {
+    ShardKeeperOptions options;
+    options.mJoinInterval = Milliseconds(20);
+    options.mLookInterval = Milliseconds(20);
+    options.mMemberTtl = Milliseconds(100);
+    options.mSelf = Endpoint{ "10.0.0.1", aPort };
+    return options;
+  }
+
   RealClock mClock;
   NoMetrics mMetrics;
   SilentEvents mEvents;
@@ -86,7 +104,7 @@
   LearnedPlacement mPlacement;
   LeastWorkOrder mOrder;
   ConfigView mConfig;
-  OneGroup mGroup;
+  std::unique_ptr<ShardGroup> mGroup;
   ShardKeeper mKeeper;
   JobEntryService mJobs;
 };
@@ -243,6 +261,50 @@
   CHECK(next.Await("a", JobPhase::kCompleted));
 }
 
+// Each change of members moves the shard in this group. Whoever is not needed
+// stays out, so a shard whose owner lives is not moved.
+TEST(JobsTest, AnInstanceStaysOutWhileTheShardHasAnOwner)
+{
+  MemoryLog log;
+  InstantWorker workers;
+  DealtGroup group;
+  Instance owner(log, workers, std::make_unique<DealtGroupMember>(group, 1), 1);
+  owner.Start();
+  CHECK(owner.Jobs().Submit(SmallJob("a"), owner.In(kPatience)).has_value());
+  CHECK(owner.Await("a", JobPhase::kCompleted));
+  Instance other(log, workers, std::make_unique<DealtGroupMember>(group, 2), 2);
+  other.Start();
+  group.AwaitViews(5);
+  CHECK_EQUAL(0U, group.Joins(2));
+  CHECK(owner.Jobs().Submit(SmallJob("b"), owner.In(kPatience)).has_value());
+  CHECK(owner.Await("b", JobPhase::kCompleted));
+}
+
+// An owner that was cut off finds that another has taken over, and does not
+// take the shard back.
+TEST(JobsTest, AFormerOwnerDoesNotTakeTheShardBack)
+{
+  MemoryLog log;
+  InstantWorker workers;
+  DealtGroup group;
+  Instance former(
+    log, workers, std::make_unique<DealtGroupMember>(group, 1), 1);
+  former.Start();
+  CHECK(former.Jobs().Submit(SmallJob("a"), former.In(kPatience)).has_value());
+  CHECK(former.Await("a", JobPhase::kCompleted));
+  group.CutOff(1);
+  Instance next(log, workers, std::make_unique<DealtGroupMember>(group, 2), 2);
+  next.Start();
+  CHECK(next.Jobs().Submit(SmallJob("b"), next.In(kPatience)).has_value());
+  CHECK(next.Await("b", JobPhase::kCompleted));
+  const size_t joins = group.Joins(1);
+  group.Reconnect(1);
+  group.AwaitViews(8);
+  CHECK_EQUAL(joins, group.Joins(1));
+  CHECK(next.Jobs().Submit(SmallJob("c"), next.In(kPatience)).has_value());
+  CHECK(next.Await("c", JobPhase::kCompleted));
+}
+
 TEST_GROUP(BoundedEventLogTest){};
 
 // A reader that stops reading holds nobody up, and what was dropped is told.
--- a/mulberryvalve/app/jobs/shard_keeper.cc
+++ b/mulberryvalve/app/jobs/shard_keeper.cc
@@ -11,7 +11,7 @@
 // A member that is given a shard anew at the same generation counts on within
 // these.
 constexpr uint64_t kEpochsPerGeneration = 64;
-constexpr uint64_t kJoinsOneIn = 3;
+constexpr uint64_t kJoinsOneIn = 2;
 constexpr Milliseconds kStartSpread{ 600 };
 // A look that was found to be out of date is repeated after this.
 constexpr Milliseconds kLookAgain{ 250 };
@@ -103,41 +103,46 @@
   bool isMember = false;
   WaitAtStart();
   while (true) {
-    if (isMember) {
-      JoinOnce();
-      RefreshOwners();
-    } else {
+    if (!isMember) {
       const std::optional<GroupView> view = Look();
       isMember = view && IsMissed(*view);
+    } else if (IsAbsent()) {
+      isMember = MayStay();
     }
-    const Milliseconds interval =
-      isMember ? mOptions.mJoinInterval : mOptions.mLookInterval;
-    const Steady::time_point next = Steady::now() + interval;
-    MutexLock lock(mMutex);
-    ReapEnded();
-    if (isMember && !mIsMember) {
-      mIsMember = true;
-      continue; // joins at once
-    }
-    const Steady::time_point soon = Steady::now() + kLookAgain;
-    while (!mStopping && Steady::now() < next) {
-      const bool early = !isMember && mOwnersStale;
-      if (early && Steady::now() >= soon) {
-        break;
+    if (isMember) {
+      JoinOnce();
+      RefreshOwners();
+      if (IsSurplus()) {
+        Withdraw();
+        isMember = false;
       }
-      mCond.WaitUntil(mMutex, early ? std::min(next, soon) : next);
     }
-    if (mStopping) {
+    if (!PauseUntilNext(isMember)) {
       break;
     }
   }
-  if (!isMember) {
-    return;
+  if (isMember) {
+    Withdraw();
   }
-  const Result<void> left = mGroup.Leave();
-  if (!left) {
-    LogFault("leave", left.error());
+}
+
+// Returns false when it is time to stop.
+bool ShardKeeper::PauseUntilNext(bool aIsMember)
+{
+  const Steady::time_point now = Steady::now();
+  const Steady::time_point soon = now + kLookAgain;
+  const Steady::time_point next =
+    now + (aIsMember ? mOptions.mJoinInterval : mOptions.mLookInterval);
+  MutexLock lock(mMutex);
+  ReapEnded();
+  while (!mStopping && Steady::now() < next) {
+    const bool early = !aIsMember && mOwnersStale;
+    if (early && Steady::now() >= soon) {
+      break;
+    }
+    mCond.WaitUntil(mMutex, early ? std::min(next, soon) : next);
   }
+  return !mStopping;
 }
 
 // Instances that start together look at different times, so that the later
@@ -153,14 +158,63 @@
   }
 }
 
-// Where nobody is a member, every instance joins. Where some are missing, each
-// joins by chance, so that not all do at once.
+bool ShardKeeper::IsComplete(const GroupView& aView) const
+{
+  return aView.mOwners.size() >= mOptions.mOwner.mShards;
+}
+
+// Where a shard has no owner, each instance joins by chance, so that not all do
+// at once.
 bool ShardKeeper::IsMissed(const GroupView& aView)
 {
-  if (aView.mMembers == 0 || aView.mOwners.size() < mOptions.mOwner.mShards) {
+  return !IsComplete(aView) && mRandom.Below(kJoinsOneIn) == 0;
+}
+
+// Tells whether the group may have given this member's shards away.
+bool ShardKeeper::IsAbsent() const
+{
+  MutexLock lock(mMutex);
+  return mPorts.mClock.Now() > mJoinedAt + mOptions.mMemberTtl;
+}
+
+// A member that was away looks before it joins: to join a group that has found
+// other owners would move their shards.
+bool ShardKeeper::MayStay()
+{
+  const std::optional<GroupView> view = Look();
+  if (!view) {
     return true;
   }
-  return aView.mMembers < mOptions.mMembers && mRandom.Below(kJoinsOneIn) == 0;
+  const auto mine = [&](const ShardOwnerRow& aRow) {
+    return aRow.mPeer.mAddress == mOptions.mSelf.mAddress &&
+           aRow.mPeer.mPort == mOptions.mSelf.mPort;
+  };
+  const bool owns =
+    std::any_of(view->mOwners.begin(), view->mOwners.end(), mine);
+  if (owns || !IsComplete(*view)) {
+    return true;
+  }
+  mPorts.mEvents.Write(
+    EventLevel::kInfo, "group_left", { { "why", "others own all shards" } });
+  MutexLock lock(mMutex);
+  EndOwned({});
+  return false;
+}
+
+// A member without a shard, where all have owners, is not needed.
+bool ShardKeeper::IsSurplus()
+{
+  MutexLock lock(mMutex);
+  return mReachable && mOwned.empty() && !mOwnersStale &&
+         mOwners.size() >= mOptions.mOwner.mShards;
+}
+
+void ShardKeeper::Withdraw()
+{
+  const Result<void> left = mGroup.Leave();
+  if (!left) {
+    LogFault("leave", left.error());
+  }
 }
 
 std::optional<GroupView> ShardKeeper::Look()
@@ -221,6 +275,7 @@
 {
   MutexLock lock(mMutex);
   mLastContact = aSentAt;
+  mJoinedAt = aSentAt;
   if (!std::exchange(mReachable, true)) {
     mPorts.mEvents.Write(
       EventLevel::kInfo,
@@ -232,12 +287,24 @@
   if (mStopping) {
     return;
   }
+  EndOwned(aShare.mShards);
+  for (auto& [shard, runtime] : mOwned) {
+    runtime->OnProof(aSentAt);
+  }
+  for (const ShardNumber shard : aShare.mShards) {
+    if (mOwned.count(shard) == 0) {
+      OpenShard(shard, aShare.mGeneration);
+    }
+  }
+}
+
+// Ends the shards that are not among aKept, and those that were given up.
+void ShardKeeper::EndOwned(const std::vector<ShardNumber>& aKept)
+{
   for (auto row = mOwned.begin(); row != mOwned.end();) {
     const bool held =
-      std::find(aShare.mShards.begin(), aShare.mShards.end(), row->first) !=
-      aShare.mShards.end();
+      std::find(aKept.begin(), aKept.end(), row->first) != aKept.end();
     if (held && !row->second->IsOver()) {
-      row->second->OnProof(aSentAt);
       ++row;
       continue;
     }
@@ -251,11 +318,6 @@
     mEnding.push_back(std::move(row->second));
     row = mOwned.erase(row);
   }
-  for (const ShardNumber shard : aShare.mShards) {
-    if (mOwned.count(shard) == 0) {
-      OpenShard(shard, aShare.mGeneration);
-    }
-  }
 }
 
 void ShardKeeper::OpenShard(ShardNumber aShard, Generation aGeneration)
--- a/mulberryvalve/app/jobs/shard_keeper.h
+++ b/mulberryvalve/app/jobs/shard_keeper.h
@@ -1,5 +1,6 @@
-// ShardKeeper: keeps this instance a member of the group, owns the shards that
-// the group gives it and knows who owns the others.
+// ShardKeeper: owns the shards that the group gives this instance and knows who
+// owns the others. Each change of the group's members may move a shard, so an
+// instance is a member only while it owns a shard or one has no owner.
 #ifndef MULBERRYVALVE_APP_JOBS_SHARD_KEEPER_H_
 #define MULBERRYVALVE_APP_JOBS_SHARD_KEEPER_H_
 
@@ -23,10 +24,11 @@
   // How often the membership is renewed.
   Milliseconds mJoinInterval{ 350 };
   // How often an instance that is no member looks at the group.
-  Milliseconds mLookInterval{ 1000 };
-  // So many members are enough: each change of members may move a shard, so
-  // the other instances stay out until members are missing.
-  size_t mMembers = 3;
+  Milliseconds mLookInterval{ 500 };
+  // Without a join for this long the group gives a member's shards away.
+  Milliseconds mMemberTtl{ 1200 };
+  // Where peers reach this instance, as the group's view names it.
+  Endpoint mSelf;
 };
 
 // ShardKeeper's methods are thread-safe.
@@ -65,8 +67,15 @@
   void Run();
   void WaitAtStart();
   void JoinOnce();
+  bool IsComplete(const GroupView& aView) const;
   bool IsMissed(const GroupView& aView);
+  bool IsAbsent() const;
+  bool MayStay();
+  bool IsSurplus();
+  void Withdraw();
   void TakeShare(const GroupShare& aShare, MonotonicTime aSentAt);
+  bool PauseUntilNext(bool aIsMember);
+  void EndOwned(const std::vector<ShardNumber>& aKept) MV_REQUIRES(mMutex);
   void OpenShard(ShardNumber aShard, Generation aGeneration)
     MV_REQUIRES(mMutex);
   void ReapEnded() MV_REQUIRES(mMutex);
@@ -90,7 +99,7 @@
   std::map<ShardNumber, Endpoint> mOwners MV_GUARDED_BY(mMutex);
   bool mOwnersStale MV_GUARDED_BY(mMutex) = true;
   MonotonicTime mLastContact MV_GUARDED_BY(mMutex);
-  bool mIsMember MV_GUARDED_BY(mMutex) = false;
+  MonotonicTime mJoinedAt MV_GUARDED_BY(mMutex);
   bool mReachable MV_GUARDED_BY(mMutex) = false;
   bool mStopping MV_GUARDED_BY(mMutex) = false;
   std::thread mThread;
