--- a/mulberryvalve/app/jobs/jobs_test.cc
+++ b/mulberryvalve/app/jobs/jobs_test.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr Milliseconds kPatience{ 20000 };
+constexpr Milliseconds kKeepOver{ 1000 };
 
 JobGraph SmallJob(const char* aId)
 {
@@ -91,6 +92,7 @@
     options.mLookInterval = Milliseconds(20);
     options.mMemberTtl = Milliseconds(100);
     options.mSelf = Endpoint{ "10.0.0.1", aPort };
+    options.mOwner.mKeepOver = kKeepOver;
     return options;
   }
 
@@ -261,6 +263,31 @@
   CHECK(next.Await("a", JobPhase::kCompleted));
 }
 
+// Jobs that are over are kept on the log for as long as the settings say.
+TEST(JobsTest, AJobThatIsOverLeavesTheLogInTime)
+{
+  MemoryLog log;
+  InstantWorker workers;
+  Instance instance(log, workers, 1);
+  instance.Start();
+  CHECK(
+    instance.Jobs().Submit(SmallJob("a"), instance.In(kPatience)).has_value());
+  CHECK(instance.Await("a", JobPhase::kCompleted));
+  CHECK(log.Holds(KeyedTopic::kIntake, "a"));
+  const MonotonicTime until = instance.In(kPatience);
+  bool gone = false;
+  for (int number = 0; !gone && instance.In(Milliseconds(0)) < until;
+       number++) {
+    const std::string other = "other" + std::to_string(number);
+    CHECK(instance.Jobs()
+            .Submit(SmallJob(other.c_str()), instance.In(kPatience))
+            .has_value());
+    CHECK(instance.Await(other.c_str(), JobPhase::kCompleted));
+    gone = !log.Holds(KeyedTopic::kIntake, "a");
+  }
+  CHECK(gone);
+}
+
 // Each change of members moves the shard in this group. Whoever is not needed
 // stays out, so a shard whose owner lives is not moved.
 TEST(JobsTest, AnInstanceStaysOutWhileTheShardHasAnOwner)
--- a/mulberryvalve/app/jobs/shard_runtime.cc
+++ b/mulberryvalve/app/jobs/shard_runtime.cc
@@ -116,11 +116,7 @@
   }
   lanes.clear();
   CloseEndedLanes();
-  mPorts.mEvents.Write(
-    EventLevel::kInfo,
-    "shard_ended",
-    { { "shard", std::to_string(mOptions.mShard) },
-      { "epoch", std::to_string(mOptions.mEpoch.Value()) } });
+  LogEvent(EventLevel::kInfo, "shard_ended", {});
   mEnded = true;
 }
 
@@ -134,11 +130,7 @@
     if (claimed) {
       OnProof(sentAt);
       mSequence++;
-      mPorts.mEvents.Write(
-        EventLevel::kInfo,
-        "shard_claimed",
-        { { "shard", std::to_string(mOptions.mShard) },
-          { "epoch", std::to_string(mOptions.mEpoch.Value()) } });
+      LogEvent(EventLevel::kInfo, "shard_claimed", {});
       return true;
     }
     LogFault("claim", claimed.error());
@@ -297,11 +289,7 @@
     mOver = true;
     mStopping = true;
     mCond.NotifyAll();
-    mPorts.mEvents.Write(EventLevel::kWarn,
-                         "shard_given_up",
-                         { { "shard", std::to_string(mOptions.mShard) },
-                           { "epoch", std::to_string(mOptions.mEpoch.Value()) },
-                           { "why", "a worker obeys a newer owner" } });
+    LogGivenUp("a worker obeys a newer owner");
   }
   if (mShard->NeedsAppend() || mStopping) {
     mWriteCond.NotifyAll();
@@ -312,8 +300,6 @@
 {
   for (const JobDecision& decision : mShard->TakeDecisions()) {
     std::vector<EventField> fields;
-    fields.push_back({ "shard", std::to_string(mOptions.mShard) });
-    fields.push_back({ "epoch", std::to_string(mOptions.mEpoch.Value()) });
     if (!decision.mJob.Empty()) {
       fields.push_back({ "job", decision.mJob.Text() });
     }
@@ -325,8 +311,9 @@
       fields.push_back({ "worker", decision.mWorker.Text() });
     }
     fields.push_back({ "why", decision.mWhy });
-    mPorts.mEvents.Write(
-      EventLevel::kInfo, kDecisionKindNames.Name(decision.mKind), fields);
+    LogEvent(EventLevel::kInfo,
+             kDecisionKindNames.Name(decision.mKind),
+             std::move(fields));
   }
 }
 
@@ -346,26 +333,34 @@
 
 void ShardRuntime::GiveUp(const char* aWhy)
 {
-  mPorts.mEvents.Write(EventLevel::kWarn,
-                       "shard_given_up",
-                       { { "shard", std::to_string(mOptions.mShard) },
-                         { "epoch", std::to_string(mOptions.mEpoch.Value()) },
-                         { "why", aWhy } });
+  LogGivenUp(aWhy);
   BeginStop();
 }
 
+void ShardRuntime::LogGivenUp(const char* aWhy)
+{
+  LogEvent(EventLevel::kWarn, "shard_given_up", { { "why", aWhy } });
+}
+
 void ShardRuntime::LogFault(const char* aWhat, const Failure& aFailure)
 {
   mPorts.mMetrics.Add(Counter::kLogFailures, 1);
-  mPorts.mEvents.Write(
-    EventLevel::kWarn,
-    "shard_fault",
-    { { "shard", std::to_string(mOptions.mShard) },
-      { "epoch", std::to_string(mOptions.mEpoch.Value()) },
-      { "what", aWhat },
-      { "kind", std::string(kFailureKindNames.Name(aFailure.mKind)) },
-      { "field", aFailure.mField },
-      { "detail", aFailure.mDetail } });
+  LogEvent(EventLevel::kWarn,
+           "shard_fault",
+           { { "what", aWhat },
+             { "kind", std::string(kFailureKindNames.Name(aFailure.mKind)) },
+             { "field", aFailure.mField },
+             { "detail", aFailure.mDetail } });
+}
+
+void ShardRuntime::LogEvent(EventLevel aLevel,
+                            std::string_view aName,
+                            std::vector<EventField> aFields)
+{
+  aFields.insert(aFields.begin(),
+                 { { "shard", std::to_string(mOptions.mShard) },
+                   { "epoch", std::to_string(mOptions.mEpoch.Value()) } });
+  mPorts.mEvents.Write(aLevel, aName, aFields);
 }
 
 std::optional<HoldOrder> ShardRuntime::NextHold(const WorkerId& aWorker)
@@ -389,8 +384,8 @@
 bool ShardRuntime::MaySend(const TaskOrder& aOrder)
 {
   MutexLock lock(mMutex);
-  return !mStopping && ProvedAt(mPorts.mClock.Now()) &&
-         mShard->IsWanted(aOrder, mPorts.mClock.Now());
+  const MonotonicTime now = mPorts.mClock.Now();
+  return !mStopping && ProvedAt(now) && mShard->IsWanted(aOrder, now);
 }
 
 void ShardRuntime::OnOrder(const TaskOrder& aOrder, const OrderReply& aReply)
--- a/mulberryvalve/app/jobs/shard_runtime.h
+++ b/mulberryvalve/app/jobs/shard_runtime.h
@@ -45,6 +45,8 @@
   LeaseTerms mLease;
   // Without a proof of ownership for this long nothing is started or renewed.
   Milliseconds mProofLimit{ 6000 };
+  // How long callers can ask for a job that is over.
+  Milliseconds mKeepOver{ 150000 };
 };
 
 // ShardRuntimePorts are what an owner works with; all must outlive it.
@@ -132,6 +134,10 @@
   bool ProvedAt(MonotonicTime aNow) const MV_REQUIRES(mMutex);
   bool PauseUntil(std::chrono::steady_clock::time_point aUntil);
   void GiveUp(const char* aWhy);
+  void LogEvent(EventLevel aLevel,
+                std::string_view aName,
+                std::vector<EventField> aFields);
+  void LogGivenUp(const char* aWhy);
   void LogFault(const char* aWhat, const Failure& aFailure);
   KeyedPlace Place(KeyedTopic aTopic) const
   {
--- a/mulberryvalve/app/jobs/shard_runtime_feeds.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_feeds.cc
@@ -62,6 +62,7 @@
   options.mEpoch = mOptions.mEpoch;
   options.mLease = mOptions.mLease;
   options.mProofLimit = mOptions.mProofLimit;
+  options.mKeepOver = mOptions.mKeepOver;
   auto shard = std::make_unique<JobShard>(options, mPorts.mPolicies, claimedAt);
   std::map<JobId, JobRecord> records;
   for (const KeyedEntry& entry : progress.value().mEntries) {
@@ -95,13 +96,11 @@
     shard->OnCancel(job, claimedAt);
   }
   mIntakeNext = intake.value().mNext;
-  mPorts.mEvents.Write(EventLevel::kInfo,
-                       "shard_loaded",
-                       { { "shard", std::to_string(mOptions.mShard) },
-                         { "epoch", std::to_string(mOptions.mEpoch.Value()) },
-                         { "jobs", std::to_string(jobs) },
-                         { "records", std::to_string(records.size()) },
-                         { "intake_next", std::to_string(mIntakeNext) } });
+  LogEvent(EventLevel::kInfo,
+           "shard_loaded",
+           { { "jobs", std::to_string(jobs) },
+             { "records", std::to_string(records.size()) },
+             { "intake_next", std::to_string(mIntakeNext) } });
   MutexLock lock(mMutex);
   mShard = std::move(shard);
   mIntakeReadAt = claimedAt;
--- a/mulberryvalve/core/jobs/job_shard.cc
+++ b/mulberryvalve/core/jobs/job_shard.cc
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr size_t kJobsPerBatch = 400;
+// Jobs are kept for minutes; a little longer costs nothing.
+constexpr Milliseconds kRetire{ 1000 };
 // How often what was learned is made durable. A successor learns anew what this
 // much time brought.
 constexpr Milliseconds kNoteLearned{ 2000 };
@@ -157,6 +159,19 @@
   }
 }
 
+std::vector<JobId> JobShard::Retirable(MonotonicTime aNow) const
+{
+  std::vector<JobId> jobs;
+  for (const auto& [id, job] : mBook.All()) {
+    const bool settled = IsOver(job.mPhase) && job.mShown == job.mPhase;
+    if (settled && aNow - job.mOverSince >= mOptions.mKeepOver &&
+        jobs.size() < kJobsPerBatch) {
+      jobs.push_back(id);
+    }
+  }
+  return jobs;
+}
+
 ProgressBatch JobShard::TakeProgress(MonotonicTime aNow)
 {
   ProgressBatch batch;
@@ -167,12 +182,9 @@
       batch.mJobs.push_back(mBook.ToRecord(*job));
     }
   }
-  for (auto& [id, job] : mBook.All()) {
-    const bool settled = IsOver(job.mPhase) && job.mShown == job.mPhase;
-    if (settled && aNow - job.mOverSince >= mOptions.mKeepOver &&
-        batch.mRetired.size() < kJobsPerBatch) {
-      batch.mRetired.push_back(id);
-    }
+  if (aNow >= mRetireAt) {
+    mRetireAt = aNow + kRetire;
+    batch.mRetired = Retirable(aNow);
   }
   for (const WorkerId& id : mDirtyWorkers) {
     WorkerRoom* room = mWorkers.Find(id);
--- a/mulberryvalve/core/jobs/job_shard.h
+++ b/mulberryvalve/core/jobs/job_shard.h
@@ -194,6 +194,8 @@
     }
   };
 
+  std::vector<JobId> Retirable(MonotonicTime aNow) const;
+
   // Ends and lists (job_shard_lists.cc).
   void TakeEnd(WorkerRoom& aWorker, const EndedRow& aRow, MonotonicTime aNow);
   void CountEnd(StepTask& aTask, const EndedRow& aRow);
@@ -314,6 +316,7 @@
   std::map<WorkerId, MonotonicTime> mUnasked;
   MonotonicTime mNoteWaitsAt;
   MonotonicTime mNoteLearnedAt;
+  MonotonicTime mRetireAt;
   std::set<JobId> mCancelledEarly;
   std::set<JobId> mDirtyJobs;
   std::set<WorkerId> mDirtyWorkers;
