Metrics of waits by cause, take-overs and what became of runs; one table of HTTP statuses

Cause: the metrics of an entry instance told nothing of why steps wait, nor of take-overs, adopted and lost runs, refusals and first starts; on-call engineers had the log alone for that.

Change: JobDecision carries the cause of a wait, the end of a run and how long a job waited for its first start; DecisionMeter counts them.

--- a/mulberryvalve/adapters/http/http_reply.h
+++ b/mulberryvalve/adapters/http/http_reply.h
@@ -3,6 +3,7 @@
 #ifndef MULBERRYVALVE_ADAPTERS_HTTP_HTTP_REPLY_H_
 #define MULBERRYVALVE_ADAPTERS_HTTP_HTTP_REPLY_H_
 
+#include "mulberryvalve/adapters/http/http_status.h"
 #include "mulberryvalve/core/base/failure.h"
 #include "mulberryvalve/core/model/ids.h"
 
@@ -16,10 +17,6 @@
 using HttpRequest = httplib::Request;
 using HttpResponse = httplib::Response;
 
-inline constexpr int kStatusOk = 200;
-inline constexpr int kStatusLengthRequired = 411;
-inline constexpr int kStatusUnavailable = 503;
-inline constexpr int kStatusUnknown = 504;
 inline constexpr const char* kJsonType = "application/json";
 
 // StatusOf returns the HTTP status of a failure. Thread-safe.
--- a/mulberryvalve/adapters/http/platform_client.cc
+++ b/mulberryvalve/adapters/http/platform_client.cc
@@ -1,5 +1,6 @@
 #include "mulberryvalve/adapters/http/platform_client.h"
 
+#include "mulberryvalve/adapters/http/http_status.h"
 #include "mulberryvalve/adapters/json/json_reader.h"
 #include "mulberryvalve/adapters/json/model_json.h"
 #include "mulberryvalve/adapters/json/record_codec.h"
@@ -14,10 +15,6 @@
 constexpr size_t kMaxAnswerBytes = 32 * 1024 * 1024;
 constexpr size_t kMaxPageRecords = 100'000;
 constexpr size_t kMaxWorkers = 100'000;
-constexpr int kStatusOk = 200;
-constexpr int kStatusGone = 410;
-constexpr int kStatusTooLarge = 413;
-constexpr int kStatusTooMany = 429;
 
 Failure ExpiredOf(const HttpAnswer& aAnswer)
 {
--- a/mulberryvalve/adapters/http/upstream_client.cc
+++ b/mulberryvalve/adapters/http/upstream_client.cc
@@ -1,11 +1,12 @@
 #include "mulberryvalve/adapters/http/upstream_client.h"
 
+#include "mulberryvalve/adapters/http/http_status.h"
+
 #include <utility>
 
 namespace mulberryvalve {
 namespace {
 
-constexpr int kStatusDraining = 503;
 constexpr const char* kRefusedBeforeStart = "before-start";
 
 HttpCall MakeCall(const WorkerSpec& aWorker,
@@ -57,7 +58,7 @@
     return UpstreamReply{ SendResult::kRefused,
                           answer.mStatus,
                           "",
-                          answer.mStatus == kStatusDraining };
+                          answer.mStatus == kStatusUnavailable };
   }
   if (answer.Header("X-Attempt") != aCall.mAttempt.Text()) {
     return UpstreamReply{ SendResult::kMismatch, answer.mStatus, "", false };
--- a/mulberryvalve/adapters/http/worker_client.cc
+++ b/mulberryvalve/adapters/http/worker_client.cc
@@ -1,5 +1,6 @@
 #include "mulberryvalve/adapters/http/worker_client.h"
 
+#include "mulberryvalve/adapters/http/http_status.h"
 #include "mulberryvalve/adapters/json/json_reader.h"
 #include "mulberryvalve/adapters/json/model_json.h"
 
@@ -14,8 +15,6 @@
 
 constexpr size_t kMaxAnswerBytes = 4 * 1024 * 1024;
 constexpr size_t kMaxLeases = 10'000;
-constexpr int kStatusOk = 200;
-constexpr int kStatusConflict = 409;
 
 json FenceToJson(const CommandFence& aFence)
 {
--- /dev/null
+++ b/mulberryvalve/app/jobs/decision_meter.cc
@@ -0,0 +1,66 @@
+#include "mulberryvalve/app/jobs/decision_meter.h"
+
+namespace mulberryvalve {
+
+void DecisionMeter::Count(const JobDecision& aDecision) const
+{
+  switch (aDecision.mKind) {
+    case DecisionKind::kTaskPlaced:
+      mMetrics.Add(Counter::kTasksAssigned, 1);
+      break;
+    case DecisionKind::kTaskEnded:
+      CountEnd(aDecision.mEnd);
+      break;
+    case DecisionKind::kTaskLost:
+      mMetrics.Add(Counter::kTasksLost, 1);
+      break;
+    case DecisionKind::kTaskStopped:
+      mMetrics.Add(Counter::kTasksEvicted, 1);
+      break;
+    case DecisionKind::kTaskAdopted:
+      mMetrics.Add(Counter::kTasksAdopted, 1);
+      break;
+    case DecisionKind::kStepWaits:
+      CountWait(aDecision.mWaitCause);
+      break;
+    case DecisionKind::kWorkerSilent:
+      mMetrics.Add(Counter::kWorkersSilent, 1);
+      break;
+    default:
+      break;
+  }
+  if (aDecision.mWaited) {
+    mMetrics.Record(Timing::kFirstStartUs, *aDecision.mWaited);
+  }
+}
+
+void DecisionMeter::CountWait(WaitCause aCause) const
+{
+  switch (aCause) {
+    case WaitCause::kNone:
+      break;
+    case WaitCause::kFormerOwner:
+      mMetrics.Add(Counter::kWaitsForFormerOwner, 1);
+      break;
+    case WaitCause::kWorkers:
+      mMetrics.Add(Counter::kWaitsForWorkers, 1);
+      break;
+    case WaitCause::kRoom:
+      mMetrics.Add(Counter::kWaitsForRoom, 1);
+      break;
+    case WaitCause::kPressure:
+      mMetrics.Add(Counter::kWaitsForPressure, 1);
+      break;
+  }
+}
+
+void DecisionMeter::CountEnd(EndKind aHow) const
+{
+  if (aHow == EndKind::kDone) {
+    mMetrics.Add(Counter::kTasksCompleted, 1);
+  } else if (aHow == EndKind::kFailed) {
+    mMetrics.Add(Counter::kTasksFailed, 1);
+  }
+}
+
+} // namespace mulberryvalve
--- /dev/null
+++ b/mulberryvalve/app/jobs/decision_meter.h
@@ -0,0 +1,32 @@
+// DecisionMeter: counts the decisions of an owner in the metrics.
+#ifndef MULBERRYVALVE_APP_JOBS_DECISION_METER_H_
+#define MULBERRYVALVE_APP_JOBS_DECISION_METER_H_
+
+#include "mulberryvalve/core/jobs/job_decision.h"
+#include "mulberryvalve/ports/out/metrics.h"
+
+namespace mulberryvalve {
+
+// DecisionMeter holds no state and is thread-safe.
+class DecisionMeter
+{
+public:
+  // aMetrics must outlive this object.
+  explicit DecisionMeter(Metrics& aMetrics)
+    : mMetrics(aMetrics)
+  {
+  }
+
+  // Count takes in one decision.
+  void Count(const JobDecision& aDecision) const;
+
+private:
+  void CountWait(WaitCause aCause) const;
+  void CountEnd(EndKind aHow) const;
+
+  Metrics& mMetrics;
+};
+
+} // namespace mulberryvalve
+
+#endif // MULBERRYVALVE_APP_JOBS_DECISION_METER_H_
--- a/mulberryvalve/app/jobs/jobs_test.cc
+++ b/mulberryvalve/app/jobs/jobs_test.cc
@@ -1,5 +1,6 @@
 // The job services as they are composed in an instance, on a log in memory.
 #include "mulberryvalve/adapters/json/job_log_json.h"
+#include "mulberryvalve/app/jobs/decision_meter.h"
 #include "mulberryvalve/app/jobs/jobs_fake.h"
 #include "mulberryvalve/app/log/bounded_event_log.h"
 
@@ -332,6 +333,42 @@
   CHECK(next.Await("c", JobPhase::kCompleted));
 }
 
+TEST(JobsTest, MetricsTellWaitsByTheirCause)
+{
+  class Counts : public Metrics
+  {
+  public:
+    void Add(Counter aCounter, uint64_t aCount) override
+    {
+      mCounts[aCounter] += aCount;
+    }
+    void Set(Gauge, int64_t) override {}
+    void Record(Timing aTiming, Microseconds aElapsed) override
+    {
+      mTimes[aTiming] += aElapsed.count();
+    }
+    std::map<Counter, uint64_t> mCounts;
+    std::map<Timing, int64_t> mTimes;
+  };
+  Counts counts;
+  const DecisionMeter meter(counts);
+  JobDecision decision;
+  decision.mKind = DecisionKind::kStepWaits;
+  decision.mWaitCause = WaitCause::kPressure;
+  meter.Count(decision);
+  decision.mWaitCause = WaitCause::kRoom;
+  meter.Count(decision);
+  meter.Count(decision);
+  decision.mKind = DecisionKind::kTaskPlaced;
+  decision.mWaited = Milliseconds(3);
+  meter.Count(decision);
+  CHECK_EQUAL(1U, counts.mCounts[Counter::kWaitsForPressure]);
+  CHECK_EQUAL(2U, counts.mCounts[Counter::kWaitsForRoom]);
+  CHECK_EQUAL(0U, counts.mCounts[Counter::kWaitsForWorkers]);
+  CHECK_EQUAL(1U, counts.mCounts[Counter::kTasksAssigned]);
+  CHECK_EQUAL(3000, counts.mTimes[Timing::kFirstStartUs]);
+}
+
 TEST_GROUP(BoundedEventLogTest){};
 
 // A reader that stops reading holds nobody up, and what was dropped is told.
--- a/mulberryvalve/app/jobs/shard_runtime.cc
+++ b/mulberryvalve/app/jobs/shard_runtime.cc
@@ -1,5 +1,7 @@
 #include "mulberryvalve/app/jobs/shard_runtime.h"
 
+#include "mulberryvalve/app/jobs/decision_meter.h"
+
 #include <algorithm>
 #include <utility>
 #include <xxhash.h>
@@ -298,7 +300,9 @@
 
 void ShardRuntime::LogDecisions()
 {
+  const DecisionMeter meter(mPorts.mMetrics);
   for (const JobDecision& decision : mShard->TakeDecisions()) {
+    meter.Count(decision);
     std::vector<EventField> fields;
     if (!decision.mJob.Empty()) {
       fields.push_back({ "job", decision.mJob.Text() });
--- a/mulberryvalve/app/jobs/shard_runtime_feeds.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_feeds.cc
@@ -101,6 +101,8 @@
            { { "jobs", std::to_string(jobs) },
              { "records", std::to_string(records.size()) },
              { "intake_next", std::to_string(mIntakeNext) } });
+  mPorts.mMetrics.Add(Counter::kTakeovers, 1);
+  mPorts.mMetrics.Record(Timing::kTakeoverUs, mPorts.mClock.Now() - claimedAt);
   MutexLock lock(mMutex);
   mShard = std::move(shard);
   mIntakeReadAt = claimedAt;
--- a/mulberryvalve/core/jobs/job_decision.h
+++ b/mulberryvalve/core/jobs/job_decision.h
@@ -3,8 +3,9 @@
 #define MULBERRYVALVE_CORE_JOBS_JOB_DECISION_H_
 
 #include "mulberryvalve/core/base/enum_table.h"
-#include "mulberryvalve/core/jobs/job_graph.h"
+#include "mulberryvalve/core/jobs/job_state.h"
 
+#include <optional>
 #include <string>
 
 namespace mulberryvalve {
@@ -52,6 +53,24 @@
   { DecisionKind::kWorkerPaced, "worker_paced" },
 } } };
 
+// WaitCause is what most of the workers lack for a step that waits.
+enum class WaitCause
+{
+  kNone,
+  kFormerOwner, // workers that a former owner may still use have not answered
+  kWorkers,     // they are unsure, avoided, leaving or do not suit
+  kRoom,        // their room is committed
+  kPressure,    // their services would miss a target
+};
+
+inline constexpr EnumTable<WaitCause, 5> kWaitCauseNames{ { {
+  { WaitCause::kNone, "none" },
+  { WaitCause::kFormerOwner, "former_owner" },
+  { WaitCause::kWorkers, "workers" },
+  { WaitCause::kRoom, "room" },
+  { WaitCause::kPressure, "pressure" },
+} } };
+
 // JobDecision names what was decided, about which job or task and worker, and
 // on what grounds. Fields that do not apply are empty.
 struct JobDecision
@@ -62,6 +81,12 @@
   WorkerId mWorker;
   uint64_t mRun = 0;
   std::string mWhy;
+  // Of kStepWaits.
+  WaitCause mWaitCause = WaitCause::kNone;
+  // Of kTaskEnded.
+  EndKind mEnd = EndKind::kStopped;
+  // Of the first start of a job that this owner read itself: the time since.
+  std::optional<Milliseconds> mWaited;
 };
 
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/job_shard.cc
+++ b/mulberryvalve/core/jobs/job_shard.cc
@@ -298,38 +298,47 @@
   return found == mConfig.mRules.end() ? aJob.mGraph.mRules : found->second;
 }
 
+void JobShard::Note(JobDecision aDecision)
+{
+  if (mDecisions.size() < kMaxDecisions) {
+    mDecisions.push_back(std::move(aDecision));
+  }
+}
+
 void JobShard::Note(DecisionKind aKind,
                     const TaskRef& aTask,
                     const WorkerId& aWorker,
                     RunNumber aRun,
                     std::string aWhy)
 {
-  if (mDecisions.size() < kMaxDecisions) {
-    mDecisions.push_back(JobDecision{ aKind,
-                                      aTask.mStep.mJob,
-                                      aTask.Text(),
-                                      aWorker,
-                                      aRun.Value(),
-                                      std::move(aWhy) });
-  }
+  JobDecision decision;
+  decision.mKind = aKind;
+  decision.mJob = aTask.mStep.mJob;
+  decision.mTask = aTask.Text();
+  decision.mWorker = aWorker;
+  decision.mRun = aRun.Value();
+  decision.mWhy = std::move(aWhy);
+  Note(std::move(decision));
 }
 
 void JobShard::NoteJob(DecisionKind aKind, const JobId& aJob, std::string aWhy)
 {
-  if (mDecisions.size() < kMaxDecisions) {
-    mDecisions.push_back(
-      JobDecision{ aKind, aJob, "", WorkerId(), 0, std::move(aWhy) });
-  }
+  JobDecision decision;
+  decision.mKind = aKind;
+  decision.mJob = aJob;
+  decision.mWhy = std::move(aWhy);
+  Note(std::move(decision));
 }
 
 void JobShard::NoteWorker(DecisionKind aKind,
                           const WorkerId& aWorker,
                           std::string aWhy)
 {
-  if (mDecisions.size() < kMaxDecisions) {
-    mDecisions.push_back(
-      JobDecision{ aKind, JobId(), "", aWorker, 0, std::move(aWhy) });
-  }
+  JobDecision decision;
+  decision.mKind = aKind;
+  decision.mWorker = aWorker;
+  decision.mWhy = std::move(aWhy);
+  Note(std::move(decision));
 }
 
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/job_shard.h
+++ b/mulberryvalve/core/jobs/job_shard.h
@@ -281,6 +281,7 @@
   void Free(const TaskRef& aTask);
   void Avoid(WorkerRoom& aWorker, MonotonicTime aUntil, const char* aWhy);
   const QueueRules& RulesOf(const JobEntry& aJob) const;
+  void Note(JobDecision aDecision);
   void Note(DecisionKind aKind,
             const TaskRef& aTask,
             const WorkerId& aWorker,
--- a/mulberryvalve/core/jobs/job_shard_lists.cc
+++ b/mulberryvalve/core/jobs/job_shard_lists.cc
@@ -106,11 +106,15 @@
     return;
   }
   const JobId& id = aRow.mTask.mStep.mJob;
-  Note(DecisionKind::kTaskEnded,
-       aRow.mTask,
-       aWorker.mFacts.mId,
-       aRow.mRun,
-       std::string(kEndKindNames.Name(aRow.mHow)));
+  JobDecision ended;
+  ended.mKind = DecisionKind::kTaskEnded;
+  ended.mJob = id;
+  ended.mTask = aRow.mTask.Text();
+  ended.mWorker = aWorker.mFacts.mId;
+  ended.mRun = aRow.mRun.Value();
+  ended.mWhy = std::string(kEndKindNames.Name(aRow.mHow));
+  ended.mEnd = aRow.mHow;
+  Note(std::move(ended));
   const bool present = IsPlaced(task->mPhase) &&
                        task->mWorker == aWorker.mFacts.mId &&
                        task->mRun == aRow.mRun;
--- a/mulberryvalve/core/jobs/job_shard_orders.cc
+++ b/mulberryvalve/core/jobs/job_shard_orders.cc
@@ -242,6 +242,7 @@
   if (!until) {
     return;
   }
+  const bool first = !aJob.mBegun && !aJob.mInherited;
   const bool tolerated = HasWaited(aJob, mBook.StepOf(aTask.mStep), aNow);
   mBook.Place(aTask, aWorker.mFacts.mId, aRun);
   mBook.FindTask(aTask)->mIsTolerated = tolerated;
@@ -260,13 +261,20 @@
   order.mSpecification = aJob.mGraph.mSpecification;
   order.mCheckpoint = mBook.FindTask(aTask)->mCheckpoint;
   mOrders.push_back(std::move(order));
-  Note(DecisionKind::kTaskPlaced,
-       aTask,
-       aWorker.mFacts.mId,
-       aRun,
-       "free cpu " + std::to_string(aWorker.Room().mCpuMillis) + ", filling " +
-         std::to_string(aWorker.mFilling) + ", lasting " +
-         std::to_string(aWorker.mLasting));
+  JobDecision placed;
+  placed.mKind = DecisionKind::kTaskPlaced;
+  placed.mJob = aTask.mStep.mJob;
+  placed.mTask = aTask.Text();
+  placed.mWorker = aWorker.mFacts.mId;
+  placed.mRun = aRun.Value();
+  placed.mWhy = "free cpu " + std::to_string(aWorker.Room().mCpuMillis) +
+                ", filling " + std::to_string(aWorker.mFilling) + ", lasting " +
+                std::to_string(aWorker.mLasting);
+  if (first) {
+    placed.mWaited =
+      std::chrono::duration_cast<Milliseconds>(aNow - aJob.mKnownAt);
+  }
+  Note(std::move(placed));
 }
 
 void JobShard::OrderStop(const TaskRef& aTask, const std::string& aWhy)
--- a/mulberryvalve/core/jobs/job_shard_test.cc
+++ b/mulberryvalve/core/jobs/job_shard_test.cc
@@ -399,4 +399,22 @@
   }
 }
 
+TEST(JobShardTest, AStepThatWaitsSaysWhatMostWorkersLack)
+{
+  JobWorld world(2);
+  FakeOwner& owner = world.AddOwner();
+  world.mDurationOf = [](const TaskRef&) { return kLong; };
+  world.Submit(OneStepJob("a", 2, 16000));
+  world.RunFor(Milliseconds(1000));
+  owner.mShard->TakeDecisions();
+  world.Submit(OneStepJob("b", 1, 1000));
+  world.RunFor(Milliseconds(3000));
+  WaitCause cause = WaitCause::kNone;
+  for (const JobDecision& decision : owner.mShard->TakeDecisions()) {
+    const bool waits = decision.mKind == DecisionKind::kStepWaits;
+    cause = waits ? decision.mWaitCause : cause;
+  }
+  CHECK(WaitCause::kRoom == cause);
+}
+
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/job_shard_waiting.cc
+++ b/mulberryvalve/core/jobs/job_shard_waiting.cc
@@ -18,6 +18,21 @@
 // Objectives are shorter.
 constexpr Milliseconds kMostAge{ 60000 };
 
+WaitCause CauseOf(PlacementRefusal aRefusal)
+{
+  switch (aRefusal) {
+    case PlacementRefusal::kNone:
+      return WaitCause::kNone;
+    case PlacementRefusal::kNoRoom:
+    case PlacementRefusal::kAllUsed:
+      return WaitCause::kRoom;
+    case PlacementRefusal::kPressure:
+      return WaitCause::kPressure;
+    default:
+      return WaitCause::kWorkers;
+  }
+}
+
 bool HasPlacedTask(const JobEntry& aJob)
 {
   for (const auto& steps : aJob.mOccurrences) {
@@ -92,6 +107,9 @@
     why += ", " + std::to_string(mUnasked.size()) +
            " workers of the former owner have not answered";
   }
+  WaitCause cause =
+    IsBlocked(aJob, aNow) ? WaitCause::kFormerOwner : WaitCause::kNone;
+  int most = 0;
   const PlacementQuery query = QueryFor(aJob, aStep, aNow);
   std::map<PlacementRefusal, int> counts;
   for (const auto& [id, worker] : mWorkers.All()) {
@@ -100,12 +118,18 @@
   for (const auto& [refusal, count] : counts) {
     why += ", " + std::string(kPlacementRefusalNames.Name(refusal)) + " " +
            std::to_string(count);
+    if (cause != WaitCause::kFormerOwner && count > most) {
+      most = count;
+      cause = CauseOf(refusal);
+    }
   }
-  Note(DecisionKind::kStepWaits,
-       TaskRef{ aStep, 0 },
-       WorkerId(),
-       RunNumber(),
-       std::move(why));
+  JobDecision decision;
+  decision.mKind = DecisionKind::kStepWaits;
+  decision.mJob = aStep.mJob;
+  decision.mTask = TaskRef{ aStep, 0 }.Text();
+  decision.mWhy = std::move(why);
+  decision.mWaitCause = cause;
+  Note(std::move(decision));
 }
 
 // A job of which nothing runs, though most of the workers' processors are
--- a/mulberryvalve/ports/out/metrics.h
+++ b/mulberryvalve/ports/out/metrics.h
@@ -64,9 +64,17 @@
   kPlatformBytesSent,
   kPlatformBytesReceived,
   kCommandsSkippedByDeadline,
+  kTasksAdopted,
+  kTasksLost,
+  kWaitsForFormerOwner,
+  kWaitsForWorkers,
+  kWaitsForRoom,
+  kWaitsForPressure,
+  kWorkersSilent,
+  kTakeovers,
 };
 
-inline constexpr MetricTable<Counter, 23> kCounterNames{ { {
+inline constexpr MetricTable<Counter, 31> kCounterNames{ { {
   { Counter::kRequestsAnswered,
     "requests_answered",
     "Requests whose answer was given to the caller" },
@@ -118,6 +126,29 @@
   { Counter::kCommandsSkippedByDeadline,
     "commands_skipped_by_deadline",
     "Worker commands not sent because their deadline had passed" },
+  { Counter::kTasksAdopted,
+    "tasks_adopted",
+    "Runs of a former owner that were taken over" },
+  { Counter::kTasksLost,
+    "tasks_lost",
+    "Runs that ended without a word of their worker" },
+  { Counter::kWaitsForFormerOwner,
+    "waits_for_former_owner",
+    "Steps that waited for workers of a former owner, each few seconds" },
+  { Counter::kWaitsForWorkers,
+    "waits_for_workers",
+    "Steps that waited for a suitable worker, each few seconds" },
+  { Counter::kWaitsForRoom,
+    "waits_for_room",
+    "Steps that waited for room, each few seconds" },
+  { Counter::kWaitsForPressure,
+    "waits_for_pressure",
+    "Steps that waited for workers whose services bear them, each few "
+    "seconds" },
+  { Counter::kWorkersSilent,
+    "workers_silent",
+    "Times that a worker stopped answering" },
+  { Counter::kTakeovers, "takeovers", "Shards that this instance took over" },
 } } };
 static_assert(kCounterNames.InOrder());
 
@@ -160,9 +191,11 @@
   kAppendUs,
   kPlacementUs,
   kSyncUs,
+  kFirstStartUs,
+  kTakeoverUs,
 };
 
-inline constexpr MetricTable<Timing, 5> kTimingNames{ { {
+inline constexpr MetricTable<Timing, 7> kTimingNames{ { {
   { Timing::kRequestUs,
     "request_us",
     "Time to answer a request in microseconds" },
@@ -178,6 +211,13 @@
   { Timing::kSyncUs,
     "sync_us",
     "Time of one sync with a worker in microseconds" },
+  { Timing::kFirstStartUs,
+    "first_start_us",
+    "Time from the reading of a job to the order of its first start in "
+    "microseconds" },
+  { Timing::kTakeoverUs,
+    "takeover_us",
+    "Time from the claim of a shard to its first decision in microseconds" },
 } } };
 static_assert(kTimingNames.InOrder());
 
