A task that failed is tried on another worker

A worker is avoided only after four failures in a row.

Change: the worker that failed a task last costs that task more than any use. Tasks that last go where their kind is, as before: they fail by chance at any time, and a sick worker is avoided after four.

Test: AFailedTaskTriesAnotherWorker fails without the cost.

--- a/mulberryvalve/core/jobs/job_placement.cc
+++ b/mulberryvalve/core/jobs/job_placement.cc
@@ -15,6 +15,8 @@
 // A first serving task on a worker, and one of another image than those there.
 constexpr int64_t kCostOfOpening = 100;
 constexpr int64_t kCostOfMixing = 150;
+// The worker that failed a task may be at fault; this is more than any use.
+constexpr int64_t kCostOfFailure = 500;
 // Services are at the top of their load for a short part of the time, and what
 // fills is paced then: more is let in than is borne at the top.
 constexpr double kBearableTimes = 2.0;
@@ -110,6 +112,7 @@
   const int64_t company = step.mLasting ? CostOfCompany(step, aWorker) : 0;
   return company + used * kPercent / CapacityOf(aWorker) +
          (far ? kFarFromData : 0) +
+         (aWorker.mFacts.mId == aQuery.mFailedAt ? kCostOfFailure : 0) +
          static_cast<int64_t>(pressure * kCostOfPressure);
 }
 
--- a/mulberryvalve/core/jobs/job_placement.h
+++ b/mulberryvalve/core/jobs/job_placement.h
@@ -22,6 +22,8 @@
   const std::set<DomainId>& mDomainsOut;
   // Set when all tasks of the step must be in one rack and some are.
   RackId mOnlyRack;
+  // Where the task failed last; another worker is tried if there is one.
+  WorkerId mFailedAt;
   // The step has waited so long that it may press on services, at the pace that
   // these bear.
   bool mHasWaited = false;
--- a/mulberryvalve/core/jobs/job_shard_lists.cc
+++ b/mulberryvalve/core/jobs/job_shard_lists.cc
@@ -119,7 +119,7 @@
                        task->mWorker == aWorker.mFacts.mId &&
                        task->mRun == aRow.mRun;
   if (!task->HasCounted(aRow.mRun)) {
-    CountEnd(*task, aRow);
+    CountEnd(*task, aRow, aWorker.mFacts.mId);
     mDirtyJobs.insert(id);
     JudgeWorker(aWorker, aRow, aNow);
   }
@@ -134,7 +134,9 @@
   FollowJob(*mBook.Find(id), aNow);
 }
 
-void JobShard::CountEnd(StepTask& aTask, const EndedRow& aRow)
+void JobShard::CountEnd(StepTask& aTask,
+                        const EndedRow& aRow,
+                        const WorkerId& aWorker)
 {
   aTask.mCounted.push_back(aRow.mRun);
   if (aTask.mCounted.size() > kCountedRuns) {
@@ -142,6 +144,7 @@
   }
   if (aRow.mHow == EndKind::kFailed) {
     aTask.mFailures++;
+    aTask.mFailedAt = aWorker;
   }
   if (aRow.mCheckpoint.Empty()) {
     return;
--- a/mulberryvalve/core/jobs/job_shard_orders.cc
+++ b/mulberryvalve/core/jobs/job_shard_orders.cc
@@ -124,7 +124,11 @@
                         const TaskRef& aTask,
                         MonotonicTime aNow)
 {
-  WorkerRoom* worker = Choose(aJob, aTask.mStep, aNow);
+  PlacementQuery query = QueryFor(aJob, aTask.mStep, aNow);
+  if (!query.mStep.mLasting) {
+    query.mFailedAt = mBook.FindTask(aTask)->mFailedAt;
+  }
+  WorkerRoom* worker = mPolicies.mPlacement.Choose(query, mWorkers);
   if (worker == nullptr) {
     if (mBook.SpecOf(aTask.mStep).mLasting) {
       MakeRoom(aJob, aTask.mStep, aNow);
@@ -187,14 +191,11 @@
     const WorkerRoom* first = mWorkers.Find(step.mSiblings.begin()->first);
     onlyRack = first == nullptr ? RackId() : first->mFacts.mRack;
   }
-  return PlacementQuery{ spec,
-                         RulesOf(aJob).mService,
-                         step.mSiblings,
-                         mInterference,
-                         mConfig.mDomainsOut,
-                         onlyRack,
-                         HasWaited(aJob, step, aNow),
-                         aNow };
+  return PlacementQuery{
+    spec,          RulesOf(aJob).mService,      step.mSiblings,
+    mInterference, mConfig.mDomainsOut,         onlyRack,
+    WorkerId(),    HasWaited(aJob, step, aNow), aNow
+  };
 }
 
 // Stops what fills on the worker that has the least of it and would have room
--- a/mulberryvalve/core/jobs/job_shard_test.cc
+++ b/mulberryvalve/core/jobs/job_shard_test.cc
@@ -417,4 +417,24 @@
   CHECK(WaitCause::kRoom == cause);
 }
 
+// A worker that fails all it starts is as empty as can be, and so was chosen
+// for each attempt of a task until its job had failed.
+TEST(JobShardTest, AFailedTaskTriesAnotherWorker)
+{
+  JobWorld world(2);
+  FakeOwner& owner = world.AddOwner();
+  world.mFailing = { world.Worker(0).mFacts.mId };
+  world.mDurationOf = [](const TaskRef&) { return Milliseconds(200); };
+  world.RunFor(Milliseconds(400));
+  for (int number = 0; number < 3; number++) {
+    const std::string id = "j" + std::to_string(number);
+    JobGraph job = OneStepJob(id, 1, 1000);
+    job.mRules.mMaxAttempts = 2;
+    world.Submit(job);
+    world.RunFor(Milliseconds(1500));
+    CheckPhase(owner, id.c_str(), JobPhase::kCompleted);
+  }
+  CheckNoFindings(world);
+}
+
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/job_state.h
+++ b/mulberryvalve/core/jobs/job_state.h
@@ -95,6 +95,8 @@
   // after a change of owner is not counted twice, and may be heard of late.
   std::vector<RunNumber> mCounted;
   int mFailures = 0;
+  // Where it failed last, as far as this owner knows.
+  WorkerId mFailedAt;
   CheckpointId mCheckpoint;
   // When the worker said that it begins; zero when this owner has not heard
   // that itself.
--- a/mulberryvalve/core/jobs/job_world_fake.cc
+++ b/mulberryvalve/core/jobs/job_world_fake.cc
@@ -281,7 +281,9 @@
   run.mRun = aOrder.mRun;
   run.mStartedAt = mNow;
   run.mEndsAt = mNow + mDurationOf(aOrder.mTask);
-  run.mEnd = mEndOf(aOrder.mTask, aOrder.mRun);
+  run.mEnd = mFailing.count(aOrder.mWorker) != 0
+               ? EndKind::kFailed
+               : mEndOf(aOrder.mTask, aOrder.mRun);
   aWorker.mRuns[aOrder.mTask] = run;
   return OrderOutcome::kAccepted;
 }
--- a/mulberryvalve/core/jobs/job_world_fake.h
+++ b/mulberryvalve/core/jobs/job_world_fake.h
@@ -103,6 +103,8 @@
   // How long a task runs once started; an end kind may be set by mEndOf.
   std::function<Milliseconds(const TaskRef&)> mDurationOf;
   std::function<EndKind(const TaskRef&, RunNumber)> mEndOf;
+  // Workers that fail all that they start.
+  std::set<WorkerId> mFailing;
 
 private:
   void StepWorker(FakeWorkerNode& aWorker);
