--- a/mulberryvalve/app/jobs/jobs_fake.cc
+++ b/mulberryvalve/app/jobs/jobs_fake.cc
@@ -176,6 +176,8 @@
     return Fail(FailureKind::kLogUnavailable);
   }
   mJoins[aPort]++;
+  mAllJoins++;
+  mCond.NotifyAll();
   const auto found = std::find(mMembers.begin(), mMembers.end(), aPort);
   if (found == mMembers.end()) {
     mMembers.push_back(aPort);
@@ -183,8 +185,10 @@
   }
   GroupShare share;
   share.mGeneration = Generation(mGeneration);
-  if (mMembers.back() == aPort) {
-    share.mShards.push_back(0);
+  for (ShardNumber shard = 0; shard < mShards; shard++) {
+    if (HolderOf(shard) == aPort) {
+      share.mShards.push_back(shard);
+    }
   }
   return share;
 }
@@ -199,9 +203,9 @@
   mCond.NotifyAll();
   GroupView view;
   view.mMembers = mMembers.size();
-  if (!mMembers.empty()) {
+  for (ShardNumber shard = 0; !mMembers.empty() && shard < mShards; shard++) {
     view.mOwners.push_back(
-      ShardOwnerRow{ 0, Endpoint{ "10.0.0.1", mMembers.back() } });
+      ShardOwnerRow{ shard, Endpoint{ "10.0.0.1", HolderOf(shard) } });
   }
   return view;
 }
@@ -229,6 +233,11 @@
   mCut.erase(aPort);
 }
 
+uint16_t DealtGroup::HolderOf(ShardNumber aShard) const
+{
+  return mMembers[mMembers.size() - 1 - aShard % mMembers.size()];
+}
+
 void DealtGroup::Remove(uint16_t aPort)
 {
   const auto gone = std::remove(mMembers.begin(), mMembers.end(), aPort);
@@ -245,6 +254,15 @@
   }
 }
 
+void DealtGroup::AwaitJoins(size_t aCount)
+{
+  MutexLock lock(mMutex);
+  const size_t until = mAllJoins + aCount;
+  while (mAllJoins < until) {
+    mCond.Wait(mMutex);
+  }
+}
+
 size_t DealtGroup::Joins(uint16_t aPort) const
 {
   MutexLock lock(mMutex);
--- a/mulberryvalve/app/jobs/jobs_fake.h
+++ b/mulberryvalve/app/jobs/jobs_fake.h
@@ -125,11 +125,16 @@
   const uint64_t mGeneration;
 };
 
-// DealtGroup deals one shard anew at each change of its members: the newest
-// gets it. Thread-safe.
+// DealtGroup deals its shards anew at each change of its members: the newest
+// gets the first shard, the others follow in turn. Thread-safe.
 class DealtGroup
 {
 public:
+  explicit DealtGroup(ShardNumber aShards)
+    : mShards(aShards)
+  {
+  }
+
   // Join, View and Leave are the calls of the member that is reached at aPort.
   // Those of a member that is cut off fail.
   Result<GroupShare> Join(uint16_t aPort);
@@ -144,12 +149,17 @@
   // AwaitViews blocks until View was called aCount more times.
   void AwaitViews(size_t aCount);
 
+  // AwaitJoins does the same for Join.
+  void AwaitJoins(size_t aCount);
+
   // Joins counts the calls of a member.
   size_t Joins(uint16_t aPort) const;
 
 private:
   void Remove(uint16_t aPort) MV_REQUIRES(mMutex);
+  uint16_t HolderOf(ShardNumber aShard) const MV_REQUIRES(mMutex);
 
+  const ShardNumber mShards;
   mutable Mutex mMutex;
   CondVar mCond;
   uint64_t mGeneration MV_GUARDED_BY(mMutex) = 1;
@@ -157,6 +167,7 @@
   std::set<uint16_t> mCut MV_GUARDED_BY(mMutex);
   std::map<uint16_t, size_t> mJoins MV_GUARDED_BY(mMutex);
   size_t mViews MV_GUARDED_BY(mMutex) = 0;
+  size_t mAllJoins MV_GUARDED_BY(mMutex) = 0;
 };
 
 // DealtGroupMember is one instance's access to a DealtGroup.
--- a/mulberryvalve/app/jobs/jobs_test.cc
+++ b/mulberryvalve/app/jobs/jobs_test.cc
@@ -40,9 +40,10 @@
   Instance(MemoryLog& aLog,
            InstantWorker& aWorkers,
            std::unique_ptr<ShardGroup> aGroup,
-           uint16_t aPort = 0)
+           uint16_t aPort = 0,
+           ShardNumber aShards = 1)
     : mGroup(std::move(aGroup))
-    , mKeeper(OptionsAt(aPort),
+    , mKeeper(OptionsAt(aPort, aShards),
               *mGroup,
               mRandom,
               ShardRuntimePorts{ aLog,
@@ -86,9 +87,10 @@
   }
 
 private:
-  static ShardKeeperOptions OptionsAt(uint16_t aPort)
+  static ShardKeeperOptions OptionsAt(uint16_t aPort, ShardNumber aShards)
   {
     ShardKeeperOptions options;
+    options.mOwner.mShards = aShards;
     options.mJoinInterval = Milliseconds(20);
     options.mLookInterval = Milliseconds(20);
     options.mMemberTtl = Milliseconds(100);
@@ -295,7 +297,7 @@
 {
   MemoryLog log;
   InstantWorker workers;
-  DealtGroup group;
+  DealtGroup group(1);
   Instance owner(log, workers, std::make_unique<DealtGroupMember>(group, 1), 1);
   owner.Start();
   CHECK(owner.Jobs().Submit(SmallJob("a"), owner.In(kPatience)).has_value());
@@ -308,13 +310,38 @@
   CHECK(owner.Await("b", JobPhase::kCompleted));
 }
 
+// Of two shards each of two instances gets one.
+TEST(JobsTest, ShardsAreSharedOut)
+{
+  MemoryLog log;
+  InstantWorker workers;
+  DealtGroup group(2);
+  Instance one(
+    log, workers, std::make_unique<DealtGroupMember>(group, 1), 1, 2);
+  Instance two(
+    log, workers, std::make_unique<DealtGroupMember>(group, 2), 2, 2);
+  one.Start();
+  two.Start();
+  const MonotonicTime until = one.In(kPatience);
+  std::set<uint16_t> owners;
+  while (owners.size() < 2 && one.In(Milliseconds(0)) < until) {
+    group.AwaitJoins(1);
+    owners.clear();
+    const Result<GroupView> view = group.View(1);
+    for (const ShardOwnerRow& row : view.value().mOwners) {
+      owners.insert(row.mPeer.mPort);
+    }
+  }
+  CHECK_EQUAL(2U, owners.size());
+}
+
 // An owner that was cut off finds that another has taken over, and does not
 // take the shard back.
 TEST(JobsTest, AFormerOwnerDoesNotTakeTheShardBack)
 {
   MemoryLog log;
   InstantWorker workers;
-  DealtGroup group;
+  DealtGroup group(1);
   Instance former(
     log, workers, std::make_unique<DealtGroupMember>(group, 1), 1);
   former.Start();
--- a/mulberryvalve/app/jobs/shard_keeper.cc
+++ b/mulberryvalve/app/jobs/shard_keeper.cc
@@ -11,6 +11,7 @@
 // A member that is given a shard anew at the same generation counts on within
 // these.
 constexpr uint64_t kEpochsPerGeneration = 64;
+// One of so many instances that miss a member joins.
 constexpr uint64_t kJoinsOneIn = 2;
 constexpr Milliseconds kStartSpread{ 600 };
 // A look that was found to be out of date is repeated after this.
@@ -163,11 +164,12 @@
   return aView.mOwners.size() >= mOptions.mOwner.mShards;
 }
 
-// Where a shard has no owner, each instance joins by chance, so that not all do
-// at once.
+// Where a shard has no owner, or a member has several, each instance joins by
+// chance, so that not all do at once.
 bool ShardKeeper::IsMissed(const GroupView& aView)
 {
-  return !IsComplete(aView) && mRandom.Below(kJoinsOneIn) == 0;
+  const bool few = aView.mMembers < mOptions.mOwner.mShards;
+  return (few || !IsComplete(aView)) && mRandom.Below(kJoinsOneIn) == 0;
 }
 
 // Tells whether the group may have given this member's shards away.
--- a/mulberryvalve/core/jobs/job_shard_waiting.cc
+++ b/mulberryvalve/core/jobs/job_shard_waiting.cc
@@ -103,12 +103,12 @@
   }
   step.mExplainAt = aNow + kExplainAgain;
   std::string why = std::to_string(step.mWaiting) + " tasks wait";
-  if (IsBlocked(aJob, aNow)) {
+  const bool blocked = IsBlocked(aJob, aNow);
+  if (blocked) {
     why += ", " + std::to_string(mUnasked.size()) +
            " workers of the former owner have not answered";
   }
-  WaitCause cause =
-    IsBlocked(aJob, aNow) ? WaitCause::kFormerOwner : WaitCause::kNone;
+  WaitCause cause = blocked ? WaitCause::kFormerOwner : WaitCause::kNone;
   int most = 0;
   const PlacementQuery query = QueryFor(aJob, aStep, aNow);
   std::map<PlacementRefusal, int> counts;
@@ -118,7 +118,7 @@
   for (const auto& [refusal, count] : counts) {
     why += ", " + std::string(kPlacementRefusalNames.Name(refusal)) + " " +
            std::to_string(count);
-    if (cause != WaitCause::kFormerOwner && count > most) {
+    if (!blocked && count > most) {
       most = count;
       cause = CauseOf(refusal);
     }
