A silent worker is noted for the successor; no join after a look that failed

And a former owner that was cut off joined the group again when its look had failed and the cut ended before its join: the shard moved, three owners more in five seconds.

Ruled out: room (none 12 to 16 workers in step_waits), evacuation, tolerance.

Change: once a second the owner notes, on the log, of each silent worker for how long its leases still last; a worker that answers again is renewed only after the note was taken back, as it is for workers of former owners. Waits for those are noted every second in place of two. A member that was away does not join while it can't look.

Tests: SuccessorWaitsOnlyForTheLeaseOfAWorkerThatWasSilentBefore and the longer AFormerOwnerDoesNotTakeTheShardBack fail without their part; AWorkerThatIsBackIsRenewedAgain holds before and after.

--- a/mulberryvalve/app/jobs/jobs_fake.cc
+++ b/mulberryvalve/app/jobs/jobs_fake.cc
@@ -196,7 +196,9 @@
 Result<GroupView> DealtGroup::View(uint16_t aPort)
 {
   MutexLock lock(mMutex);
-  if (mCut.count(aPort) != 0) {
+  if (mCut.count(aPort) + mJoinsOnly.count(aPort) != 0) {
+    mFailedViews++;
+    mCond.NotifyAll();
     return Fail(FailureKind::kLogUnavailable);
   }
   mViews++;
@@ -231,6 +233,23 @@
 {
   MutexLock lock(mMutex);
   mCut.erase(aPort);
+  mJoinsOnly.erase(aPort);
+}
+
+void DealtGroup::RestoreJoins(uint16_t aPort)
+{
+  MutexLock lock(mMutex);
+  mCut.erase(aPort);
+  mJoinsOnly.insert(aPort);
+}
+
+void DealtGroup::AwaitFailedViews(size_t aCount)
+{
+  MutexLock lock(mMutex);
+  const size_t until = mFailedViews + aCount;
+  while (mFailedViews < until) {
+    mCond.Wait(mMutex);
+  }
 }
 
 uint16_t DealtGroup::HolderOf(ShardNumber aShard) const
--- a/mulberryvalve/app/jobs/jobs_fake.h
+++ b/mulberryvalve/app/jobs/jobs_fake.h
@@ -142,13 +142,17 @@
   Result<void> Leave(uint16_t aPort);
 
   // CutOff makes a member unreachable and its time run out; Reconnect ends
-  // that.
+  // that. In between, RestoreJoins lets its joins through again and no views.
   void CutOff(uint16_t aPort);
+  void RestoreJoins(uint16_t aPort);
   void Reconnect(uint16_t aPort);
 
   // AwaitViews blocks until View was called aCount more times.
   void AwaitViews(size_t aCount);
 
+  // AwaitFailedViews does the same for calls of View that failed.
+  void AwaitFailedViews(size_t aCount);
+
   // AwaitJoins does the same for Join.
   void AwaitJoins(size_t aCount);
 
@@ -165,6 +169,8 @@
   uint64_t mGeneration MV_GUARDED_BY(mMutex) = 1;
   std::vector<uint16_t> mMembers MV_GUARDED_BY(mMutex);
   std::set<uint16_t> mCut MV_GUARDED_BY(mMutex);
+  std::set<uint16_t> mJoinsOnly MV_GUARDED_BY(mMutex);
+  size_t mFailedViews MV_GUARDED_BY(mMutex) = 0;
   std::map<uint16_t, size_t> mJoins MV_GUARDED_BY(mMutex);
   size_t mViews MV_GUARDED_BY(mMutex) = 0;
   size_t mAllJoins MV_GUARDED_BY(mMutex) = 0;
--- a/mulberryvalve/app/jobs/jobs_test.cc
+++ b/mulberryvalve/app/jobs/jobs_test.cc
@@ -353,6 +353,10 @@
   CHECK(next.Jobs().Submit(SmallJob("b"), next.In(kPatience)).has_value());
   CHECK(next.Await("b", JobPhase::kCompleted));
   const size_t joins = group.Joins(1);
+  // The cut may end between a look that failed and the join after it.
+  group.RestoreJoins(1);
+  group.AwaitFailedViews(4);
+  CHECK_EQUAL(joins, group.Joins(1));
   group.Reconnect(1);
   group.AwaitViews(8);
   CHECK_EQUAL(joins, group.Joins(1));
--- a/mulberryvalve/app/jobs/shard_keeper.cc
+++ b/mulberryvalve/app/jobs/shard_keeper.cc
@@ -104,13 +104,13 @@
   bool isMember = false;
   WaitAtStart();
   while (true) {
-    if (!isMember) {
+    bool joins = isMember;
+    if (!isMember || IsAbsent()) {
       const std::optional<GroupView> view = Look();
-      isMember = view && IsMissed(*view);
-    } else if (IsAbsent()) {
-      isMember = MayStay();
+      joins = view && (isMember ? MayStay(*view) : IsMissed(*view));
+      isMember = view ? joins : isMember;
     }
-    if (isMember) {
+    if (joins) {
       JoinOnce();
       RefreshOwners();
       if (IsSurplus()) {
@@ -179,21 +179,17 @@
   return mPorts.mClock.Now() > mJoinedAt + mOptions.mMemberTtl;
 }
 
-// A member that was away looks before it joins: to join a group that has found
-// other owners would move their shards.
-bool ShardKeeper::MayStay()
+// A member that was away looks before it joins, and waits while it can't: to
+// join a group that has found other owners would move their shards.
+bool ShardKeeper::MayStay(const GroupView& aView)
 {
-  const std::optional<GroupView> view = Look();
-  if (!view) {
-    return true;
-  }
   const auto mine = [&](const ShardOwnerRow& aRow) {
     return aRow.mPeer.mAddress == mOptions.mSelf.mAddress &&
            aRow.mPeer.mPort == mOptions.mSelf.mPort;
   };
   const bool owns =
-    std::any_of(view->mOwners.begin(), view->mOwners.end(), mine);
-  if (owns || !IsComplete(*view)) {
+    std::any_of(aView.mOwners.begin(), aView.mOwners.end(), mine);
+  if (owns || !IsComplete(aView)) {
     return true;
   }
   mPorts.mEvents.Write(
--- a/mulberryvalve/app/jobs/shard_keeper.h
+++ b/mulberryvalve/app/jobs/shard_keeper.h
@@ -70,7 +70,7 @@
   bool IsComplete(const GroupView& aView) const;
   bool IsMissed(const GroupView& aView);
   bool IsAbsent() const;
-  bool MayStay();
+  bool MayStay(const GroupView& aView);
   bool IsSurplus();
   void Withdraw();
   void TakeShare(const GroupShare& aShare, MonotonicTime aSentAt);
--- a/mulberryvalve/core/jobs/job_shard.cc
+++ b/mulberryvalve/core/jobs/job_shard.cc
@@ -159,6 +159,32 @@
   }
 }
 
+// A silent worker gets no start and no renewal until its record says so again,
+// so what runs there ends with the leases that it has.
+std::optional<Milliseconds> JobShard::WaitLeft(const WorkerRoom& aWorker,
+                                               MonotonicTime aNow) const
+{
+  const auto unasked = mUnasked.find(aWorker.mFacts.mId);
+  const bool isUnasked = unasked != mUnasked.end();
+  if (!isUnasked && !(aWorker.mSilent && aWorker.mInventoried)) {
+    return std::nullopt;
+  }
+  const MonotonicTime until = isUnasked ? unasked->second : aWorker.mLapsesAt;
+  return std::max(Milliseconds(0),
+                  std::chrono::ceil<Milliseconds>(until - aNow));
+}
+
+void JobShard::TakeBackWait(WorkerRoom& aWorker)
+{
+  if (!aWorker.mWaitNoted) {
+    return;
+  }
+  aWorker.mWaitNoted = false;
+  aWorker.mNoWaitNoted = false;
+  aWorker.mRecorded = false;
+  mDirtyWorkers.insert(aWorker.mFacts.mId);
+}
+
 std::vector<JobId> JobShard::Retirable(MonotonicTime aNow) const
 {
   std::vector<JobId> jobs;
@@ -196,12 +222,10 @@
                        room->mFacts.mService,
                        room->mBirth,
                        std::nullopt };
-    const auto unasked = mUnasked.find(id);
-    if (unasked != mUnasked.end()) {
-      known.mWaitLeft = std::max(
-        Milliseconds(0),
-        std::chrono::duration_cast<Milliseconds>(unasked->second - aNow));
+    known.mWaitLeft = WaitLeft(*room, aNow);
+    if (known.mWaitLeft) {
       room->mWaitNoted = true;
+      room->mNoWaitNoted = *known.mWaitLeft == Milliseconds(0);
     }
     batch.mWorkers.push_back(known);
   }
--- a/mulberryvalve/core/jobs/job_shard.h
+++ b/mulberryvalve/core/jobs/job_shard.h
@@ -58,8 +58,8 @@
   Endpoint mEndpoint;
   ServiceId mService;
   Birth mBirth;
-  // Set while an owner has not reached it: for how long, from the writing of
-  // the record on, it may run what former owners started.
+  // Set while an owner does not reach it: for how long, from the writing of the
+  // record on, it may run what was started there.
   std::optional<Milliseconds> mWaitLeft;
 };
 
@@ -194,6 +194,9 @@
     }
   };
 
+  std::optional<Milliseconds> WaitLeft(const WorkerRoom& aWorker,
+                                       MonotonicTime aNow) const;
+  void TakeBackWait(WorkerRoom& aWorker);
   std::vector<JobId> Retirable(MonotonicTime aNow) const;
 
   // Ends and lists (job_shard_lists.cc).
--- a/mulberryvalve/core/jobs/job_shard_lists.cc
+++ b/mulberryvalve/core/jobs/job_shard_lists.cc
@@ -65,6 +65,7 @@
   }
   if (room->mSilent) {
     room->mSilent = false;
+    TakeBackWait(*room);
     NoteWorker(DecisionKind::kWorkerBack, aOrder.mWorker, "answers");
   }
   mWorkers.OnReading(*room, aReply.mReading, aNow);
@@ -80,11 +81,7 @@
   FollowTails(*room, aReply, aSentAt, aNow);
   if (!room->mInventoried) {
     room->mInventoried = true;
-    if (room->mWaitNoted) {
-      room->mWaitNoted = false;
-      room->mRecorded = false;
-      mDirtyWorkers.insert(aOrder.mWorker);
-    }
+    TakeBackWait(*room);
     mChanged = true;
     mUnasked.erase(aOrder.mWorker);
     NoteWorker(DecisionKind::kWorkerKnown,
--- a/mulberryvalve/core/jobs/job_shard_orders.cc
+++ b/mulberryvalve/core/jobs/job_shard_orders.cc
@@ -13,7 +13,7 @@
 // A stop and the lists that show it take less.
 constexpr Milliseconds kKeepForLasting{ 2500 };
 // How often the rest of the wait for silent workers is made durable.
-constexpr Milliseconds kNoteWaits{ 2000 };
+constexpr Milliseconds kNoteWaits{ 1000 };
 // Steps that found no worker are tried again this often without a cause.
 constexpr Milliseconds kPlaceAgain{ 100 };
 // Run numbers of an epoch start above all numbers of earlier epochs.
@@ -321,16 +321,22 @@
   }
 }
 
-// A successor need not wait anew for workers that this owner waited for.
+// A successor need not wait anew for workers that this owner waited for, nor
+// for those that it does not renew.
 void JobShard::NoteWaits(MonotonicTime aNow)
 {
-  if (mUnasked.empty() || aNow < mNoteWaitsAt) {
+  if (aNow < mNoteWaitsAt) {
     return;
   }
   mNoteWaitsAt = aNow + kNoteWaits;
   for (const auto& [id, until] : mUnasked) {
     mDirtyWorkers.insert(id);
   }
+  for (const auto& [id, worker] : mWorkers.All()) {
+    if (worker.mSilent && worker.mInventoried && !worker.mNoWaitNoted) {
+      mDirtyWorkers.insert(id);
+    }
+  }
 }
 
 void JobShard::MoveOffLeaving(MonotonicTime aNow)
--- a/mulberryvalve/core/jobs/job_shard_test.cc
+++ b/mulberryvalve/core/jobs/job_shard_test.cc
@@ -437,4 +437,47 @@
   CheckNoFindings(world);
 }
 
+// A worker was gone for good before its owner was killed. The successor waited
+// for as long as the owner might have renewed it, though it had not.
+TEST(JobShardTest, SuccessorWaitsOnlyForTheLeaseOfAWorkerThatWasSilentBefore)
+{
+  JobWorld world(2);
+  FakeOwner& former = world.AddOwner();
+  world.mDurationOf = [](const TaskRef&) { return kLong; };
+  JobGraph job = OneStepJob("j", 2, 7000);
+  job.mSteps[0].mLasting = true;
+  world.Submit(job);
+  world.RunFor(Milliseconds(2000));
+  CHECK_EQUAL(2U, world.Running());
+  const size_t used = world.Worker(0).mRuns.empty() ? 1 : 0;
+  const WorkerId gone = world.Worker(used).mFacts.mId;
+  former.mLinks[gone] = LinkState::kCut;
+  world.RunFor(Milliseconds(4000));
+  former.mActs = false;
+  FakeOwner& next = world.AddOwner();
+  next.mLinks[gone] = LinkState::kCut;
+  world.RunFor(Milliseconds(5000));
+  CHECK_EQUAL(2U, world.Running());
+  CheckNoFindings(world);
+}
+
+// A worker that was noted as not renewed answers again: it is renewed once the
+// note is taken back, and keeps what it runs.
+TEST(JobShardTest, AWorkerThatIsBackIsRenewedAgain)
+{
+  JobWorld world(2);
+  FakeOwner& owner = world.AddOwner();
+  world.mDurationOf = [](const TaskRef&) { return kLong; };
+  world.Submit(OneStepJob("j", 2, 9000));
+  world.RunFor(Milliseconds(2000));
+  const WorkerId away = world.Worker(0).mFacts.mId;
+  owner.mLinks[away] = LinkState::kCut;
+  world.RunFor(Milliseconds(2500));
+  owner.mLinks.clear();
+  world.RunFor(Milliseconds(15000));
+  CHECK_EQUAL(2U, world.Running());
+  CHECK_EQUAL(1U, world.Worker(0).mRuns.size());
+  CheckNoFindings(world);
+}
+
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -45,6 +45,8 @@
   // Its record says how long a successor has to wait for it at most; that is
   // taken back before it is renewed.
   bool mWaitNoted = false;
+  // Its record says that there is nothing to wait for.
+  bool mNoWaitNoted = false;
   Birth mBirth;
   // The last reading of its clock and when that arrived here.
   std::optional<WorkerTime> mClock;
