Shards: one builder of decisions and of orders, one place for committed demand

Read-through of the whole change; behaviour stays as it is. What a task takes of its worker's room stood in four places, a worker's processors in four, the fields of a decision in four, those of an order in three. Open steps were kept in the order of priority and acceptance that WaitingOrder makes anew at each decision: they are a plain set now, and what the order needs comes from the job. JobShard::Choose had one caller left. SeriesStats::Add stands with its type.

--- a/mulberryvalve/core/jobs/job_book.cc
+++ b/mulberryvalve/core/jobs/job_book.cc
@@ -120,7 +120,7 @@
   job.mBegun = true;
   if (step.mWaiting == 0) {
     step.mWaitingSince = MonotonicTime();
-    mOpen.erase(OrderOf(job, aTask.mStep));
+    mOpen.erase(aTask.mStep);
   }
 }
 
@@ -157,7 +157,7 @@
     step.mWaiting--;
   }
   if (step.mWaiting == 0) {
-    mOpen.erase(OrderOf(job, aTask.mStep));
+    mOpen.erase(aTask.mStep);
   }
   if (step.mDone == step.mTasks.size()) {
     OpenFollowers(job, aTask.mStep);
@@ -181,7 +181,7 @@
 {
   for (uint32_t number = 0; number < aJob.mOccurrences.size(); number++) {
     for (uint32_t step = 0; step < aJob.mGraph.mSteps.size(); step++) {
-      mOpen.erase(OrderOf(aJob, StepRef{ aJob.mGraph.mId, number, step }));
+      mOpen.erase(StepRef{ aJob.mGraph.mId, number, step });
     }
   }
   mRecurring.erase(aJob.mGraph.mId);
@@ -242,11 +242,6 @@
   return count;
 }
 
-OpenStep JobBook::OrderOf(const JobEntry& aJob, const StepRef& aStep)
-{
-  return OpenStep{ aJob.mGraph.mRules.mPriority, aJob.mArrival, aStep };
-}
-
 bool JobBook::IsDue(const JobEntry& aJob, const StepRef& aStep) const
 {
   const Recurrence& recurrence = aJob.mGraph.mRecurrence;
@@ -270,7 +265,7 @@
 {
   const StepState& step = aJob.mOccurrences[aStep.mOccurrence][aStep.mStep];
   if (step.mWaiting > 0 && !IsOver(aJob.mPhase) && IsDue(aJob, aStep)) {
-    mOpen.insert(OrderOf(aJob, aStep));
+    mOpen.insert(aStep);
   }
 }
 
--- a/mulberryvalve/core/jobs/job_book.h
+++ b/mulberryvalve/core/jobs/job_book.h
@@ -51,21 +51,6 @@
   std::vector<std::vector<StepState>> mOccurrences;
 };
 
-// OpenStep is a step with waiting tasks whose turn has come, in the order in
-// which steps are served.
-struct OpenStep
-{
-  int mPriority = 0;
-  uint64_t mArrival = 0;
-  StepRef mStep;
-
-  friend bool operator<(const OpenStep& aLeft, const OpenStep& aRight)
-  {
-    return std::tie(aLeft.mPriority, aLeft.mArrival, aLeft.mStep) <
-           std::tie(aRight.mPriority, aRight.mArrival, aRight.mStep);
-  }
-};
-
 // JobBook is not synchronised. References to entries hold until Retire.
 class JobBook
 {
@@ -96,10 +81,10 @@
 
   // Open returns the steps with waiting tasks whose turn has come, and those
   // of occurrences that are due by aWall.
-  const std::set<OpenStep>& Open() const { return mOpen; }
+  const std::set<StepRef>& Open() const { return mOpen; }
   void OpenDue(WallTime aWall);
 
-  // Close takes the steps of a job out of the order.
+  // Close takes the steps of a job out of the open ones.
   void Close(const JobEntry& aJob);
 
   // Retire forgets a job.
@@ -124,14 +109,13 @@
   std::unordered_map<JobId, JobEntry>& All() { return mJobs; }
 
 private:
-  static OpenStep OrderOf(const JobEntry& aJob, const StepRef& aStep);
   bool IsDue(const JobEntry& aJob, const StepRef& aStep) const;
   void Reopen(const JobEntry& aJob, const StepRef& aStep);
   void OpenFollowers(const JobEntry& aJob, const StepRef& aStep);
 
   ImageTable mImages;
   std::unordered_map<JobId, JobEntry> mJobs;
-  std::set<OpenStep> mOpen;
+  std::set<StepRef> mOpen;
   std::set<JobId> mRecurring;
   WallTime mWall;
   uint64_t mLastArrival = 0;
--- a/mulberryvalve/core/jobs/job_graph.h
+++ b/mulberryvalve/core/jobs/job_graph.h
@@ -72,6 +72,14 @@
   Milliseconds mTailTarget{ 0 };
   // How many tasks may be away at a time because of this scheduler.
   uint32_t mMayMiss = 0;
+
+  // Committed returns what a task takes of its worker's room.
+  Resources Committed() const
+  {
+    Resources committed = mDemand;
+    committed.mCpuMillis = mFills ? 0 : mDemand.mCpuMillis;
+    return committed;
+  }
 };
 
 // Recurrence repeats the steps of a job at fixed times.
--- a/mulberryvalve/core/jobs/job_placement.cc
+++ b/mulberryvalve/core/jobs/job_placement.cc
@@ -42,11 +42,6 @@
 // Above this share of all processors in use, work waits for room that suits it.
 constexpr int64_t kMostlyUsedPercent = 60;
 
-int64_t CapacityOf(const WorkerRoom& aWorker)
-{
-  return std::max<int64_t>(1, aWorker.mFacts.mCapacity.mCpuMillis);
-}
-
 // What is likely in use, with the serving tasks at their usual load.
 int64_t UsedOf(const WorkerRoom& aWorker)
 {
@@ -104,13 +99,13 @@
 {
   const StepSpec& step = aQuery.mStep;
   const int64_t used = step.mLasting
-                         ? CapacityOf(aWorker) - aWorker.mCharged.mCpuMillis
+                         ? aWorker.CpuCapacity() - aWorker.mCharged.mCpuMillis
                          : UsedOf(aWorker);
   const bool far =
     !step.mDataRack.Empty() && step.mDataRack != aWorker.mFacts.mRack;
   const double pressure = PressureWith(aQuery, aWorker);
   const int64_t company = step.mLasting ? CostOfCompany(step, aWorker) : 0;
-  return company + used * kPercent / CapacityOf(aWorker) +
+  return company + used * kPercent / aWorker.CpuCapacity() +
          (far ? kFarFromData : 0) +
          (aWorker.mFacts.mId == aQuery.mFailedAt ? kCostOfFailure : 0) +
          static_cast<int64_t>(pressure * kCostOfPressure);
@@ -129,7 +124,7 @@
   }
   const StepSpec& step = aQuery.mStep;
   const double share = static_cast<double>(step.mDemand.mCpuMillis) /
-                       static_cast<double>(CapacityOf(aWorker));
+                       static_cast<double>(aWorker.CpuCapacity());
   for (const auto& [serving, count] : aWorker.mServingImages) {
     const double weight =
       aQuery.mInterference.Weight(serving, step.mImageNumber);
@@ -152,7 +147,7 @@
   if (aWorker.mServing > 0 && PressesTooMuch(aQuery, aWorker)) {
     return true;
   }
-  return UsedOf(aWorker) + step.mDemand.mCpuMillis > CapacityOf(aWorker);
+  return UsedOf(aWorker) + step.mDemand.mCpuMillis > aWorker.CpuCapacity();
 }
 
 } // namespace
@@ -216,11 +211,8 @@
 
 bool MayPlace(const PlacementQuery& aQuery, const WorkerRoom& aWorker)
 {
-  Resources demand = aQuery.mStep.mDemand;
-  if (aQuery.mStep.mFills) {
-    demand.mCpuMillis = 0;
-  }
-  return IsOpenTo(aQuery, aWorker) && demand.FitsIn(aWorker.Room());
+  return IsOpenTo(aQuery, aWorker) &&
+         aQuery.mStep.Committed().FitsIn(aWorker.Room());
 }
 
 bool MayPlaceWithoutFilling(const PlacementQuery& aQuery,
@@ -239,7 +231,7 @@
   for (const auto& [id, worker] : aWorkers.All()) {
     if (worker.mListed && worker.mInventoried && !worker.mSilent) {
       used += UsedOf(worker);
-      capacity += CapacityOf(worker);
+      capacity += worker.CpuCapacity();
     }
   }
   return used * kPercent < capacity * kMostlyUsedPercent;
--- a/mulberryvalve/core/jobs/job_shard.cc
+++ b/mulberryvalve/core/jobs/job_shard.cc
@@ -329,11 +329,11 @@
   }
 }
 
-void JobShard::Note(DecisionKind aKind,
-                    const TaskRef& aTask,
-                    const WorkerId& aWorker,
-                    RunNumber aRun,
-                    std::string aWhy)
+JobDecision JobShard::DecisionOn(DecisionKind aKind,
+                                 const TaskRef& aTask,
+                                 const WorkerId& aWorker,
+                                 RunNumber aRun,
+                                 std::string aWhy)
 {
   JobDecision decision;
   decision.mKind = aKind;
@@ -342,7 +342,16 @@
   decision.mWorker = aWorker;
   decision.mRun = aRun.Value();
   decision.mWhy = std::move(aWhy);
-  Note(std::move(decision));
+  return decision;
+}
+
+void JobShard::Note(DecisionKind aKind,
+                    const TaskRef& aTask,
+                    const WorkerId& aWorker,
+                    RunNumber aRun,
+                    std::string aWhy)
+{
+  Note(DecisionOn(aKind, aTask, aWorker, aRun, std::move(aWhy)));
 }
 
 void JobShard::NoteJob(DecisionKind aKind, const JobId& aJob, std::string aWhy)
--- a/mulberryvalve/core/jobs/job_shard.h
+++ b/mulberryvalve/core/jobs/job_shard.h
@@ -250,9 +250,6 @@
   void PlaceOpen(MonotonicTime aNow);
   bool PlaceOne(JobEntry& aJob, const TaskRef& aTask, MonotonicTime aNow);
   void PlaceGang(JobEntry& aJob, const StepRef& aStep, MonotonicTime aNow);
-  WorkerRoom* Choose(const JobEntry& aJob,
-                     const StepRef& aStep,
-                     MonotonicTime aNow);
   PlacementQuery QueryFor(const JobEntry& aJob,
                           const StepRef& aStep,
                           MonotonicTime aNow);
@@ -264,6 +261,10 @@
                   RunNumber aRun,
                   MonotonicTime aNow);
   void OrderStop(const TaskRef& aTask, const std::string& aWhy);
+  TaskOrder OrderFor(OrderKind aKind,
+                     const TaskRef& aTask,
+                     RunNumber aRun,
+                     const WorkerRoom& aWorker) const;
   void SendStop(const TaskRef& aTask,
                 RunNumber aRun,
                 const WorkerRoom& aWorker);
@@ -284,6 +285,11 @@
   void Free(const TaskRef& aTask);
   void Avoid(WorkerRoom& aWorker, MonotonicTime aUntil, const char* aWhy);
   const QueueRules& RulesOf(const JobEntry& aJob) const;
+  static JobDecision DecisionOn(DecisionKind aKind,
+                                const TaskRef& aTask,
+                                const WorkerId& aWorker,
+                                RunNumber aRun,
+                                std::string aWhy);
   void Note(JobDecision aDecision);
   void Note(DecisionKind aKind,
             const TaskRef& aTask,
--- a/mulberryvalve/core/jobs/job_shard_lists.cc
+++ b/mulberryvalve/core/jobs/job_shard_lists.cc
@@ -103,13 +103,11 @@
     return;
   }
   const JobId& id = aRow.mTask.mStep.mJob;
-  JobDecision ended;
-  ended.mKind = DecisionKind::kTaskEnded;
-  ended.mJob = id;
-  ended.mTask = aRow.mTask.Text();
-  ended.mWorker = aWorker.mFacts.mId;
-  ended.mRun = aRow.mRun.Value();
-  ended.mWhy = std::string(kEndKindNames.Name(aRow.mHow));
+  JobDecision ended = DecisionOn(DecisionKind::kTaskEnded,
+                                 aRow.mTask,
+                                 aWorker.mFacts.mId,
+                                 aRow.mRun,
+                                 std::string(kEndKindNames.Name(aRow.mHow)));
   ended.mEnd = aRow.mHow;
   Note(std::move(ended));
   const bool present = IsPlaced(task->mPhase) &&
@@ -317,12 +315,7 @@
     aWorker.mForeignUnknown = true;
     return;
   }
-  const StepSpec& spec = mBook.SpecOf(aTask.mStep);
-  Resources demand = spec.mDemand;
-  if (spec.mFills) {
-    demand.mCpuMillis = 0;
-  }
-  aWorker.mForeign += demand;
+  aWorker.mForeign += mBook.SpecOf(aTask.mStep).Committed();
 }
 
 void JobShard::FreeMissing(WorkerRoom& aWorker,
--- a/mulberryvalve/core/jobs/job_shard_orders.cc
+++ b/mulberryvalve/core/jobs/job_shard_orders.cc
@@ -152,7 +152,8 @@
   }
   std::vector<WorkerRoom*> chosen;
   for (uint32_t index = 0; index < spec.mCount; index++) {
-    WorkerRoom* worker = Choose(aJob, aStep, aNow);
+    WorkerRoom* worker =
+      mPolicies.mPlacement.Choose(QueryFor(aJob, aStep, aNow), mWorkers);
     if (worker == nullptr) {
       break;
     }
@@ -173,13 +174,6 @@
   }
 }
 
-WorkerRoom* JobShard::Choose(const JobEntry& aJob,
-                             const StepRef& aStep,
-                             MonotonicTime aNow)
-{
-  return mPolicies.mPlacement.Choose(QueryFor(aJob, aStep, aNow), mWorkers);
-}
-
 PlacementQuery JobShard::QueryFor(const JobEntry& aJob,
                                   const StepRef& aStep,
                                   MonotonicTime aNow)
@@ -251,26 +245,19 @@
   if (spec.mFills) {
     aWorker.mFillingSince = aNow;
   }
-  TaskOrder order;
-  order.mKind = OrderKind::kStart;
-  order.mTask = aTask;
-  order.mRun = aRun;
-  order.mWorker = aWorker.mFacts.mId;
-  order.mEndpoint = aWorker.mFacts.mEndpoint;
-  order.mEpoch = mOptions.mEpoch;
+  TaskOrder order = OrderFor(OrderKind::kStart, aTask, aRun, aWorker);
   order.mUntil = *until;
   order.mSpecification = aJob.mGraph.mSpecification;
   order.mCheckpoint = mBook.FindTask(aTask)->mCheckpoint;
   mOrders.push_back(std::move(order));
-  JobDecision placed;
-  placed.mKind = DecisionKind::kTaskPlaced;
-  placed.mJob = aTask.mStep.mJob;
-  placed.mTask = aTask.Text();
-  placed.mWorker = aWorker.mFacts.mId;
-  placed.mRun = aRun.Value();
-  placed.mWhy = "free cpu " + std::to_string(aWorker.Room().mCpuMillis) +
-                ", filling " + std::to_string(aWorker.mFilling) + ", lasting " +
-                std::to_string(aWorker.mLasting);
+  JobDecision placed =
+    DecisionOn(DecisionKind::kTaskPlaced,
+               aTask,
+               aWorker.mFacts.mId,
+               aRun,
+               "free cpu " + std::to_string(aWorker.Room().mCpuMillis) +
+                 ", filling " + std::to_string(aWorker.mFilling) +
+                 ", lasting " + std::to_string(aWorker.mLasting));
   if (first) {
     placed.mWaited =
       std::chrono::duration_cast<Milliseconds>(aNow - aJob.mKnownAt);
@@ -290,18 +277,26 @@
   mRepeat[aTask] = MonotonicTime();
 }
 
-void JobShard::SendStop(const TaskRef& aTask,
-                        RunNumber aRun,
-                        const WorkerRoom& aWorker)
+TaskOrder JobShard::OrderFor(OrderKind aKind,
+                             const TaskRef& aTask,
+                             RunNumber aRun,
+                             const WorkerRoom& aWorker) const
 {
   TaskOrder order;
-  order.mKind = OrderKind::kStop;
+  order.mKind = aKind;
   order.mTask = aTask;
   order.mRun = aRun;
   order.mWorker = aWorker.mFacts.mId;
   order.mEndpoint = aWorker.mFacts.mEndpoint;
   order.mEpoch = mOptions.mEpoch;
-  mOrders.push_back(std::move(order));
+  return order;
+}
+
+void JobShard::SendStop(const TaskRef& aTask,
+                        RunNumber aRun,
+                        const WorkerRoom& aWorker)
+{
+  mOrders.push_back(OrderFor(OrderKind::kStop, aTask, aRun, aWorker));
 }
 
 void JobShard::RepeatStops(MonotonicTime aNow)
--- a/mulberryvalve/core/jobs/job_shard_tails.cc
+++ b/mulberryvalve/core/jobs/job_shard_tails.cc
@@ -100,8 +100,7 @@
   const WorkerRoom& aWorker,
   const HoldReply& aReply) const
 {
-  const double whole = static_cast<double>(
-    std::max<int64_t>(1, aWorker.mFacts.mCapacity.mCpuMillis));
+  const auto whole = static_cast<double>(aWorker.CpuCapacity());
   std::map<ImageNumber, double> shares;
   for (const RunningRow& row : aReply.mRunning) {
     if (mBook.FindTask(row.mTask) == nullptr) {
@@ -162,8 +161,7 @@
                          ImageNumber aServing,
                          int aWorst)
 {
-  const double whole = static_cast<double>(
-    std::max<int64_t>(1, aWorker.mFacts.mCapacity.mCpuMillis));
+  const auto whole = static_cast<double>(aWorker.CpuCapacity());
   const std::vector<TaskRef> tasks(aWorker.mTasks.begin(),
                                    aWorker.mTasks.end());
   bool stopped = false;
@@ -196,13 +194,7 @@
       continue;
     }
     task.mPacePercent = percent;
-    TaskOrder order;
-    order.mKind = OrderKind::kPace;
-    order.mTask = ref;
-    order.mRun = task.mRun;
-    order.mWorker = aWorker.mFacts.mId;
-    order.mEndpoint = aWorker.mFacts.mEndpoint;
-    order.mEpoch = mOptions.mEpoch;
+    TaskOrder order = OrderFor(OrderKind::kPace, ref, task.mRun, aWorker);
     order.mPercent = percent;
     mOrders.push_back(std::move(order));
   }
--- a/mulberryvalve/core/jobs/job_shard_waiting.cc
+++ b/mulberryvalve/core/jobs/job_shard_waiting.cc
@@ -51,19 +51,18 @@
 {
   std::vector<WaitingStep> steps;
   steps.reserve(mBook.Open().size());
-  for (const OpenStep& open : mBook.Open()) {
-    JobEntry& job = *mBook.Find(open.mStep.mJob);
+  for (const StepRef& open : mBook.Open()) {
+    JobEntry& job = *mBook.Find(open.mJob);
     WaitingStep& step = steps.emplace_back();
-    step.mStep = open.mStep;
-    step.mPriority = open.mPriority;
-    step.mArrival = open.mArrival;
+    step.mStep = open;
+    step.mPriority = job.mGraph.mRules.mPriority;
+    step.mArrival = job.mArrival;
     step.mAcceptedAt = AcceptedAt(job, aNow);
     step.mObjectiveAt = step.mAcceptedAt;
-    if (mBook.SpecOf(open.mStep).mLasting) {
+    if (mBook.SpecOf(open).mLasting) {
       continue;
     }
-    const JobForecast forecast =
-      ForecastOf(job, open.mStep.mOccurrence, mRunTimes);
+    const JobForecast forecast = ForecastOf(job, open.mOccurrence, mRunTimes);
     const QueueRules& rules = RulesOf(job);
     step.mObjectiveAt +=
       rules.mSlack + forecast.mLongestChain * rules.mStretchPercent / kPercent;
@@ -123,11 +122,11 @@
       cause = CauseOf(refusal);
     }
   }
-  JobDecision decision;
-  decision.mKind = DecisionKind::kStepWaits;
-  decision.mJob = aStep.mJob;
-  decision.mTask = TaskRef{ aStep, 0 }.Text();
-  decision.mWhy = std::move(why);
+  JobDecision decision = DecisionOn(DecisionKind::kStepWaits,
+                                    TaskRef{ aStep, 0 },
+                                    WorkerId(),
+                                    RunNumber(),
+                                    std::move(why));
   decision.mWaitCause = cause;
   Note(std::move(decision));
 }
--- a/mulberryvalve/core/jobs/learned_record.h
+++ b/mulberryvalve/core/jobs/learned_record.h
@@ -34,7 +34,13 @@
   double mSquares = 0;
 
   // Add takes in one value.
-  void Add(double aValue);
+  void Add(double aValue)
+  {
+    mCount += 1;
+    const double before = aValue - mMean;
+    mMean += before / mCount;
+    mSquares += before * (aValue - mMean);
+  }
 
   // Variance is zero for fewer than two values.
   double Variance() const { return mCount < 2 ? 0 : mSquares / (mCount - 1); }
--- a/mulberryvalve/core/jobs/run_time_book.cc
+++ b/mulberryvalve/core/jobs/run_time_book.cc
@@ -17,14 +17,6 @@
 
 } // namespace
 
-void SeriesStats::Add(double aValue)
-{
-  mCount += 1;
-  const double before = aValue - mMean;
-  mMean += before / mCount;
-  mSquares += before * (aValue - mMean);
-}
-
 void RunTimeBook::Learn(const QueueId& aQueue,
                         Milliseconds aDeclared,
                         Milliseconds aTaken)
--- a/mulberryvalve/core/jobs/worker_table.cc
+++ b/mulberryvalve/core/jobs/worker_table.cc
@@ -26,8 +26,7 @@
                                               ImageNumber aImage,
                                               int64_t aMore) const
 {
-  const double whole =
-    static_cast<double>(std::max<int64_t>(1, mFacts.mCapacity.mCpuMillis));
+  const auto whole = static_cast<double>(CpuCapacity());
   const double pace = static_cast<double>(aPercent) / kFullPace;
   std::vector<FillingShare> shares;
   bool added = aMore == 0;
@@ -65,20 +64,18 @@
   if (!aWorker.mTasks.insert(aTask).second) {
     return;
   }
-  Resources demand = aStep.mDemand;
   if (aStep.mFills) {
     aWorker.mFilling++;
-    aWorker.mFillingDemand += demand;
-    aWorker.mFillingCpuByImage[aStep.mImageNumber] += demand.mCpuMillis;
-    demand.mCpuMillis = 0;
+    aWorker.mFillingDemand += aStep.mDemand;
+    aWorker.mFillingCpuByImage[aStep.mImageNumber] += aStep.mDemand.mCpuMillis;
   }
   aWorker.mLasting += aStep.mLasting ? 1 : 0;
   if (IsServing(aStep)) {
     aWorker.mServing++;
-    aWorker.mServingCpu += demand.mCpuMillis;
+    aWorker.mServingCpu += aStep.Committed().mCpuMillis;
     aWorker.mServingImages[aStep.mImageNumber]++;
   }
-  aWorker.mCharged += demand;
+  aWorker.mCharged += aStep.Committed();
 }
 
 void WorkerTable::Release(WorkerRoom& aWorker,
@@ -88,26 +85,24 @@
   if (aWorker.mTasks.erase(aTask) == 0) {
     return;
   }
-  Resources demand = aStep.mDemand;
   if (aStep.mFills) {
     aWorker.mFilling--;
-    aWorker.mFillingDemand -= demand;
+    aWorker.mFillingDemand -= aStep.mDemand;
     int64_t& ofImage = aWorker.mFillingCpuByImage[aStep.mImageNumber];
-    ofImage -= demand.mCpuMillis;
+    ofImage -= aStep.mDemand.mCpuMillis;
     if (ofImage <= 0) {
       aWorker.mFillingCpuByImage.erase(aStep.mImageNumber);
     }
-    demand.mCpuMillis = 0;
   }
   aWorker.mLasting -= aStep.mLasting ? 1 : 0;
   if (IsServing(aStep)) {
     aWorker.mServing--;
-    aWorker.mServingCpu -= demand.mCpuMillis;
+    aWorker.mServingCpu -= aStep.Committed().mCpuMillis;
     if (--aWorker.mServingImages[aStep.mImageNumber] == 0) {
       aWorker.mServingImages.erase(aStep.mImageNumber);
     }
   }
-  aWorker.mCharged -= demand;
+  aWorker.mCharged -= aStep.Committed();
 }
 
 WorkerTime WorkerTable::ClockAt(const WorkerRoom& aWorker,
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -7,6 +7,7 @@
 #include "mulberryvalve/core/jobs/pace_control.h"
 #include "mulberryvalve/core/jobs/worker_orders.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -99,6 +100,12 @@
                                     ImageNumber aImage,
                                     int64_t aMore) const;
 
+  // CpuCapacity returns the thousandths of a core that it has, one at least.
+  int64_t CpuCapacity() const
+  {
+    return std::max<int64_t>(1, mFacts.mCapacity.mCpuMillis);
+  }
+
   // Room returns what is not committed. It is negative when the worker shrank.
   Resources Room() const { return mFacts.mCapacity - mCharged - mForeign; }
 };
