Services of jobs: what stood twice has one place

Read-through, behaviour as it was but in one point: the pause between two tries of a caller's call (100 ms) ends at once when the process stops.

JobEntryService pauses on StopSignal in place of a lock, a condition and a flag of its own. ShardKeeper tells a lost group in one function, not two. The interval of retries at a take-over has one definition. Tests of the services: thirteen pairs of 'hand in, then await the end' are Instance::Complete with the same two checks, and DealtGroup has one wait.

--- a/mulberryvalve/app/jobs/job_entry_service.cc
+++ b/mulberryvalve/app/jobs/job_entry_service.cc
@@ -5,8 +5,6 @@
 namespace mulberryvalve {
 namespace {
 
-using Steady = std::chrono::steady_clock;
-
 // The answer to a caller needs this much of the time that the caller waits.
 constexpr Milliseconds kAnswerTime{ 150 };
 constexpr Milliseconds kBetweenTries{ 100 };
@@ -74,8 +72,8 @@
     } else if (!mayHaveTaken) {
       break; // nothing was done, and the caller can come back later
     }
-    Pause(mPorts.mClock.Now() + kBetweenTries);
-  } while (!mStopping && mPorts.mClock.Now() + kAnswerTime < aDeadline);
+    Pause();
+  } while (!mStop.IsSet() && mPorts.mClock.Now() + kAnswerTime < aDeadline);
   mPorts.mEvents.Write(
     EventLevel::kWarn,
     mayHaveTaken ? "job_unknown" : "job_refused",
@@ -143,8 +141,8 @@
                    : answer.error();
     }
     mPorts.mKeeper.Doubt();
-    Pause(mPorts.mClock.Now() + kBetweenTries);
-  } while (!mStopping && mPorts.mClock.Now() + kLeastForAsking < aDeadline);
+    Pause();
+  } while (!mStop.IsSet() && mPorts.mClock.Now() + kLeastForAsking < aDeadline);
   mPorts.mEvents.Write(
     EventLevel::kWarn,
     "question_unanswered",
@@ -155,12 +153,9 @@
   return Fail(FailureKind::kNotReady, "owner", why.mDetail);
 }
 
-void JobEntryService::Pause(MonotonicTime aUntil)
+void JobEntryService::Pause()
 {
-  const auto until = Steady::now() + (aUntil - mPorts.mClock.Now());
-  MutexLock lock(mMutex);
-  while (mNever.WaitUntil(mMutex, until)) {
-  }
+  mStop.WaitUntil(std::chrono::steady_clock::now() + kBetweenTries);
 }
 
 } // namespace mulberryvalve
--- a/mulberryvalve/app/jobs/job_entry_service.h
+++ b/mulberryvalve/app/jobs/job_entry_service.h
@@ -4,10 +4,10 @@
 
 #include "mulberryvalve/app/jobs/group_append.h"
 #include "mulberryvalve/app/jobs/shard_keeper.h"
+#include "mulberryvalve/app/streams/stop_signal.h"
 #include "mulberryvalve/ports/in/job_graph_api.h"
 #include "mulberryvalve/ports/out/peer_calls.h"
 
-#include <atomic>
 #include <memory>
 #include <vector>
 
@@ -34,7 +34,7 @@
   JobEntryService(ShardNumber aShards, JobEntryPorts aPorts);
 
   // BeginStop makes calls end after the try under way.
-  void BeginStop() { mStopping = true; }
+  void BeginStop() { mStop.Set(); }
 
   Result<void> Submit(const JobGraph& aJob, MonotonicTime aDeadline) override;
   Result<void> Cancel(const JobId& aJob, MonotonicTime aDeadline) override;
@@ -50,15 +50,13 @@
                       MonotonicTime aDeadline);
   Result<PeerAnswer> Ask(const PeerQuestion& aQuestion,
                          MonotonicTime aDeadline);
-  void Pause(MonotonicTime aUntil);
+  void Pause();
 
   const ShardNumber mShards;
   JobEntryPorts mPorts;
   // One for each shard's intake.
   std::vector<std::unique_ptr<GroupAppend>> mIntakes;
-  std::atomic<bool> mStopping{ false };
-  Mutex mMutex;
-  CondVar mNever;
+  StopSignal mStop;
 };
 
 } // namespace mulberryvalve
--- a/mulberryvalve/app/jobs/jobs_fake.cc
+++ b/mulberryvalve/app/jobs/jobs_fake.cc
@@ -246,8 +246,13 @@
 void DealtGroup::AwaitFailedViews(size_t aCount)
 {
   MutexLock lock(mMutex);
-  const size_t until = mFailedViews + aCount;
-  while (mFailedViews < until) {
+  Await(mFailedViews, aCount);
+}
+
+void DealtGroup::Await(const size_t& aCounter, size_t aMore)
+{
+  const size_t until = aCounter + aMore;
+  while (aCounter < until) {
     mCond.Wait(mMutex);
   }
 }
@@ -267,19 +272,13 @@
 void DealtGroup::AwaitViews(size_t aCount)
 {
   MutexLock lock(mMutex);
-  const size_t until = mViews + aCount;
-  while (mViews < until) {
-    mCond.Wait(mMutex);
-  }
+  Await(mViews, aCount);
 }
 
 void DealtGroup::AwaitJoins(size_t aCount)
 {
   MutexLock lock(mMutex);
-  const size_t until = mAllJoins + aCount;
-  while (mAllJoins < until) {
-    mCond.Wait(mMutex);
-  }
+  Await(mAllJoins, aCount);
 }
 
 size_t DealtGroup::Joins(uint16_t aPort) const
--- a/mulberryvalve/app/jobs/jobs_fake.h
+++ b/mulberryvalve/app/jobs/jobs_fake.h
@@ -161,6 +161,7 @@
 
 private:
   void Remove(uint16_t aPort) MV_REQUIRES(mMutex);
+  void Await(const size_t& aCounter, size_t aMore) MV_REQUIRES(mMutex);
   uint16_t HolderOf(ShardNumber aShard) const MV_REQUIRES(mMutex);
 
   const ShardNumber mShards;
--- a/mulberryvalve/app/jobs/jobs_test.cc
+++ b/mulberryvalve/app/jobs/jobs_test.cc
@@ -86,6 +86,13 @@
     return false;
   }
 
+  // Complete checks that a small job is accepted and completes.
+  void Complete(const char* aJob)
+  {
+    CHECK(mJobs.Submit(SmallJob(aJob), In(kPatience)).has_value());
+    CHECK(Await(aJob, JobPhase::kCompleted));
+  }
+
 private:
   static ShardKeeperOptions OptionsAt(uint16_t aPort, ShardNumber aShards)
   {
@@ -209,9 +216,7 @@
   const auto up = instance.Jobs().Phase(JobId("j"), instance.In(kPatience));
   CHECK(up.has_value());
   log.FailNext({ AppendFault::kAnswerLost, AppendFault::kAnswerLost });
-  CHECK(
-    instance.Jobs().Submit(SmallJob("j"), instance.In(kPatience)).has_value());
-  CHECK(instance.Await("j", JobPhase::kCompleted));
+  instance.Complete("j");
   CHECK_EQUAL(1U, workers.Starts(TaskRef{ { JobId("j"), 0, 0 }, 1 }));
 }
 
@@ -221,13 +226,9 @@
   InstantWorker workers;
   Instance instance(log, workers, 1);
   instance.Start();
-  CHECK(
-    instance.Jobs().Submit(SmallJob("a"), instance.In(kPatience)).has_value());
-  CHECK(instance.Await("a", JobPhase::kCompleted));
+  instance.Complete("a");
   log.Forget();
-  CHECK(
-    instance.Jobs().Submit(SmallJob("b"), instance.In(kPatience)).has_value());
-  CHECK(instance.Await("b", JobPhase::kCompleted));
+  instance.Complete("b");
 }
 
 // The next owner knows what the former one has done, and fences it.
@@ -237,13 +238,11 @@
   InstantWorker workers;
   Instance former(log, workers, 1);
   former.Start();
-  CHECK(former.Jobs().Submit(SmallJob("a"), former.In(kPatience)).has_value());
-  CHECK(former.Await("a", JobPhase::kCompleted));
+  former.Complete("a");
   Instance next(log, workers, 2);
   next.Start();
   CHECK(next.Await("a", JobPhase::kCompleted));
-  CHECK(next.Jobs().Submit(SmallJob("b"), next.In(kPatience)).has_value());
-  CHECK(next.Await("b", JobPhase::kCompleted));
+  next.Complete("b");
   CHECK_EQUAL(1U, workers.Starts(TaskRef{ { JobId("a"), 0, 0 }, 0 }));
   CHECK_EQUAL(1U, workers.Starts(TaskRef{ { JobId("b"), 0, 0 }, 0 }));
 }
@@ -257,9 +256,7 @@
   {
     Instance former(log, workers, 9);
     former.Start();
-    CHECK(
-      former.Jobs().Submit(SmallJob("a"), former.In(kPatience)).has_value());
-    CHECK(former.Await("a", JobPhase::kCompleted));
+    former.Complete("a");
   }
   Instance next(log, workers, 1);
   next.Start();
@@ -273,19 +270,14 @@
   InstantWorker workers;
   Instance instance(log, workers, 1);
   instance.Start();
-  CHECK(
-    instance.Jobs().Submit(SmallJob("a"), instance.In(kPatience)).has_value());
-  CHECK(instance.Await("a", JobPhase::kCompleted));
+  instance.Complete("a");
   CHECK(log.Holds(KeyedTopic::kIntake, "a"));
   const MonotonicTime until = instance.In(kPatience);
   bool gone = false;
   for (int number = 0; !gone && instance.In(Milliseconds(0)) < until;
        number++) {
     const std::string other = "other" + std::to_string(number);
-    CHECK(instance.Jobs()
-            .Submit(SmallJob(other.c_str()), instance.In(kPatience))
-            .has_value());
-    CHECK(instance.Await(other.c_str(), JobPhase::kCompleted));
+    instance.Complete(other.c_str());
     gone = !log.Holds(KeyedTopic::kIntake, "a");
   }
   CHECK(gone);
@@ -300,14 +292,12 @@
   DealtGroup group(1);
   Instance owner(log, workers, std::make_unique<DealtGroupMember>(group, 1), 1);
   owner.Start();
-  CHECK(owner.Jobs().Submit(SmallJob("a"), owner.In(kPatience)).has_value());
-  CHECK(owner.Await("a", JobPhase::kCompleted));
+  owner.Complete("a");
   Instance other(log, workers, std::make_unique<DealtGroupMember>(group, 2), 2);
   other.Start();
   group.AwaitViews(5);
   CHECK_EQUAL(0U, group.Joins(2));
-  CHECK(owner.Jobs().Submit(SmallJob("b"), owner.In(kPatience)).has_value());
-  CHECK(owner.Await("b", JobPhase::kCompleted));
+  owner.Complete("b");
 }
 
 // Of two shards each of two instances gets one.
@@ -345,13 +335,11 @@
   Instance former(
     log, workers, std::make_unique<DealtGroupMember>(group, 1), 1);
   former.Start();
-  CHECK(former.Jobs().Submit(SmallJob("a"), former.In(kPatience)).has_value());
-  CHECK(former.Await("a", JobPhase::kCompleted));
+  former.Complete("a");
   group.CutOff(1);
   Instance next(log, workers, std::make_unique<DealtGroupMember>(group, 2), 2);
   next.Start();
-  CHECK(next.Jobs().Submit(SmallJob("b"), next.In(kPatience)).has_value());
-  CHECK(next.Await("b", JobPhase::kCompleted));
+  next.Complete("b");
   const size_t joins = group.Joins(1);
   // The cut may end between a look that failed and the join after it.
   group.RestoreJoins(1);
@@ -360,8 +348,7 @@
   group.Reconnect(1);
   group.AwaitViews(8);
   CHECK_EQUAL(joins, group.Joins(1));
-  CHECK(next.Jobs().Submit(SmallJob("c"), next.In(kPatience)).has_value());
-  CHECK(next.Await("c", JobPhase::kCompleted));
+  next.Complete("c");
 }
 
 TEST(JobsTest, MetricsTellWaitsByTheirCause)
--- a/mulberryvalve/app/jobs/shard_keeper.cc
+++ b/mulberryvalve/app/jobs/shard_keeper.cc
@@ -220,14 +220,7 @@
   const MonotonicTime sentAt = mPorts.mClock.Now();
   const Result<GroupView> view = mGroup.View();
   if (!view) {
-    bool lost = false;
-    {
-      MutexLock lock(mMutex);
-      lost = std::exchange(mReachable, false);
-    }
-    if (lost) {
-      LogFault("look", view.error());
-    }
+    OnUnreachable("look", view.error());
     return std::nullopt;
   }
   TakeView(view.value(), sentAt);
@@ -256,14 +249,7 @@
   const MonotonicTime sentAt = mPorts.mClock.Now();
   const Result<GroupShare> share = mGroup.Join(known);
   if (!share) {
-    bool lost = false;
-    {
-      MutexLock lock(mMutex);
-      lost = std::exchange(mReachable, false);
-    }
-    if (lost) {
-      LogFault("join", share.error());
-    }
+    OnUnreachable("join", share.error());
     return;
   }
   TakeShare(share.value(), sentAt);
@@ -359,6 +345,19 @@
   (void)Look();
 }
 
+// Only the first of several failures in a row is told.
+void ShardKeeper::OnUnreachable(const char* aWhat, const Failure& aFailure)
+{
+  bool lost = false;
+  {
+    MutexLock lock(mMutex);
+    lost = std::exchange(mReachable, false);
+  }
+  if (lost) {
+    LogFault(aWhat, aFailure);
+  }
+}
+
 void ShardKeeper::LogFault(const char* aWhat, const Failure& aFailure)
 {
   mPorts.mMetrics.Add(Counter::kLogFailures, 1);
--- a/mulberryvalve/app/jobs/shard_keeper.h
+++ b/mulberryvalve/app/jobs/shard_keeper.h
@@ -82,6 +82,7 @@
   std::optional<GroupView> Look();
   void TakeView(const GroupView& aView, MonotonicTime aSentAt);
   void RefreshOwners();
+  void OnUnreachable(const char* aWhat, const Failure& aFailure);
   void LogFault(const char* aWhat, const Failure& aFailure);
 
   const ShardKeeperOptions mOptions;
--- a/mulberryvalve/app/jobs/shard_runtime.cc
+++ b/mulberryvalve/app/jobs/shard_runtime.cc
@@ -16,7 +16,6 @@
 // Changes that come within this time share an append.
 constexpr Milliseconds kAppendGap{ 25 };
 constexpr Milliseconds kRetryAppend{ 150 };
-constexpr Milliseconds kRetryLoad{ 200 };
 // An owner that read the intake this long ago does not say that a job is
 // unknown; the wait of a read and a repetition are shorter.
 constexpr Milliseconds kIntakeFresh{ 2000 };
--- a/mulberryvalve/app/jobs/shard_runtime.h
+++ b/mulberryvalve/app/jobs/shard_runtime.h
@@ -106,6 +106,9 @@
   PeerAnswer Answer(const PeerQuestion& aQuestion) const;
 
 private:
+  // How soon a claim, or the loading after it, is tried again.
+  static constexpr Milliseconds kRetryLoad{ 200 };
+
   std::optional<HoldOrder> NextHold(const WorkerId& aWorker) override;
   bool OnHold(const HoldOrder& aOrder,
               const HoldReply& aReply,
--- a/mulberryvalve/app/jobs/shard_runtime_feeds.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_feeds.cc
@@ -10,7 +10,6 @@
 
 using Steady = std::chrono::steady_clock;
 
-constexpr Milliseconds kRetryLoad{ 200 };
 constexpr Milliseconds kIntakeWait{ 1000 };
 constexpr Milliseconds kRetryIntake{ 200 };
 constexpr Milliseconds kWorkerInterval{ 400 };
