--- a/mulberryvalve/adapters/http/bounded_server.cc
+++ b/mulberryvalve/adapters/http/bounded_server.cc
@@ -23,6 +23,7 @@
   "connections\"}";
 // A chunked body needs more bytes on the wire than it holds.
 constexpr size_t kBodyOverheadBytes = 64 * 1024;
+constexpr size_t kKeepAliveCalls = 1'000'000;
 constexpr size_t kLingerBytes = 256 * 1024;
 constexpr Milliseconds kLinger{ 500 };
 
@@ -115,13 +116,30 @@
   set_payload_max_length(mOptions.mMaxBodyBytes);
 }
 
-void BoundedServer::RaiseBacklog()
+bool BoundedServer::Bind(const Endpoint& aEndpoint)
 {
+  set_keep_alive_max_count(kKeepAliveCalls);
+  set_tcp_nodelay(true);
+  set_socket_options([](socket_t aSocket) {
+    const int on = 1;
+    setsockopt(aSocket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  });
+  if (!bind_to_port(aEndpoint.mAddress, aEndpoint.mPort)) {
+    return false;
+  }
+  // The library's own backlog is short.
   (void)::listen(svr_sock_, static_cast<int>(mOptions.mWaitingConnections));
+  return true;
+}
+
+void BoundedServer::Begin()
+{
+  mThread = std::thread([this] { listen_after_bind(); });
 }
 
-void BoundedServer::EndConnections()
+void BoundedServer::End()
 {
+  stop();
   MutexLock lock(mMutex);
   mEnding = true;
   for (const socket_t idle : mIdle) {
@@ -129,6 +147,13 @@
   }
 }
 
+void BoundedServer::Join()
+{
+  if (mThread.joinable()) {
+    mThread.join();
+  }
+}
+
 void BoundedServer::CloseOneIdle()
 {
   MutexLock lock(mMutex);
--- a/mulberryvalve/adapters/http/bounded_server.h
+++ b/mulberryvalve/adapters/http/bounded_server.h
@@ -6,9 +6,11 @@
 
 #include "mulberryvalve/core/base/mutex.h"
 #include "mulberryvalve/core/base/time.h"
+#include "mulberryvalve/core/model/worker.h"
 
 #include <httplib.h>
 #include <list>
+#include <thread>
 
 namespace mulberryvalve {
 
@@ -33,13 +35,18 @@
 public:
   explicit BoundedServer(BoundedServerOptions aOptions);
 
-  // RaiseBacklog lets as many connections wait for their acceptance as may wait
-  // for a thread; the library's own backlog is short. Call it once bound.
-  void RaiseBacklog();
+  // Bind begins to listen; as many connections wait for their acceptance as may
+  // wait for a thread. It returns false when aEndpoint can not be bound. Call
+  // it once, then Begin.
+  bool Bind(const Endpoint& aEndpoint);
 
-  // EndConnections closes idle connections now and others after the exchange
-  // under way. Call it after stop().
-  void EndConnections();
+  // Begin serves on a thread of its own.
+  void Begin();
+
+  // End closes idle connections now and others after the exchange under way;
+  // Join waits until that is done.
+  void End();
+  void Join();
 
   // CloseOneIdle closes the connection that was idle longest, if any.
   void CloseOneIdle();
@@ -52,6 +59,7 @@
   bool WaitForCall(socket_t aSocket, bool aBuffered);
 
   const BoundedServerOptions mOptions;
+  std::thread mThread;
   Mutex mMutex;
   bool mEnding MV_GUARDED_BY(mMutex) = false;
   std::list<socket_t> mIdle MV_GUARDED_BY(mMutex);
--- a/mulberryvalve/adapters/http/caller_server.cc
+++ b/mulberryvalve/adapters/http/caller_server.cc
@@ -10,7 +10,6 @@
 
 #include <algorithm>
 #include <atomic>
-#include <thread>
 #include <utility>
 
 namespace mulberryvalve {
@@ -18,8 +17,6 @@
 
 using nlohmann::json;
 
-constexpr size_t kKeepAliveCalls = 1'000'000;
-
 BoundedServerOptions ServerOptions(const CallerServerOptions& aOptions)
 {
   BoundedServerOptions options;
@@ -56,12 +53,6 @@
     , mPorts(std::move(aPorts))
     , mServer(ServerOptions(mOptions))
   {
-    mServer.set_keep_alive_max_count(kKeepAliveCalls);
-    mServer.set_tcp_nodelay(true);
-    mServer.set_socket_options([](socket_t aSocket) {
-      const int on = 1;
-      setsockopt(aSocket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    });
     mServer.set_pre_routing_handler(&RefuseUnbounded);
     mServer.set_error_handler(
       [](const HttpRequest&, HttpResponse& aOut) { AnswerBare(aOut); });
@@ -84,15 +75,13 @@
 
   Result<void> Start()
   {
-    if (!mServer.bind_to_port(mOptions.mListen.mAddress,
-                              mOptions.mListen.mPort)) {
+    if (!mServer.Bind(mOptions.mListen)) {
       return Fail(FailureKind::kInvalidInput,
                   "caller-listen",
                   "can not bind " + mOptions.mListen.mAddress + ":" +
                     std::to_string(mOptions.mListen.mPort));
     }
-    mServer.RaiseBacklog();
-    mThread = std::thread([this] { mServer.listen_after_bind(); });
+    mServer.Begin();
     return Done();
   }
 
@@ -100,11 +89,8 @@
 
   void Stop()
   {
-    mServer.stop();
-    mServer.EndConnections();
-    if (mThread.joinable()) {
-      mThread.join();
-    }
+    mServer.End();
+    mServer.Join();
   }
 
 private:
@@ -191,7 +177,6 @@
   CallerServerPorts mPorts;
   std::atomic<bool> mDraining{ false };
   BoundedServer mServer;
-  std::thread mThread;
 };
 
 CallerServer::CallerServer(CallerServerOptions aOptions,
