A proof of ownership does not wait for a decision under way

Callers saw nothing decided for seconds on the grown sites. A join that was answered was only counted after the shard's lock was had, which a decision pass holds.

The time of the last proof has a lock of its own. The new test MembershipIsRenewedWhileADecisionIsUnderWay does not end without the change (stopped after 20 s) and passes with it; jobs_test: 15 tests passed.

--- a/mulberryvalve/app/jobs/jobs_test.cc
+++ b/mulberryvalve/app/jobs/jobs_test.cc
@@ -28,6 +28,8 @@
   return job;
 }
 
+const LearnedPlacement kLearned;
+
 // Instance is what one process composes.
 class Instance
 {
@@ -41,7 +43,8 @@
            InstantWorker& aWorkers,
            std::unique_ptr<ShardGroup> aGroup,
            uint16_t aPort = 0,
-           ShardNumber aShards = 1)
+           ShardNumber aShards = 1,
+           const JobPlacement& aPlacement = kLearned)
     : mGroup(std::move(aGroup))
     , mKeeper(OptionsAt(aPort, aShards),
               *mGroup,
@@ -51,7 +54,7 @@
                                  aWorkers,
                                  mFeeds,
                                  mConfig,
-                                 JobPolicies{ mPlacement, mOrder },
+                                 JobPolicies{ aPlacement, mOrder },
                                  mClock,
                                  mMetrics,
                                  mEvents })
@@ -113,7 +116,6 @@
   NoPeers mPeers;
   JobLogJson mCodec;
   OneWorkerFeeds mFeeds;
-  LearnedPlacement mPlacement;
   LeastWorkOrder mOrder;
   ConfigView mConfig;
   std::unique_ptr<ShardGroup> mGroup;
@@ -351,6 +353,41 @@
   next.Complete("c");
 }
 
+// Guards against the loss of a shard because a long decision holds up the
+// renewal of the membership.
+TEST(JobsTest, MembershipIsRenewedWhileADecisionIsUnderWay)
+{
+  class LongDecision : public JobPlacement
+  {
+  public:
+    explicit LongDecision(DealtGroup& aGroup)
+      : mGroup(aGroup)
+    {
+    }
+    WorkerRoom* Choose(const PlacementQuery& aQuery,
+                       WorkerTable& aWorkers) const override
+    {
+      mGroup.AwaitJoins(3);
+      return kLearned.Choose(aQuery, aWorkers);
+    }
+
+  private:
+    DealtGroup& mGroup;
+  };
+  MemoryLog log;
+  InstantWorker workers;
+  DealtGroup group(1);
+  const LongDecision placement(group);
+  Instance owner(log,
+                 workers,
+                 std::make_unique<DealtGroupMember>(group, 1),
+                 1,
+                 1,
+                 placement);
+  owner.Start();
+  owner.Complete("a");
+}
+
 TEST(JobsTest, MetricsTellWaitsByTheirCause)
 {
   class Counts : public Metrics
--- a/mulberryvalve/app/jobs/shard_runtime.cc
+++ b/mulberryvalve/app/jobs/shard_runtime.cc
@@ -61,8 +61,7 @@
 
 void ShardRuntime::OnProof(MonotonicTime aSentAt)
 {
-  MutexLock lock(mMutex);
-  mProvedAt = std::max(mProvedAt, aSentAt);
+  mProof.Raise(aSentAt);
 }
 
 void ShardRuntime::BeginStop()
@@ -275,7 +274,7 @@
   }
   const MonotonicTime now = mPorts.mClock.Now();
   OwnershipProof proof;
-  proof.mProvedAt = mProvedAt;
+  proof.mProvedAt = mProof.ProvedAt();
   proof.mMayStart = ProvedAt(now) && !mStopping && config->mVersion > 0;
   std::vector<TaskOrder> orders =
     mShard->Decide(proof, now, mPorts.mClock.WallNow());
@@ -322,7 +321,7 @@
 
 bool ShardRuntime::ProvedAt(MonotonicTime aNow) const
 {
-  return aNow < mProvedAt + mOptions.mProofLimit;
+  return aNow < mProof.ProvedAt() + mOptions.mProofLimit;
 }
 
 bool ShardRuntime::PauseUntil(Steady::time_point aUntil)
--- a/mulberryvalve/app/jobs/shard_runtime.h
+++ b/mulberryvalve/app/jobs/shard_runtime.h
@@ -4,6 +4,7 @@
 #define MULBERRYVALVE_APP_JOBS_SHARD_RUNTIME_H_
 
 #include "mulberryvalve/app/jobs/config_view.h"
+#include "mulberryvalve/app/jobs/proof_clock.h"
 #include "mulberryvalve/app/jobs/worker_lane.h"
 #include "mulberryvalve/core/base/mutex.h"
 #include "mulberryvalve/core/jobs/job_shard.h"
@@ -80,7 +81,8 @@
   // Start begins the threads. Call once.
   void Start();
 
-  // OnProof says that the shard was still held by a call sent at aSentAt.
+  // OnProof says that the shard was still held by a call sent at aSentAt. It
+  // does not wait for a decision under way.
   void OnProof(MonotonicTime aSentAt);
 
   // BeginStop ends all decisions; the threads end after the calls under way.
@@ -134,7 +136,7 @@
   void CloseEndedLanes();
   void Act() MV_REQUIRES(mMutex);
   void LogDecisions() MV_REQUIRES(mMutex);
-  bool ProvedAt(MonotonicTime aNow) const MV_REQUIRES(mMutex);
+  bool ProvedAt(MonotonicTime aNow) const;
   bool PauseUntil(std::chrono::steady_clock::time_point aUntil);
   void GiveUp(const char* aWhy);
   void LogEvent(EventLevel aLevel,
@@ -149,6 +151,7 @@
 
   const ShardRuntimeOptions mOptions;
   ShardRuntimePorts mPorts;
+  ProofClock mProof;
   mutable Mutex mMutex;
   // Wakes pauses, when the ownership ends.
   CondVar mCond;
@@ -159,7 +162,6 @@
   // Lanes that have ended; they are joined without the lock.
   std::vector<std::unique_ptr<WorkerLane>> mEndedLanes MV_GUARDED_BY(mMutex);
   std::shared_ptr<const ClusterConfig> mConfig MV_GUARDED_BY(mMutex);
-  MonotonicTime mProvedAt MV_GUARDED_BY(mMutex);
   MonotonicTime mIntakeReadAt MV_GUARDED_BY(mMutex);
   bool mStopping MV_GUARDED_BY(mMutex) = false;
   uint64_t mSequence = 0;
