A worker is sent stops before starts that wait

The stop of a cancelled task stood behind all starts and paces that its owner had queued for the same worker, each of which may wait 0.9 s for an answer.

A lane keeps stops in a queue of their own, which is served first.

--- a/mulberryvalve/app/jobs/worker_lane.cc
+++ b/mulberryvalve/app/jobs/worker_lane.cc
@@ -38,7 +38,9 @@
 void WorkerLane::Post(TaskOrder aOrder)
 {
   MutexLock lock(mMutex);
-  mQueue.push_back(std::move(aOrder));
+  // A start that is queued behind the stop of its run is not sent any more.
+  const bool urgent = aOrder.mKind == OrderKind::kStop;
+  (urgent ? mStops : mQueue).push_back(std::move(aOrder));
   mOrderCond.NotifyOne();
 }
 
@@ -89,14 +91,15 @@
     TaskOrder order;
     {
       MutexLock lock(mMutex);
-      while (mQueue.empty() && !mStopping) {
+      while (mStops.empty() && mQueue.empty() && !mStopping) {
         mOrderCond.Wait(mMutex);
       }
       if (mStopping) {
         return;
       }
-      order = std::move(mQueue.front());
-      mQueue.pop_front();
+      std::deque<TaskOrder>& next = mStops.empty() ? mQueue : mStops;
+      order = std::move(next.front());
+      next.pop_front();
     }
     OrderReply reply;
     reply.mOutcome = OrderOutcome::kNotSent;
--- a/mulberryvalve/app/jobs/worker_lane.h
+++ b/mulberryvalve/app/jobs/worker_lane.h
@@ -39,8 +39,9 @@
   virtual MonotonicTime Now() const = 0;
 };
 
-// WorkerLane renews and lists on one thread and sends orders, in their order,
-// on another, so that a worker that does not answer holds up nobody else.
+// WorkerLane renews and lists on one thread and sends orders on another, so
+// that a worker that does not answer holds up nobody else. Stops are sent
+// first, the rest in its order.
 class WorkerLane
 {
 public:
@@ -75,6 +76,7 @@
   Mutex mMutex;
   CondVar mHoldCond;
   CondVar mOrderCond;
+  std::deque<TaskOrder> mStops MV_GUARDED_BY(mMutex);
   std::deque<TaskOrder> mQueue MV_GUARDED_BY(mMutex);
   bool mDurable MV_GUARDED_BY(mMutex) = false;
   bool mStopping MV_GUARDED_BY(mMutex) = false;
