Decisions of a shard are made on one thread, a pass for all that happened

Each answer of a worker ran a decision pass of its own under the shard's lock, on the thread that had received it: with 350 workers and 600 starts a second the passes used up the processor of the instance.

Answers, lists, the intake and the log only take their facts in and wake the thread that decides; one pass serves all that came. The lock is then free for as long as the pass took, 20 ms at most.

--- a/mulberryvalve/app/jobs/shard_runtime.cc
+++ b/mulberryvalve/app/jobs/shard_runtime.cc
@@ -13,6 +13,8 @@
 
 // Deadlines that no message announces are looked at this often.
 constexpr Milliseconds kTick{ 100 };
+// The longest pause between two passes while there is something to decide.
+constexpr Milliseconds kMaxPassGap{ 20 };
 // Changes that come within this time share an append.
 constexpr Milliseconds kAppendGap{ 25 };
 constexpr Milliseconds kRetryAppend{ 150 };
@@ -74,6 +76,7 @@
   }
   mCond.NotifyAll();
   mWriteCond.NotifyAll();
+  mDecideCond.NotifyAll();
 }
 
 PeerAnswer ShardRuntime::Answer(const PeerQuestion& aQuestion) const
@@ -104,9 +107,11 @@
   if (Claim() && Load()) {
     std::thread intake([this] { FollowIntake(); });
     std::thread workers([this] { FollowWorkers(); });
+    std::thread decisions([this] { RunDecisions(); });
     WriteProgress();
     intake.join();
     workers.join();
+    decisions.join();
   }
   BeginStop();
   std::map<WorkerId, std::unique_ptr<WorkerLane>> lanes;
@@ -145,10 +150,39 @@
   }
 }
 
+// One pass serves all that happened since the last one. The lock is free for
+// as long as a pass took before the next begins, so that what happens meanwhile
+// is taken in.
+void ShardRuntime::RunDecisions()
+{
+  Steady::time_point earliest = Steady::now();
+  Steady::time_point tick = earliest + kTick;
+  MutexLock lock(mMutex);
+  while (!mStopping) {
+    const Steady::time_point next = mMustDecide ? earliest : tick;
+    if (Steady::now() < next) {
+      mDecideCond.WaitUntil(mMutex, next);
+      continue;
+    }
+    const Steady::time_point begin = Steady::now();
+    mMustDecide = false;
+    Act();
+    const Steady::time_point end = Steady::now();
+    earliest = end + std::min<Steady::duration>(end - begin, kMaxPassGap);
+    tick = end + kTick;
+  }
+}
+
+void ShardRuntime::DecideSoon()
+{
+  mMustDecide = true;
+  mDecideCond.NotifyOne();
+}
+
 void ShardRuntime::WriteProgress()
 {
-  Steady::time_point next = Steady::now() + kTick;
   while (true) {
+    const Steady::time_point next = Steady::now() + kTick;
     ProgressBatch batch;
     {
       MutexLock lock(mMutex);
@@ -158,10 +192,6 @@
       if (mStopping) {
         return;
       }
-      if (Steady::now() >= next) {
-        next = Steady::now() + kTick;
-        Act();
-      }
       batch = mShard->TakeProgress(mPorts.mClock.Now());
     }
     if (batch.Empty()) {
@@ -213,8 +243,6 @@
     if (!PauseUntil(Steady::now() + kRetryAppend)) {
       return;
     }
-    MutexLock lock(mMutex);
-    Act();
   }
   mSequence++;
   {
@@ -226,7 +254,7 @@
         lane->second->OnDurable();
       }
     }
-    Act();
+    DecideSoon();
   }
   DropFromIntake(aBatch.mRetired);
 }
@@ -289,6 +317,7 @@
     mOver = true;
     mStopping = true;
     mCond.NotifyAll();
+    mDecideCond.NotifyAll();
     LogGivenUp("a worker obeys a newer owner");
   }
   if (mShard->NeedsAppend() || mStopping) {
@@ -378,7 +407,7 @@
 {
   MutexLock lock(mMutex);
   mShard->OnHold(aOrder, aReply, aSentAt, mPorts.mClock.Now());
-  Act();
+  DecideSoon();
   const WorkerRoom* room = mShard->Workers().Find(aOrder.mWorker);
   return room == nullptr || room->mDurable == room->mTaken;
 }
@@ -394,7 +423,7 @@
 {
   MutexLock lock(mMutex);
   mShard->OnOrder(aOrder, aReply, mPorts.mClock.Now());
-  Act();
+  DecideSoon();
 }
 
 MonotonicTime ShardRuntime::Now() const
--- a/mulberryvalve/app/jobs/shard_runtime.h
+++ b/mulberryvalve/app/jobs/shard_runtime.h
@@ -123,6 +123,8 @@
   bool Claim();
   void FindRival();
   bool Load();
+  void RunDecisions();
+  void DecideSoon() MV_REQUIRES(mMutex);
   void WriteProgress();
   void AppendProgress(const ProgressBatch& aBatch);
   Result<void> AppendOnce(const std::vector<KeyedEntry>& aEntries);
@@ -157,12 +159,16 @@
   CondVar mCond;
   // Wakes the writer, when something is to be made durable.
   CondVar mWriteCond;
+  // Wakes the thread that decides, when something happened.
+  CondVar mDecideCond;
   std::unique_ptr<JobShard> mShard MV_GUARDED_BY(mMutex);
   std::map<WorkerId, std::unique_ptr<WorkerLane>> mLanes MV_GUARDED_BY(mMutex);
   // Lanes that have ended; they are joined without the lock.
   std::vector<std::unique_ptr<WorkerLane>> mEndedLanes MV_GUARDED_BY(mMutex);
   std::shared_ptr<const ClusterConfig> mConfig MV_GUARDED_BY(mMutex);
   MonotonicTime mIntakeReadAt MV_GUARDED_BY(mMutex);
+  // Something happened since the last decision.
+  bool mMustDecide MV_GUARDED_BY(mMutex) = false;
   bool mStopping MV_GUARDED_BY(mMutex) = false;
   uint64_t mSequence = 0;
   uint64_t mIntakeNext = 0;
--- a/mulberryvalve/app/jobs/shard_runtime_feeds.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_feeds.cc
@@ -178,7 +178,7 @@
       mShard->OnCancel(cancel->mJob, now);
     }
   }
-  Act();
+  DecideSoon();
 }
 
 void ShardRuntime::FollowWorkers()
@@ -201,7 +201,7 @@
     MutexLock lock(mMutex);
     mShard->OnWorkers(mine, mPorts.mClock.Now());
     OpenLanes();
-    Act();
+    DecideSoon();
   }
 }
 
