A test records the orders of 16 seeded worlds

Cause: the search for a task's worker is to look at fewer workers; nothing says whether it still decides the same.

Change: a test plays seeded worlds with jobs of all kinds, mostly beyond the room, and cuts, rebirths, failing workers, domains taken out and changes of owner. It compares a digest of all orders with what the present code, which looks at every worker for every task, gives.

--- a/mulberryvalve/core/jobs/job_world_fake.cc
+++ b/mulberryvalve/core/jobs/job_world_fake.cc
@@ -150,6 +150,14 @@
   worker.mLastEnd = EndNumber();
 }
 
+void JobWorld::Configure(const ClusterConfig& aConfig)
+{
+  mConfig = aConfig;
+  for (auto& owner : mOwners) {
+    owner->mShard->OnConfig(aConfig);
+  }
+}
+
 FakeWorkerNode& JobWorld::Worker(size_t aIndex)
 {
   return std::next(mWorkers.begin(), static_cast<long>(aIndex))->second;
@@ -224,6 +232,9 @@
 
 void JobWorld::Carry(FakeOwner& aOwner, const TaskOrder& aOrder)
 {
+  if (mOnOrder) {
+    mOnOrder(aOrder);
+  }
   OrderReply reply;
   if (Reaches(aOwner, aOrder.mWorker)) {
     const OrderReply said = Apply(mWorkers.at(aOrder.mWorker), aOrder);
--- a/mulberryvalve/core/jobs/job_world_fake.h
+++ b/mulberryvalve/core/jobs/job_world_fake.h
@@ -94,6 +94,9 @@
   // Reborn ends a worker's life and begins the next.
   void Reborn(const WorkerId& aWorker);
 
+  // Configure puts a configuration in force for all owners.
+  void Configure(const ClusterConfig& aConfig);
+
   FakeWorkerNode& Worker(size_t aIndex);
   FakeOwner& Owner(size_t aIndex) { return *mOwners[aIndex]; }
   MonotonicTime Now() const { return mNow; }
@@ -103,6 +106,8 @@
   // How long a task runs once started; an end kind may be set by mEndOf.
   std::function<Milliseconds(const TaskRef&)> mDurationOf;
   std::function<EndKind(const TaskRef&, RunNumber)> mEndOf;
+  // Sees each order before it is carried, when set.
+  std::function<void(const TaskOrder&)> mOnOrder;
   // Workers that fail all that they start.
   std::set<WorkerId> mFailing;
 
--- /dev/null
+++ b/mulberryvalve/core/jobs/same_orders_test.cc
@@ -0,0 +1,241 @@
+// JobShard's orders in seeded worlds, against those that were recorded when
+// each task's worker was found by looking at all workers.
+#include "mulberryvalve/core/jobs/job_world_fake.h"
+
+#include "CppUTest/TestHarness.h"
+
+#include <cstdio>
+
+namespace mulberryvalve {
+namespace {
+
+constexpr size_t kWorkers = 14;
+constexpr int kRounds = 45;
+
+// Digest is the FNV-1a sum of texts.
+class Digest
+{
+public:
+  void Add(const std::string& aText)
+  {
+    for (const char letter : aText) {
+      mSum = (mSum ^ static_cast<unsigned char>(letter)) * 1099511628211U;
+    }
+    mCount++;
+  }
+
+  std::string Text() const
+  {
+    char text[40];
+    std::snprintf(text,
+                  sizeof(text),
+                  "%016llx/%zu",
+                  static_cast<unsigned long long>(mSum),
+                  mCount);
+    return text;
+  }
+
+private:
+  uint64_t mSum = 14695981039346656037U;
+  size_t mCount = 0;
+};
+
+std::string TextOf(const TaskOrder& aOrder, MonotonicTime aNow)
+{
+  return std::to_string(aNow.time_since_epoch().count()) +
+         std::string(kOrderKindNames.Name(aOrder.mKind)) + aOrder.mTask.Text() +
+         "#" + std::to_string(aOrder.mRun.Value()) + "@" +
+         aOrder.mWorker.Text();
+}
+
+// Player hands in jobs of all kinds, mostly more than there is room for, and
+// disturbs links, workers, configuration and ownership.
+class Player
+{
+public:
+  explicit Player(uint32_t aSeed)
+    : mRandom(aSeed)
+    , mWorld(kWorkers)
+  {
+    mWorld.mDurationOf = [](const TaskRef& aTask) {
+      return Milliseconds(400 + 300 * (aTask.mIndex % 5));
+    };
+    mWorld.mEndOf = [](const TaskRef& aTask, RunNumber aRun) {
+      const bool fails = (aTask.mIndex + aRun.Value()) % 17 == 0;
+      return fails ? EndKind::kFailed : EndKind::kDone;
+    };
+    mWorld.mOnOrder = [this](const TaskOrder& aOrder) {
+      mDigest.Add(TextOf(aOrder, mWorld.Now()));
+    };
+    mWorld.AddOwner();
+    mWorld.Worker(3).mFacts.mLabels = { WorkerLabel("label") };
+    mWorld.Worker(8).mFacts.mLabels = { WorkerLabel("label") };
+  }
+
+  std::string Play()
+  {
+    for (int round = 0; round < kRounds; round++) {
+      const uint32_t jobs = Pick(5);
+      for (uint32_t number = 0; number < jobs; number++) {
+        mWorld.Submit(NextJob());
+      }
+      Disturb();
+      mWorld.RunFor(Milliseconds(100 * (1 + Pick(6))));
+    }
+    Last().mLinks.clear();
+    mWorld.mFailing.clear();
+    mWorld.RunFor(Milliseconds(15000));
+    return mDigest.Text();
+  }
+
+private:
+  uint32_t Pick(uint32_t aBelow)
+  {
+    return static_cast<uint32_t>(mRandom() % aBelow);
+  }
+
+  FakeOwner& Last() { return mWorld.Owner(mOwners - 1); }
+
+  JobGraph NextJob()
+  {
+    JobGraph job = OneStepJob("j" + std::to_string(mJobs++), 1, 1000);
+    job.mQueue = QueueId("queue" + std::to_string(Pick(3)));
+    job.mRules.mPriority = static_cast<int>(Pick(3));
+    job.mRules.mSlack = Milliseconds(500 + Pick(3000));
+    job.mRules.mMaxAttempts = 4;
+    job.mSteps.resize(1 + Pick(3));
+    for (size_t number = 0; number < job.mSteps.size(); number++) {
+      StepSpec& step = job.mSteps[number];
+      step.mCount = 1 + Pick(18);
+      step.mDemand = Resources{ 400 * (1 + Pick(9)), 1000 * (1 + Pick(9)), 0 };
+      step.mEstimate = Milliseconds(500 * (1 + Pick(3)));
+      step.mImage = ImageId("image" + std::to_string(Pick(5)));
+      step.mFills = Pick(3) == 0;
+      Vary(step);
+      if (number > 0 && Pick(2) == 0) {
+        step.mAfter = { static_cast<uint32_t>(number - 1) };
+      }
+    }
+    return job;
+  }
+
+  void Vary(StepSpec& aStep)
+  {
+    switch (Pick(9)) {
+      case 0:
+        aStep.mGang = true;
+        aStep.mSameRack = Pick(2) == 0;
+        break;
+      case 1:
+        aStep.mSameRack = true;
+        break;
+      case 2:
+        aStep.mMaxPerWorker = 1 + Pick(2);
+        break;
+      case 3:
+        aStep.mRequiredLabel = WorkerLabel("label");
+        break;
+      case 4:
+        aStep.mDataRack = RackId("r1");
+        break;
+      case 5:
+        aStep.mLasting = true;
+        aStep.mFills = false;
+        aStep.mCount = 1 + Pick(4);
+        break;
+      default:
+        break;
+    }
+  }
+
+  void Disturb()
+  {
+    const size_t index = Pick(kWorkers);
+    const WorkerId worker = mWorld.Worker(index).mFacts.mId;
+    switch (Pick(14)) {
+      case 0:
+        Last().mLinks[worker] = LinkState::kCut;
+        break;
+      case 1:
+        Last().mLinks[worker] = LinkState::kNoAnswers;
+        break;
+      case 2:
+        Last().mLinks.clear();
+        break;
+      case 3:
+        mWorld.Reborn(worker);
+        break;
+      case 4:
+        mWorld.mFailing.insert(worker);
+        break;
+      case 5:
+        mWorld.mFailing.clear();
+        break;
+      case 6:
+        mWorld.Cancel(JobId("j" + std::to_string(Pick(mJobs + 1))));
+        break;
+      case 7:
+        mWorld.Worker(index).mFacts.mState = WorkerState::kLeaving;
+        break;
+      case 8:
+        mWorld.Worker(index).mFacts.mState = WorkerState::kLive;
+        break;
+      case 9:
+        TakeOutDomain(index);
+        break;
+      case 10:
+        mWorld.AddOwner();
+        mOwners++;
+        break;
+      case 11:
+        mWorld.Worker(index).mFacts.mCapacity.mCpuMillis = 8000 * (1 + Pick(3));
+        break;
+      default:
+        break;
+    }
+  }
+
+  void TakeOutDomain(size_t aIndex)
+  {
+    ClusterConfig config;
+    config.mVersion = ++mVersion;
+    if (Pick(2) == 0) {
+      config.mDomainsOut.insert(mWorld.Worker(aIndex).mFacts.mDomain);
+    }
+    mWorld.Configure(config);
+  }
+
+  std::mt19937 mRandom;
+  JobWorld mWorld;
+  Digest mDigest;
+  size_t mOwners = 1;
+  uint32_t mJobs = 0;
+  uint64_t mVersion = 1;
+};
+
+const char* const kRecorded[] = {
+  "516c9580e43665e0/2950", "e2aaec602ab8b651/3839", "2c27fec5bb840f89/3458",
+  "9205e9ab127f2aff/3053", "01182fcabe87f3bd/3395", "a432608b7a25f1d0/2693",
+  "2908f8f003fac75e/2995", "1a1a127b881854b3/2690", "fedc26733cb69d46/2799",
+  "fffc9e8acc9db2e7/3758", "68ace1ecd97ad7ac/2938", "7e8d5e9a064f53ea/2906",
+  "5e1d254af2b502a3/2977", "a4360add8a551b4a/3675", "b4eb2f33e352dd26/3290",
+  "b84451bdafebc763/2621",
+};
+
+} // namespace
+
+TEST_GROUP(SameOrdersTest){};
+
+// Guards against other decisions through a cheaper search for workers.
+TEST(SameOrdersTest, OrdersAreThoseOfAPlainScan)
+{
+  uint32_t seed = 0;
+  for (const char* recorded : kRecorded) {
+    seed++;
+    const std::string digest = Player(seed).Play();
+    const std::string label = "seed " + std::to_string(seed);
+    STRCMP_EQUAL_TEXT(recorded, digest.c_str(), label.c_str());
+  }
+}
+
+} // namespace mulberryvalve
