A decision walks silent and leaving workers only

Cause: each decision walked all workers twice, to find silent ones whose leases are over and leaving ones (a quarter of Decide at 350 workers by perf).

Change: the table of workers keeps the ids of both kinds; all changes of these states go through it.

--- a/mulberryvalve/core/jobs/job_shard.cc
+++ b/mulberryvalve/core/jobs/job_shard.cc
@@ -48,7 +48,7 @@
 
 void JobShard::InheritWorker(const KnownWorker& aWorker)
 {
-  WorkerRoom& room = mWorkers.All()[aWorker.mId];
+  WorkerRoom& room = mWorkers.Add(aWorker.mId);
   room.mFacts.mId = aWorker.mId;
   room.mFacts.mEndpoint = aWorker.mEndpoint;
   room.mFacts.mService = aWorker.mService;
@@ -123,11 +123,11 @@
   std::set<WorkerId> listed;
   for (const WorkerFacts& facts : aWorkers) {
     listed.insert(facts.mId);
-    WorkerRoom& room = mWorkers.All()[facts.mId];
+    WorkerRoom& room = mWorkers.Add(facts.mId);
     const bool moved =
       room.mFacts.mEndpoint.mAddress != facts.mEndpoint.mAddress ||
       room.mFacts.mEndpoint.mPort != facts.mEndpoint.mPort;
-    room.mFacts = facts;
+    mWorkers.SetFacts(room, facts);
     room.mListed = true;
     if (room.mBirth == Birth()) {
       room.mBirth = facts.mBirth;
@@ -143,19 +143,20 @@
       room.mLeavesAt = aNow + *facts.mRemaining;
     }
   }
-  for (auto row = mWorkers.All().begin(); row != mWorkers.All().end();) {
-    WorkerRoom& room = row->second;
-    room.mListed = listed.count(row->first) != 0;
-    const bool waited = mUnasked.count(row->first) != 0;
-    if (room.mListed || !room.mSilent || !room.mTasks.empty() || waited ||
-        aNow < room.mLapsesAt) {
-      ++row;
-      continue;
+  std::vector<WorkerId> gone;
+  for (auto& [id, room] : mWorkers.All()) {
+    room.mListed = listed.count(id) != 0;
+    const bool waited = mUnasked.count(id) != 0;
+    if (!room.mListed && room.mSilent && room.mTasks.empty() && !waited &&
+        aNow >= room.mLapsesAt) {
+      gone.push_back(id);
     }
-    NoteWorker(DecisionKind::kWorkerLapsed, row->first, "left the list");
-    mDirtyWorkers.erase(row->first);
-    mForgotten.insert(row->first);
-    row = mWorkers.All().erase(row);
+  }
+  for (const WorkerId& id : gone) {
+    NoteWorker(DecisionKind::kWorkerLapsed, id, "left the list");
+    mDirtyWorkers.erase(id);
+    mForgotten.insert(id);
+    mWorkers.Remove(id);
   }
 }
 
--- a/mulberryvalve/core/jobs/job_shard_lists.cc
+++ b/mulberryvalve/core/jobs/job_shard_lists.cc
@@ -64,7 +64,7 @@
     room->mBirth = birth;
   }
   if (room->mSilent) {
-    room->mSilent = false;
+    mWorkers.SetSilent(*room, false);
     TakeBackWait(*room);
     NoteWorker(DecisionKind::kWorkerBack, aOrder.mWorker, "answers");
   }
@@ -350,7 +350,7 @@
   if (aWorker.mSilent) {
     return;
   }
-  aWorker.mSilent = true;
+  mWorkers.SetSilent(aWorker, true);
   NoteWorker(DecisionKind::kWorkerSilent,
              aWorker.mFacts.mId,
              std::string(kOrderOutcomeNames.Name(aOutcome)));
@@ -388,8 +388,9 @@
 // nobody else had claimed the shard by its end.
 void JobShard::FreeLapsed(const OwnershipProof& aProof, MonotonicTime aNow)
 {
-  for (auto& [id, room] : mWorkers.All()) {
-    if (!room.mSilent || room.mTasks.empty() || aNow < room.mLapsesAt ||
+  for (const WorkerId& id : mWorkers.Silent()) {
+    WorkerRoom& room = *mWorkers.Find(id);
+    if (room.mTasks.empty() || aNow < room.mLapsesAt ||
         aProof.mProvedAt < room.mLapsesAt || mUnasked.count(id) != 0) {
       continue;
     }
--- a/mulberryvalve/core/jobs/job_shard_orders.cc
+++ b/mulberryvalve/core/jobs/job_shard_orders.cc
@@ -327,8 +327,9 @@
   for (const auto& [id, until] : mUnasked) {
     mDirtyWorkers.insert(id);
   }
-  for (const auto& [id, worker] : mWorkers.All()) {
-    if (worker.mSilent && worker.mInventoried && !worker.mNoWaitNoted) {
+  for (const WorkerId& id : mWorkers.Silent()) {
+    const WorkerRoom& worker = *mWorkers.Find(id);
+    if (worker.mInventoried && !worker.mNoWaitNoted) {
       mDirtyWorkers.insert(id);
     }
   }
@@ -336,8 +337,9 @@
 
 void JobShard::MoveOffLeaving(MonotonicTime aNow)
 {
-  for (auto& [id, worker] : mWorkers.All()) {
-    if (worker.mFacts.mState != WorkerState::kLeaving || worker.mSilent) {
+  for (const WorkerId& id : mWorkers.Leaving()) {
+    const WorkerRoom& worker = *mWorkers.Find(id);
+    if (worker.mSilent) {
       continue;
     }
     const bool soon =
--- a/mulberryvalve/core/jobs/worker_table.cc
+++ b/mulberryvalve/core/jobs/worker_table.cc
@@ -57,6 +57,38 @@
   return found == mWorkers.end() ? nullptr : &found->second;
 }
 
+WorkerRoom& WorkerTable::Add(const WorkerId& aId)
+{
+  return mWorkers[aId];
+}
+
+void WorkerTable::Remove(const WorkerId& aId)
+{
+  mSilent.erase(aId);
+  mLeaving.erase(aId);
+  mWorkers.erase(aId);
+}
+
+void WorkerTable::SetFacts(WorkerRoom& aWorker, const WorkerFacts& aFacts)
+{
+  aWorker.mFacts = aFacts;
+  if (aFacts.mState == WorkerState::kLeaving) {
+    mLeaving.insert(aFacts.mId);
+  } else {
+    mLeaving.erase(aFacts.mId);
+  }
+}
+
+void WorkerTable::SetSilent(WorkerRoom& aWorker, bool aSilent)
+{
+  aWorker.mSilent = aSilent;
+  if (aSilent) {
+    mSilent.insert(aWorker.mFacts.mId);
+  } else {
+    mSilent.erase(aWorker.mFacts.mId);
+  }
+}
+
 void WorkerTable::Charge(WorkerRoom& aWorker,
                          const TaskRef& aTask,
                          const StepSpec& aStep)
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -123,6 +123,22 @@
   WorkerRoom* Find(const WorkerId& aId);
   const WorkerRoom* Find(const WorkerId& aId) const;
 
+  // Add returns the worker, new or known.
+  WorkerRoom& Add(const WorkerId& aId);
+
+  // Remove forgets a worker.
+  void Remove(const WorkerId& aId);
+
+  // SetFacts takes in what the list of workers says of one.
+  void SetFacts(WorkerRoom& aWorker, const WorkerFacts& aFacts);
+
+  // SetSilent says whether the last renewal had no answer.
+  void SetSilent(WorkerRoom& aWorker, bool aSilent);
+
+  // Silent and Leaving name the workers in that state.
+  const std::set<WorkerId>& Silent() const { return mSilent; }
+  const std::set<WorkerId>& Leaving() const { return mLeaving; }
+
   // All returns every worker by id.
   std::map<WorkerId, WorkerRoom>& All() { return mWorkers; }
   const std::map<WorkerId, WorkerRoom>& All() const { return mWorkers; }
@@ -156,6 +172,8 @@
 
   const LeaseTerms mTerms;
   std::map<WorkerId, WorkerRoom> mWorkers;
+  std::set<WorkerId> mSilent;
+  std::set<WorkerId> mLeaving;
 };
 
 } // namespace mulberryvalve
