The search for workers looks at those that changed

Cause: each single task looked at all workers, and each end or answer looked at all of them again for every kind of step that waits.

Change: WorkerSearch finds the worker. The equal tasks of a step share one look at all workers, kept as a heap; a kind of step that no worker could run is looked for among the workers that changed since. The table of workers notes changes; what is likely in use is summed up by the same notes. A placement policy weighs one worker now (CostOn), so a policy can count the looks. What was learned of images counts for refused steps at the next tenth of a second, which is when they were tried without a cause before. Steps of different services no longer share refusals in the search.

jobs_test: the policy that makes a decision long overrides CostOn in place of Choose, which is gone; what it waits for and checks is the same.

Tests: decision_cost_test counts looks.

--- a/mulberryvalve/app/jobs/jobs_test.cc
+++ b/mulberryvalve/app/jobs/jobs_test.cc
@@ -364,11 +364,11 @@
       : mGroup(aGroup)
     {
     }
-    WorkerRoom* Choose(const PlacementQuery& aQuery,
-                       WorkerTable& aWorkers) const override
+    std::optional<int64_t> CostOn(const PlacementQuery& aQuery,
+                                  const WorkerRoom& aWorker) const override
     {
       mGroup.AwaitJoins(3);
-      return kLearned.Choose(aQuery, aWorkers);
+      return kLearned.CostOn(aQuery, aWorker);
     }
 
   private:
--- /dev/null
+++ b/mulberryvalve/core/jobs/decision_cost_test.cc
@@ -0,0 +1,110 @@
+// How many workers the decisions of an owner look at.
+#include "mulberryvalve/core/jobs/job_world_fake.h"
+
+#include "CppUTest/TestHarness.h"
+
+namespace mulberryvalve {
+namespace {
+
+constexpr uint32_t kTasks = 20;
+constexpr Milliseconds kSettle{ 400 };
+
+// CountedPlacement counts the workers that LearnedPlacement is asked about.
+class CountedPlacement : public JobPlacement
+{
+public:
+  std::optional<int64_t> CostOn(const PlacementQuery& aQuery,
+                                const WorkerRoom& aWorker) const override
+  {
+    mLooks++;
+    return mLearned.CostOn(aQuery, aWorker);
+  }
+
+  mutable size_t mLooks = 0;
+
+private:
+  LearnedPlacement mLearned;
+};
+
+JobGraph BatchJob(size_t aNumber)
+{
+  JobGraph job = OneStepJob("j" + std::to_string(aNumber), kTasks, 4000);
+  job.mSteps[0].mImage = ImageId("image" + std::to_string(aNumber % 5));
+  return job;
+}
+
+// Returns the looks for a hundred starts out of a backlog of one job a worker,
+// of which a fifth has room.
+size_t LooksInBacklog(size_t aWorkers)
+{
+  const CountedPlacement placement;
+  JobWorld world(aWorkers, placement);
+  world.AddOwner();
+  size_t starts = 0;
+  world.mOnOrder = [&](const TaskOrder& aOrder) {
+    starts += aOrder.mKind == OrderKind::kStart ? 1 : 0;
+  };
+  // Ends are spread, so that each pass has a few of them.
+  uint32_t next = 0;
+  world.mDurationOf = [&](const TaskRef&) {
+    next++;
+    return Milliseconds(2000 + 20 * (next * 37 % 100));
+  };
+  world.RunFor(kSettle);
+  for (size_t number = 0; number < aWorkers; number++) {
+    world.Submit(BatchJob(number));
+  }
+  world.RunFor(Milliseconds(1500));
+  placement.mLooks = 0;
+  starts = 0;
+  world.RunFor(Milliseconds(3000));
+  CHECK(starts > aWorkers);
+  return placement.mLooks * 100 / starts;
+}
+
+} // namespace
+
+TEST_GROUP(DecisionCostTest){};
+
+// Guards against an owner that has no time for the signs of its life, since
+// each task of a step looks at every worker.
+TEST(DecisionCostTest, EqualTasksShareOneLookAtAllWorkers)
+{
+  constexpr size_t kWorkers = 60;
+  const CountedPlacement placement;
+  JobWorld world(kWorkers, placement);
+  world.AddOwner();
+  world.RunFor(kSettle);
+  placement.mLooks = 0;
+  world.Submit(BatchJob(1));
+  world.RunFor(kSettle);
+  CHECK_EQUAL(static_cast<size_t>(kTasks), world.Running());
+  CHECK(placement.mLooks <= kWorkers + kTasks);
+}
+
+// Guards against an owner that has no time for the signs of its life, since
+// each end of a task makes it look at every worker for what waits.
+TEST(DecisionCostTest, AStartOutOfABacklogDoesNotDependOnTheWorkers)
+{
+  CHECK(LooksInBacklog(80) < 2 * LooksInBacklog(20));
+}
+
+// The same, while nothing happens.
+TEST(DecisionCostTest, ABacklogWithoutRoomIsNotLookedThrough)
+{
+  constexpr size_t kWorkers = 40;
+  const CountedPlacement placement;
+  JobWorld world(kWorkers, placement);
+  world.AddOwner();
+  world.mDurationOf = [](const TaskRef&) { return Milliseconds(60000); };
+  world.RunFor(kSettle);
+  for (size_t number = 0; number < 2 * kWorkers; number++) {
+    world.Submit(BatchJob(number));
+  }
+  world.RunFor(Milliseconds(1000));
+  placement.mLooks = 0;
+  world.RunFor(Milliseconds(1000));
+  CHECK_EQUAL(0U, placement.mLooks);
+}
+
+} // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/interference_book.cc
+++ b/mulberryvalve/core/jobs/interference_book.cc
@@ -49,6 +49,7 @@
   if (squares < kLeastShare * kLeastShare) {
     return;
   }
+  mVersion++;
   const double excess = std::clamp(aExcess, 0.0, kMostExcess);
   const double expected = std::min(kMostExcess, Pressure(aServing, aFilling));
   const double error = (excess - expected) / squares;
@@ -117,6 +118,7 @@
 void InterferenceBook::Restore(const LearnedRecord& aRecord,
                                ImageTable& aImages)
 {
+  mVersion++;
   for (const LearnedPair& pair : aRecord.mPairs) {
     PairAt(aImages.NumberOf(pair.mServing), aImages.NumberOf(pair.mFilling)) =
       PairWeight{ pair.mWeight, pair.mObservations };
--- a/mulberryvalve/core/jobs/interference_book.h
+++ b/mulberryvalve/core/jobs/interference_book.h
@@ -51,6 +51,9 @@
   double Pressure(ImageNumber aServing,
                   const std::vector<FillingShare>& aFilling) const;
 
+  // Version changes whenever a pressure may have changed.
+  uint64_t Version() const { return mVersion; }
+
   // Save adds what is known to aRecord, by the names of aImages; Restore takes
   // it back.
   void Save(const ImageTable& aImages, LearnedRecord& aRecord) const;
@@ -71,6 +74,7 @@
   // seen yet.
   std::vector<std::vector<PairWeight>> mPairs;
   std::map<ImageNumber, int64_t> mLeastTails;
+  uint64_t mVersion = 0;
 };
 
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/job_placement.cc
+++ b/mulberryvalve/core/jobs/job_placement.cc
@@ -39,17 +39,6 @@
 // fill get it.
 constexpr int64_t kServingUsesPercent = 42;
 constexpr int64_t kPercent = 100;
-// Above this share of all processors in use, work waits for room that suits it.
-constexpr int64_t kMostlyUsedPercent = 60;
-
-// What is likely in use, with the serving tasks at their usual load.
-int64_t UsedOf(const WorkerRoom& aWorker)
-{
-  const int64_t idle =
-    aWorker.mServingCpu * (kPercent - kServingUsesPercent) / kPercent;
-  return aWorker.mCharged.mCpuMillis + aWorker.mForeign.mCpuMillis - idle +
-         aWorker.mFillingDemand.mCpuMillis;
-}
 
 // The pressure on the serving image that feels most of what fills a worker,
 // with aMore of aImage added.
@@ -152,6 +141,14 @@
 
 } // namespace
 
+int64_t UsedOf(const WorkerRoom& aWorker)
+{
+  const int64_t idle =
+    aWorker.mServingCpu * (kPercent - kServingUsesPercent) / kPercent;
+  return aWorker.mCharged.mCpuMillis + aWorker.mForeign.mCpuMillis - idle +
+         aWorker.mFillingDemand.mCpuMillis;
+}
+
 PlacementRefusal OpenRefusal(const PlacementQuery& aQuery,
                              const WorkerRoom& aWorker)
 {
@@ -224,35 +221,13 @@
          aQuery.mStep.mDemand.FitsIn(aWorker.Room() + given);
 }
 
-bool MostIsUnused(const WorkerTable& aWorkers)
+std::optional<int64_t> LearnedPlacement::CostOn(const PlacementQuery& aQuery,
+                                                const WorkerRoom& aWorker) const
 {
-  int64_t used = 0;
-  int64_t capacity = 0;
-  for (const auto& [id, worker] : aWorkers.All()) {
-    if (worker.mListed && worker.mInventoried && !worker.mSilent) {
-      used += UsedOf(worker);
-      capacity += worker.CpuCapacity();
-    }
-  }
-  return used * kPercent < capacity * kMostlyUsedPercent;
-}
-
-WorkerRoom* LearnedPlacement::Choose(const PlacementQuery& aQuery,
-                                     WorkerTable& aWorkers) const
-{
-  WorkerRoom* best = nullptr;
-  int64_t bestCost = 0;
-  for (auto& [id, worker] : aWorkers.All()) {
-    if (!MayPlace(aQuery, worker) || IsUseless(aQuery, worker)) {
-      continue;
-    }
-    const int64_t cost = CostOf(aQuery, worker);
-    if (best == nullptr || cost < bestCost) {
-      best = &worker;
-      bestCost = cost;
-    }
+  if (!MayPlace(aQuery, aWorker) || IsUseless(aQuery, aWorker)) {
+    return std::nullopt;
   }
-  return best;
+  return CostOf(aQuery, aWorker);
 }
 
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/job_placement.h
+++ b/mulberryvalve/core/jobs/job_placement.h
@@ -5,6 +5,7 @@
 #include "mulberryvalve/core/jobs/worker_table.h"
 
 #include <map>
+#include <optional>
 #include <set>
 
 namespace mulberryvalve {
@@ -74,20 +75,25 @@
 bool MayPlaceWithoutFilling(const PlacementQuery& aQuery,
                             const WorkerRoom& aWorker);
 
-// MostIsUnused tells whether a good part of the processors of all workers that
-// can be used is likely unused.
-bool MostIsUnused(const WorkerTable& aWorkers);
+// UsedOf returns the thousandths of a core that are likely in use, with the
+// serving tasks at their usual load.
+int64_t UsedOf(const WorkerRoom& aWorker);
 
-// JobPlacement chooses among the workers that may run a task. Implementations
-// hold no state that needs a lock.
+// JobPlacement weighs the workers that may run a task. Implementations hold no
+// state that needs a lock.
+//
+// What CostOn returns depends on the worker and the step alone, and on what is
+// known of images; a task that asks for more is refused where one that asks for
+// less is. WorkerSearch relies on this.
 class JobPlacement
 {
 public:
   virtual ~JobPlacement() = default;
 
-  // Choose returns the best worker, or null when none may run the task.
-  virtual WorkerRoom* Choose(const PlacementQuery& aQuery,
-                             WorkerTable& aWorkers) const = 0;
+  // CostOn returns what the task costs on aWorker, or nothing when it may not
+  // run there. The lowest cost wins.
+  virtual std::optional<int64_t> CostOn(const PlacementQuery& aQuery,
+                                        const WorkerRoom& aWorker) const = 0;
 };
 
 // LearnedPlacement spreads by what is likely in use and by how much the images
@@ -96,8 +102,8 @@
 class LearnedPlacement : public JobPlacement
 {
 public:
-  WorkerRoom* Choose(const PlacementQuery& aQuery,
-                     WorkerTable& aWorkers) const override;
+  std::optional<int64_t> CostOn(const PlacementQuery& aQuery,
+                                const WorkerRoom& aWorker) const override;
 };
 
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/job_shard.cc
+++ b/mulberryvalve/core/jobs/job_shard.cc
@@ -26,6 +26,7 @@
   , mPolicies(aPolicies)
   , mClaimedAt(aClaimedAt)
   , mWorkers(aOptions.mLease)
+  , mSearch(aPolicies.mPlacement, mWorkers)
   , mNoteWaitsAt(aClaimedAt + kFirstNote)
   , mNoteLearnedAt(aClaimedAt + kNoteLearned)
 {
@@ -114,6 +115,7 @@
 void JobShard::OnConfig(const ClusterConfig& aConfig)
 {
   mConfig = aConfig;
+  mSearch.ForgetRefusals();
   mChanged = true;
 }
 
@@ -128,7 +130,10 @@
       room.mFacts.mEndpoint.mAddress != facts.mEndpoint.mAddress ||
       room.mFacts.mEndpoint.mPort != facts.mEndpoint.mPort;
     mWorkers.SetFacts(room, facts);
-    room.mListed = true;
+    if (!room.mListed) {
+      room.mListed = true;
+      mWorkers.NoteChange(room);
+    }
     if (room.mBirth == Birth()) {
       room.mBirth = facts.mBirth;
     }
@@ -145,7 +150,10 @@
   }
   std::vector<WorkerId> gone;
   for (auto& [id, room] : mWorkers.All()) {
-    room.mListed = listed.count(id) != 0;
+    if (room.mListed && listed.count(id) == 0) {
+      room.mListed = false;
+      mWorkers.NoteChange(room);
+    }
     const bool waited = mUnasked.count(id) != 0;
     if (!room.mListed && room.mSilent && room.mTasks.empty() && !waited &&
         aNow >= room.mLapsesAt) {
@@ -183,6 +191,7 @@
   aWorker.mWaitNoted = false;
   aWorker.mNoWaitNoted = false;
   aWorker.mRecorded = false;
+  mWorkers.NoteChange(aWorker);
   mDirtyWorkers.insert(aWorker.mFacts.mId);
 }
 
@@ -264,6 +273,7 @@
     if (room != nullptr &&
         (!room->mInventoried || !worker.mWaitLeft.has_value())) {
       room->mRecorded = true;
+      mWorkers.NoteChange(*room);
     }
   }
   for (const ProgressBatch::EndsTaken& ends : aBatch.mEnds) {
@@ -314,6 +324,7 @@
     return;
   }
   aWorker.mAvoidUntil = aUntil;
+  mWorkers.NoteChange(aWorker);
   NoteWorker(DecisionKind::kWorkerAvoided, aWorker.mFacts.mId, aWhy);
 }
 
--- a/mulberryvalve/core/jobs/job_shard.h
+++ b/mulberryvalve/core/jobs/job_shard.h
@@ -8,7 +8,9 @@
 #include "mulberryvalve/core/jobs/job_decision.h"
 #include "mulberryvalve/core/jobs/job_placement.h"
 #include "mulberryvalve/core/jobs/run_time_book.h"
+#include "mulberryvalve/core/jobs/usage_sum.h"
 #include "mulberryvalve/core/jobs/waiting_order.h"
+#include "mulberryvalve/core/jobs/worker_search.h"
 #include "mulberryvalve/core/jobs/worker_table.h"
 
 #include <map>
@@ -200,6 +202,10 @@
   std::vector<JobId> Retirable(MonotonicTime aNow) const;
 
   // Ends and lists (job_shard_lists.cc).
+  void TakeLists(WorkerRoom& aWorker,
+                 const HoldReply& aReply,
+                 MonotonicTime aSentAt,
+                 MonotonicTime aNow);
   void TakeEnd(WorkerRoom& aWorker, const EndedRow& aRow, MonotonicTime aNow);
   void CountEnd(StepTask& aTask, const EndedRow& aRow, const WorkerId& aWorker);
   void LearnRunTime(const StepTask& aTask,
@@ -247,6 +253,7 @@
                    MonotonicTime aNow);
 
   // Orders (job_shard_orders.cc).
+  void TakeChanges(MonotonicTime aNow);
   void PlaceOpen(MonotonicTime aNow);
   bool PlaceOne(JobEntry& aJob, const TaskRef& aTask, MonotonicTime aNow);
   void PlaceGang(JobEntry& aJob, const StepRef& aStep, MonotonicTime aNow);
@@ -315,6 +322,8 @@
   const MonotonicTime mClaimedAt;
   JobBook mBook;
   WorkerTable mWorkers;
+  WorkerSearch mSearch;
+  UsageSum mUsage;
   ClusterConfig mConfig;
   InterferenceBook mInterference;
   RunTimeBook mRunTimes;
@@ -337,6 +346,7 @@
   std::vector<TaskOrder> mOrders;
   std::vector<JobDecision> mDecisions;
   bool mMostIsUnused = false;
+  uint64_t mPressureVersion = 0;
   // The proof that the last decision rested on.
   MonotonicTime mProvedAt;
   // Something happened that may let a waiting task start.
--- a/mulberryvalve/core/jobs/job_shard_lists.cc
+++ b/mulberryvalve/core/jobs/job_shard_lists.cc
@@ -2,6 +2,7 @@
 #include "mulberryvalve/core/jobs/job_shard.h"
 
 #include <algorithm>
+#include <tuple>
 #include <vector>
 
 namespace mulberryvalve {
@@ -69,18 +70,10 @@
     NoteWorker(DecisionKind::kWorkerBack, aOrder.mWorker, "answers");
   }
   mWorkers.OnReading(*room, aReply.mReading, aNow);
-  for (const EndedRow& row : aReply.mEnded) {
-    TakeEnd(*room, row, aNow);
-  }
-  room->mForeign = Resources();
-  room->mForeignUnknown = false;
-  for (const RunningRow& row : aReply.mRunning) {
-    TakeRunning(*room, row, aNow);
-  }
-  FreeMissing(*room, aReply, aSentAt);
-  FollowTails(*room, aReply, aSentAt, aNow);
+  TakeLists(*room, aReply, aSentAt, aNow);
   if (!room->mInventoried) {
     room->mInventoried = true;
+    mWorkers.NoteChange(*room);
     TakeBackWait(*room);
     mChanged = true;
     mUnasked.erase(aOrder.mWorker);
@@ -90,6 +83,36 @@
   }
 }
 
+void JobShard::TakeLists(WorkerRoom& aWorker,
+                         const HoldReply& aReply,
+                         MonotonicTime aSentAt,
+                         MonotonicTime aNow)
+{
+  const auto bounds = [&aWorker] {
+    return std::make_tuple(aWorker.mForeign.mCpuMillis,
+                           aWorker.mForeign.mMemoryMb,
+                           aWorker.mForeign.mAccelerators,
+                           aWorker.mForeignUnknown,
+                           aWorker.mPace.mPercent,
+                           aWorker.mPace.mRatioPercent,
+                           aWorker.mBearablePressure);
+  };
+  const auto before = bounds();
+  for (const EndedRow& row : aReply.mEnded) {
+    TakeEnd(aWorker, row, aNow);
+  }
+  aWorker.mForeign = Resources();
+  aWorker.mForeignUnknown = false;
+  for (const RunningRow& row : aReply.mRunning) {
+    TakeRunning(aWorker, row, aNow);
+  }
+  FreeMissing(aWorker, aReply, aSentAt);
+  FollowTails(aWorker, aReply, aSentAt, aNow);
+  if (bounds() != before) {
+    mWorkers.NoteChange(aWorker);
+  }
+}
+
 void JobShard::TakeEnd(WorkerRoom& aWorker,
                        const EndedRow& aRow,
                        MonotonicTime aNow)
@@ -370,6 +393,7 @@
   aWorker.mFailuresInRow = 0;
   aWorker.mForeign = Resources();
   aWorker.mForeignUnknown = false;
+  mWorkers.NoteChange(aWorker);
   mDirtyWorkers.insert(aWorker.mFacts.mId);
 }
 
--- a/mulberryvalve/core/jobs/job_shard_orders.cc
+++ b/mulberryvalve/core/jobs/job_shard_orders.cc
@@ -70,6 +70,10 @@
   mBook.OpenDue(aWall);
   if (aProof.mMayStart && (mChanged || aNow >= mPlaceAgainAt)) {
     mChanged = false;
+    if (aNow >= mPlaceAgainAt && mPressureVersion != mInterference.Version()) {
+      mPressureVersion = mInterference.Version();
+      mSearch.ForgetPressure();
+    }
     mPlaceAgainAt = aNow + kPlaceAgain;
     PlaceOpen(aNow);
   }
@@ -87,9 +91,17 @@
          IsProvedFor(*mBook.Find(aOrder.mTask.mStep.mJob), aNow);
 }
 
+void JobShard::TakeChanges(MonotonicTime aNow)
+{
+  const std::vector<WorkerRoom*> changed = mWorkers.TakeChanged();
+  mUsage.OnChanges(changed, mWorkers);
+  mSearch.BeginPass(changed, aNow);
+}
+
 void JobShard::PlaceOpen(MonotonicTime aNow)
 {
-  mMostIsUnused = MostIsUnused(mWorkers);
+  TakeChanges(aNow);
+  mMostIsUnused = mUsage.MostIsUnused();
   std::vector<WaitingStep> open = WaitingSteps(aNow);
   mPolicies.mOrder.Sort(open, aNow);
   Refused refused;
@@ -128,8 +140,9 @@
   if (!query.mStep.mLasting) {
     query.mFailedAt = mBook.FindTask(aTask)->mFailedAt;
   }
-  WorkerRoom* worker = mPolicies.mPlacement.Choose(query, mWorkers);
+  WorkerRoom* worker = mSearch.Choose(query, aTask.mStep);
   if (worker == nullptr) {
+    mSearch.RememberRefusal(query, aTask.mStep);
     if (mBook.SpecOf(aTask.mStep).mLasting) {
       MakeRoom(aJob, aTask.mStep, aNow);
     }
@@ -152,9 +165,12 @@
   }
   std::vector<WorkerRoom*> chosen;
   for (uint32_t index = 0; index < spec.mCount; index++) {
-    WorkerRoom* worker =
-      mPolicies.mPlacement.Choose(QueryFor(aJob, aStep, aNow), mWorkers);
+    const PlacementQuery query = QueryFor(aJob, aStep, aNow);
+    WorkerRoom* worker = mSearch.Choose(query, aStep);
     if (worker == nullptr) {
+      if (chosen.empty()) {
+        mSearch.RememberRefusal(query, aStep);
+      }
       break;
     }
     mWorkers.Charge(*worker, TaskRef{ aStep, index }, spec);
@@ -165,6 +181,7 @@
     mWorkers.Release(*chosen[index], TaskRef{ aStep, index }, spec);
   }
   step.mSiblings.clear();
+  TakeChanges(aNow);
   if (chosen.size() < spec.mCount) {
     return;
   }
@@ -211,6 +228,7 @@
   }
   if (best != nullptr) {
     best->mKeptForLastingUntil = aNow + kKeepForLasting;
+    mWorkers.NoteChange(*best);
     StopFilling(*best, "makes room for a lasting task");
   }
 }
--- a/mulberryvalve/core/jobs/job_world_fake.cc
+++ b/mulberryvalve/core/jobs/job_world_fake.cc
@@ -40,13 +40,26 @@
 }
 
 JobWorld::JobWorld(size_t aWorkers)
-  : JobWorld(aWorkers, mLeastWork)
+  : JobWorld(aWorkers, mLeastWork, mLearnedPlacement)
 {
 }
 
 JobWorld::JobWorld(size_t aWorkers, const WaitingOrder& aOrder)
+  : JobWorld(aWorkers, aOrder, mLearnedPlacement)
+{
+}
+
+JobWorld::JobWorld(size_t aWorkers, const JobPlacement& aPlacement)
+  : JobWorld(aWorkers, mLeastWork, aPlacement)
+{
+}
+
+JobWorld::JobWorld(size_t aWorkers,
+                   const WaitingOrder& aOrder,
+                   const JobPlacement& aPlacement)
   : mDurationOf([](const TaskRef&) { return Milliseconds(500); })
   , mEndOf([](const TaskRef&, RunNumber) { return EndKind::kDone; })
+  , mPlacement(aPlacement)
   , mOrder(aOrder)
 {
   for (size_t number = 0; number < aWorkers; number++) {
--- a/mulberryvalve/core/jobs/job_world_fake.h
+++ b/mulberryvalve/core/jobs/job_world_fake.h
@@ -74,6 +74,10 @@
 public:
   explicit JobWorld(size_t aWorkers);
   JobWorld(size_t aWorkers, const WaitingOrder& aOrder);
+  JobWorld(size_t aWorkers, const JobPlacement& aPlacement);
+  JobWorld(size_t aWorkers,
+           const WaitingOrder& aOrder,
+           const JobPlacement& aPlacement);
 
   // AddOwner claims the shard for a new owner and makes it inherit what is
   // durable. The former owners go on until they are told or fenced.
@@ -123,8 +127,9 @@
   const StepSpec& SpecOf(const TaskRef& aTask) const;
   void Persist(FakeOwner& aOwner);
 
-  LearnedPlacement mPlacement;
+  const LearnedPlacement mLearnedPlacement;
   const LeastWorkOrder mLeastWork;
+  const JobPlacement& mPlacement;
   const WaitingOrder& mOrder;
   MonotonicTime mNow;
   std::map<WorkerId, FakeWorkerNode> mWorkers;
--- /dev/null
+++ b/mulberryvalve/core/jobs/usage_sum.h
@@ -0,0 +1,41 @@
+// UsageSum: how much of the processors of all workers is likely in use.
+#ifndef MULBERRYVALVE_CORE_JOBS_USAGE_SUM_H_
+#define MULBERRYVALVE_CORE_JOBS_USAGE_SUM_H_
+
+#include "mulberryvalve/core/jobs/worker_table.h"
+
+#include <unordered_map>
+#include <vector>
+
+namespace mulberryvalve {
+
+// UsageSum is not synchronised.
+class UsageSum
+{
+public:
+  // OnChanges takes in the workers of aWorkers that changed since the last
+  // call.
+  void OnChanges(const std::vector<WorkerRoom*>& aChanged,
+                 const WorkerTable& aWorkers);
+
+  // MostIsUnused tells whether a good part of the processors of all workers
+  // that can be used is likely unused.
+  bool MostIsUnused() const;
+
+private:
+  struct Usage
+  {
+    int64_t mUsed = 0;
+    int64_t mCapacity = 0;
+  };
+
+  void Count(const WorkerRoom& aWorker);
+
+  std::unordered_map<WorkerId, Usage> mUsages;
+  Usage mSum;
+  uint64_t mRemovals = 0;
+};
+
+} // namespace mulberryvalve
+
+#endif // MULBERRYVALVE_CORE_JOBS_USAGE_SUM_H_
--- a/mulberryvalve/core/jobs/worker_table.cc
+++ b/mulberryvalve/core/jobs/worker_table.cc
@@ -1,6 +1,7 @@
 #include "mulberryvalve/core/jobs/worker_table.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mulberryvalve {
 namespace {
@@ -20,6 +21,13 @@
   return aStep.mLasting && aStep.mTailTarget.count() > 0;
 }
 
+bool IsSameForPlacement(const WorkerFacts& aLeft, const WorkerFacts& aRight)
+{
+  return aLeft.mService == aRight.mService && aLeft.mDomain == aRight.mDomain &&
+         aLeft.mRack == aRight.mRack && aLeft.mLabels == aRight.mLabels &&
+         aLeft.mCapacity == aRight.mCapacity && aLeft.mState == aRight.mState;
+}
+
 } // namespace
 
 std::vector<FillingShare> WorkerRoom::Filling(int aPercent,
@@ -59,18 +67,35 @@
 
 WorkerRoom& WorkerTable::Add(const WorkerId& aId)
 {
-  return mWorkers[aId];
+  const auto [found, isNew] = mWorkers.try_emplace(aId);
+  if (isNew) {
+    NoteChange(found->second);
+  }
+  return found->second;
 }
 
 void WorkerTable::Remove(const WorkerId& aId)
 {
+  const auto found = mWorkers.find(aId);
+  if (found == mWorkers.end()) {
+    return;
+  }
+  const auto changed =
+    std::find(mChanged.begin(), mChanged.end(), &found->second);
+  if (changed != mChanged.end()) {
+    mChanged.erase(changed);
+  }
   mSilent.erase(aId);
   mLeaving.erase(aId);
-  mWorkers.erase(aId);
+  mWorkers.erase(found);
+  mRemovals++;
 }
 
 void WorkerTable::SetFacts(WorkerRoom& aWorker, const WorkerFacts& aFacts)
 {
+  if (!IsSameForPlacement(aWorker.mFacts, aFacts)) {
+    NoteChange(aWorker);
+  }
   aWorker.mFacts = aFacts;
   if (aFacts.mState == WorkerState::kLeaving) {
     mLeaving.insert(aFacts.mId);
@@ -82,6 +107,7 @@
 void WorkerTable::SetSilent(WorkerRoom& aWorker, bool aSilent)
 {
   aWorker.mSilent = aSilent;
+  NoteChange(aWorker);
   if (aSilent) {
     mSilent.insert(aWorker.mFacts.mId);
   } else {
@@ -89,6 +115,22 @@
   }
 }
 
+void WorkerTable::NoteChange(WorkerRoom& aWorker)
+{
+  if (!aWorker.mIsChanged) {
+    aWorker.mIsChanged = true;
+    mChanged.push_back(&aWorker);
+  }
+}
+
+std::vector<WorkerRoom*> WorkerTable::TakeChanged()
+{
+  for (WorkerRoom* worker : mChanged) {
+    worker->mIsChanged = false;
+  }
+  return std::exchange(mChanged, {});
+}
+
 void WorkerTable::Charge(WorkerRoom& aWorker,
                          const TaskRef& aTask,
                          const StepSpec& aStep)
@@ -96,6 +138,7 @@
   if (!aWorker.mTasks.insert(aTask).second) {
     return;
   }
+  NoteChange(aWorker);
   if (aStep.mFills) {
     aWorker.mFilling++;
     aWorker.mFillingDemand += aStep.mDemand;
@@ -117,6 +160,7 @@
   if (aWorker.mTasks.erase(aTask) == 0) {
     return;
   }
+  NoteChange(aWorker);
   if (aStep.mFills) {
     aWorker.mFilling--;
     aWorker.mFillingDemand -= aStep.mDemand;
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -64,6 +64,8 @@
   int mFailuresInRow = 0;
   // When a leaving worker may be gone, by its last word.
   std::optional<MonotonicTime> mLeavesAt;
+  // It is among those that WorkerTable::TakeChanged returns next.
+  bool mIsChanged = false;
   // The tasks that are charged to it.
   std::set<TaskRef> mTasks;
   Resources mCharged;
@@ -135,6 +137,16 @@
   // SetSilent says whether the last renewal had no answer.
   void SetSilent(WorkerRoom& aWorker, bool aSilent);
 
+  // NoteChange is called when something changes on which it depends whether
+  // tasks may be placed on a worker. Charge, Release, SetFacts and SetSilent
+  // call it.
+  void NoteChange(WorkerRoom& aWorker);
+
+  // TakeChanged returns the workers that changed since the last call. Removals
+  // counts the workers that were removed.
+  std::vector<WorkerRoom*> TakeChanged();
+  uint64_t Removals() const { return mRemovals; }
+
   // Silent and Leaving name the workers in that state.
   const std::set<WorkerId>& Silent() const { return mSilent; }
   const std::set<WorkerId>& Leaving() const { return mLeaving; }
@@ -174,6 +186,8 @@
   std::map<WorkerId, WorkerRoom> mWorkers;
   std::set<WorkerId> mSilent;
   std::set<WorkerId> mLeaving;
+  std::vector<WorkerRoom*> mChanged;
+  uint64_t mRemovals = 0;
 };
 
 } // namespace mulberryvalve
