--- a/mulberryvalve/core/jobs/job_shard.cc
+++ b/mulberryvalve/core/jobs/job_shard.cc
@@ -26,6 +26,7 @@
   , mPolicies(aPolicies)
   , mClaimedAt(aClaimedAt)
   , mWorkers(aOptions.mLease)
+  , mSearch(aPolicies.mPlacement, mWorkers)
   , mNoteWaitsAt(aClaimedAt + kFirstNote)
   , mNoteLearnedAt(aClaimedAt + kNoteLearned)
 {
@@ -48,7 +49,7 @@
 
 void JobShard::InheritWorker(const KnownWorker& aWorker)
 {
-  WorkerRoom& room = mWorkers.All()[aWorker.mId];
+  WorkerRoom& room = mWorkers.Add(aWorker.mId);
   room.mFacts.mId = aWorker.mId;
   room.mFacts.mEndpoint = aWorker.mEndpoint;
   room.mFacts.mService = aWorker.mService;
@@ -114,6 +115,7 @@
 void JobShard::OnConfig(const ClusterConfig& aConfig)
 {
   mConfig = aConfig;
+  mSearch.ForgetRefusals();
   mChanged = true;
 }
 
@@ -123,12 +125,15 @@
   std::set<WorkerId> listed;
   for (const WorkerFacts& facts : aWorkers) {
     listed.insert(facts.mId);
-    WorkerRoom& room = mWorkers.All()[facts.mId];
+    WorkerRoom& room = mWorkers.Add(facts.mId);
     const bool moved =
       room.mFacts.mEndpoint.mAddress != facts.mEndpoint.mAddress ||
       room.mFacts.mEndpoint.mPort != facts.mEndpoint.mPort;
-    room.mFacts = facts;
-    room.mListed = true;
+    mWorkers.SetFacts(room, facts);
+    if (!room.mListed) {
+      room.mListed = true;
+      mWorkers.NoteChange(room);
+    }
     if (room.mBirth == Birth()) {
       room.mBirth = facts.mBirth;
     }
@@ -143,19 +148,23 @@
       room.mLeavesAt = aNow + *facts.mRemaining;
     }
   }
-  for (auto row = mWorkers.All().begin(); row != mWorkers.All().end();) {
-    WorkerRoom& room = row->second;
-    room.mListed = listed.count(row->first) != 0;
-    const bool waited = mUnasked.count(row->first) != 0;
-    if (room.mListed || !room.mSilent || !room.mTasks.empty() || waited ||
-        aNow < room.mLapsesAt) {
-      ++row;
-      continue;
+  std::vector<WorkerId> gone;
+  for (auto& [id, room] : mWorkers.All()) {
+    if (room.mListed && listed.count(id) == 0) {
+      room.mListed = false;
+      mWorkers.NoteChange(room);
     }
-    NoteWorker(DecisionKind::kWorkerLapsed, row->first, "left the list");
-    mDirtyWorkers.erase(row->first);
-    mForgotten.insert(row->first);
-    row = mWorkers.All().erase(row);
+    const bool waited = mUnasked.count(id) != 0;
+    if (!room.mListed && room.mSilent && room.mTasks.empty() && !waited &&
+        aNow >= room.mLapsesAt) {
+      gone.push_back(id);
+    }
+  }
+  for (const WorkerId& id : gone) {
+    NoteWorker(DecisionKind::kWorkerLapsed, id, "left the list");
+    mDirtyWorkers.erase(id);
+    mForgotten.insert(id);
+    mWorkers.Remove(id);
   }
 }
 
@@ -182,6 +191,7 @@
   aWorker.mWaitNoted = false;
   aWorker.mNoWaitNoted = false;
   aWorker.mRecorded = false;
+  mWorkers.NoteChange(aWorker);
   mDirtyWorkers.insert(aWorker.mFacts.mId);
 }
 
@@ -263,6 +273,7 @@
     if (room != nullptr &&
         (!room->mInventoried || !worker.mWaitLeft.has_value())) {
       room->mRecorded = true;
+      mWorkers.NoteChange(*room);
     }
   }
   for (const ProgressBatch::EndsTaken& ends : aBatch.mEnds) {
@@ -313,6 +324,7 @@
     return;
   }
   aWorker.mAvoidUntil = aUntil;
+  mWorkers.NoteChange(aWorker);
   NoteWorker(DecisionKind::kWorkerAvoided, aWorker.mFacts.mId, aWhy);
 }
 
--- a/mulberryvalve/core/jobs/job_world_fake.cc
+++ b/mulberryvalve/core/jobs/job_world_fake.cc
@@ -40,13 +40,26 @@
 }
 
 JobWorld::JobWorld(size_t aWorkers)
-  : JobWorld(aWorkers, mLeastWork)
+  : JobWorld(aWorkers, mLeastWork, mLearnedPlacement)
 {
 }
 
 JobWorld::JobWorld(size_t aWorkers, const WaitingOrder& aOrder)
+  : JobWorld(aWorkers, aOrder, mLearnedPlacement)
+{
+}
+
+JobWorld::JobWorld(size_t aWorkers, const JobPlacement& aPlacement)
+  : JobWorld(aWorkers, mLeastWork, aPlacement)
+{
+}
+
+JobWorld::JobWorld(size_t aWorkers,
+                   const WaitingOrder& aOrder,
+                   const JobPlacement& aPlacement)
   : mDurationOf([](const TaskRef&) { return Milliseconds(500); })
   , mEndOf([](const TaskRef&, RunNumber) { return EndKind::kDone; })
+  , mPlacement(aPlacement)
   , mOrder(aOrder)
 {
   for (size_t number = 0; number < aWorkers; number++) {
@@ -150,6 +163,14 @@
   worker.mLastEnd = EndNumber();
 }
 
+void JobWorld::Configure(const ClusterConfig& aConfig)
+{
+  mConfig = aConfig;
+  for (auto& owner : mOwners) {
+    owner->mShard->OnConfig(aConfig);
+  }
+}
+
 FakeWorkerNode& JobWorld::Worker(size_t aIndex)
 {
   return std::next(mWorkers.begin(), static_cast<long>(aIndex))->second;
@@ -224,6 +245,9 @@
 
 void JobWorld::Carry(FakeOwner& aOwner, const TaskOrder& aOrder)
 {
+  if (mOnOrder) {
+    mOnOrder(aOrder);
+  }
   OrderReply reply;
   if (Reaches(aOwner, aOrder.mWorker)) {
     const OrderReply said = Apply(mWorkers.at(aOrder.mWorker), aOrder);
--- a/mulberryvalve/core/jobs/job_world_fake.h
+++ b/mulberryvalve/core/jobs/job_world_fake.h
@@ -74,6 +74,10 @@
 public:
   explicit JobWorld(size_t aWorkers);
   JobWorld(size_t aWorkers, const WaitingOrder& aOrder);
+  JobWorld(size_t aWorkers, const JobPlacement& aPlacement);
+  JobWorld(size_t aWorkers,
+           const WaitingOrder& aOrder,
+           const JobPlacement& aPlacement);
 
   // AddOwner claims the shard for a new owner and makes it inherit what is
   // durable. The former owners go on until they are told or fenced.
@@ -94,6 +98,9 @@
   // Reborn ends a worker's life and begins the next.
   void Reborn(const WorkerId& aWorker);
 
+  // Configure puts a configuration in force for all owners.
+  void Configure(const ClusterConfig& aConfig);
+
   FakeWorkerNode& Worker(size_t aIndex);
   FakeOwner& Owner(size_t aIndex) { return *mOwners[aIndex]; }
   MonotonicTime Now() const { return mNow; }
@@ -103,6 +110,8 @@
   // How long a task runs once started; an end kind may be set by mEndOf.
   std::function<Milliseconds(const TaskRef&)> mDurationOf;
   std::function<EndKind(const TaskRef&, RunNumber)> mEndOf;
+  // Sees each order before it is carried, when set.
+  std::function<void(const TaskOrder&)> mOnOrder;
   // Workers that fail all that they start.
   std::set<WorkerId> mFailing;
 
@@ -118,8 +127,9 @@
   const StepSpec& SpecOf(const TaskRef& aTask) const;
   void Persist(FakeOwner& aOwner);
 
-  LearnedPlacement mPlacement;
+  const LearnedPlacement mLearnedPlacement;
   const LeastWorkOrder mLeastWork;
+  const JobPlacement& mPlacement;
   const WaitingOrder& mOrder;
   MonotonicTime mNow;
   std::map<WorkerId, FakeWorkerNode> mWorkers;
