A timing that nothing observes keeps no window

Change: a window exists once something is observed in it. Measured: accumulator_metrics_test passes; memory of a process not measured yet.

--- a/mulberryvalve/adapters/metrics/accumulator_metrics.cc
+++ b/mulberryvalve/adapters/metrics/accumulator_metrics.cc
@@ -89,7 +89,10 @@
   Rotate(state, now);
   state.mCount++;
   state.mSumMicroseconds += static_cast<uint64_t>(elapsed);
-  state.mPresent.Add(static_cast<double>(elapsed));
+  if (!state.mPresent) {
+    state.mPresent.emplace();
+  }
+  state.mPresent->Add(static_cast<double>(elapsed));
 }
 
 std::string AccumulatorMetrics::Exposition() const
@@ -130,8 +133,11 @@
     return;
   }
   const bool followsOn = aNow < aState.mWindowEnd + kWindow;
-  aState.mPrevious = followsOn ? aState.mPresent : TimingWindow();
-  aState.mPresent = TimingWindow();
+  aState.mPrevious.reset();
+  if (followsOn) {
+    std::swap(aState.mPrevious, aState.mPresent);
+  }
+  aState.mPresent.reset();
   aState.mWindowEnd = aNow + kWindow;
 }
 
@@ -146,8 +152,11 @@
     Rotate(state, now);
     totals.mCount += state.mCount;
     totals.mSumMicroseconds += state.mSumMicroseconds;
-    totals.mWindows.push_back(state.mPresent);
-    totals.mWindows.push_back(state.mPrevious);
+    for (const auto* window : { &state.mPresent, &state.mPrevious }) {
+      if (window->has_value()) {
+        totals.mWindows.push_back(**window);
+      }
+    }
   }
   return totals;
 }
--- a/mulberryvalve/adapters/metrics/accumulator_metrics.h
+++ b/mulberryvalve/adapters/metrics/accumulator_metrics.h
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <atomic>
+#include <optional>
 #include <string>
 
 namespace mulberryvalve {
@@ -47,8 +48,10 @@
     uint64_t mCount MV_GUARDED_BY(mMutex) = 0;
     uint64_t mSumMicroseconds MV_GUARDED_BY(mMutex) = 0;
     MonotonicTime mWindowEnd MV_GUARDED_BY(mMutex);
-    TimingWindow mPresent MV_GUARDED_BY(mMutex);
-    TimingWindow mPrevious MV_GUARDED_BY(mMutex);
+    // Without a value nothing was observed: most threads never observe most
+    // timings.
+    std::optional<TimingWindow> mPresent MV_GUARDED_BY(mMutex);
+    std::optional<TimingWindow> mPrevious MV_GUARDED_BY(mMutex);
   };
 
   // Shard is aligned so that two shards share no cache line.
