An owner that is behind says with what

Change: OwnerMeter keeps the longest of seven delays and gives them to the metrics once a second; a line owner_behind, at most one a second, when one is beyond its bound; shard_given_up and shard_ended say how long the shard was owned, the age of the proof and the processor time; shards_owned is set on the users' platform, and join_gap_us tells late renewals of the membership.

--- /dev/null
+++ b/mulberryvalve/app/jobs/owner_meter.cc
@@ -0,0 +1,104 @@
+#include "mulberryvalve/app/jobs/owner_meter.h"
+
+#include <algorithm>
+#include <string>
+
+namespace mulberryvalve {
+namespace {
+
+constexpr Milliseconds kReportInterval{ 1000 };
+
+// DelayLimit is the timing of a delay, and from when on it shows that the owner
+// is behind.
+struct DelayLimit
+{
+  OwnerDelay mDelay;
+  Timing mTiming;
+  Milliseconds mBehindFrom;
+};
+
+constexpr std::array<DelayLimit, kOwnerDelayNames.mRows.size()> kLimits{ {
+  { OwnerDelay::kProofAge, Timing::kProofAgeUs, Milliseconds(1000) },
+  { OwnerDelay::kIntakeGap, Timing::kIntakeGapUs, Milliseconds(2000) },
+  { OwnerDelay::kPass, Timing::kPassUs, Milliseconds(250) },
+  { OwnerDelay::kLockWait, Timing::kLockWaitUs, Milliseconds(250) },
+  { OwnerDelay::kRenewalGap, Timing::kRenewalGapUs, Milliseconds(3500) },
+  { OwnerDelay::kOrderWait, Timing::kOrderWaitUs, Milliseconds(1000) },
+  { OwnerDelay::kCancelToStop, Timing::kCancelToStopUs, Milliseconds(1500) },
+} };
+
+constexpr bool InOrder()
+{
+  for (size_t i = 0; i < kLimits.size(); i++) {
+    if (static_cast<size_t>(kLimits[i].mDelay) != i) {
+      return false;
+    }
+  }
+  return true;
+}
+static_assert(InOrder());
+
+std::string InMilliseconds(Microseconds aLength)
+{
+  return std::to_string(
+    std::chrono::duration_cast<Milliseconds>(aLength).count());
+}
+
+} // namespace
+
+OwnerMeter::OwnerMeter(Metrics& aMetrics, MonotonicTime aSince)
+  : mMetrics(aMetrics)
+  , mSince(aSince)
+  , mProcessorSince(std::clock())
+  , mReportAt(aSince + kReportInterval)
+{
+}
+
+void OwnerMeter::Note(OwnerDelay aDelay, Microseconds aLength)
+{
+  MutexLock lock(mMutex);
+  Microseconds& longest = mLongest[static_cast<size_t>(aDelay)];
+  longest = std::max(longest, aLength);
+}
+
+std::optional<std::vector<EventField>> OwnerMeter::Report(MonotonicTime aNow)
+{
+  std::array<Microseconds, kDelays> longest{};
+  {
+    MutexLock lock(mMutex);
+    if (aNow < mReportAt) {
+      return std::nullopt;
+    }
+    mReportAt = aNow + kReportInterval;
+    std::swap(longest, mLongest);
+  }
+  bool behind = false;
+  std::vector<EventField> fields;
+  for (const DelayLimit& limit : kLimits) {
+    const Microseconds length = longest[static_cast<size_t>(limit.mDelay)];
+    if (length.count() > 0) {
+      mMetrics.Record(limit.mTiming, length);
+    }
+    behind = behind || length >= limit.mBehindFrom;
+    fields.push_back(
+      { kOwnerDelayNames.Name(limit.mDelay), InMilliseconds(length) });
+  }
+  if (!behind) {
+    return std::nullopt;
+  }
+  return fields;
+}
+
+std::vector<EventField> OwnerMeter::Account(MonotonicTime aNow,
+                                            MonotonicTime aProvedAt) const
+{
+  const double processor =
+    static_cast<double>(std::clock() - mProcessorSince) / CLOCKS_PER_SEC;
+  return {
+    { "owned_ms", InMilliseconds(aNow - mSince) },
+    { "proof_age_ms", InMilliseconds(aNow - std::max(aProvedAt, mSince)) },
+    { "processor_ms", std::to_string(static_cast<int64_t>(processor * 1000)) },
+  };
+}
+
+} // namespace mulberryvalve
--- a/mulberryvalve/app/jobs/shard_keeper.cc
+++ b/mulberryvalve/app/jobs/shard_keeper.cc
@@ -136,6 +136,7 @@
     now + (aIsMember ? mOptions.mJoinInterval : mOptions.mLookInterval);
   MutexLock lock(mMutex);
   ReapEnded();
+  mPorts.mMetrics.Set(Gauge::kShardsOwned, static_cast<int64_t>(mOwned.size()));
   while (!mStopping && Steady::now() < next) {
     const bool early = !aIsMember && mOwnersStale;
     if (early && Steady::now() >= soon) {
@@ -258,6 +259,9 @@
 void ShardKeeper::TakeShare(const GroupShare& aShare, MonotonicTime aSentAt)
 {
   MutexLock lock(mMutex);
+  if (!mOwned.empty()) {
+    mPorts.mMetrics.Record(Timing::kJoinGapUs, aSentAt - mJoinedAt);
+  }
   mLastContact = aSentAt;
   mJoinedAt = aSentAt;
   if (!std::exchange(mReachable, true)) {
--- a/mulberryvalve/app/jobs/shard_runtime.cc
+++ b/mulberryvalve/app/jobs/shard_runtime.cc
@@ -44,6 +44,7 @@
                            ShardRuntimePorts aPorts)
   : mOptions(std::move(aOptions))
   , mPorts(aPorts)
+  , mMeter(aPorts.mMetrics, aPorts.mClock.Now())
   , mConfig(aPorts.mConfig.Present())
 {
 }
@@ -121,7 +122,9 @@
   }
   lanes.clear();
   CloseEndedLanes();
-  LogEvent(EventLevel::kInfo, "shard_ended", {});
+  LogEvent(EventLevel::kInfo,
+           "shard_ended",
+           mMeter.Account(mPorts.mClock.Now(), mProof.ProvedAt()));
   mEnded = true;
 }
 
@@ -168,6 +171,7 @@
     mMustDecide = false;
     Act();
     const Steady::time_point end = Steady::now();
+    NoteDelays(std::chrono::duration_cast<Microseconds>(end - begin));
     earliest = end + std::min<Steady::duration>(end - begin, kMaxPassGap);
     tick = end + kTick;
   }
@@ -348,6 +352,24 @@
   }
 }
 
+void ShardRuntime::NoteDelays(Microseconds aPass)
+{
+  const MonotonicTime now = mPorts.mClock.Now();
+  mMeter.Note(OwnerDelay::kPass, aPass);
+  mMeter.Note(OwnerDelay::kProofAge, now - mProof.ProvedAt());
+  mMeter.Note(OwnerDelay::kIntakeGap, now - mIntakeReadAt);
+  auto fields = mMeter.Report(now);
+  if (fields) {
+    fields->push_back({ "lanes", std::to_string(mLanes.size()) });
+    LogEvent(EventLevel::kWarn, "owner_behind", std::move(*fields));
+  }
+}
+
+void ShardRuntime::NoteWait(MonotonicTime aSince)
+{
+  mMeter.Note(OwnerDelay::kLockWait, mPorts.mClock.Now() - aSince);
+}
+
 bool ShardRuntime::ProvedAt(MonotonicTime aNow) const
 {
   return aNow < mProof.ProvedAt() + mOptions.mProofLimit;
@@ -370,7 +392,10 @@
 
 void ShardRuntime::LogGivenUp(const char* aWhy)
 {
-  LogEvent(EventLevel::kWarn, "shard_given_up", { { "why", aWhy } });
+  std::vector<EventField> fields =
+    mMeter.Account(mPorts.mClock.Now(), mProof.ProvedAt());
+  fields.push_back({ "why", aWhy });
+  LogEvent(EventLevel::kWarn, "shard_given_up", std::move(fields));
 }
 
 void ShardRuntime::LogFault(const char* aWhat, const Failure& aFailure)
@@ -398,6 +423,12 @@
 {
   MutexLock lock(mMutex);
   const MonotonicTime now = mPorts.mClock.Now();
+  const WorkerRoom* room = mShard->Workers().Find(aWorker);
+  if (room != nullptr && !room->mTasks.empty() && !room->mSilent) {
+    mMeter.Note(OwnerDelay::kRenewalGap,
+                now - (room->mLapsesAt - mOptions.mLease.mLength -
+                       mOptions.mLease.mMargin));
+  }
   return mShard->NextHold(aWorker, ProvedAt(now) && !mStopping, now);
 }
 
@@ -405,7 +436,9 @@
                           const HoldReply& aReply,
                           MonotonicTime aSentAt)
 {
+  const MonotonicTime asked = mPorts.mClock.Now();
   MutexLock lock(mMutex);
+  NoteWait(asked);
   mShard->OnHold(aOrder, aReply, aSentAt, mPorts.mClock.Now());
   DecideSoon();
   const WorkerRoom* room = mShard->Workers().Find(aOrder.mWorker);
@@ -416,12 +449,19 @@
 {
   MutexLock lock(mMutex);
   const MonotonicTime now = mPorts.mClock.Now();
+  mMeter.Note(OwnerDelay::kOrderWait, now - aOrder.mDecidedAt);
   return !mStopping && ProvedAt(now) && mShard->IsWanted(aOrder, now);
 }
 
 void ShardRuntime::OnOrder(const TaskOrder& aOrder, const OrderReply& aReply)
 {
+  const MonotonicTime asked = mPorts.mClock.Now();
   MutexLock lock(mMutex);
+  NoteWait(asked);
+  const auto cancelled = mShard->CancelledAt(aOrder.mTask.mStep.mJob);
+  if (cancelled && aReply.mOutcome == OrderOutcome::kAccepted) {
+    mMeter.Note(OwnerDelay::kCancelToStop, asked - *cancelled);
+  }
   mShard->OnOrder(aOrder, aReply, mPorts.mClock.Now());
   DecideSoon();
 }
--- a/mulberryvalve/app/jobs/shard_runtime.h
+++ b/mulberryvalve/app/jobs/shard_runtime.h
@@ -4,6 +4,7 @@
 #define MULBERRYVALVE_APP_JOBS_SHARD_RUNTIME_H_
 
 #include "mulberryvalve/app/jobs/config_view.h"
+#include "mulberryvalve/app/jobs/owner_meter.h"
 #include "mulberryvalve/app/jobs/proof_clock.h"
 #include "mulberryvalve/app/jobs/worker_lane.h"
 #include "mulberryvalve/core/base/mutex.h"
@@ -138,6 +139,8 @@
   void CloseEndedLanes();
   void Act() MV_REQUIRES(mMutex);
   void LogDecisions() MV_REQUIRES(mMutex);
+  void NoteDelays(Microseconds aPass) MV_REQUIRES(mMutex);
+  void NoteWait(MonotonicTime aSince);
   bool ProvedAt(MonotonicTime aNow) const;
   bool PauseUntil(std::chrono::steady_clock::time_point aUntil);
   void GiveUp(const char* aWhy);
@@ -154,6 +157,7 @@
   const ShardRuntimeOptions mOptions;
   ShardRuntimePorts mPorts;
   ProofClock mProof;
+  OwnerMeter mMeter;
   mutable Mutex mMutex;
   // Wakes pauses, when the ownership ends.
   CondVar mCond;
--- a/mulberryvalve/core/jobs/job_shard.cc
+++ b/mulberryvalve/core/jobs/job_shard.cc
@@ -285,6 +285,15 @@
   return job->mBegun ? JobPhase::kRunning : JobPhase::kQueued;
 }
 
+std::optional<MonotonicTime> JobShard::CancelledAt(const JobId& aJob) const
+{
+  const JobEntry* job = mBook.Find(aJob);
+  if (job == nullptr || job->mPhase != JobPhase::kCancelled) {
+    return std::nullopt;
+  }
+  return job->mOverSince;
+}
+
 std::vector<JobDecision> JobShard::TakeDecisions()
 {
   return std::exchange(mDecisions, {});
--- a/mulberryvalve/core/jobs/job_shard.h
+++ b/mulberryvalve/core/jobs/job_shard.h
@@ -162,6 +162,10 @@
   // no such job.
   std::optional<JobPhase> Phase(const JobId& aJob) const;
 
+  // CancelledAt returns when the cancellation of a job was read, or nothing
+  // when it was not cancelled.
+  std::optional<MonotonicTime> CancelledAt(const JobId& aJob) const;
+
   // Waiting counts the jobs of a queue of which no task was started.
   size_t Waiting(const QueueId& aQueue) const { return mBook.Waiting(aQueue); }
 
--- a/mulberryvalve/core/jobs/job_shard_orders.cc
+++ b/mulberryvalve/core/jobs/job_shard_orders.cc
@@ -73,6 +73,9 @@
     mPlaceAgainAt = aNow + kPlaceAgain;
     PlaceOpen(aNow);
   }
+  for (TaskOrder& order : mOrders) {
+    order.mDecidedAt = aNow;
+  }
   return std::exchange(mOrders, {});
 }
 
--- a/mulberryvalve/core/jobs/worker_orders.h
+++ b/mulberryvalve/core/jobs/worker_orders.h
@@ -61,6 +61,8 @@
   std::string mSpecification;
   CheckpointId mCheckpoint;
   int mPercent = 100;
+  // When it was decided.
+  MonotonicTime mDecidedAt;
 };
 
 // OrderOutcome is what became of an order.
--- a/mulberryvalve/ports/out/metrics.h
+++ b/mulberryvalve/ports/out/metrics.h
@@ -193,9 +193,17 @@
   kSyncUs,
   kFirstStartUs,
   kTakeoverUs,
+  kJoinGapUs,
+  kProofAgeUs,
+  kIntakeGapUs,
+  kPassUs,
+  kLockWaitUs,
+  kRenewalGapUs,
+  kOrderWaitUs,
+  kCancelToStopUs,
 };
 
-inline constexpr MetricTable<Timing, 7> kTimingNames{ { {
+inline constexpr MetricTable<Timing, 15> kTimingNames{ { {
   { Timing::kRequestUs,
     "request_us",
     "Time to answer a request in microseconds" },
@@ -218,6 +226,35 @@
   { Timing::kTakeoverUs,
     "takeover_us",
     "Time from the claim of a shard to its first decision in microseconds" },
+  { Timing::kJoinGapUs,
+    "join_gap_us",
+    "Time between two renewals of an owner's membership in microseconds" },
+  { Timing::kProofAgeUs,
+    "proof_age_us",
+    "Time since ownership was proved, longest of a second, in microseconds" },
+  { Timing::kIntakeGapUs,
+    "intake_gap_us",
+    "Time between two reads of the intake, longest of a second, in "
+    "microseconds" },
+  { Timing::kPassUs,
+    "pass_us",
+    "Time of a decision pass, longest of a second, in microseconds" },
+  { Timing::kLockWaitUs,
+    "lock_wait_us",
+    "Time that an answer waited for a shard's lock, longest of a second, in "
+    "microseconds" },
+  { Timing::kRenewalGapUs,
+    "renewal_gap_us",
+    "Time between two renewals of a worker in use, longest of a second, in "
+    "microseconds" },
+  { Timing::kOrderWaitUs,
+    "order_wait_us",
+    "Time from the decision of an order to its sending, longest of a second, "
+    "in microseconds" },
+  { Timing::kCancelToStopUs,
+    "cancel_to_stop_us",
+    "Time from the reading of a cancellation to an answered stop, longest of "
+    "a second, in microseconds" },
 } } };
 static_assert(kTimingNames.InOrder());
 
