An end that a former owner counted is told once

The record of a job that is over names no runs, so its ends were told again as well. Change: an end is told when it is counted, and of a job that is over only when this owner had the run. Measured: busy_owner_test fails without the change; job_shard_test passes.

--- a/mulberryvalve/core/jobs/job_shard.h
+++ b/mulberryvalve/core/jobs/job_shard.h
@@ -205,6 +205,7 @@
 
   // Ends and lists (job_shard_lists.cc).
   void TakeEnd(WorkerRoom& aWorker, const EndedRow& aRow, MonotonicTime aNow);
+  void NoteEnd(const EndedRow& aRow, const WorkerId& aWorker);
   void CountEnd(StepTask& aTask, const EndedRow& aRow, const WorkerId& aWorker);
   void LearnRunTime(const StepTask& aTask,
                     const EndedRow& aRow,
--- a/mulberryvalve/core/jobs/job_shard_lists.cc
+++ b/mulberryvalve/core/jobs/job_shard_lists.cc
@@ -103,17 +103,15 @@
     return;
   }
   const JobId& id = aRow.mTask.mStep.mJob;
-  JobDecision ended = DecisionOn(DecisionKind::kTaskEnded,
-                                 aRow.mTask,
-                                 aWorker.mFacts.mId,
-                                 aRow.mRun,
-                                 std::string(kEndKindNames.Name(aRow.mHow)));
-  ended.mEnd = aRow.mHow;
-  Note(std::move(ended));
   const bool present = IsPlaced(task->mPhase) &&
                        task->mWorker == aWorker.mFacts.mId &&
                        task->mRun == aRow.mRun;
   if (!task->HasCounted(aRow.mRun)) {
+    // The record of a job that is over names no runs, so a successor can't tell
+    // whether their ends were counted.
+    if (present || !IsOver(mBook.Find(id)->mPhase)) {
+      NoteEnd(aRow, aWorker.mFacts.mId);
+    }
     CountEnd(*task, aRow, aWorker.mFacts.mId);
     mDirtyJobs.insert(id);
     JudgeWorker(aWorker, aRow, aNow);
@@ -129,6 +127,17 @@
   FollowJob(*mBook.Find(id), aNow);
 }
 
+void JobShard::NoteEnd(const EndedRow& aRow, const WorkerId& aWorker)
+{
+  JobDecision ended = DecisionOn(DecisionKind::kTaskEnded,
+                                 aRow.mTask,
+                                 aWorker,
+                                 aRow.mRun,
+                                 std::string(kEndKindNames.Name(aRow.mHow)));
+  ended.mEnd = aRow.mHow;
+  Note(std::move(ended));
+}
+
 void JobShard::CountEnd(StepTask& aTask,
                         const EndedRow& aRow,
                         const WorkerId& aWorker)
