--- a/mulberryvalve/core/jobs/job_shard.h
+++ b/mulberryvalve/core/jobs/job_shard.h
@@ -164,6 +164,10 @@
   // no such job.
   std::optional<JobPhase> Phase(const JobId& aJob) const;
 
+  // CancelledAt returns when the cancellation of a job was read, or nothing
+  // when it was not cancelled.
+  std::optional<MonotonicTime> CancelledAt(const JobId& aJob) const;
+
   // Waiting counts the jobs of a queue of which no task was started.
   size_t Waiting(const QueueId& aQueue) const { return mBook.Waiting(aQueue); }
 
@@ -207,6 +211,7 @@
                  MonotonicTime aSentAt,
                  MonotonicTime aNow);
   void TakeEnd(WorkerRoom& aWorker, const EndedRow& aRow, MonotonicTime aNow);
+  void NoteEnd(const EndedRow& aRow, const WorkerId& aWorker);
   void CountEnd(StepTask& aTask, const EndedRow& aRow, const WorkerId& aWorker);
   void LearnRunTime(const StepTask& aTask,
                     const EndedRow& aRow,
