Log lines bear the time of their event and are written in groups

Cause: events waited up to 50 ms for their group's thread, which stamped each when it wrote the line. Each line was also formatted from a copy of its fields and flushed alone. Change: an event's time is taken when it is handed in, and the group goes to the log as one write (EventGroupLog). Test: EventsKeepTheTimeOfTheirWriting; the test of the slow reader checks the same as before on the new interface.

--- a/bench/messages/messages_bench.cc
+++ b/bench/messages/messages_bench.cc
@@ -218,7 +218,7 @@
   if (!lines) {
     return 1;
   }
-  BoundedEventLog events(*lines.value());
+  BoundedEventLog events(*lines.value(), clock);
   AccumulatorMetrics metrics(clock);
   MeasureRecords(aCalls);
   MeasureWorkers(aCalls, events);
--- a/mulberryvalve/adapters/log4cplus_log/log4cplus_event_log.cc
+++ b/mulberryvalve/adapters/log4cplus_log/log4cplus_event_log.cc
@@ -2,6 +2,7 @@
 
 #include "mulberryvalve/adapters/log4cplus_log/event_line.h"
 
+#include <climits>
 #include <fstream>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
@@ -15,6 +16,9 @@
 namespace {
 
 constexpr bool kImmediateFlush = true;
+// A pipe takes so much at once or nothing.
+constexpr size_t kMaxWriteBytes = PIPE_BUF;
+constexpr size_t kLineEnds = 2;
 
 log4cplus::LogLevel LibraryLevel(EventLevel aLevel)
 {
@@ -110,4 +114,31 @@
                FormatEventLine(mClock.WallNow(), aLevel, aName, aFields));
 }
 
+void Log4cplusEventLog::WriteGroup(const std::vector<LoggedEvent>& aEvents)
+{
+  std::string lines;
+  for (const LoggedEvent& event : aEvents) {
+    if (event.mLevel < mLeast) {
+      continue;
+    }
+    const std::string line =
+      FormatEventLine(event.mAt, event.mLevel, event.mName, event.mFields);
+    if (lines.size() + line.size() + kLineEnds > kMaxWriteBytes) {
+      WriteLines(lines);
+    }
+    lines += lines.empty() ? "" : "\n";
+    lines += line;
+  }
+  WriteLines(lines);
+}
+
+void Log4cplusEventLog::WriteLines(std::string& aLines)
+{
+  if (!aLines.empty()) {
+    // The lines carry their own levels.
+    mSink->Write(mLeast, aLines);
+    aLines.clear();
+  }
+}
+
 } // namespace mulberryvalve
--- a/mulberryvalve/adapters/log4cplus_log/log4cplus_event_log.h
+++ b/mulberryvalve/adapters/log4cplus_log/log4cplus_event_log.h
@@ -25,7 +25,9 @@
 
 // Log4cplusEventLog writes each event of at least its level as one line (see
 // FormatEventLine). Thread-safe; the lines of two threads do not mix.
-class Log4cplusEventLog : public EventLog
+class Log4cplusEventLog
+  : public EventLog
+  , public EventGroupLog
 {
 public:
   // Open makes a log that appends to aFile, or writes to aStream when aFile is
@@ -46,11 +48,16 @@
              std::string_view aName,
              const std::vector<EventField>& aFields) override;
 
+  // WriteGroup logs the events from the level on, several lines a write, and
+  // flushes each write. A write of more than one line fits into a pipe at once.
+  void WriteGroup(const std::vector<LoggedEvent>& aEvents) override;
+
 private:
   class Sink;
   Log4cplusEventLog(const Clock& aClock,
                     EventLevel aLeast,
                     std::unique_ptr<Sink> aSink);
+  void WriteLines(std::string& aLines);
 
   const Clock& mClock;
   const EventLevel mLeast;
--- a/mulberryvalve/adapters/log4cplus_log/log4cplus_log_test.cc
+++ b/mulberryvalve/adapters/log4cplus_log/log4cplus_log_test.cc
@@ -88,12 +88,27 @@
     CHECK(log.has_value());
     log.value()->Write(EventLevel::kInfo, "dropped", {});
     log.value()->Write(EventLevel::kError, "kept", { { "k", "%m\n%n" } });
+    log.value()->WriteGroup(
+      { { { 1700000000001 }, EventLevel::kWarn, "first", { { "k", "1" } } },
+        { { 1700000000002 }, EventLevel::kInfo, "dropped", {} },
+        { { 1700000000003 }, EventLevel::kError, "second", {} } });
+    log.value()->WriteGroup({});
+    log.value()->WriteGroup(std::vector<LoggedEvent>(
+      100, { { 1700000000004 }, EventLevel::kError, "many", {} }));
   }
   std::ifstream stream(file);
   const std::string text{ std::istreambuf_iterator<char>(stream), {} };
   std::remove(file.c_str());
-  STRCMP_EQUAL("2023-11-14T22:13:20.007Z error event=kept k=\"%m\\n%n\"\n",
-               text.c_str());
+  STRCMP_EQUAL("2023-11-14T22:13:20.007Z error event=kept k=\"%m\\n%n\"\n"
+               "2023-11-14T22:13:20.001Z warn event=first k=1\n"
+               "2023-11-14T22:13:20.003Z error event=second\n",
+               text.substr(0, text.find("2023-11-14T22:13:20.004Z")).c_str());
+  const std::string line = "2023-11-14T22:13:20.004Z error event=many\n";
+  std::string many;
+  for (int count = 0; count < 100; count++) {
+    many += line;
+  }
+  CHECK(text.substr(text.find(line)) == many);
 }
 
 TEST(Log4cplusLog, FileThatCannotBeOpenedIsAFailure)
--- a/mulberryvalve/app/jobs/jobs_test.cc
+++ b/mulberryvalve/app/jobs/jobs_test.cc
@@ -2,7 +2,6 @@
 #include "mulberryvalve/adapters/json/job_log_json.h"
 #include "mulberryvalve/app/jobs/decision_meter.h"
 #include "mulberryvalve/app/jobs/jobs_fake.h"
-#include "mulberryvalve/app/log/bounded_event_log.h"
 
 #include <atomic>
 #include <thread>
@@ -424,48 +423,4 @@
   CHECK_EQUAL(3000, counts.mTimes[Timing::kFirstStartUs]);
 }
 
-TEST_GROUP(BoundedEventLogTest){};
-
-// A reader that stops reading holds nobody up, and what was dropped is told.
-TEST(BoundedEventLogTest, SlowReaderHoldsNobodyUp)
-{
-  class Slow : public EventLog
-  {
-  public:
-    void Write(EventLevel,
-               std::string_view aName,
-               const std::vector<EventField>&) override
-    {
-      MutexLock lock(mMutex);
-      while (mBlocked) {
-        mCond.Wait(mMutex);
-      }
-      mLines++;
-      mTold = mTold || aName == "log_dropped";
-    }
-    void Unblock()
-    {
-      MutexLock lock(mMutex);
-      mBlocked = false;
-      mCond.NotifyAll();
-    }
-    Mutex mMutex;
-    CondVar mCond;
-    bool mBlocked = true;
-    bool mTold = false;
-    size_t mLines = 0;
-  };
-  Slow slow;
-  constexpr size_t kEvents = 50000;
-  {
-    BoundedEventLog log(slow);
-    for (size_t number = 0; number < kEvents; number++) {
-      log.Write(EventLevel::kInfo, "event", { { "key", "value" } });
-    }
-    slow.Unblock();
-  }
-  CHECK(slow.mTold);
-  CHECK(slow.mLines < kEvents);
-}
-
 } // namespace mulberryvalve
--- a/mulberryvalve/app/log/bounded_event_log.cc
+++ b/mulberryvalve/app/log/bounded_event_log.cc
@@ -14,8 +14,9 @@
 
 } // namespace
 
-BoundedEventLog::BoundedEventLog(EventLog& aLog)
+BoundedEventLog::BoundedEventLog(EventGroupLog& aLog, const Clock& aClock)
   : mLog(aLog)
+  , mClock(aClock)
 {
   mThread = std::thread([this] { Run(); });
 }
@@ -34,11 +35,7 @@
                             std::string_view aName,
                             const std::vector<EventField>& aFields)
 {
-  Event event{ aLevel, std::string(aName), {} };
-  event.mFields.reserve(aFields.size());
-  for (const EventField& field : aFields) {
-    event.mFields.push_back({ std::string(field.mKey), field.mValue });
-  }
+  LoggedEvent event{ mClock.WallNow(), aLevel, std::string(aName), aFields };
   MutexLock lock(mMutex);
   if (mQueue.size() >= kMaxQueued) {
     mDropped++;
@@ -54,7 +51,7 @@
 {
   bool stopping = false;
   while (!stopping) {
-    std::vector<Event> events;
+    std::vector<LoggedEvent> events;
     uint64_t dropped = 0;
     {
       MutexLock lock(mMutex);
@@ -69,25 +66,23 @@
       events.swap(mQueue);
       dropped = std::exchange(mDropped, 0);
     }
-    for (const Event& event : events) {
-      Pass(event);
-    }
-    if (dropped > 0) {
-      mLog.Write(EventLevel::kWarn,
-                 "log_dropped",
-                 { { "events", std::to_string(dropped) } });
+    AddDropped(events, dropped);
+    if (!events.empty()) {
+      mLog.WriteGroup(events);
     }
   }
 }
 
-void BoundedEventLog::Pass(const Event& aEvent)
+void BoundedEventLog::AddDropped(std::vector<LoggedEvent>& aEvents,
+                                 uint64_t aDropped) const
 {
-  std::vector<EventField> fields;
-  fields.reserve(aEvent.mFields.size());
-  for (const OwnedField& field : aEvent.mFields) {
-    fields.push_back({ field.mKey, field.mValue });
+  if (aDropped == 0) {
+    return;
   }
-  mLog.Write(aEvent.mLevel, aEvent.mName, fields);
+  aEvents.push_back(LoggedEvent{ mClock.WallNow(),
+                                 EventLevel::kWarn,
+                                 "log_dropped",
+                                 { { "events", std::to_string(aDropped) } } });
 }
 
 } // namespace mulberryvalve
--- a/mulberryvalve/app/log/bounded_event_log.h
+++ b/mulberryvalve/app/log/bounded_event_log.h
@@ -3,6 +3,7 @@
 #define MULBERRYVALVE_APP_LOG_BOUNDED_EVENT_LOG_H_
 
 #include "mulberryvalve/core/base/mutex.h"
+#include "mulberryvalve/ports/out/clock.h"
 #include "mulberryvalve/ports/out/event_log.h"
 
 #include <cstdint>
@@ -12,14 +13,15 @@
 
 namespace mulberryvalve {
 
-// BoundedEventLog hands events to another log on a thread of its own. What does
-// not fit into its queue, because the reader is slow, is dropped, counted and
-// told of in a line of its own. Thread-safe; Write does not block.
+// BoundedEventLog hands events, with the time of their writing, to another log
+// in groups on a thread of its own. What does not fit into its queue, because
+// the reader is slow, is dropped, counted and told of in a line of its own.
+// Thread-safe; Write does not block.
 class BoundedEventLog : public EventLog
 {
 public:
-  // aLog must outlive this object.
-  explicit BoundedEventLog(EventLog& aLog);
+  // aLog and aClock must outlive this object.
+  BoundedEventLog(EventGroupLog& aLog, const Clock& aClock);
 
   // ~BoundedEventLog writes what is queued.
   ~BoundedEventLog() override;
@@ -31,27 +33,14 @@
              const std::vector<EventField>& aFields) override;
 
 private:
-  // OwnedField keeps the key, whose text may not outlive the call.
-  struct OwnedField
-  {
-    std::string mKey;
-    std::string mValue;
-  };
-
-  struct Event
-  {
-    EventLevel mLevel = EventLevel::kInfo;
-    std::string mName;
-    std::vector<OwnedField> mFields;
-  };
-
   void Run();
-  void Pass(const Event& aEvent);
+  void AddDropped(std::vector<LoggedEvent>& aEvents, uint64_t aDropped) const;
 
-  EventLog& mLog;
+  EventGroupLog& mLog;
+  const Clock& mClock;
   Mutex mMutex;
   CondVar mCond;
-  std::vector<Event> mQueue MV_GUARDED_BY(mMutex);
+  std::vector<LoggedEvent> mQueue MV_GUARDED_BY(mMutex);
   uint64_t mDropped MV_GUARDED_BY(mMutex) = 0;
   bool mStopping MV_GUARDED_BY(mMutex) = false;
   std::thread mThread;
--- /dev/null
+++ b/mulberryvalve/app/log/bounded_event_log_test.cc
@@ -0,0 +1,96 @@
+#include "mulberryvalve/app/log/bounded_event_log.h"
+
+#include <atomic>
+
+#include <CppUTest/TestHarness.h>
+
+namespace mulberryvalve {
+namespace {
+
+class FixedClock : public Clock
+{
+public:
+  MonotonicTime Now() const override { return {}; }
+  WallTime WallNow() const override { return {}; }
+};
+
+} // namespace
+
+TEST_GROUP(BoundedEventLogTest){};
+
+// A reader that stops reading holds nobody up, and what was dropped is told.
+TEST(BoundedEventLogTest, SlowReaderHoldsNobodyUp)
+{
+  class Slow : public EventGroupLog
+  {
+  public:
+    void WriteGroup(const std::vector<LoggedEvent>& aEvents) override
+    {
+      MutexLock lock(mMutex);
+      while (mBlocked) {
+        mCond.Wait(mMutex);
+      }
+      mLines += aEvents.size();
+      mTold = mTold || aEvents.back().mName == "log_dropped";
+    }
+    void Unblock()
+    {
+      MutexLock lock(mMutex);
+      mBlocked = false;
+      mCond.NotifyAll();
+    }
+    Mutex mMutex;
+    CondVar mCond;
+    bool mBlocked = true;
+    bool mTold = false;
+    size_t mLines = 0;
+  };
+  Slow slow;
+  const FixedClock clock;
+  constexpr size_t kEvents = 50000;
+  {
+    BoundedEventLog log(slow, clock);
+    for (size_t number = 0; number < kEvents; number++) {
+      log.Write(EventLevel::kInfo, "event", { { "key", "value" } });
+    }
+    slow.Unblock();
+  }
+  CHECK(slow.mTold);
+  CHECK(slow.mLines < kEvents);
+}
+
+// Guards against lines that bear the time of their group's writing, up to 50 ms
+// after the event.
+TEST(BoundedEventLogTest, EventsKeepTheTimeOfTheirWriting)
+{
+  class Ticking : public Clock
+  {
+  public:
+    MonotonicTime Now() const override { return {}; }
+    WallTime WallNow() const override { return { mNext++ }; }
+    mutable std::atomic<int64_t> mNext{ 1 };
+  };
+  class Kept : public EventGroupLog
+  {
+  public:
+    void WriteGroup(const std::vector<LoggedEvent>& aEvents) override
+    {
+      mEvents.insert(mEvents.end(), aEvents.begin(), aEvents.end());
+    }
+    std::vector<LoggedEvent> mEvents;
+  };
+  Kept kept;
+  {
+    Ticking clock;
+    BoundedEventLog log(kept, clock);
+    log.Write(EventLevel::kInfo, "first", { { "key", "value" } });
+    log.Write(EventLevel::kWarn, "second", {});
+    clock.mNext = 1000;
+  }
+  LONGS_EQUAL(2, kept.mEvents.size());
+  LONGS_EQUAL(1, kept.mEvents[0].mAt.mMilliseconds);
+  LONGS_EQUAL(2, kept.mEvents[1].mAt.mMilliseconds);
+  STRCMP_EQUAL("value", kept.mEvents[0].mFields.at(0).mValue.c_str());
+}
+
+} // namespace mulberryvalve
--- a/mulberryvalve/ports/out/event_log.h
+++ b/mulberryvalve/ports/out/event_log.h
@@ -3,6 +3,7 @@
 #define MULBERRYVALVE_PORTS_OUT_EVENT_LOG_H_
 
 #include "mulberryvalve/core/base/enum_table.h"
+#include "mulberryvalve/core/base/time.h"
 
 #include <string>
 #include <string_view>
@@ -28,10 +29,19 @@
 // EventField is one key and value of an event.
 struct EventField
 {
-  std::string_view mKey;
+  std::string mKey;
   std::string mValue;
 };
 
+// LoggedEvent is an event with the time at which it happened.
+struct LoggedEvent
+{
+  WallTime mAt;
+  EventLevel mLevel = EventLevel::kInfo;
+  std::string mName;
+  std::vector<EventField> mFields;
+};
+
 // EventLog writes events. Implementations are thread-safe.
 class EventLog
 {
@@ -44,6 +54,17 @@
                      const std::vector<EventField>& aFields) = 0;
 };
 
+// EventGroupLog writes events that happened before. Implementations are
+// thread-safe.
+class EventGroupLog
+{
+public:
+  virtual ~EventGroupLog() = default;
+
+  // WriteGroup logs aEvents in their order; it may write them as one.
+  virtual void WriteGroup(const std::vector<LoggedEvent>& aEvents) = 0;
+};
+
 } // namespace mulberryvalve
 
 #endif // MULBERRYVALVE_PORTS_OUT_EVENT_LOG_H_
