A decision looks at a bounded number of workers

Cause: one call of Decide serves every step that waits, however many there are.

Change: a call stops after 4,000 looks and the step under way. The next call goes on in the same order (PlacementPass); JobShard::HasMoreToPlace says that one is to come soon. What was refused in a pass stays refused until the next pass. Without a fresh proof of ownership the rest of a pass is dropped.

Tests: a burst of 60 jobs on 600 workers takes several decisions of bounded looks; the order over several decisions is that of one.

--- a/mulberryvalve/core/jobs/decision_cost_test.cc
+++ b/mulberryvalve/core/jobs/decision_cost_test.cc
@@ -107,4 +107,61 @@
   CHECK_EQUAL(0U, placement.mLooks);
 }
 
+// Guards against an owner that shows no sign of life for more than a second,
+// since one decision serves a whole burst of jobs.
+TEST(DecisionCostTest, ABurstOfJobsIsServedInBoundedDecisions)
+{
+  constexpr size_t kWorkers = 600;
+  constexpr size_t kJobs = 60;
+  const CountedPlacement placement;
+  JobWorld world(kWorkers, placement);
+  world.AddOwner();
+  world.RunFor(kSettle);
+  size_t before = placement.mLooks;
+  size_t decisions = 0;
+  world.mOnDecided = [&](size_t aOrders) {
+    const size_t looks = placement.mLooks - before;
+    before = placement.mLooks;
+    decisions += aOrders > 0 ? 1 : 0;
+    CHECK(looks <= JobShard::kLooksPerDecide + kWorkers + kTasks);
+  };
+  for (size_t number = 0; number < kJobs; number++) {
+    world.Submit(BatchJob(number));
+  }
+  world.Step();
+  CHECK_EQUAL(kJobs * kTasks, world.Running());
+  CHECK(decisions >= kJobs * kWorkers / JobShard::kLooksPerDecide);
+}
+
+// Guards against steps that are passed over, or served out of their order,
+// where one decision ends and the next goes on.
+TEST(DecisionCostTest, BoundedDecisionsServeInOneOrder)
+{
+  constexpr size_t kWorkers = 600;
+  constexpr size_t kJobs = 30;
+  JobWorld world(kWorkers);
+  world.AddOwner();
+  world.RunFor(kSettle);
+  std::vector<JobId> served;
+  world.mOnOrder = [&](const TaskOrder& aOrder) {
+    const JobId& job = aOrder.mTask.mStep.mJob;
+    if (served.empty() || !(served.back() == job)) {
+      served.push_back(job);
+    }
+  };
+  std::vector<JobId> expected;
+  for (size_t number = 0; number < kJobs; number++) {
+    JobGraph job = BatchJob(number);
+    // The least work is served first.
+    job.mSteps[0].mEstimate = Milliseconds(100 * (kJobs - number));
+    expected.insert(expected.begin(), job.mId);
+    world.Submit(job);
+  }
+  world.Step();
+  CHECK_EQUAL(kJobs, served.size());
+  for (size_t number = 0; number < kJobs; number++) {
+    CHECK(expected[number] == served[number]);
+  }
+}
+
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/job_shard.h
+++ b/mulberryvalve/core/jobs/job_shard.h
@@ -7,6 +7,7 @@
 #include "mulberryvalve/core/jobs/job_book.h"
 #include "mulberryvalve/core/jobs/job_decision.h"
 #include "mulberryvalve/core/jobs/job_placement.h"
+#include "mulberryvalve/core/jobs/placement_pass.h"
 #include "mulberryvalve/core/jobs/run_time_book.h"
 #include "mulberryvalve/core/jobs/usage_sum.h"
 #include "mulberryvalve/core/jobs/waiting_order.h"
@@ -144,11 +145,19 @@
   // always are.
   bool IsWanted(const TaskOrder& aOrder, MonotonicTime aNow) const;
 
+  // So many workers a call of Decide looks at before it leaves the rest of the
+  // steps that wait to the next call; one step more is looked at as a whole.
+  static constexpr size_t kLooksPerDecide = 4000;
+
   // Decide returns the orders to send now.
   std::vector<TaskOrder> Decide(const OwnershipProof& aProof,
                                 MonotonicTime aNow,
                                 WallTime aWall);
 
+  // HasMoreToPlace tells whether the last call of Decide left steps to the next
+  // one, which is to come soon even when nothing happens.
+  bool HasMoreToPlace() const { return mPass.IsUnderWay(); }
+
   // TakeProgress returns what changed since the last call. OnDurable says that
   // it is on the log.
   ProgressBatch TakeProgress(MonotonicTime aNow);
@@ -260,6 +269,8 @@
   // Orders (job_shard_orders.cc).
   void TakeChanges(MonotonicTime aNow);
   void PlaceOpen(MonotonicTime aNow);
+  void PlaceStep(const StepRef& aStep, MonotonicTime aNow);
+  void DropPass();
   bool PlaceOne(JobEntry& aJob, const TaskRef& aTask, MonotonicTime aNow);
   void PlaceGang(JobEntry& aJob, const StepRef& aStep, MonotonicTime aNow);
   PlacementQuery QueryFor(const JobEntry& aJob,
@@ -328,6 +339,7 @@
   JobBook mBook;
   WorkerTable mWorkers;
   WorkerSearch mSearch;
+  PlacementPass mPass;
   UsageSum mUsage;
   ClusterConfig mConfig;
   InterferenceBook mInterference;
--- a/mulberryvalve/core/jobs/job_shard_orders.cc
+++ b/mulberryvalve/core/jobs/job_shard_orders.cc
@@ -19,42 +19,6 @@
 // Run numbers of an epoch start above all numbers of earlier epochs.
 constexpr uint64_t kRunsPerEpoch = 1 << 14;
 
-// Refused remembers, by image and kind of task, the least demand that found no
-// worker, to pass over steps that ask for as much.
-class Refused
-{
-public:
-  bool Covers(const StepSpec& aStep, bool aHasWaited) const
-  {
-    const auto found = mLeast.find(KindOf(aStep, aHasWaited));
-    return found != mLeast.end() && found->second.FitsIn(aStep.mDemand);
-  }
-
-  void Add(const StepSpec& aStep, bool aHasWaited)
-  {
-    const bool special = !aStep.mRequiredLabel.Empty() ||
-                         aStep.mMaxPerWorker > 0 || aStep.mSameRack;
-    if (special) {
-      return;
-    }
-    const auto [found, isNew] =
-      mLeast.try_emplace(KindOf(aStep, aHasWaited), aStep.mDemand);
-    if (!isNew && aStep.mDemand.FitsIn(found->second)) {
-      found->second = aStep.mDemand;
-    }
-  }
-
-private:
-  using Kind = std::tuple<bool, bool, bool, ImageNumber>;
-
-  static Kind KindOf(const StepSpec& aStep, bool aHasWaited)
-  {
-    return { aHasWaited, aStep.mFills, aStep.mLasting, aStep.mImageNumber };
-  }
-
-  std::map<Kind, Resources> mLeast;
-};
-
 } // namespace
 
 std::vector<TaskOrder> JobShard::Decide(const OwnershipProof& aProof,
@@ -68,8 +32,9 @@
   NoteWaits(aNow);
   MoveOffLeaving(aNow);
   mBook.OpenDue(aWall);
-  if (aProof.mMayStart && (mChanged || aNow >= mPlaceAgainAt)) {
-    mChanged = false;
+  if (!aProof.mMayStart) {
+    DropPass();
+  } else if (mPass.IsUnderWay() || mChanged || aNow >= mPlaceAgainAt) {
     if (aNow >= mPlaceAgainAt && mPressureVersion != mInterference.Version()) {
       mPressureVersion = mInterference.Version();
       mSearch.ForgetPressure();
@@ -83,6 +48,14 @@
   return std::exchange(mOrders, {});
 }
 
+void JobShard::DropPass()
+{
+  if (mPass.IsUnderWay()) {
+    mPass = PlacementPass();
+    mChanged = true;
+  }
+}
+
 bool JobShard::IsWanted(const TaskOrder& aOrder, MonotonicTime aNow) const
 {
   if (aOrder.mKind != OrderKind::kStart) {
@@ -104,33 +77,46 @@
 void JobShard::PlaceOpen(MonotonicTime aNow)
 {
   TakeChanges(aNow);
-  mMostIsUnused = mUsage.MostIsUnused();
-  std::vector<WaitingStep> open = WaitingSteps(aNow);
-  mPolicies.mOrder.Sort(open, aNow);
-  Refused refused;
-  for (const WaitingStep& entry : open) {
-    JobEntry& job = *mBook.Find(entry.mStep.mJob);
-    const StepSpec& spec = mBook.SpecOf(entry.mStep);
-    StepState& step = mBook.StepOf(entry.mStep);
-    if (step.mWaitingSince == MonotonicTime()) {
-      step.mWaitingSince = aNow;
-    }
-    const bool hasWaited = HasWaited(job, step, aNow);
-    ExplainWait(job, entry.mStep, aNow);
-    if (IsBlocked(job, aNow) || refused.Covers(spec, hasWaited)) {
-      continue;
-    }
-    if (spec.mGang) {
-      PlaceGang(job, entry.mStep, aNow);
-      continue;
+  if (!mPass.IsUnderWay()) {
+    mChanged = false;
+    mMostIsUnused = mUsage.MostIsUnused();
+    std::vector<WaitingStep> open = WaitingSteps(aNow);
+    mPolicies.mOrder.Sort(open, aNow);
+    mPass = PlacementPass(std::move(open));
+  }
+  const size_t most = mSearch.Looks() + kLooksPerDecide;
+  while (mPass.IsUnderWay() && mSearch.Looks() < most) {
+    const StepRef step = mPass.Next();
+    mSearch.CountLooks(1);
+    if (mBook.Open().count(step) != 0) {
+      PlaceStep(step, aNow);
     }
-    for (uint32_t index = 0; index < spec.mCount; index++) {
-      const TaskRef ref{ entry.mStep, index };
-      const bool waits = mBook.FindTask(ref)->mPhase == TaskPhase::kWaiting;
-      if (waits && !PlaceOne(job, ref, aNow)) {
-        refused.Add(spec, hasWaited);
-        break;
-      }
+  }
+}
+
+void JobShard::PlaceStep(const StepRef& aStep, MonotonicTime aNow)
+{
+  JobEntry& job = *mBook.Find(aStep.mJob);
+  const StepSpec& spec = mBook.SpecOf(aStep);
+  StepState& step = mBook.StepOf(aStep);
+  if (step.mWaitingSince == MonotonicTime()) {
+    step.mWaitingSince = aNow;
+  }
+  const bool hasWaited = HasWaited(job, step, aNow);
+  ExplainWait(job, aStep, aNow);
+  if (IsBlocked(job, aNow) || mPass.Refused().Covers(spec, hasWaited)) {
+    return;
+  }
+  if (spec.mGang) {
+    PlaceGang(job, aStep, aNow);
+    return;
+  }
+  for (uint32_t index = 0; index < spec.mCount; index++) {
+    const TaskRef ref{ aStep, index };
+    const bool waits = mBook.FindTask(ref)->mPhase == TaskPhase::kWaiting;
+    if (waits && !PlaceOne(job, ref, aNow)) {
+      mPass.Refused().Add(spec, hasWaited);
+      return;
     }
   }
 }
@@ -219,6 +205,7 @@
                         MonotonicTime aNow)
 {
   const PlacementQuery query = QueryFor(aJob, aStep, aNow);
+  mSearch.CountLooks(mWorkers.All().size());
   WorkerRoom* best = nullptr;
   for (auto& [id, worker] : mWorkers.All()) {
     const bool underWay = aNow < worker.mKeptForLastingUntil;
--- a/mulberryvalve/core/jobs/job_shard_waiting.cc
+++ b/mulberryvalve/core/jobs/job_shard_waiting.cc
@@ -111,6 +111,7 @@
   int most = 0;
   const PlacementQuery query = QueryFor(aJob, aStep, aNow);
   std::map<PlacementRefusal, int> counts;
+  mSearch.CountLooks(mWorkers.All().size());
   for (const auto& [id, worker] : mWorkers.All()) {
     counts[RefusalOf(query, worker)]++;
   }
--- a/mulberryvalve/core/jobs/job_world_fake.cc
+++ b/mulberryvalve/core/jobs/job_world_fake.cc
@@ -236,10 +236,16 @@
     next = mNow + Milliseconds(100);
   }
   OwnershipProof proof{ aOwner.mProvedAt, proved };
-  for (const TaskOrder& order :
-       aOwner.mShard->Decide(proof, mNow, WallTime{ 0 })) {
-    Carry(aOwner, order);
-  }
+  do {
+    const std::vector<TaskOrder> orders =
+      aOwner.mShard->Decide(proof, mNow, WallTime{ 0 });
+    if (mOnDecided) {
+      mOnDecided(orders.size());
+    }
+    for (const TaskOrder& order : orders) {
+      Carry(aOwner, order);
+    }
+  } while (aOwner.mShard->HasMoreToPlace());
   Persist(aOwner);
 }
 
--- a/mulberryvalve/core/jobs/job_world_fake.h
+++ b/mulberryvalve/core/jobs/job_world_fake.h
@@ -112,6 +112,8 @@
   std::function<EndKind(const TaskRef&, RunNumber)> mEndOf;
   // Sees each order before it is carried, when set.
   std::function<void(const TaskOrder&)> mOnOrder;
+  // Sees the number of orders of each decision, when set.
+  std::function<void(size_t)> mOnDecided;
   // Workers that fail all that they start.
   std::set<WorkerId> mFailing;
 
--- /dev/null
+++ b/mulberryvalve/core/jobs/placement_pass.h
@@ -0,0 +1,82 @@
+// PlacementPass: the steps that wait, in the order in which they are served,
+// and how far that has come.
+#ifndef MULBERRYVALVE_CORE_JOBS_PLACEMENT_PASS_H_
+#define MULBERRYVALVE_CORE_JOBS_PLACEMENT_PASS_H_
+
+#include "mulberryvalve/core/jobs/waiting_order.h"
+
+#include <cstddef>
+#include <map>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace mulberryvalve {
+
+// RefusedSteps remembers, by image and kind of task, the least demand that
+// found no worker, to pass over steps that ask for as much. Not synchronised.
+class RefusedSteps
+{
+public:
+  // Covers tells whether as much as aStep asks for was refused.
+  bool Covers(const StepSpec& aStep, bool aHasWaited) const
+  {
+    const auto found = mLeast.find(KindOf(aStep, aHasWaited));
+    return found != mLeast.end() && found->second.FitsIn(aStep.mDemand);
+  }
+
+  // Add takes in that aStep was refused.
+  void Add(const StepSpec& aStep, bool aHasWaited)
+  {
+    const bool special = !aStep.mRequiredLabel.Empty() ||
+                         aStep.mMaxPerWorker > 0 || aStep.mSameRack;
+    if (special) {
+      return;
+    }
+    const auto [found, isNew] =
+      mLeast.try_emplace(KindOf(aStep, aHasWaited), aStep.mDemand);
+    if (!isNew && aStep.mDemand.FitsIn(found->second)) {
+      found->second = aStep.mDemand;
+    }
+  }
+
+private:
+  using Kind = std::tuple<bool, bool, bool, ImageNumber>;
+
+  static Kind KindOf(const StepSpec& aStep, bool aHasWaited)
+  {
+    return { aHasWaited, aStep.mFills, aStep.mLasting, aStep.mImageNumber };
+  }
+
+  std::map<Kind, Resources> mLeast;
+};
+
+// PlacementPass is one pass over the steps that wait. It may be served in
+// parts, between which other things are decided. Not synchronised.
+class PlacementPass
+{
+public:
+  PlacementPass() = default;
+  explicit PlacementPass(std::vector<WaitingStep> aOrder)
+    : mOrder(std::move(aOrder))
+  {
+  }
+
+  // IsUnderWay tells whether steps are left.
+  bool IsUnderWay() const { return mNext < mOrder.size(); }
+
+  // Next returns the next step; there must be one.
+  const StepRef& Next() { return mOrder[mNext++].mStep; }
+
+  // Refused returns what found no worker in this pass.
+  RefusedSteps& Refused() { return mRefused; }
+
+private:
+  std::vector<WaitingStep> mOrder;
+  size_t mNext = 0;
+  RefusedSteps mRefused;
+};
+
+} // namespace mulberryvalve
+
+#endif // MULBERRYVALVE_CORE_JOBS_PLACEMENT_PASS_H_
