A pass that stopped at its bound goes on without waiting for an event

JobShard stops a pass after a bounded number of looks and says so; the thread that decides begins the next pass then as if something had happened. Without that the rest waited for the next event or the tick of 100 ms.

--- a/mulberryvalve/app/jobs/shard_runtime.cc
+++ b/mulberryvalve/app/jobs/shard_runtime.cc
@@ -168,8 +168,8 @@
       continue;
     }
     const Steady::time_point begin = Steady::now();
-    mMustDecide = false;
     Act();
+    mMustDecide = mShard->HasMoreToPlace();
     const Steady::time_point end = Steady::now();
     NoteDelays(std::chrono::duration_cast<Microseconds>(end - begin));
     earliest = end + std::min<Steady::duration>(end - begin, kMaxPassGap);
