Each shard has a group of its own

Cause: one group dealt all shards. Shards stand at equal distances among the 16 partitions, which the platform deals in turn, so of several shards all fell to one member; the others left as not needed, were missed and joined again, and each change dealt all anew.

Change: ShardGroup speaks of one shard's group, whose one member in a calm group is the owner.

--- a/mulberryvalve/app/jobs/job_entry_service.cc
+++ b/mulberryvalve/app/jobs/job_entry_service.cc
@@ -140,7 +140,7 @@
       why = answer ? Fail(FailureKind::kNotReady, "owner", "has not loaded yet")
                    : answer.error();
     }
-    mPorts.mKeeper.Doubt();
+    mPorts.mKeeper.Doubt(aQuestion.mShard);
     Pause();
   } while (!mStop.IsSet() && mPorts.mClock.Now() + kLeastForAsking < aDeadline);
   mPorts.mEvents.Write(
--- a/mulberryvalve/app/jobs/jobs_fake.cc
+++ b/mulberryvalve/app/jobs/jobs_fake.cc
@@ -26,7 +26,7 @@
 void MemoryLog::Forget()
 {
   MutexLock lock(mMutex);
-  for (auto& [topic, partition] : mPartitions) {
+  for (auto& [place, partition] : mPartitions) {
     partition.mFirst += partition.mRecords.size();
     partition.mRecords.clear();
   }
@@ -35,21 +35,33 @@
 size_t MemoryLog::CountOf(KeyedTopic aTopic) const
 {
   MutexLock lock(mMutex);
-  const auto found = mPartitions.find(aTopic);
-  return found == mPartitions.end() ? 0 : found->second.mAppends;
+  size_t appends = 0;
+  for (const auto& [place, partition] : mPartitions) {
+    appends += place.first == aTopic ? partition.mAppends : 0;
+  }
+  return appends;
 }
 
 bool MemoryLog::Holds(KeyedTopic aTopic, const std::string& aKey) const
 {
   MutexLock lock(mMutex);
-  const auto found = mPartitions.find(aTopic);
-  return found != mPartitions.end() && found->second.mNewest.count(aKey) != 0;
+  for (const auto& [place, partition] : mPartitions) {
+    if (place.first == aTopic && partition.mNewest.count(aKey) != 0) {
+      return true;
+    }
+  }
+  return false;
+}
+
+MemoryLog::Partition& MemoryLog::At(const KeyedPlace& aPlace)
+{
+  return mPartitions[{ aPlace.mTopic, aPlace.mPartition }];
 }
 
 Result<KeyedPage> MemoryLog::Newest(const KeyedPlace& aPlace)
 {
   MutexLock lock(mMutex);
-  const Partition& partition = mPartitions[aPlace.mTopic];
+  const Partition& partition = At(aPlace);
   KeyedPage page;
   for (const auto& [key, value] : partition.mNewest) {
     page.mEntries.push_back(KeyedEntry{ key, value });
@@ -65,7 +77,7 @@
   const auto until =
     std::chrono::steady_clock::now() + std::min(aWait, kLongestWait);
   MutexLock lock(mMutex);
-  const Partition& partition = mPartitions[aPlace.mTopic];
+  const Partition& partition = At(aPlace);
   while (aFrom >= partition.mFirst + partition.mRecords.size() &&
          mCond.WaitUntil(mMutex, until)) {
   }
@@ -94,14 +106,14 @@
   }
   mBusy = false;
   mTurn.NotifyAll();
-  return Take(mPartitions[aPlace.mTopic], aEntries);
+  return Take(At(aPlace), aEntries);
 }
 
 Result<void> MemoryLog::AppendFenced(const FencedAppend& aProof,
                                      const std::vector<KeyedEntry>& aEntries)
 {
   MutexLock lock(mMutex);
-  Partition& partition = mPartitions[aProof.mPlace.mTopic];
+  Partition& partition = At(aProof.mPlace);
   if (aProof.mEpoch < partition.mEpoch) {
     return Fail(FailureKind::kNotOwner);
   }
@@ -158,18 +170,22 @@
   return Done();
 }
 
-Result<GroupShare> OneGroup::Join(Generation)
+Result<GroupShare> OneGroup::Join(ShardNumber aShard, Generation)
 {
-  return GroupShare{ Generation(mGeneration), { 0 } };
+  GroupShare share;
+  share.mGeneration = Generation(mGeneration);
+  share.mHoldsShard = aShard == 0;
+  share.mIsAlone = true;
+  return share;
 }
 
-Result<GroupView> OneGroup::View()
+Result<GroupView> OneGroup::View(ShardNumber)
 {
   GroupView view;
   return view;
 }
 
-Result<GroupShare> DealtGroup::Join(uint16_t aPort)
+Result<GroupShare> DealtGroup::Join(uint16_t aPort, ShardNumber aShard)
 {
   MutexLock lock(mMutex);
   if (mCut.count(aPort) != 0) {
@@ -178,22 +194,20 @@
   mJoins[aPort]++;
   mAllJoins++;
   mCond.NotifyAll();
-  const auto found = std::find(mMembers.begin(), mMembers.end(), aPort);
-  if (found == mMembers.end()) {
-    mMembers.push_back(aPort);
-    mGeneration++;
+  Group& group = mGroups[aShard];
+  std::vector<uint16_t>& members = group.mMembers;
+  if (std::find(members.begin(), members.end(), aPort) == members.end()) {
+    members.push_back(aPort);
+    group.mGeneration++;
   }
   GroupShare share;
-  share.mGeneration = Generation(mGeneration);
-  for (ShardNumber shard = 0; shard < mShards; shard++) {
-    if (HolderOf(shard) == aPort) {
-      share.mShards.push_back(shard);
-    }
-  }
+  share.mGeneration = Generation(group.mGeneration);
+  share.mHoldsShard = HolderOf(group) == aPort;
+  share.mIsAlone = members.size() == 1;
   return share;
 }
 
-Result<GroupView> DealtGroup::View(uint16_t aPort)
+Result<GroupView> DealtGroup::View(uint16_t aPort, ShardNumber aShard)
 {
   MutexLock lock(mMutex);
   if (mCut.count(aPort) + mJoinsOnly.count(aPort) != 0) {
@@ -204,21 +218,25 @@
   mViews++;
   mCond.NotifyAll();
   GroupView view;
-  view.mMembers = mMembers.size();
-  for (ShardNumber shard = 0; !mMembers.empty() && shard < mShards; shard++) {
-    view.mOwners.push_back(
-      ShardOwnerRow{ shard, Endpoint{ "10.0.0.1", HolderOf(shard) } });
+  const Group& group = mGroups[aShard];
+  for (const uint16_t port : group.mMembers) {
+    const GroupMember member{ Endpoint{ "10.0.0.1", port } };
+    if (port == HolderOf(group)) {
+      view.mOwner = member;
+    } else {
+      view.mOthers.push_back(member);
+    }
   }
   return view;
 }
 
-Result<void> DealtGroup::Leave(uint16_t aPort)
+Result<void> DealtGroup::Leave(uint16_t aPort, ShardNumber aShard)
 {
   MutexLock lock(mMutex);
   if (mCut.count(aPort) != 0) {
     return Fail(FailureKind::kLogUnavailable);
   }
-  Remove(aPort);
+  Remove(mGroups[aShard], aPort);
   return Done();
 }
 
@@ -226,7 +244,9 @@
 {
   MutexLock lock(mMutex);
   mCut.insert(aPort);
-  Remove(aPort);
+  for (auto& [shard, group] : mGroups) {
+    Remove(group, aPort);
+  }
 }
 
 void DealtGroup::Reconnect(uint16_t aPort)
@@ -257,16 +277,40 @@
   }
 }
 
-uint16_t DealtGroup::HolderOf(ShardNumber aShard) const
+uint16_t DealtGroup::HolderOf(const Group& aGroup) const
 {
-  return mMembers[mMembers.size() - 1 - aShard % mMembers.size()];
+  return mOrder == DealOrder::kNewestFirst ? aGroup.mMembers.back()
+                                           : aGroup.mMembers.front();
 }
 
-void DealtGroup::Remove(uint16_t aPort)
+void DealtGroup::Remove(Group& aGroup, uint16_t aPort)
 {
-  const auto gone = std::remove(mMembers.begin(), mMembers.end(), aPort);
-  mGeneration += gone == mMembers.end() ? 0 : 1;
-  mMembers.erase(gone, mMembers.end());
+  std::vector<uint16_t>& members = aGroup.mMembers;
+  const auto gone = std::remove(members.begin(), members.end(), aPort);
+  aGroup.mGeneration += gone == members.end() ? 0 : 1;
+  members.erase(gone, members.end());
+}
+
+std::map<ShardNumber, uint16_t> DealtGroup::Owners() const
+{
+  MutexLock lock(mMutex);
+  std::map<ShardNumber, uint16_t> owners;
+  for (const auto& [shard, group] : mGroups) {
+    if (!group.mMembers.empty()) {
+      owners[shard] = HolderOf(group);
+    }
+  }
+  return owners;
+}
+
+size_t DealtGroup::Changes() const
+{
+  MutexLock lock(mMutex);
+  size_t changes = 0;
+  for (const auto& [shard, group] : mGroups) {
+    changes += group.mGeneration - 1;
+  }
+  return changes;
 }
 
 void DealtGroup::AwaitViews(size_t aCount)
--- a/mulberryvalve/app/jobs/jobs_fake.h
+++ b/mulberryvalve/app/jobs/jobs_fake.h
@@ -95,13 +95,15 @@
     size_t mAppends = 0;
   };
 
+  Partition& At(const KeyedPlace& aPlace) MV_REQUIRES(mMutex);
   Result<void> Take(Partition& aPartition,
                     const std::vector<KeyedEntry>& aEntries)
     MV_REQUIRES(mMutex);
 
   mutable Mutex mMutex;
   CondVar mCond;
-  std::map<KeyedTopic, Partition> mPartitions MV_GUARDED_BY(mMutex);
+  std::map<std::pair<KeyedTopic, uint32_t>, Partition> mPartitions
+    MV_GUARDED_BY(mMutex);
   std::deque<AppendFault> mFaults MV_GUARDED_BY(mMutex);
   Milliseconds mEach MV_GUARDED_BY(mMutex){ 0 };
   bool mBusy MV_GUARDED_BY(mMutex) = false;
@@ -117,29 +119,35 @@
   {
   }
 
-  Result<GroupShare> Join(Generation aKnown) override;
-  Result<GroupView> View() override;
-  Result<void> Leave() override { return Done(); }
+  Result<GroupShare> Join(ShardNumber aShard, Generation aKnown) override;
+  Result<GroupView> View(ShardNumber aShard) override;
+  Result<void> Leave(ShardNumber) override { return Done(); }
 
 private:
   const uint64_t mGeneration;
 };
 
-// DealtGroup deals its shards anew at each change of its members: the newest
-// gets the first shard, the others follow in turn. Thread-safe.
+// DealOrder says to which of a group's members the shard goes at each change.
+enum class DealOrder
+{
+  kNewestFirst,
+  kOldestFirst,
+};
+
+// DealtGroup has a group for each of its shards. Thread-safe.
 class DealtGroup
 {
 public:
-  explicit DealtGroup(ShardNumber aShards)
-    : mShards(aShards)
+  explicit DealtGroup(DealOrder aOrder = DealOrder::kNewestFirst)
+    : mOrder(aOrder)
   {
   }
 
   // Join, View and Leave are the calls of the member that is reached at aPort.
   // Those of a member that is cut off fail.
-  Result<GroupShare> Join(uint16_t aPort);
-  Result<GroupView> View(uint16_t aPort);
-  Result<void> Leave(uint16_t aPort);
+  Result<GroupShare> Join(uint16_t aPort, ShardNumber aShard);
+  Result<GroupView> View(uint16_t aPort, ShardNumber aShard);
+  Result<void> Leave(uint16_t aPort, ShardNumber aShard);
 
   // CutOff makes a member unreachable and its time run out; Reconnect ends
   // that. In between, RestoreJoins lets its joins through again and no views.
@@ -159,16 +167,27 @@
   // Joins counts the calls of a member.
   size_t Joins(uint16_t aPort) const;
 
+  // Owners returns which member holds each shard that is held.
+  std::map<ShardNumber, uint16_t> Owners() const;
+
+  // Changes counts the changes of all groups' members.
+  size_t Changes() const;
+
 private:
-  void Remove(uint16_t aPort) MV_REQUIRES(mMutex);
+  struct Group
+  {
+    uint64_t mGeneration = 1;
+    std::vector<uint16_t> mMembers;
+  };
+
+  void Remove(Group& aGroup, uint16_t aPort) MV_REQUIRES(mMutex);
   void Await(const size_t& aCounter, size_t aMore) MV_REQUIRES(mMutex);
-  uint16_t HolderOf(ShardNumber aShard) const MV_REQUIRES(mMutex);
+  uint16_t HolderOf(const Group& aGroup) const MV_REQUIRES(mMutex);
 
-  const ShardNumber mShards;
+  const DealOrder mOrder;
   mutable Mutex mMutex;
   CondVar mCond;
-  uint64_t mGeneration MV_GUARDED_BY(mMutex) = 1;
-  std::vector<uint16_t> mMembers MV_GUARDED_BY(mMutex);
+  std::map<ShardNumber, Group> mGroups MV_GUARDED_BY(mMutex);
   std::set<uint16_t> mCut MV_GUARDED_BY(mMutex);
   std::set<uint16_t> mJoinsOnly MV_GUARDED_BY(mMutex);
   size_t mFailedViews MV_GUARDED_BY(mMutex) = 0;
@@ -187,9 +206,18 @@
   {
   }
 
-  Result<GroupShare> Join(Generation) override { return mGroup.Join(mPort); }
-  Result<GroupView> View() override { return mGroup.View(mPort); }
-  Result<void> Leave() override { return mGroup.Leave(mPort); }
+  Result<GroupShare> Join(ShardNumber aShard, Generation) override
+  {
+    return mGroup.Join(mPort, aShard);
+  }
+  Result<GroupView> View(ShardNumber aShard) override
+  {
+    return mGroup.View(mPort, aShard);
+  }
+  Result<void> Leave(ShardNumber aShard) override
+  {
+    return mGroup.Leave(mPort, aShard);
+  }
 
 private:
   DealtGroup& mGroup;
--- /dev/null
+++ b/mulberryvalve/app/jobs/jobs_instance_fake.h
@@ -0,0 +1,143 @@
+// JobsInstance: what one process composes of the job services, on fakes.
+#ifndef MULBERRYVALVE_APP_JOBS_JOBS_INSTANCE_FAKE_H_
+#define MULBERRYVALVE_APP_JOBS_JOBS_INSTANCE_FAKE_H_
+
+#include "mulberryvalve/adapters/json/job_log_json.h"
+#include "mulberryvalve/app/jobs/jobs_fake.h"
+
+#include "CppUTest/TestHarness.h"
+
+#include <memory>
+
+namespace mulberryvalve {
+
+inline constexpr Milliseconds kPatience{ 20000 };
+inline constexpr Milliseconds kKeepOver{ 1000 };
+inline const LearnedPlacement kLearned;
+
+inline JobGraph SmallJob(const char* aId)
+{
+  JobGraph job;
+  job.mId = JobId(aId);
+  job.mQueue = QueueId("queue");
+  job.mRules.mService = ServiceId("service");
+  StepSpec step;
+  step.mCount = 2;
+  step.mDemand = Resources{ 1000, 100, 0 };
+  job.mSteps.push_back(step);
+  return job;
+}
+
+// JobsInstance is thread-safe but for its construction and its end.
+class JobsInstance
+{
+public:
+  JobsInstance(MemoryLog& aLog, InstantWorker& aWorkers, uint64_t aGeneration)
+    : JobsInstance(aLog, aWorkers, std::make_unique<OneGroup>(aGeneration))
+  {
+  }
+
+  JobsInstance(MemoryLog& aLog,
+               InstantWorker& aWorkers,
+               std::unique_ptr<ShardGroup> aGroup,
+               uint16_t aPort = 0,
+               ShardNumber aShards = 1,
+               const JobPlacement& aPlacement = kLearned)
+    : JobsInstance(aLog,
+                   aWorkers,
+                   std::move(aGroup),
+                   OptionsAt(aPort, aShards),
+                   std::make_unique<FixedRandom>(),
+                   aPlacement)
+  {
+  }
+
+  JobsInstance(MemoryLog& aLog,
+               InstantWorker& aWorkers,
+               std::unique_ptr<ShardGroup> aGroup,
+               const ShardKeeperOptions& aOptions,
+               std::unique_ptr<RandomSource> aRandom,
+               const JobPlacement& aPlacement = kLearned)
+    : mRandom(std::move(aRandom))
+    , mGroup(std::move(aGroup))
+    , mKeeper(aOptions,
+              *mGroup,
+              *mRandom,
+              ShardRuntimePorts{ aLog,
+                                 mCodec,
+                                 aWorkers,
+                                 mFeeds,
+                                 mConfig,
+                                 JobPolicies{ aPlacement, mOrder },
+                                 mClock,
+                                 mMetrics,
+                                 mEvents })
+    , mJobs(aOptions.mOwner.mShards,
+            JobEntryPorts{ aLog,
+                           mCodec,
+                           mPeers,
+                           mKeeper,
+                           mClock,
+                           mMetrics,
+                           mEvents })
+  {
+    ClusterConfig config;
+    config.mVersion = 1;
+    mConfig.Put(config);
+  }
+
+  void Start() { mKeeper.Start(); }
+  JobEntryService& Jobs() { return mJobs; }
+  MonotonicTime In(Milliseconds aTime) const { return mClock.Now() + aTime; }
+
+  // Await asks until the job is in aPhase; false when time is up.
+  bool Await(const char* aJob, JobPhase aPhase)
+  {
+    const MonotonicTime until = In(kPatience);
+    while (mClock.Now() < until) {
+      const auto phase = mJobs.Phase(JobId(aJob), In(Milliseconds(300)));
+      if (phase && phase.value() == aPhase) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  // Complete checks that a small job is accepted and completes.
+  void Complete(const char* aJob)
+  {
+    CHECK(mJobs.Submit(SmallJob(aJob), In(kPatience)).has_value());
+    CHECK(Await(aJob, JobPhase::kCompleted));
+  }
+
+  // OptionsAt returns options whose times are short.
+  static ShardKeeperOptions OptionsAt(uint16_t aPort, ShardNumber aShards)
+  {
+    ShardKeeperOptions options;
+    options.mOwner.mShards = aShards;
+    options.mJoinInterval = Milliseconds(20);
+    options.mLookInterval = Milliseconds(20);
+    options.mMemberTtl = Milliseconds(100);
+    options.mSelf = Endpoint{ "10.0.0.1", aPort };
+    options.mOwner.mKeepOver = kKeepOver;
+    return options;
+  }
+
+private:
+  RealClock mClock;
+  NoMetrics mMetrics;
+  SilentEvents mEvents;
+  NoPeers mPeers;
+  JobLogJson mCodec;
+  OneWorkerFeeds mFeeds;
+  LeastWorkOrder mOrder;
+  ConfigView mConfig;
+  std::unique_ptr<RandomSource> mRandom;
+  std::unique_ptr<ShardGroup> mGroup;
+  ShardKeeper mKeeper;
+  JobEntryService mJobs;
+};
+
+} // namespace mulberryvalve
+
+#endif // MULBERRYVALVE_APP_JOBS_JOBS_INSTANCE_FAKE_H_
--- a/mulberryvalve/app/jobs/jobs_test.cc
+++ b/mulberryvalve/app/jobs/jobs_test.cc
@@ -1,7 +1,6 @@
 // The job services as they are composed in an instance, on a log in memory.
-#include "mulberryvalve/adapters/json/job_log_json.h"
 #include "mulberryvalve/app/jobs/decision_meter.h"
-#include "mulberryvalve/app/jobs/jobs_fake.h"
+#include "mulberryvalve/app/jobs/jobs_instance_fake.h"
 
 #include <atomic>
 #include <thread>
@@ -9,120 +8,6 @@
 #include "CppUTest/TestHarness.h"
 
 namespace mulberryvalve {
-namespace {
-
-constexpr Milliseconds kPatience{ 20000 };
-constexpr Milliseconds kKeepOver{ 1000 };
-
-JobGraph SmallJob(const char* aId)
-{
-  JobGraph job;
-  job.mId = JobId(aId);
-  job.mQueue = QueueId("queue");
-  job.mRules.mService = ServiceId("service");
-  StepSpec step;
-  step.mCount = 2;
-  step.mDemand = Resources{ 1000, 100, 0 };
-  job.mSteps.push_back(step);
-  return job;
-}
-
-const LearnedPlacement kLearned;
-
-// Instance is what one process composes.
-class Instance
-{
-public:
-  Instance(MemoryLog& aLog, InstantWorker& aWorkers, uint64_t aGeneration)
-    : Instance(aLog, aWorkers, std::make_unique<OneGroup>(aGeneration))
-  {
-  }
-
-  Instance(MemoryLog& aLog,
-           InstantWorker& aWorkers,
-           std::unique_ptr<ShardGroup> aGroup,
-           uint16_t aPort = 0,
-           ShardNumber aShards = 1,
-           const JobPlacement& aPlacement = kLearned)
-    : mGroup(std::move(aGroup))
-    , mKeeper(OptionsAt(aPort, aShards),
-              *mGroup,
-              mRandom,
-              ShardRuntimePorts{ aLog,
-                                 mCodec,
-                                 aWorkers,
-                                 mFeeds,
-                                 mConfig,
-                                 JobPolicies{ aPlacement, mOrder },
-                                 mClock,
-                                 mMetrics,
-                                 mEvents })
-    , mJobs(1,
-            JobEntryPorts{ aLog,
-                           mCodec,
-                           mPeers,
-                           mKeeper,
-                           mClock,
-                           mMetrics,
-                           mEvents })
-  {
-    ClusterConfig config;
-    config.mVersion = 1;
-    mConfig.Put(config);
-  }
-
-  void Start() { mKeeper.Start(); }
-  JobEntryService& Jobs() { return mJobs; }
-  MonotonicTime In(Milliseconds aTime) const { return mClock.Now() + aTime; }
-
-  // Await asks until the job is in aPhase; false when time is up.
-  bool Await(const char* aJob, JobPhase aPhase)
-  {
-    const MonotonicTime until = In(kPatience);
-    while (mClock.Now() < until) {
-      const auto phase = mJobs.Phase(JobId(aJob), In(Milliseconds(300)));
-      if (phase && phase.value() == aPhase) {
-        return true;
-      }
-    }
-    return false;
-  }
-
-  // Complete checks that a small job is accepted and completes.
-  void Complete(const char* aJob)
-  {
-    CHECK(mJobs.Submit(SmallJob(aJob), In(kPatience)).has_value());
-    CHECK(Await(aJob, JobPhase::kCompleted));
-  }
-
-private:
-  static ShardKeeperOptions OptionsAt(uint16_t aPort, ShardNumber aShards)
-  {
-    ShardKeeperOptions options;
-    options.mOwner.mShards = aShards;
-    options.mJoinInterval = Milliseconds(20);
-    options.mLookInterval = Milliseconds(20);
-    options.mMemberTtl = Milliseconds(100);
-    options.mSelf = Endpoint{ "10.0.0.1", aPort };
-    options.mOwner.mKeepOver = kKeepOver;
-    return options;
-  }
-
-  RealClock mClock;
-  NoMetrics mMetrics;
-  SilentEvents mEvents;
-  FixedRandom mRandom;
-  NoPeers mPeers;
-  JobLogJson mCodec;
-  OneWorkerFeeds mFeeds;
-  LeastWorkOrder mOrder;
-  ConfigView mConfig;
-  std::unique_ptr<ShardGroup> mGroup;
-  ShardKeeper mKeeper;
-  JobEntryService mJobs;
-};
-
-} // namespace
 
 TEST_GROUP(JobsTest){};
 
@@ -130,7 +15,7 @@
 {
   MemoryLog log;
   InstantWorker workers;
-  Instance instance(log, workers, 1);
+  JobsInstance instance(log, workers, 1);
   instance.Start();
   const auto deadline = instance.In(kPatience);
   CHECK(instance.Jobs().Submit(SmallJob("j"), deadline).has_value());
@@ -144,7 +29,7 @@
 {
   MemoryLog log;
   InstantWorker workers;
-  Instance instance(log, workers, 1);
+  JobsInstance instance(log, workers, 1);
   instance.Start();
   const auto phase =
     instance.Jobs().Phase(JobId("none"), instance.In(kPatience));
@@ -157,7 +42,7 @@
 {
   MemoryLog log;
   InstantWorker workers;
-  Instance instance(log, workers, 1);
+  JobsInstance instance(log, workers, 1);
   log.FailNext({ AppendFault::kRefused });
   const auto refused =
     instance.Jobs().Submit(SmallJob("a"), instance.In(kPatience));
@@ -186,7 +71,7 @@
   constexpr size_t kCallers = 40;
   MemoryLog log;
   InstantWorker workers;
-  Instance instance(log, workers, 1);
+  JobsInstance instance(log, workers, 1);
   log.Slow(Milliseconds(20));
   std::vector<std::thread> callers;
   std::atomic<size_t> taken{ 0 };
@@ -212,7 +97,7 @@
 {
   MemoryLog log;
   InstantWorker workers;
-  Instance instance(log, workers, 1);
+  JobsInstance instance(log, workers, 1);
   instance.Start();
   const auto up = instance.Jobs().Phase(JobId("j"), instance.In(kPatience));
   CHECK(up.has_value());
@@ -225,7 +110,7 @@
 {
   MemoryLog log;
   InstantWorker workers;
-  Instance instance(log, workers, 1);
+  JobsInstance instance(log, workers, 1);
   instance.Start();
   instance.Complete("a");
   log.Forget();
@@ -237,10 +122,10 @@
 {
   MemoryLog log;
   InstantWorker workers;
-  Instance former(log, workers, 1);
+  JobsInstance former(log, workers, 1);
   former.Start();
   former.Complete("a");
-  Instance next(log, workers, 2);
+  JobsInstance next(log, workers, 2);
   next.Start();
   CHECK(next.Await("a", JobPhase::kCompleted));
   next.Complete("b");
@@ -255,11 +140,11 @@
   MemoryLog log;
   InstantWorker workers;
   {
-    Instance former(log, workers, 9);
+    JobsInstance former(log, workers, 9);
     former.Start();
     former.Complete("a");
   }
-  Instance next(log, workers, 1);
+  JobsInstance next(log, workers, 1);
   next.Start();
   CHECK(next.Await("a", JobPhase::kCompleted));
 }
@@ -269,7 +154,7 @@
 {
   MemoryLog log;
   InstantWorker workers;
-  Instance instance(log, workers, 1);
+  JobsInstance instance(log, workers, 1);
   instance.Start();
   instance.Complete("a");
   CHECK(log.Holds(KeyedTopic::kIntake, "a"));
@@ -290,11 +175,13 @@
 {
   MemoryLog log;
   InstantWorker workers;
-  DealtGroup group(1);
-  Instance owner(log, workers, std::make_unique<DealtGroupMember>(group, 1), 1);
+  DealtGroup group;
+  JobsInstance owner(
+    log, workers, std::make_unique<DealtGroupMember>(group, 1), 1);
   owner.Start();
   owner.Complete("a");
-  Instance other(log, workers, std::make_unique<DealtGroupMember>(group, 2), 2);
+  JobsInstance other(
+    log, workers, std::make_unique<DealtGroupMember>(group, 2), 2);
   other.Start();
   group.AwaitViews(5);
   CHECK_EQUAL(0U, group.Joins(2));
@@ -306,10 +193,10 @@
 {
   MemoryLog log;
   InstantWorker workers;
-  DealtGroup group(2);
-  Instance one(
+  DealtGroup group;
+  JobsInstance one(
     log, workers, std::make_unique<DealtGroupMember>(group, 1), 1, 2);
-  Instance two(
+  JobsInstance two(
     log, workers, std::make_unique<DealtGroupMember>(group, 2), 2, 2);
   one.Start();
   two.Start();
@@ -318,9 +205,8 @@
   while (owners.size() < 2 && one.In(Milliseconds(0)) < until) {
     group.AwaitJoins(1);
     owners.clear();
-    const Result<GroupView> view = group.View(1);
-    for (const ShardOwnerRow& row : view.value().mOwners) {
-      owners.insert(row.mPeer.mPort);
+    for (const auto& [shard, owner] : group.Owners()) {
+      owners.insert(owner);
     }
   }
   CHECK_EQUAL(2U, owners.size());
@@ -332,13 +218,14 @@
 {
   MemoryLog log;
   InstantWorker workers;
-  DealtGroup group(1);
-  Instance former(
+  DealtGroup group;
+  JobsInstance former(
     log, workers, std::make_unique<DealtGroupMember>(group, 1), 1);
   former.Start();
   former.Complete("a");
   group.CutOff(1);
-  Instance next(log, workers, std::make_unique<DealtGroupMember>(group, 2), 2);
+  JobsInstance next(
+    log, workers, std::make_unique<DealtGroupMember>(group, 2), 2);
   next.Start();
   next.Complete("b");
   const size_t joins = group.Joins(1);
@@ -375,14 +262,14 @@
   };
   MemoryLog log;
   InstantWorker workers;
-  DealtGroup group(1);
+  DealtGroup group;
   const LongDecision placement(group);
-  Instance owner(log,
-                 workers,
-                 std::make_unique<DealtGroupMember>(group, 1),
-                 1,
-                 1,
-                 placement);
+  JobsInstance owner(log,
+                     workers,
+                     std::make_unique<DealtGroupMember>(group, 1),
+                     1,
+                     1,
+                     placement);
   owner.Start();
   owner.Complete("a");
 }
--- /dev/null
+++ b/mulberryvalve/app/jobs/shard_bids.h
@@ -0,0 +1,102 @@
+// ShardBids: decides for which shards this instance bids and to whom it hands
+// one over, so that shards are spread over the instances and stay there.
+#ifndef MULBERRYVALVE_APP_JOBS_SHARD_BIDS_H_
+#define MULBERRYVALVE_APP_JOBS_SHARD_BIDS_H_
+
+#include "mulberryvalve/app/jobs/shard_keeper_options.h"
+#include "mulberryvalve/core/base/enum_table.h"
+#include "mulberryvalve/core/base/mutex.h"
+#include "mulberryvalve/ports/out/random_source.h"
+#include "mulberryvalve/ports/out/shard_group.h"
+
+#include <map>
+#include <optional>
+
+namespace mulberryvalve {
+
+// BidKind says why an instance joins a shard's group.
+enum class BidKind
+{
+  kNone,
+  kTake,    // the shard has no owner
+  kRelieve, // its owner is to hand it over
+};
+
+inline constexpr EnumTable<BidKind, 3> kBidKindNames{ { {
+  { BidKind::kNone, "none" },
+  { BidKind::kTake, "take" },
+  { BidKind::kRelieve, "relieve" },
+} } };
+
+// ShardBids is shared by the memberships of an instance. Thread-safe; its
+// methods block for no call.
+class ShardBids
+{
+public:
+  // aRandom must outlive this object.
+  ShardBids(BidTerms aTerms, Endpoint aSelf, RandomSource& aRandom);
+
+  // OnView notes what a look at the shard's group showed at aNow.
+  void OnView(ShardNumber aShard, const GroupView& aView, MonotonicTime aNow);
+
+  // Bid tells whether to join the shard's group now. Unless it returns kNone,
+  // the shard counts as this instance's until Drop.
+  BidKind Bid(ShardNumber aShard, MonotonicTime aNow);
+
+  // OnHeld says that the group gave the shard to this instance, or left it
+  // there.
+  void OnHeld(ShardNumber aShard, MonotonicTime aNow);
+
+  // Drop says that this instance is no member of the shard's group any more.
+  void Drop(ShardNumber aShard, MonotonicTime aNow);
+
+  // Held counts the shards that this instance holds.
+  size_t Held() const;
+
+  // Yields tells whether this instance, which owns the shard, hands it over to
+  // another member that aView shows.
+  bool Yields(ShardNumber aShard, const GroupView& aView) const;
+
+  // Relieves tells whether this instance would still be better than the owner
+  // that aView shows.
+  bool Relieves(ShardNumber aShard, const GroupView& aView) const;
+
+private:
+  struct Row
+  {
+    std::optional<GroupMember> mOwner;
+    // Since when the owner, or that there is none, has been seen.
+    MonotonicTime mSince;
+    bool mHasOthers = false;
+    bool mIsSeen = false;
+    bool mIsMine = false;
+    std::optional<MonotonicTime> mHeldSince;
+    MonotonicTime mAwayUntil;
+    uint32_t mFailures = 0;
+  };
+
+  size_t Owned(const Endpoint& aPeer) const MV_REQUIRES(mMutex);
+  bool IsLastOf(ShardNumber aShard, const Endpoint& aPeer) const
+    MV_REQUIRES(mMutex);
+  bool IsBetter(const GroupMember& aOther,
+                const GroupMember& aOwner,
+                ShardNumber aShard) const MV_REQUIRES(mMutex);
+  bool OneIn(uint64_t aCount) { return mRandom.Below(aCount) == 0; }
+  GroupMember Self() const { return GroupMember{ mSelf }; }
+
+  const BidTerms mTerms;
+  const Endpoint mSelf;
+  RandomSource& mRandom;
+  mutable Mutex mMutex;
+  std::map<ShardNumber, Row> mRows MV_GUARDED_BY(mMutex);
+};
+
+// IsSamePeer compares where two members are reached.
+inline bool IsSamePeer(const Endpoint& aLeft, const Endpoint& aRight)
+{
+  return aLeft.mAddress == aRight.mAddress && aLeft.mPort == aRight.mPort;
+}
+
+} // namespace mulberryvalve
+
+#endif // MULBERRYVALVE_APP_JOBS_SHARD_BIDS_H_
--- /dev/null
+++ b/mulberryvalve/app/jobs/shard_keeper_options.h
@@ -0,0 +1,41 @@
+// ShardKeeperOptions: how this instance becomes and stays an owner of shards.
+#ifndef MULBERRYVALVE_APP_JOBS_SHARD_KEEPER_OPTIONS_H_
+#define MULBERRYVALVE_APP_JOBS_SHARD_KEEPER_OPTIONS_H_
+
+#include "mulberryvalve/app/jobs/shard_runtime.h"
+
+namespace mulberryvalve {
+
+// BidTerms say how long an instance holds back before it bids for a shard.
+struct BidTerms
+{
+  // For each shard that it has already.
+  Milliseconds mPerShard{ 1500 };
+  // A shard is taken over from a living owner after this at the earliest.
+  Milliseconds mSettled{ 4000 };
+  // So long an owner has for handing over to a better one.
+  Milliseconds mHandOver{ 3000 };
+  // The first time for which an instance stays away that was not given the
+  // shard; it doubles with each further one.
+  Milliseconds mAway{ 1000 };
+};
+
+// ShardKeeperOptions are the settings of the membership.
+struct ShardKeeperOptions
+{
+  // mShard and mEpoch are set for each shard that is owned.
+  ShardRuntimeOptions mOwner;
+  BidTerms mBids;
+  // How often the membership is renewed.
+  Milliseconds mJoinInterval{ 350 };
+  // How often an instance that is no member looks at a group.
+  Milliseconds mLookInterval{ 500 };
+  // Without a join for this long the group gives a member's shard away.
+  Milliseconds mMemberTtl{ 1200 };
+  // Where peers reach this instance, as the group's view names it.
+  Endpoint mSelf;
+};
+
+} // namespace mulberryvalve
+
+#endif // MULBERRYVALVE_APP_JOBS_SHARD_KEEPER_OPTIONS_H_
--- /dev/null
+++ b/mulberryvalve/app/jobs/shard_keeper_test.cc
@@ -0,0 +1,150 @@
+// Who owns which shard, with several instances and a group a shard.
+#include "mulberryvalve/adapters/system/seeded_random.h"
+#include "mulberryvalve/app/jobs/jobs_instance_fake.h"
+
+#include "CppUTest/TestHarness.h"
+
+#include <set>
+
+namespace mulberryvalve {
+namespace {
+
+constexpr ShardNumber kShards = 4;
+constexpr uint16_t kInstances = 6;
+// Joins of all members in a row without a change: longer than each time in
+// which an instance holds back.
+constexpr size_t kSettledJoins = 150;
+
+// ShortTerms are those of BidTerms, a tenth as long.
+BidTerms ShortTerms()
+{
+  const BidTerms whole;
+  return BidTerms{ whole.mPerShard / 10,
+                   whole.mSettled / 10,
+                   whole.mHandOver / 10,
+                   whole.mAway / 10 };
+}
+
+// Fleet is instances on one log and one DealtGroup.
+class Fleet
+{
+public:
+  explicit Fleet(DealOrder aOrder)
+    : mGroup(aOrder)
+  {
+  }
+
+  // Add starts an instance at aPort.
+  void Add(uint16_t aPort)
+  {
+    ShardKeeperOptions options = JobsInstance::OptionsAt(aPort, kShards);
+    options.mBids = ShortTerms();
+    auto instance = std::make_unique<JobsInstance>(
+      mLog,
+      mWorkers,
+      std::make_unique<DealtGroupMember>(mGroup, aPort),
+      options,
+      std::make_unique<SeededRandom>(aPort));
+    instance->Start();
+    mInstances[aPort] = std::move(instance);
+  }
+
+  // Kill ends an instance without a word to the group's other members.
+  void Kill(uint16_t aPort)
+  {
+    mGroup.CutOff(aPort);
+    mInstances.erase(aPort);
+  }
+
+  // AwaitOwners waits until aCount instances own the shards, and nothing
+  // changes any more; false when time is up.
+  bool AwaitOwners(size_t aCount)
+  {
+    const RealClock clock;
+    const MonotonicTime until = clock.Now() + kPatience;
+    while (clock.Now() < until) {
+      const size_t changes = mGroup.Changes();
+      mGroup.AwaitJoins(kSettledJoins);
+      if (mGroup.Changes() == changes && Owners().size() == aCount) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  // Owners returns who owns a shard, if all are owned.
+  std::set<uint16_t> Owners() const
+  {
+    std::set<uint16_t> owners;
+    const std::map<ShardNumber, uint16_t> rows = mGroup.Owners();
+    for (const auto& [shard, owner] : rows) {
+      owners.insert(owner);
+    }
+    return rows.size() == kShards ? owners : std::set<uint16_t>();
+  }
+
+  DealtGroup& Group() { return mGroup; }
+
+private:
+  MemoryLog mLog;
+  InstantWorker mWorkers;
+  DealtGroup mGroup;
+  std::map<uint16_t, std::unique_ptr<JobsInstance>> mInstances;
+};
+
+} // namespace
+
+TEST_GROUP(ShardKeeperTest){};
+
+// Guards against a group that never settles: with several shards, members that
+// joined and left moved all shards again and again.
+TEST(ShardKeeperTest, EachShardGetsAnInstanceOfItsOwnAndStays)
+{
+  for (const DealOrder order :
+       { DealOrder::kNewestFirst, DealOrder::kOldestFirst }) {
+    Fleet fleet(order);
+    for (uint16_t port = 1; port <= kInstances; port++) {
+      fleet.Add(port);
+    }
+    CHECK(fleet.AwaitOwners(kShards));
+    const std::map<ShardNumber, uint16_t> before = fleet.Group().Owners();
+    const size_t changes = fleet.Group().Changes();
+    fleet.Group().AwaitJoins(kSettledJoins);
+    CHECK(before == fleet.Group().Owners());
+    CHECK_EQUAL(changes, fleet.Group().Changes());
+  }
+}
+
+// Guards against the move of other shards when one of the owners dies.
+TEST(ShardKeeperTest, OneOwnersDeathMovesItsShardOnly)
+{
+  Fleet fleet(DealOrder::kOldestFirst);
+  for (uint16_t port = 1; port <= kInstances; port++) {
+    fleet.Add(port);
+  }
+  CHECK(fleet.AwaitOwners(kShards));
+  const std::map<ShardNumber, uint16_t> before = fleet.Group().Owners();
+  fleet.Kill(before.at(2));
+  CHECK(fleet.AwaitOwners(kShards));
+  for (const auto& [shard, owner] : fleet.Group().Owners()) {
+    CHECK_EQUAL(shard != 2, before.at(shard) == owner);
+  }
+}
+
+// Guards against an owner that keeps several shards for good because it started
+// before all others.
+TEST(ShardKeeperTest, AnInstanceWithoutAShardRelievesAnOwnerOfTwo)
+{
+  for (const DealOrder order :
+       { DealOrder::kNewestFirst, DealOrder::kOldestFirst }) {
+    Fleet fleet(order);
+    fleet.Add(1);
+    CHECK(fleet.AwaitOwners(1));
+    for (uint16_t port = 2; port <= kInstances; port++) {
+      fleet.Add(port);
+    }
+    CHECK(fleet.AwaitOwners(kShards));
+  }
+}
+
+} // namespace mulberryvalve
--- a/mulberryvalve/ports/out/shard_group.h
+++ b/mulberryvalve/ports/out/shard_group.h
@@ -1,5 +1,5 @@
-// ShardGroup: the platform's group of instances, which deals the shards to its
-// members and notices the dead.
+// ShardGroup: the platform's groups of instances, one a shard, which name the
+// shard's owner among their members and notice the dead.
 #ifndef MULBERRYVALVE_PORTS_OUT_SHARD_GROUP_H_
 #define MULBERRYVALVE_PORTS_OUT_SHARD_GROUP_H_
 
@@ -8,6 +8,7 @@
 #include "mulberryvalve/core/model/worker.h"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace mulberryvalve {
@@ -15,30 +16,31 @@
 // ShardNumber numbers the shards from 0.
 using ShardNumber = uint32_t;
 
-// Generation counts the changes of the group's members and shares.
+// Generation counts the changes of a group's members and shares.
 using Generation = StrongNumber<struct GenerationTag>;
 
 // GroupShare is what a member holds at one generation. No other member holds
-// the same shard at that generation.
+// the shard at that generation.
 struct GroupShare
 {
   Generation mGeneration;
-  std::vector<ShardNumber> mShards;
+  bool mHoldsShard = false;
+  // No other instance is a member.
+  bool mIsAlone = false;
 };
 
-// ShardOwnerRow says who holds a shard, and where its peers reach it.
-struct ShardOwnerRow
+// GroupMember says where a member is reached by its peers.
+struct GroupMember
 {
-  ShardNumber mShard = 0;
   Endpoint mPeer;
 };
 
-// GroupView is what anyone may know of the group.
+// GroupView is what anyone may know of a shard's group.
 struct GroupView
 {
-  std::vector<ShardOwnerRow> mOwners;
-  // How many members hold some part of the group's topic.
-  size_t mMembers = 0;
+  std::optional<GroupMember> mOwner;
+  // Members that do not hold the shard.
+  std::vector<GroupMember> mOthers;
 };
 
 // ShardGroup's implementations are thread-safe and block for a bounded time.
@@ -48,16 +50,16 @@
 public:
   virtual ~ShardGroup() = default;
 
-  // Join makes this instance a member or keeps it one; aKnown is the generation
-  // of the last share that it was given. Shards that it does not list are given
-  // to others after this call.
-  virtual Result<GroupShare> Join(Generation aKnown) = 0;
+  // Join makes this instance a member of the shard's group or keeps it one;
+  // aKnown is the generation of the last share that it was given there. If the
+  // share does not hold the shard, another member may after this call.
+  virtual Result<GroupShare> Join(ShardNumber aShard, Generation aKnown) = 0;
 
-  // View tells who holds which shard.
-  virtual Result<GroupView> View() = 0;
+  // View tells who the members of the shard's group are.
+  virtual Result<GroupView> View(ShardNumber aShard) = 0;
 
-  // Leave gives all shards up.
-  virtual Result<void> Leave() = 0;
+  // Leave gives the shard up.
+  virtual Result<void> Leave(ShardNumber aShard) = 0;
 };
 
 } // namespace mulberryvalve
