Weak instances own a shard only where no other can

Cause: a shard went to any instance that joined.

Change: each instance notes its processor on the log at its start, unless as large a one stands there (LayoutFollower, KeyedTopic::kLayout); the name of a member carries it. An instance with less than half of the largest is weak: it holds back by 5 s before it bids for a shard without an owner, and a weak owner hands over to a capable member. Of several capable members that see a weak owner one joins by chance, after the owner was seen for 4 s and if nobody else waits. Weak instances look at one shard every 1.2 s in turn. Where all are alike nothing holds back.

--- /dev/null
+++ b/mulberryvalve/adapters/json/layout_json.cc
@@ -0,0 +1,42 @@
+#include "mulberryvalve/adapters/json/layout_json.h"
+
+#include "mulberryvalve/adapters/json/json_reader.h"
+
+namespace mulberryvalve {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kProcessorPrefix = "processor/";
+constexpr const char* kThousandths = "thousandths";
+constexpr size_t kMaxRecordBytes = 1024;
+
+} // namespace
+
+KeyedEntry LayoutJson::Encode(const ProcessorNote& aNote) const
+{
+  const json object{ { kThousandths, aNote.mProcessor } };
+  return KeyedEntry{ kProcessorPrefix + std::to_string(aNote.mProcessor),
+                     object.dump() };
+}
+
+Result<ProcessorNote> LayoutJson::DecodeLayout(const KeyedEntry& aEntry) const
+{
+  if (!aEntry.mValue) {
+    return Fail(FailureKind::kMalformed, "layout", aEntry.mKey);
+  }
+  const Result<json> object = ParseJson(*aEntry.mValue, kMaxRecordBytes);
+  if (!object) {
+    return object.error();
+  }
+  JsonReader reader(object.value());
+  ProcessorNote note;
+  note.mProcessor =
+    static_cast<MilliCores>(reader.Number(kThousandths, 0, UINT32_MAX));
+  if (reader.Fault()) {
+    return *reader.Fault();
+  }
+  return note;
+}
+
+} // namespace mulberryvalve
--- /dev/null
+++ b/mulberryvalve/adapters/json/layout_json.h
@@ -0,0 +1,19 @@
+// LayoutJson: the records of KeyedTopic::kLayout as JSON.
+#ifndef MULBERRYVALVE_ADAPTERS_JSON_LAYOUT_JSON_H_
+#define MULBERRYVALVE_ADAPTERS_JSON_LAYOUT_JSON_H_
+
+#include "mulberryvalve/ports/out/layout_codec.h"
+
+namespace mulberryvalve {
+
+// LayoutJson is thread-safe.
+class LayoutJson : public LayoutCodec
+{
+public:
+  KeyedEntry Encode(const ProcessorNote& aNote) const override;
+  Result<ProcessorNote> DecodeLayout(const KeyedEntry& aEntry) const override;
+};
+
+} // namespace mulberryvalve
+
+#endif // MULBERRYVALVE_ADAPTERS_JSON_LAYOUT_JSON_H_
--- a/mulberryvalve/app/jobs/jobs_fake.cc
+++ b/mulberryvalve/app/jobs/jobs_fake.cc
@@ -220,7 +220,10 @@
   GroupView view;
   const Group& group = mGroups[aShard];
   for (const uint16_t port : group.mMembers) {
-    const GroupMember member{ Endpoint{ "10.0.0.1", port } };
+    const auto known = mProcessors.find(port);
+    const GroupMember member{ Endpoint{ "10.0.0.1", port },
+                              known == mProcessors.end() ? kWholeCore
+                                                         : known->second };
     if (port == HolderOf(group)) {
       view.mOwner = member;
     } else {
@@ -291,6 +294,12 @@
   members.erase(gone, members.end());
 }
 
+void DealtGroup::SetProcessor(uint16_t aPort, MilliCores aProcessor)
+{
+  MutexLock lock(mMutex);
+  mProcessors[aPort] = aProcessor;
+}
+
 std::map<ShardNumber, uint16_t> DealtGroup::Owners() const
 {
   MutexLock lock(mMutex);
--- a/mulberryvalve/app/jobs/jobs_fake.h
+++ b/mulberryvalve/app/jobs/jobs_fake.h
@@ -127,6 +127,9 @@
   const uint64_t mGeneration;
 };
 
+// kWholeCore is the processor of members unless they are said to have another.
+inline constexpr MilliCores kWholeCore = 1000;
+
 // DealOrder says to which of a group's members the shard goes at each change.
 enum class DealOrder
 {
@@ -167,6 +170,9 @@
   // Joins counts the calls of a member.
   size_t Joins(uint16_t aPort) const;
 
+  // SetProcessor says what a member's name tells of it.
+  void SetProcessor(uint16_t aPort, MilliCores aProcessor);
+
   // Owners returns which member holds each shard that is held.
   std::map<ShardNumber, uint16_t> Owners() const;
 
@@ -188,6 +194,7 @@
   mutable Mutex mMutex;
   CondVar mCond;
   std::map<ShardNumber, Group> mGroups MV_GUARDED_BY(mMutex);
+  std::map<uint16_t, MilliCores> mProcessors MV_GUARDED_BY(mMutex);
   std::set<uint16_t> mCut MV_GUARDED_BY(mMutex);
   std::set<uint16_t> mJoinsOnly MV_GUARDED_BY(mMutex);
   size_t mFailedViews MV_GUARDED_BY(mMutex) = 0;
--- a/mulberryvalve/app/jobs/jobs_instance_fake.h
+++ b/mulberryvalve/app/jobs/jobs_instance_fake.h
@@ -61,6 +61,7 @@
     : mRandom(std::move(aRandom))
     , mGroup(std::move(aGroup))
     , mKeeper(aOptions,
+              mLayout,
               *mGroup,
               *mRandom,
               ShardRuntimePorts{ aLog,
@@ -84,6 +85,7 @@
     ClusterConfig config;
     config.mVersion = 1;
     mConfig.Put(config);
+    mLayout.Put(ClusterLayout{ kWholeCore });
   }
 
   void Start() { mKeeper.Start(); }
@@ -117,8 +119,9 @@
     options.mOwner.mShards = aShards;
     options.mJoinInterval = Milliseconds(20);
     options.mLookInterval = Milliseconds(20);
+    options.mWeakLookInterval = Milliseconds(40);
     options.mMemberTtl = Milliseconds(100);
-    options.mSelf = Endpoint{ "10.0.0.1", aPort };
+    options.mSelf = GroupMember{ Endpoint{ "10.0.0.1", aPort }, kWholeCore };
     options.mOwner.mKeepOver = kKeepOver;
     return options;
   }
@@ -132,6 +135,7 @@
   OneWorkerFeeds mFeeds;
   LeastWorkOrder mOrder;
   ConfigView mConfig;
+  LayoutView mLayout;
   std::unique_ptr<RandomSource> mRandom;
   std::unique_ptr<ShardGroup> mGroup;
   ShardKeeper mKeeper;
--- a/mulberryvalve/app/jobs/shard_bids.cc
+++ b/mulberryvalve/app/jobs/shard_bids.cc
@@ -15,9 +15,13 @@
 
 } // namespace
 
-ShardBids::ShardBids(BidTerms aTerms, Endpoint aSelf, RandomSource& aRandom)
+ShardBids::ShardBids(BidTerms aTerms,
+                     GroupMember aSelf,
+                     const LayoutView& aLayout,
+                     RandomSource& aRandom)
   : mTerms(aTerms)
   , mSelf(std::move(aSelf))
+  , mLayout(aLayout)
   , mRandom(aRandom)
 {
 }
@@ -47,16 +51,13 @@
     return BidKind::kNone;
   }
   if (!row.mOwner) {
-    const size_t mine = Owned(mSelf);
-    const bool waited =
-      aNow >= row.mSince + mTerms.mPerShard * static_cast<int64_t>(mine);
-    row.mIsMine = waited && OneIn(kTakesOneIn);
+    row.mIsMine = aNow >= row.mSince + Patience() && OneIn(kTakesOneIn);
     return row.mIsMine ? BidKind::kTake : BidKind::kNone;
   }
   // Another member without the shard is relieving the owner already.
   const bool settled = !row.mHasOthers && aNow >= row.mSince + mTerms.mSettled;
   row.mIsMine =
-    settled && IsBetter(Self(), *row.mOwner, aShard) && OneIn(kRelievesOneIn);
+    settled && IsBetter(mSelf, *row.mOwner, aShard) && OneIn(kRelievesOneIn);
   return row.mIsMine ? BidKind::kRelieve : BidKind::kNone;
 }
 
@@ -70,7 +71,7 @@
   if (aNow >= *row.mHeldSince + mTerms.mSettled) {
     row.mFailures = 0;
   }
-  row.mOwner = Self();
+  row.mOwner = mSelf;
 }
 
 void ShardBids::Drop(ShardNumber aShard, MonotonicTime aNow)
@@ -101,20 +102,28 @@
   return std::any_of(
     aView.mOthers.begin(), aView.mOthers.end(), [&](const GroupMember& aOther) {
       mMutex.AssertHeld();
-      return IsBetter(aOther, Self(), aShard);
+      return IsBetter(aOther, mSelf, aShard);
     });
 }
 
 bool ShardBids::Relieves(ShardNumber aShard, const GroupView& aView) const
 {
   MutexLock lock(mMutex);
-  return !aView.mOwner || IsSamePeer(aView.mOwner->mPeer, mSelf) ||
-         IsBetter(Self(), *aView.mOwner, aShard);
+  return !aView.mOwner || IsSamePeer(aView.mOwner->mPeer, mSelf.mPeer) ||
+         IsBetter(mSelf, *aView.mOwner, aShard);
+}
+
+// How long a shard is left to others that can own it better.
+Milliseconds ShardBids::Patience() const
+{
+  const auto mine = static_cast<int64_t>(Owned(mSelf.mPeer));
+  const Milliseconds weak = IsCapable() ? Milliseconds(0) : mTerms.mWeak;
+  return mTerms.mPerShard * mine + weak;
 }
 
 size_t ShardBids::Owned(const Endpoint& aPeer) const
 {
-  const bool isSelf = IsSamePeer(aPeer, mSelf);
+  const bool isSelf = IsSamePeer(aPeer, mSelf.mPeer);
   return static_cast<size_t>(
     std::count_if(mRows.begin(), mRows.end(), [&](const auto& aEntry) {
       const Row& row = aEntry.second;
@@ -137,8 +146,13 @@
                          const GroupMember& aOwner,
                          ShardNumber aShard) const
 {
+  const bool isCapable = IsCapable(aOther);
+  if (isCapable != IsCapable(aOwner)) {
+    return isCapable;
+  }
   // A bid of the other's for this very shard is none that it owns.
-  const bool bids = IsSamePeer(aOther.mPeer, mSelf) && mRows.at(aShard).mIsMine;
+  const bool bids =
+    IsSamePeer(aOther.mPeer, mSelf.mPeer) && mRows.at(aShard).mIsMine;
   return Owned(aOther.mPeer) - (bids ? 1 : 0) == 0 &&
          Owned(aOwner.mPeer) >= 2 && IsLastOf(aShard, aOwner.mPeer);
 }
--- a/mulberryvalve/app/jobs/shard_bids.h
+++ b/mulberryvalve/app/jobs/shard_bids.h
@@ -3,6 +3,7 @@
 #ifndef MULBERRYVALVE_APP_JOBS_SHARD_BIDS_H_
 #define MULBERRYVALVE_APP_JOBS_SHARD_BIDS_H_
 
+#include "mulberryvalve/app/jobs/layout_view.h"
 #include "mulberryvalve/app/jobs/shard_keeper_options.h"
 #include "mulberryvalve/core/base/enum_table.h"
 #include "mulberryvalve/core/base/mutex.h"
@@ -33,8 +34,15 @@
 class ShardBids
 {
 public:
-  // aRandom must outlive this object.
-  ShardBids(BidTerms aTerms, Endpoint aSelf, RandomSource& aRandom);
+  // aLayout and aRandom must outlive this object.
+  ShardBids(BidTerms aTerms,
+            GroupMember aSelf,
+            const LayoutView& aLayout,
+            RandomSource& aRandom);
+
+  // IsCapable tells whether this instance's processor is known to be at least
+  // half of the largest.
+  bool IsCapable() const { return IsCapable(mSelf); }
 
   // OnView notes what a look at the shard's group showed at aNow.
   void OnView(ShardNumber aShard, const GroupView& aView, MonotonicTime aNow);
@@ -82,10 +90,15 @@
                 const GroupMember& aOwner,
                 ShardNumber aShard) const MV_REQUIRES(mMutex);
   bool OneIn(uint64_t aCount) { return mRandom.Below(aCount) == 0; }
-  GroupMember Self() const { return GroupMember{ mSelf }; }
+  bool IsCapable(const GroupMember& aMember) const
+  {
+    return mLayout.Present().IsCapable(aMember.mProcessor);
+  }
+  Milliseconds Patience() const MV_REQUIRES(mMutex);
 
   const BidTerms mTerms;
-  const Endpoint mSelf;
+  const GroupMember mSelf;
+  const LayoutView& mLayout;
   RandomSource& mRandom;
   mutable Mutex mMutex;
   std::map<ShardNumber, Row> mRows MV_GUARDED_BY(mMutex);
--- a/mulberryvalve/app/jobs/shard_keeper.cc
+++ b/mulberryvalve/app/jobs/shard_keeper.cc
@@ -5,10 +5,11 @@
 namespace mulberryvalve {
 
 ShardKeeper::ShardKeeper(const ShardKeeperOptions& aOptions,
+                         const LayoutView& aLayout,
                          ShardGroup& aGroup,
                          RandomSource& aRandom,
                          ShardRuntimePorts aPorts)
-  : mBids(aOptions.mBids, aOptions.mSelf, aRandom)
+  : mBids(aOptions.mBids, aOptions.mSelf, aLayout, aRandom)
 {
   for (ShardNumber shard = 0; shard < aOptions.mOwner.mShards; shard++) {
     mMemberships.push_back(std::make_unique<ShardMembership>(
--- a/mulberryvalve/app/jobs/shard_keeper.h
+++ b/mulberryvalve/app/jobs/shard_keeper.h
@@ -20,8 +20,9 @@
 class ShardKeeper : public PeerAnswerer
 {
 public:
-  // aGroup and aRandom must outlive this object, as must what aPorts name.
+  // All references must outlive this object, as must what aPorts name.
   ShardKeeper(const ShardKeeperOptions& aOptions,
+              const LayoutView& aLayout,
               ShardGroup& aGroup,
               RandomSource& aRandom,
               ShardRuntimePorts aPorts);
--- a/mulberryvalve/app/jobs/shard_keeper_options.h
+++ b/mulberryvalve/app/jobs/shard_keeper_options.h
@@ -11,6 +11,8 @@
 {
   // For each shard that it has already.
   Milliseconds mPerShard{ 1500 };
+  // If it has less than half of the largest processor, or does not know yet.
+  Milliseconds mWeak{ 5000 };
   // A shard is taken over from a living owner after this at the earliest.
   Milliseconds mSettled{ 4000 };
   // So long an owner has for handing over to a better one.
@@ -30,10 +32,13 @@
   Milliseconds mJoinInterval{ 350 };
   // How often an instance that is no member looks at a group.
   Milliseconds mLookInterval{ 500 };
+  // How often an instance with less than half of the largest processor looks:
+  // at one group after the other.
+  Milliseconds mWeakLookInterval{ 1200 };
   // Without a join for this long the group gives a member's shard away.
   Milliseconds mMemberTtl{ 1200 };
-  // Where peers reach this instance, as the group's view names it.
-  Endpoint mSelf;
+  // This instance, as the group's view names it.
+  GroupMember mSelf;
 };
 
 } // namespace mulberryvalve
--- a/mulberryvalve/app/jobs/shard_keeper_test.cc
+++ b/mulberryvalve/app/jobs/shard_keeper_test.cc
@@ -11,6 +11,8 @@
 
 constexpr ShardNumber kShards = 4;
 constexpr uint16_t kInstances = 6;
+// The processor of an instance that is to own a shard only when no other does.
+constexpr MilliCores kWeak = kWholeCore / 8;
 // Joins of all members in a row without a change: longer than each time in
 // which an instance holds back.
 constexpr size_t kSettledJoins = 150;
@@ -20,6 +22,7 @@
 {
   const BidTerms whole;
   return BidTerms{ whole.mPerShard / 10,
+                   whole.mWeak / 10,
                    whole.mSettled / 10,
                    whole.mHandOver / 10,
                    whole.mAway / 10 };
@@ -35,10 +38,12 @@
   }
 
   // Add starts an instance at aPort.
-  void Add(uint16_t aPort)
+  void Add(uint16_t aPort, MilliCores aProcessor = kWholeCore)
   {
+    mGroup.SetProcessor(aPort, aProcessor);
     ShardKeeperOptions options = JobsInstance::OptionsAt(aPort, kShards);
     options.mBids = ShortTerms();
+    options.mSelf.mProcessor = aProcessor;
     auto instance = std::make_unique<JobsInstance>(
       mLog,
       mWorkers,
@@ -147,4 +152,39 @@
   }
 }
 
+// Guards against an owner that can't carry its shard while an instance that can
+// is there: of two kinds that start together the weak ones own nothing.
+TEST(ShardKeeperTest, WeakInstancesLeaveTheShardsToCapableOnes)
+{
+  Fleet fleet(DealOrder::kNewestFirst);
+  for (uint16_t port = 1; port <= kInstances; port++) {
+    fleet.Add(port + kInstances, kWeak);
+    fleet.Add(port);
+  }
+  CHECK(fleet.AwaitOwners(kShards));
+  CHECK(*fleet.Owners().rbegin() <= kInstances);
+  for (uint16_t port = 1; port <= kInstances; port++) {
+    CHECK_EQUAL(0U, fleet.Group().Joins(port + kInstances));
+  }
+}
+
+// Guards against shards without an owner where only weak instances are left,
+// and against those staying owners once a capable one has come.
+TEST(ShardKeeperTest, WeakInstancesOwnUntilCapableOnesCome)
+{
+  for (const DealOrder order :
+       { DealOrder::kNewestFirst, DealOrder::kOldestFirst }) {
+    Fleet fleet(order);
+    for (uint16_t port = 1; port <= kInstances; port++) {
+      fleet.Add(port + kInstances, kWeak);
+    }
+    CHECK(fleet.AwaitOwners(kShards));
+    for (uint16_t port = 1; port <= kInstances; port++) {
+      fleet.Add(port);
+    }
+    CHECK(fleet.AwaitOwners(kShards));
+    CHECK(*fleet.Owners().rbegin() <= kInstances);
+  }
+}
+
 } // namespace mulberryvalve
--- a/mulberryvalve/app/jobs/shard_membership.cc
+++ b/mulberryvalve/app/jobs/shard_membership.cc
@@ -40,6 +40,7 @@
 
 void ShardMembership::Start()
 {
+  mStartedAt = Steady::now();
   mLooks = std::thread([this] { RunLooks(); });
   mJoins = std::thread([this] { RunJoins(); });
 }
@@ -122,7 +123,7 @@
 bool ShardMembership::PauseUntilLook()
 {
   const Steady::time_point now = Steady::now();
-  const Steady::time_point next = now + mOptions.mLookInterval;
+  const Steady::time_point next = NextLook(now);
   const Steady::time_point soon = std::min(next, now + kLookAgain);
   MutexLock lock(mMutex);
   ReapEnded();
@@ -139,6 +140,20 @@
   return !mIsStopping;
 }
 
+// Weak instances, which are many, look at one shard after the other.
+Steady::time_point ShardMembership::NextLook(Steady::time_point aNow) const
+{
+  if (mBids.IsCapable()) {
+    return aNow + mOptions.mLookInterval;
+  }
+  const Steady::duration round =
+    mOptions.mWeakLookInterval * mOptions.mOwner.mShards;
+  const Steady::duration turn = mOptions.mWeakLookInterval * mShard;
+  const Steady::duration past = (aNow - mStartedAt - turn) % round;
+  const bool isBeforeTurn = past < Steady::duration::zero();
+  return aNow + (isBeforeTurn ? -past : round - past);
+}
+
 // A member learns from its joins; it looks only when these leave a question.
 bool ShardMembership::NeedsLook() const
 {
@@ -198,7 +213,7 @@
     return mState;
   }
   const bool isOthers =
-    aView.mOwner && !IsSamePeer(aView.mOwner->mPeer, mOptions.mSelf);
+    aView.mOwner && !IsSamePeer(aView.mOwner->mPeer, mOptions.mSelf.mPeer);
   if (mRuntime != nullptr && isOthers) {
     LogEvent("group_left", { { "why", "another owns the shard" } });
     return IsAbsent() ? MemberState::kLost : MemberState::kLeaving;
@@ -321,7 +336,7 @@
 
 void ShardMembership::OnShardHeld(Generation aGeneration, MonotonicTime aSentAt)
 {
-  mOwner = mOptions.mSelf;
+  mOwner = mOptions.mSelf.mPeer;
   mBids.OnHeld(mShard, aSentAt);
   CountOwned();
   if (mRuntime != nullptr && mRuntime->IsOver()) {
--- a/mulberryvalve/app/jobs/shard_membership.h
+++ b/mulberryvalve/app/jobs/shard_membership.h
@@ -71,6 +71,8 @@
   void RunLooks();
   void WaitAtStart();
   bool PauseUntilLook();
+  std::chrono::steady_clock::time_point NextLook(
+    std::chrono::steady_clock::time_point aNow) const;
   bool NeedsLook() const MV_REQUIRES(mMutex);
   void Look();
   void TakeView(const GroupView& aView, MonotonicTime aSentAt);
@@ -101,6 +103,8 @@
   ShardBids& mBids;
   RandomSource& mRandom;
   ShardRuntimePorts mPorts;
+  // Set before the threads begin.
+  std::chrono::steady_clock::time_point mStartedAt;
   mutable Mutex mMutex;
   CondVar mLookCond;
   CondVar mJoinCond;
--- a/mulberryvalve/ports/out/keyed_log.h
+++ b/mulberryvalve/ports/out/keyed_log.h
@@ -22,13 +22,15 @@
   kProgress,  // progress of jobs and known workers, written by owners
   kOperators, // what operators want
   kWorkers,   // what workers say of themselves
+  kLayout,    // the cluster's make-up, written by any instance
 };
 
-inline constexpr EnumTable<KeyedTopic, 4> kKeyedTopicNames{ { {
+inline constexpr EnumTable<KeyedTopic, 5> kKeyedTopicNames{ { {
   { KeyedTopic::kIntake, "intake" },
   { KeyedTopic::kProgress, "progress" },
   { KeyedTopic::kOperators, "operators" },
   { KeyedTopic::kWorkers, "workers" },
+  { KeyedTopic::kLayout, "layout" },
 } } };
 
 // KeyedPlace is one partition of a topic.
--- a/mulberryvalve/ports/out/shard_group.h
+++ b/mulberryvalve/ports/out/shard_group.h
@@ -5,6 +5,7 @@
 
 #include "mulberryvalve/core/base/failure.h"
 #include "mulberryvalve/core/base/strong_id.h"
+#include "mulberryvalve/core/jobs/cluster_layout.h"
 #include "mulberryvalve/core/model/worker.h"
 
 #include <cstdint>
@@ -33,6 +34,7 @@
 struct GroupMember
 {
   Endpoint mPeer;
+  MilliCores mProcessor = 0;
 };
 
 // GroupView is what anyone may know of a shard's group.
