--- a/bench/messages/messages_bench.cc
+++ b/bench/messages/messages_bench.cc
@@ -2,6 +2,8 @@
 // logs, for each call of all threads together.
 //
 //   messages_bench [CALLS]
+#include "mulberryvalve/adapters/http/bounded_server.h"
+#include "mulberryvalve/adapters/http/http_client_pool.h"
 #include "mulberryvalve/adapters/json/job_log_json.h"
 #include "mulberryvalve/adapters/log4cplus_log/log4cplus_event_log.h"
 #include "mulberryvalve/adapters/metrics/accumulator_metrics.h"
@@ -9,6 +11,7 @@
 #include "mulberryvalve/app/log/bounded_event_log.h"
 #include "platform/worker_records.h"
 #include "platform/worker_wire.h"
+#include "tests/support/free_port.h"
 
 #include <chrono>
 #include <cstdio>
@@ -181,6 +184,36 @@
   std::fprintf(stderr, "%zu rows\n", rows);
 }
 
+// Both ends of an exchange are in this process.
+void MeasureExchange(size_t aCalls)
+{
+  const std::string answer = HoldAnswer();
+  BoundedServer server(BoundedServerOptions{});
+  server.Post("/v1/hold",
+              [&](const httplib::Request&, httplib::Response& aOut) {
+                aOut.set_content(answer, "application/json");
+              });
+  const Endpoint endpoint{ "127.0.0.1", FreePort() };
+  if (!server.Bind(endpoint)) {
+    std::fprintf(stderr, "no exchange: the port is taken\n");
+    return;
+  }
+  server.Begin();
+  HttpClientPool pool(1);
+  HttpCall call;
+  call.mMethod = HttpMethod::kPost;
+  call.mPath = "/v1/hold";
+  call.mBody = R"({"fencing_token":64,"seen_upto":58,"until_ms":486000})";
+  call.mTimeout = Milliseconds(1000);
+  size_t bytes = 0;
+  Measure("exchange with a worker, both ends", aCalls, [&](size_t) {
+    bytes += pool.Exchange(endpoint, call).mBody.size();
+  });
+  server.End();
+  server.Join();
+  std::fprintf(stderr, "%zu bytes\n", bytes);
+}
+
 void MeasureMetrics(size_t aCalls, Metrics& aMetrics)
 {
   Measure(
@@ -222,6 +255,7 @@
   AccumulatorMetrics metrics(clock);
   MeasureRecords(aCalls);
   MeasureWorkers(aCalls, events);
+  MeasureExchange(aCalls);
   MeasureMetrics(aCalls, metrics);
   MeasureEvents(aCalls, events);
   return 0;
