An exchange reads into 4 KiB of its stack

Cause: each exchange that waits held 16 KiB of heap; an owner waits for 350 to 490 workers at a time. Change: 4 KiB on the thread's stack.

--- a/mulberryvalve/adapters/http/http_client_pool.cc
+++ b/mulberryvalve/adapters/http/http_client_pool.cc
@@ -22,7 +22,7 @@
 constexpr size_t kShards = 16;
 constexpr Milliseconds kMaxConnect{ 500 };
 constexpr std::chrono::seconds kMaxIdle{ 20 };
-constexpr size_t kReadBytes = 16 * 1024;
+constexpr size_t kReadBytes = 4 * 1024;
 constexpr uint64_t kMaxBodyBytes = 16 * 1024 * 1024;
 
 std::string KeyOf(const Endpoint& aEndpoint)
@@ -58,15 +58,14 @@
 {
   aParser.body_limit(kMaxBodyBytes);
   aParser.eager(true);
+  std::array<char, kReadBytes> bytes{};
   std::string pending;
   while (!aParser.is_done()) {
-    const size_t before = pending.size();
-    pending.resize(before + kReadBytes);
-    const size_t got = aSocket.Read(pending.data() + before, kReadBytes, aEnd);
-    pending.resize(before + got);
+    const size_t got = aSocket.Read(bytes.data(), bytes.size(), aEnd);
     if (got == 0) {
       return false;
     }
+    pending.append(bytes.data(), got);
     boost::system::error_code error;
     const size_t used = aParser.put(boost::asio::buffer(pending), error);
     pending.erase(0, used);
