A busy peer keeps its connection when one question takes too long

Change: a connection is closed only if nothing was heard on it since the call was asked. Test: BusyPeerKeepsItsConnection, which failed before (2 connections).

--- a/mulberryvalve/adapters/ws_call/ws_call_link.cc
+++ b/mulberryvalve/adapters/ws_call/ws_call_link.cc
@@ -34,6 +34,8 @@
 struct Call
 {
   std::shared_ptr<Answered> mAnswered;
+  // How many answers had come on the connection when the question was asked.
+  uint64_t mHeardBefore = 0;
 };
 
 // Link is the connection to one peer, and the calls that wait on it.
@@ -43,6 +45,7 @@
   bool mOpen = false;
   std::vector<std::string> mUnsent;
   std::map<uint64_t, Call> mCalls;
+  uint64_t mHeard = 0;
 };
 
 std::string KeyOf(const Endpoint& aPeer)
@@ -131,7 +134,7 @@
     const std::string frame =
       EncodeQuestion(QuestionFrame{ number, aQuestion });
     asio::post(mIo, [this, aPeer, number, answered, frame] {
-      Begin(aPeer, number, Call{ answered }, frame);
+      Begin(aPeer, number, answered, frame);
     });
     if (future.wait_for(aTimeout) == std::future_status::ready) {
       return future.get();
@@ -143,16 +146,16 @@
 private:
   void Begin(const Endpoint& aPeer,
              uint64_t aNumber,
-             Call aCall,
+             std::shared_ptr<Answered> aAnswered,
              const std::string& aFrame)
   {
     if (mStopping) {
-      aCall.mAnswered->set_value(Fail(FailureKind::kShuttingDown, "peer"));
+      aAnswered->set_value(Fail(FailureKind::kShuttingDown, "peer"));
       return;
     }
     const std::string key = KeyOf(aPeer);
     Link& link = mLinks[key];
-    link.mCalls.emplace(aNumber, std::move(aCall));
+    link.mCalls.emplace(aNumber, Call{ std::move(aAnswered), link.mHeard });
     if (link.mConnection == nullptr) {
       Connect(key, link);
     }
@@ -224,6 +227,7 @@
     if (link == mLinks.end()) {
       return;
     }
+    link->second.mHeard++;
     const auto call = link->second.mCalls.find(frame.value().mCall);
     if (call != link->second.mCalls.end()) {
       call->second.mAnswered->set_value(frame.value().mAnswer);
@@ -231,14 +235,25 @@
     }
   }
 
-  // A call that was not answered in time is over, and so is its connection.
+  // A call that was not answered in time is over, and so is a connection on
+  // which nothing was heard since it was asked.
   void GiveUp(const Endpoint& aPeer, uint64_t aNumber)
   {
     const std::string key = KeyOf(aPeer);
     const auto found = mLinks.find(key);
-    if (found != mLinks.end() && found->second.mCalls.count(aNumber) != 0) {
-      Drop(key, found->second.mConnection.get(), "no answer in time");
+    if (found == mLinks.end()) {
+      return;
+    }
+    Link& link = found->second;
+    const auto call = link.mCalls.find(aNumber);
+    if (call == link.mCalls.end()) {
+      return;
+    }
+    if (call->second.mHeardBefore == link.mHeard) {
+      Drop(key, link.mConnection.get(), "no answer in time");
+      return;
     }
+    link.mCalls.erase(call);
   }
 
   void Drop(const std::string& aKey, const void* aRaw, const std::string& aWhy)
--- a/mulberryvalve/adapters/ws_call/ws_call_link.h
+++ b/mulberryvalve/adapters/ws_call/ws_call_link.h
@@ -11,8 +11,9 @@
 namespace mulberryvalve {
 
 // WsCallLink answers the calls of peers and makes calls, over one connection a
-// peer that is opened at the first call. A connection on which a call got no
-// answer in time is closed, since it may have gone silent while new ones work.
+// peer that is opened at the first call. A connection on which nothing was heard
+// for as long as a call waited is closed, since it may have gone silent while
+// new ones work. A busy peer that answers other calls keeps its connection.
 // One thread drives all sockets. Thread-safe.
 class WsCallLink : public PeerCalls
 {
