Starts of a step that were decided together share a line

Change: LinesOf makes the lines of a pass; starts of one step that follow each other share one, which names each task, run and worker. JobDecision names the task by its TaskRef, so no text is built before it is written.

--- /dev/null
+++ b/mulberryvalve/app/jobs/decision_lines.cc
@@ -0,0 +1,63 @@
+#include "mulberryvalve/app/jobs/decision_lines.h"
+
+#include <string>
+
+namespace mulberryvalve {
+namespace {
+
+// The runs that one line names at most.
+constexpr size_t kMaxRunsInLine = 40;
+
+bool ShareLine(const JobDecision& aFirst, const JobDecision& aNext)
+{
+  return aFirst.mKind == DecisionKind::kTaskPlaced &&
+         aNext.mKind == DecisionKind::kTaskPlaced &&
+         aFirst.mTask->mStep == aNext.mTask->mStep;
+}
+
+DecisionLine LineOf(const JobDecision& aDecision)
+{
+  DecisionLine line{ kDecisionKindNames.Name(aDecision.mKind), {} };
+  if (!aDecision.mJob.Empty()) {
+    line.mFields.push_back({ "job", aDecision.mJob.Text() });
+  }
+  if (aDecision.mTask) {
+    line.mFields.push_back({ "task", aDecision.mTask->Text() });
+    line.mFields.push_back({ "run", std::to_string(aDecision.mRun) });
+  }
+  if (!aDecision.mWorker.Empty()) {
+    line.mFields.push_back({ "worker", aDecision.mWorker.Text() });
+  }
+  line.mFields.push_back({ "why", aDecision.mWhy });
+  return line;
+}
+
+std::string RunText(const JobDecision& aPlaced)
+{
+  return std::to_string(aPlaced.mTask->mIndex) + ":" +
+         std::to_string(aPlaced.mRun) + "@" + aPlaced.mWorker.Text();
+}
+
+} // namespace
+
+std::vector<DecisionLine> LinesOf(const std::vector<JobDecision>& aDecisions)
+{
+  std::vector<DecisionLine> lines;
+  for (size_t first = 0; first < aDecisions.size();) {
+    lines.push_back(LineOf(aDecisions[first]));
+    size_t next = first + 1;
+    std::string more;
+    while (next < aDecisions.size() && next - first < kMaxRunsInLine &&
+           ShareLine(aDecisions[first], aDecisions[next])) {
+      more += (more.empty() ? "" : " ") + RunText(aDecisions[next]);
+      next++;
+    }
+    if (!more.empty()) {
+      lines.back().mFields.push_back({ "more", std::move(more) });
+    }
+    first = next;
+  }
+  return lines;
+}
+
+} // namespace mulberryvalve
--- /dev/null
+++ b/mulberryvalve/app/jobs/decision_lines_test.cc
@@ -0,0 +1,67 @@
+// The lines of decisions.
+#include "mulberryvalve/app/jobs/decision_lines.h"
+
+#include <string>
+
+#include "CppUTest/TestHarness.h"
+
+namespace mulberryvalve {
+namespace {
+
+JobDecision Placed(const char* aJob, uint32_t aIndex, const char* aWorker)
+{
+  JobDecision decision;
+  decision.mKind = DecisionKind::kTaskPlaced;
+  decision.mJob = JobId(aJob);
+  decision.mTask = TaskRef{ { JobId(aJob), 0, 0 }, aIndex };
+  decision.mRun = 100 + aIndex;
+  decision.mWorker = WorkerId(aWorker);
+  decision.mWhy = "free";
+  return decision;
+}
+
+std::string TextOf(const DecisionLine& aLine)
+{
+  std::string text(aLine.mName);
+  for (const EventField& field : aLine.mFields) {
+    text += " " + std::string(field.mKey) + "=" + field.mValue;
+  }
+  return text;
+}
+
+} // namespace
+
+TEST_GROUP(DecisionLinesTest){};
+
+// Guards against an owner that spends itself on lines: each start of a burst
+// had its own.
+TEST(DecisionLinesTest, StartsOfAStepShareALineThatNamesEachRun)
+{
+  JobDecision over;
+  over.mKind = DecisionKind::kJobOver;
+  over.mJob = JobId("a");
+  over.mWhy = "completed";
+  const auto lines = LinesOf({ Placed("a", 0, "v"),
+                               Placed("a", 1, "w"),
+                               Placed("a", 2, "v"),
+                               Placed("b", 0, "w"),
+                               over });
+  CHECK_EQUAL(3U, lines.size());
+  STRCMP_EQUAL("task_placed job=a task=a.0.0.0 run=100 worker=v why=free "
+               "more=1:101@w 2:102@v",
+               TextOf(lines[0]).c_str());
+  STRCMP_EQUAL("task_placed job=b task=b.0.0.0 run=100 worker=w why=free",
+               TextOf(lines[1]).c_str());
+  STRCMP_EQUAL("job_over job=a why=completed", TextOf(lines[2]).c_str());
+}
+
+TEST(DecisionLinesTest, ALineNamesABoundedNumberOfRuns)
+{
+  std::vector<JobDecision> decisions;
+  for (uint32_t index = 0; index < 100; index++) {
+    decisions.push_back(Placed("a", index, "w"));
+  }
+  CHECK_EQUAL(3U, LinesOf(decisions).size());
+}
+
+} // namespace mulberryvalve
--- a/mulberryvalve/app/jobs/shard_runtime.cc
+++ b/mulberryvalve/app/jobs/shard_runtime.cc
@@ -1,5 +1,6 @@
 #include "mulberryvalve/app/jobs/shard_runtime.h"
 
+#include "mulberryvalve/app/jobs/decision_lines.h"
 #include "mulberryvalve/app/jobs/decision_meter.h"
 
 #include <algorithm>
@@ -332,23 +333,12 @@
 void ShardRuntime::LogDecisions()
 {
   const DecisionMeter meter(mPorts.mMetrics);
-  for (const JobDecision& decision : mShard->TakeDecisions()) {
+  const std::vector<JobDecision> decisions = mShard->TakeDecisions();
+  for (const JobDecision& decision : decisions) {
     meter.Count(decision);
-    std::vector<EventField> fields;
-    if (!decision.mJob.Empty()) {
-      fields.push_back({ "job", decision.mJob.Text() });
-    }
-    if (!decision.mTask.empty()) {
-      fields.push_back({ "task", decision.mTask });
-      fields.push_back({ "run", std::to_string(decision.mRun) });
-    }
-    if (!decision.mWorker.Empty()) {
-      fields.push_back({ "worker", decision.mWorker.Text() });
-    }
-    fields.push_back({ "why", decision.mWhy });
-    LogEvent(EventLevel::kInfo,
-             kDecisionKindNames.Name(decision.mKind),
-             std::move(fields));
+  }
+  for (DecisionLine& line : LinesOf(decisions)) {
+    LogEvent(EventLevel::kInfo, line.mName, std::move(line.mFields));
   }
 }
 
--- a/mulberryvalve/core/jobs/job_decision.h
+++ b/mulberryvalve/core/jobs/job_decision.h
@@ -77,7 +77,7 @@
 {
   DecisionKind mKind = DecisionKind::kJobKnown;
   JobId mJob;
-  std::string mTask;
+  std::optional<TaskRef> mTask;
   WorkerId mWorker;
   uint64_t mRun = 0;
   std::string mWhy;
--- a/mulberryvalve/core/jobs/job_shard.cc
+++ b/mulberryvalve/core/jobs/job_shard.cc
@@ -359,7 +359,7 @@
   JobDecision decision;
   decision.mKind = aKind;
   decision.mJob = aTask.mStep.mJob;
-  decision.mTask = aTask.Text();
+  decision.mTask = aTask;
   decision.mWorker = aWorker;
   decision.mRun = aRun.Value();
   decision.mWhy = std::move(aWhy);
