--- a/mulberryvalve/app/jobs/owner_meter.cc
+++ b/mulberryvalve/app/jobs/owner_meter.cc
@@ -80,8 +80,8 @@
       mMetrics.Record(limit.mTiming, length);
     }
     behind = behind || length >= limit.mBehindFrom;
-    fields.push_back(
-      { kOwnerDelayNames.Name(limit.mDelay), InMilliseconds(length) });
+    fields.push_back({ std::string(kOwnerDelayNames.Name(limit.mDelay)),
+                       InMilliseconds(length) });
   }
   if (!behind) {
     return std::nullopt;
