A server that ends as it begins ends

Cause: httplib drops a stop() that comes before its loop was entered, so BoundedServer::End had no effect until the thread of Begin got there, and Join waited for good. Change: End waits until the loop is entered, which the library shows by asking for its queue of tasks; no thread spins.

--- a/mulberryvalve/adapters/http/bounded_server.cc
+++ b/mulberryvalve/adapters/http/bounded_server.cc
@@ -109,6 +109,11 @@
   : mOptions(aOptions)
 {
   new_task_queue = [this] {
+    {
+      MutexLock lock(mMutex);
+      mListening = true;
+      mCond.NotifyAll();
+    }
     return new BoundedPool(mOptions.mThreads,
                            mOptions.mWaitingConnections,
                            [this] { CloseOneIdle(); });
@@ -134,11 +139,16 @@
 
 void BoundedServer::Begin()
 {
+  {
+    MutexLock lock(mMutex);
+    mBegun = true;
+  }
   mThread = std::thread([this] { listen_after_bind(); });
 }
 
 void BoundedServer::End()
 {
+  AwaitListening();
   stop();
   MutexLock lock(mMutex);
   mEnding = true;
@@ -147,6 +157,15 @@
   }
 }
 
+// The library drops a stop() that comes before its loop was entered.
+void BoundedServer::AwaitListening()
+{
+  MutexLock lock(mMutex);
+  while (mBegun && !mListening) {
+    mCond.Wait(mMutex);
+  }
+}
+
 void BoundedServer::Join()
 {
   if (mThread.joinable()) {
--- a/mulberryvalve/adapters/http/bounded_server.h
+++ b/mulberryvalve/adapters/http/bounded_server.h
@@ -43,7 +43,8 @@
   // Begin serves on a thread of its own.
   void Begin();
 
-  // End closes idle connections now and others after the exchange under way;
+  // End closes idle connections now and others after the exchange under way,
+  // once the server's thread listens, if Begin was called;
   // Join waits until that is done.
   void End();
   void Join();
@@ -58,9 +59,15 @@
   void Serve(socket_t aSocket);
   bool WaitForCall(socket_t aSocket, bool aBuffered);
 
+  void AwaitListening();
+
   const BoundedServerOptions mOptions;
   std::thread mThread;
   Mutex mMutex;
+  CondVar mCond;
+  // Begin was called, and its thread has got so far that stop() has an effect.
+  bool mBegun MV_GUARDED_BY(mMutex) = false;
+  bool mListening MV_GUARDED_BY(mMutex) = false;
   bool mEnding MV_GUARDED_BY(mMutex) = false;
   std::list<socket_t> mIdle MV_GUARDED_BY(mMutex);
 };
