--- a/mulberryvalve/app/jobs/shard_runtime.cc
+++ b/mulberryvalve/app/jobs/shard_runtime.cc
@@ -414,7 +414,8 @@
   MutexLock lock(mMutex);
   const MonotonicTime now = mPorts.mClock.Now();
   const WorkerRoom* room = mShard->Workers().Find(aWorker);
-  if (room != nullptr && !room->mTasks.empty() && !room->mSilent) {
+  const bool renewed = room != nullptr && room->mLapsesAt != MonotonicTime();
+  if (renewed && !room->mTasks.empty() && !room->mSilent) {
     mMeter.Note(OwnerDelay::kRenewalGap,
                 now - (room->mLapsesAt - mOptions.mLease.mLength -
                        mOptions.mLease.mMargin));
