A successor decodes only jobs that are not over

Cause: a take-over decoded every job of the last 150 s. Change: a job whose record says that it is over is taken in by its id and phase. Ends that change no record are settled without an append, since those of such jobs make none any more.

--- a/mulberryvalve/adapters/json/job_log_json.cc
+++ b/mulberryvalve/adapters/json/job_log_json.cc
@@ -353,6 +353,15 @@
   return KeyedEntry{ Joined(kWorkerPrefix, aWorker.Text()), std::nullopt };
 }
 
+std::optional<JobId> JobLogJson::JobOf(const KeyedEntry& aEntry) const
+{
+  std::string_view id = aEntry.mKey;
+  if (!aEntry.mValue || TakePrefix(id, kCancelPrefix)) {
+    return std::nullopt;
+  }
+  return JobId(aEntry.mKey);
+}
+
 Result<IntakeItem> JobLogJson::DecodeIntake(const KeyedEntry& aEntry) const
 {
   if (!aEntry.mValue) {
--- a/mulberryvalve/adapters/json/job_log_json.h
+++ b/mulberryvalve/adapters/json/job_log_json.h
@@ -21,6 +21,7 @@
   std::vector<KeyedEntry> DropIntake(const JobId& aJob) const override;
   KeyedEntry DropProgress(const JobId& aJob) const override;
   KeyedEntry DropWorker(const WorkerId& aWorker) const override;
+  std::optional<JobId> JobOf(const KeyedEntry& aEntry) const override;
   Result<IntakeItem> DecodeIntake(const KeyedEntry& aEntry) const override;
   Result<ProgressItem> DecodeProgress(const KeyedEntry& aEntry) const override;
 };
--- a/mulberryvalve/app/jobs/shard_runtime.cc
+++ b/mulberryvalve/app/jobs/shard_runtime.cc
@@ -200,6 +200,10 @@
       batch = mShard->TakeProgress(mPorts.mClock.Now());
     }
     if (batch.Empty()) {
+      // Ends that change no record are settled by what is on the log already.
+      if (!batch.mEnds.empty()) {
+        TakeDurable(batch);
+      }
       continue;
     }
     CloseEndedLanes();
@@ -250,18 +254,21 @@
     }
   }
   mSequence++;
-  {
-    MutexLock lock(mMutex);
-    mShard->OnDurable(aBatch);
-    for (const ProgressBatch::EndsTaken& ends : aBatch.mEnds) {
-      const auto lane = mLanes.find(ends.mWorker);
-      if (lane != mLanes.end()) {
-        lane->second->OnDurable();
-      }
+  TakeDurable(aBatch);
+  DropFromIntake(aBatch.mRetired);
+}
+
+void ShardRuntime::TakeDurable(const ProgressBatch& aBatch)
+{
+  MutexLock lock(mMutex);
+  mShard->OnDurable(aBatch);
+  for (const ProgressBatch::EndsTaken& ends : aBatch.mEnds) {
+    const auto lane = mLanes.find(ends.mWorker);
+    if (lane != mLanes.end()) {
+      lane->second->OnDurable();
     }
-    DecideSoon();
   }
-  DropFromIntake(aBatch.mRetired);
+  DecideSoon();
 }
 
 Result<void> ShardRuntime::AppendOnce(const std::vector<KeyedEntry>& aEntries)
--- a/mulberryvalve/app/jobs/shard_runtime.h
+++ b/mulberryvalve/app/jobs/shard_runtime.h
@@ -128,6 +128,7 @@
   void DecideSoon() MV_REQUIRES(mMutex);
   void WriteProgress();
   void AppendProgress(const ProgressBatch& aBatch);
+  void TakeDurable(const ProgressBatch& aBatch);
   Result<void> AppendOnce(const std::vector<KeyedEntry>& aEntries);
   void DropFromIntake(const std::vector<JobId>& aRetired);
   void FollowIntake();
--- a/mulberryvalve/app/jobs/shard_runtime_feeds.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_feeds.cc
@@ -14,6 +14,17 @@
 constexpr Milliseconds kRetryIntake{ 200 };
 constexpr Milliseconds kWorkerInterval{ 400 };
 
+// Returns the record of the job that aEntry handed in, if that is over.
+const JobRecord* RecordOfOver(const JobLogCodec& aCodec,
+                              const KeyedEntry& aEntry,
+                              const std::map<JobId, JobRecord>& aRecords)
+{
+  const std::optional<JobId> job = aCodec.JobOf(aEntry);
+  const auto found = job ? aRecords.find(*job) : aRecords.end();
+  const bool over = found != aRecords.end() && IsOver(found->second.mPhase);
+  return over ? &found->second : nullptr;
+}
+
 } // namespace
 
 // A higher epoch than the group gives stands on the log when the group began
@@ -79,6 +90,14 @@
   std::vector<JobId> cancelled;
   size_t jobs = 0;
   for (const KeyedEntry& entry : intake.value().mEntries) {
+    const JobRecord* over = RecordOfOver(mPorts.mCodec, entry, records);
+    if (over != nullptr) {
+      // Nothing but its phase is asked for any more.
+      JobGraph graph;
+      graph.mId = over->mId;
+      shard->Inherit(std::move(graph), over);
+      continue;
+    }
     Result<IntakeItem> item = mPorts.mCodec.DecodeIntake(entry);
     if (!item) {
       LogFault("intake_record", item.error());
--- a/mulberryvalve/ports/out/job_log_codec.h
+++ b/mulberryvalve/ports/out/job_log_codec.h
@@ -6,6 +6,7 @@
 #include "mulberryvalve/core/jobs/job_shard.h"
 #include "mulberryvalve/ports/out/keyed_log.h"
 
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -55,6 +56,10 @@
   virtual KeyedEntry DropProgress(const JobId& aJob) const = 0;
   virtual KeyedEntry DropWorker(const WorkerId& aWorker) const = 0;
 
+  // JobOf returns the job that an entry of the intake hands in, without
+  // decoding it; nothing for other entries.
+  virtual std::optional<JobId> JobOf(const KeyedEntry& aEntry) const = 0;
+
   virtual Result<IntakeItem> DecodeIntake(const KeyedEntry& aEntry) const = 0;
   virtual Result<ProgressItem> DecodeProgress(
     const KeyedEntry& aEntry) const = 0;
