--- /dev/null
+++ b/mulberryvalve/app/jobs/shard_runtime_test.cc
@@ -0,0 +1,257 @@
+// One ownership of a shard: its take-over, and what goes first when there is
+// much to do.
+#include "mulberryvalve/adapters/json/job_log_json.h"
+#include "mulberryvalve/app/jobs/jobs_fake.h"
+
+#include <atomic>
+
+#include "CppUTest/TestHarness.h"
+
+namespace mulberryvalve {
+namespace {
+
+constexpr Milliseconds kPatience{ 20000 };
+
+// CountingCodec counts the records of the intake that are decoded.
+class CountingCodec : public JobLogJson
+{
+public:
+  Result<IntakeItem> DecodeIntake(const KeyedEntry& aEntry) const override
+  {
+    mDecoded++;
+    return JobLogJson::DecodeIntake(aEntry);
+  }
+
+  size_t Decoded() const { return mDecoded; }
+
+private:
+  mutable std::atomic<size_t> mDecoded{ 0 };
+};
+
+// NamedEvents waits for events by their name. Thread-safe.
+class NamedEvents : public EventLog
+{
+public:
+  void Write(EventLevel,
+             std::string_view aName,
+             const std::vector<EventField>&) override
+  {
+    MutexLock lock(mMutex);
+    mNames.insert(std::string(aName));
+    mCond.NotifyAll();
+  }
+
+  void Await(const std::string& aName)
+  {
+    MutexLock lock(mMutex);
+    while (mNames.count(aName) == 0) {
+      mCond.Wait(mMutex);
+    }
+  }
+
+private:
+  Mutex mMutex;
+  CondVar mCond;
+  std::set<std::string> mNames MV_GUARDED_BY(mMutex);
+};
+
+// LastingWorker runs what it is told until it is stopped. It answers no start
+// of the job "held" before Release. Thread-safe.
+class LastingWorker : public TaskWorkerPort
+{
+public:
+  struct Sent
+  {
+    OrderKind mKind;
+    JobId mJob;
+  };
+
+  OrderReply Send(const TaskOrder& aOrder) override
+  {
+    MutexLock lock(mMutex);
+    const JobId& job = aOrder.mTask.mStep.mJob;
+    mSent.push_back(Sent{ aOrder.mKind, job });
+    mCond.NotifyAll();
+    while (!mReleased && job == JobId("held")) {
+      mCond.Wait(mMutex);
+    }
+    if (aOrder.mKind == OrderKind::kStart) {
+      mRunning[aOrder.mTask] = aOrder.mRun;
+    } else if (aOrder.mKind == OrderKind::kStop) {
+      mRunning.erase(aOrder.mTask);
+    }
+    OrderReply reply;
+    reply.mOutcome = OrderOutcome::kAccepted;
+    reply.mReading = WorkerReading{ WorkerTime{ 1000 }, Birth(1) };
+    return reply;
+  }
+
+  HoldReply Hold(const HoldOrder&) override
+  {
+    constexpr Milliseconds kAnswersIn{ 10 };
+    const auto until = std::chrono::steady_clock::now() + kAnswersIn;
+    MutexLock lock(mMutex);
+    while (mCond.WaitUntil(mMutex, until)) {
+    }
+    HoldReply reply;
+    reply.mOutcome = OrderOutcome::kAccepted;
+    reply.mReading = WorkerReading{ WorkerTime{ 1000 }, Birth(1) };
+    for (const auto& [task, run] : mRunning) {
+      RunningRow row;
+      row.mTask = task;
+      row.mRun = run;
+      row.mPercent = 100;
+      reply.mRunning.push_back(row);
+    }
+    return reply;
+  }
+
+  // AwaitSent blocks until aCount orders have come and returns them.
+  std::vector<Sent> AwaitSent(size_t aCount)
+  {
+    MutexLock lock(mMutex);
+    while (mSent.size() < aCount) {
+      mCond.Wait(mMutex);
+    }
+    return mSent;
+  }
+
+  void Release()
+  {
+    MutexLock lock(mMutex);
+    mReleased = true;
+    mCond.NotifyAll();
+  }
+
+private:
+  Mutex mMutex;
+  CondVar mCond;
+  std::vector<Sent> mSent MV_GUARDED_BY(mMutex);
+  std::map<TaskRef, RunNumber> mRunning MV_GUARDED_BY(mMutex);
+  bool mReleased MV_GUARDED_BY(mMutex) = false;
+};
+
+const LearnedPlacement kPlacement;
+const LeastWorkOrder kOrder;
+
+// Owner is one ownership of the shard.
+class Owner
+{
+public:
+  Owner(MemoryLog& aLog, TaskWorkerPort& aWorkers, uint64_t aEpoch)
+    : mRuntime(OptionsOf(aEpoch),
+               ShardRuntimePorts{ aLog,
+                                  mCodec,
+                                  aWorkers,
+                                  mFeeds,
+                                  mConfig,
+                                  JobPolicies{ kPlacement, kOrder },
+                                  mClock,
+                                  mMetrics,
+                                  mEvents })
+  {
+    ClusterConfig config;
+    config.mVersion = 1;
+    mConfig.Put(config);
+    mRuntime.Start();
+  }
+
+  // Await asks until the job is in aPhase; false when time is up.
+  bool Await(const char* aJob, JobPhase aPhase) const
+  {
+    PeerQuestion question;
+    question.mKind = PeerQuestionKind::kJobPhase;
+    question.mJob = JobId(aJob);
+    const MonotonicTime until = mClock.Now() + kPatience;
+    while (mClock.Now() < until) {
+      const PeerAnswer answer = mRuntime.Answer(question);
+      if (answer.mOwns && answer.mPhase == aPhase) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  const CountingCodec& Codec() const { return mCodec; }
+  NamedEvents& Events() { return mEvents; }
+
+private:
+  static ShardRuntimeOptions OptionsOf(uint64_t aEpoch)
+  {
+    ShardRuntimeOptions options;
+    options.mEpoch = Epoch(aEpoch);
+    return options;
+  }
+
+  RealClock mClock;
+  NoMetrics mMetrics;
+  NamedEvents mEvents;
+  CountingCodec mCodec;
+  OneWorkerFeeds mFeeds;
+  ConfigView mConfig;
+  ShardRuntime mRuntime;
+};
+
+void HandIn(MemoryLog& aLog, const char* aJob, uint32_t aTasks = 1)
+{
+  JobGraph job;
+  job.mId = JobId(aJob);
+  job.mQueue = QueueId("queue");
+  job.mRules.mService = ServiceId("service");
+  StepSpec step;
+  step.mCount = aTasks;
+  step.mDemand = Resources{ 20, 10, 0 };
+  job.mSteps.push_back(step);
+  const JobLogJson codec;
+  CHECK(aLog.Append(KeyedPlace{ KeyedTopic::kIntake, 0 }, { codec.Encode(job) })
+          .has_value());
+}
+
+} // namespace
+
+TEST_GROUP(ShardRuntimeTest){};
+
+// Guards against cancelled work that runs on because the worker is sent a burst
+// of starts first (UNASKED).
+TEST(ShardRuntimeTest, AStopIsSentBeforeTheStartsOfABurst)
+{
+  MemoryLog log;
+  LastingWorker worker;
+  Owner owner(log, worker, 64);
+  HandIn(log, "a");
+  worker.AwaitSent(1);
+  HandIn(log, "held", 50);
+  worker.AwaitSent(2);
+  const JobLogJson codec;
+  CHECK(log
+          .Append(KeyedPlace{ KeyedTopic::kIntake, 0 },
+                  { codec.Encode(JobCancellation{ JobId("a") }) })
+          .has_value());
+  owner.Events().Await("task_stopped");
+  worker.Release();
+  const auto sent = worker.AwaitSent(3);
+  CHECK(OrderKind::kStop == sent[2].mKind);
+  CHECK(JobId("a") == sent[2].mJob);
+}
+
+// Guards against a chain of owners each of which loses the shard while it
+// loads: all jobs of the last minutes were decoded, most of them over.
+TEST(ShardRuntimeTest, ASuccessorDecodesOnlyJobsThatAreNotOver)
+{
+  MemoryLog log;
+  InstantWorker workers;
+  {
+    const Owner former(log, workers, 64);
+    for (const char* job : { "a", "b", "c" }) {
+      HandIn(log, job);
+      CHECK(former.Await(job, JobPhase::kCompleted));
+    }
+  }
+  HandIn(log, "d");
+  const Owner next(log, workers, 128);
+  CHECK(next.Await("d", JobPhase::kCompleted));
+  CHECK(next.Await("a", JobPhase::kCompleted));
+  CHECK_EQUAL(1U, next.Codec().Decoded());
+}
+
+} // namespace mulberryvalve
