--- a/mulberryvalve/app/jobs/shard_runtime.cc
+++ b/mulberryvalve/app/jobs/shard_runtime.cc
@@ -1,5 +1,6 @@
 #include "mulberryvalve/app/jobs/shard_runtime.h"
 
+#include "mulberryvalve/app/jobs/decision_lines.h"
 #include "mulberryvalve/app/jobs/decision_meter.h"
 
 #include <algorithm>
@@ -199,6 +200,10 @@
       batch = mShard->TakeProgress(mPorts.mClock.Now());
     }
     if (batch.Empty()) {
+      // Ends that change no record are settled by what is on the log already.
+      if (!batch.mEnds.empty()) {
+        TakeDurable(batch);
+      }
       continue;
     }
     CloseEndedLanes();
@@ -249,18 +254,21 @@
     }
   }
   mSequence++;
-  {
-    MutexLock lock(mMutex);
-    mShard->OnDurable(aBatch);
-    for (const ProgressBatch::EndsTaken& ends : aBatch.mEnds) {
-      const auto lane = mLanes.find(ends.mWorker);
-      if (lane != mLanes.end()) {
-        lane->second->OnDurable();
-      }
+  TakeDurable(aBatch);
+  DropFromIntake(aBatch.mRetired);
+}
+
+void ShardRuntime::TakeDurable(const ProgressBatch& aBatch)
+{
+  MutexLock lock(mMutex);
+  mShard->OnDurable(aBatch);
+  for (const ProgressBatch::EndsTaken& ends : aBatch.mEnds) {
+    const auto lane = mLanes.find(ends.mWorker);
+    if (lane != mLanes.end()) {
+      lane->second->OnDurable();
     }
-    DecideSoon();
   }
-  DropFromIntake(aBatch.mRetired);
+  DecideSoon();
 }
 
 Result<void> ShardRuntime::AppendOnce(const std::vector<KeyedEntry>& aEntries)
@@ -332,23 +340,12 @@
 void ShardRuntime::LogDecisions()
 {
   const DecisionMeter meter(mPorts.mMetrics);
-  for (const JobDecision& decision : mShard->TakeDecisions()) {
+  const std::vector<JobDecision> decisions = mShard->TakeDecisions();
+  for (const JobDecision& decision : decisions) {
     meter.Count(decision);
-    std::vector<EventField> fields;
-    if (!decision.mJob.Empty()) {
-      fields.push_back({ "job", decision.mJob.Text() });
-    }
-    if (!decision.mTask.empty()) {
-      fields.push_back({ "task", decision.mTask });
-      fields.push_back({ "run", std::to_string(decision.mRun) });
-    }
-    if (!decision.mWorker.Empty()) {
-      fields.push_back({ "worker", decision.mWorker.Text() });
-    }
-    fields.push_back({ "why", decision.mWhy });
-    LogEvent(EventLevel::kInfo,
-             kDecisionKindNames.Name(decision.mKind),
-             std::move(fields));
+  }
+  for (DecisionLine& line : LinesOf(decisions)) {
+    LogEvent(EventLevel::kInfo, line.mName, std::move(line.mFields));
   }
 }
 
@@ -424,7 +421,8 @@
   MutexLock lock(mMutex);
   const MonotonicTime now = mPorts.mClock.Now();
   const WorkerRoom* room = mShard->Workers().Find(aWorker);
-  if (room != nullptr && !room->mTasks.empty() && !room->mSilent) {
+  const bool renewed = room != nullptr && room->mLapsesAt != MonotonicTime();
+  if (renewed && !room->mTasks.empty() && !room->mSilent) {
     mMeter.Note(OwnerDelay::kRenewalGap,
                 now - (room->mLapsesAt - mOptions.mLease.mLength -
                        mOptions.mLease.mMargin));
