--- a/mulberryvalve/adapters/ws_call/ws_call_link.h
+++ b/mulberryvalve/adapters/ws_call/ws_call_link.h
@@ -11,10 +11,10 @@
 namespace mulberryvalve {
 
 // WsCallLink answers the calls of peers and makes calls, over one connection a
-// peer that is opened at the first call. A connection on which nothing was heard
-// for as long as a call waited is closed, since it may have gone silent while
-// new ones work. A busy peer that answers other calls keeps its connection.
-// One thread drives all sockets. Thread-safe.
+// peer that is opened at the first call. A connection on which nothing was
+// heard for as long as a call waited is closed, since it may have gone silent
+// while new ones work. A busy peer that answers other calls keeps its
+// connection. One thread drives all sockets. Thread-safe.
 class WsCallLink : public PeerCalls
 {
 public:
