Tests of cancellations while nobody owns the shard

Patterns of the trace: jobs are cancelled while no owner has loaded, and a chain of owners whose stops are lost. Both pass on this code: a successor's first message to a worker renews nothing, and its stops come before new starts.

--- a/mulberryvalve/core/jobs/busy_owner_test.cc
+++ b/mulberryvalve/core/jobs/busy_owner_test.cc
@@ -37,4 +37,57 @@
   CHECK(world.Findings().empty());
 }
 
+// Guards against cancelled work that a take-over keeps alive (UNASKED): jobs
+// were cancelled while nobody owned the shard, and new work waits for room.
+TEST(BusyOwnerTest, ASuccessorStopsFirstWhatWasCancelledWhileNobodyOwned)
+{
+  JobWorld world(4);
+  FakeOwner& former = world.AddOwner();
+  world.mDurationOf = [](const TaskRef&) { return Milliseconds(60000); };
+  world.Submit(OneStepJob("gone", 4, 16000));
+  world.RunFor(Milliseconds(1000));
+  CHECK_EQUAL(4U, world.Running());
+  former.mActs = false;
+  world.Cancel(JobId("gone"));
+  world.Submit(OneStepJob("new", 40, 1600));
+  world.RunFor(Milliseconds(2000));
+  world.AddOwner();
+  // A look at each worker, and what a worker takes to stop.
+  world.RunFor(Milliseconds(400));
+  for (size_t number = 0; number < 4; number++) {
+    const TaskRef task{ { JobId("gone"), 0, 0 },
+                        static_cast<uint32_t>(number) };
+    for (size_t worker = 0; worker < 4; worker++) {
+      CHECK_EQUAL(0U, world.Worker(worker).mRuns.count(task));
+    }
+  }
+  world.RunFor(Milliseconds(1000));
+  CHECK_EQUAL(40U, world.Running());
+  CHECK(world.Findings().empty());
+}
+
+// Guards against cancelled work that goes on because each owner of a chain
+// loses the shard before its stops are answered (UNASKED).
+TEST(BusyOwnerTest, EachOwnerOfAChainStopsWhatIsCancelled)
+{
+  JobWorld world(2);
+  world.AddOwner();
+  world.mDurationOf = [](const TaskRef&) { return Milliseconds(60000); };
+  world.Submit(OneStepJob("gone", 2, 16000));
+  world.RunFor(Milliseconds(1000));
+  world.Owner(0).mActs = false;
+  world.Cancel(JobId("gone"));
+  // The first successor renews and is told the lists, but its orders are lost.
+  FakeOwner& second = world.AddOwner();
+  for (size_t worker = 0; worker < 2; worker++) {
+    second.mLostOrders.insert(world.Worker(worker).mFacts.mId);
+  }
+  world.RunFor(Milliseconds(300));
+  CHECK_EQUAL(2U, world.Running());
+  second.mActs = false;
+  world.AddOwner();
+  world.RunFor(Milliseconds(400));
+  CHECK_EQUAL(0U, world.Running());
+}
+
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/job_world_fake.cc
+++ b/mulberryvalve/core/jobs/job_world_fake.cc
@@ -94,8 +94,14 @@
   owner->mShard->InheritLearned(mLearned);
   for (const JobGraph& job : mJobs) {
     const auto record = mRecords.find(job.mId);
-    owner->mShard->Inherit(
-      job, record == mRecords.end() ? nullptr : &record->second);
+    const bool known = record != mRecords.end();
+    JobGraph graph = job;
+    if (known && IsOver(record->second.mPhase)) {
+      // As ShardRuntime::Load does, which does not decode it.
+      graph = JobGraph();
+      graph.mId = job.mId;
+    }
+    owner->mShard->Inherit(std::move(graph), known ? &record->second : nullptr);
   }
   for (const JobId& job : mCancelled) {
     owner->mShard->OnCancel(job, mNow);
@@ -255,7 +261,8 @@
     mOnOrder(aOrder);
   }
   OrderReply reply;
-  if (Reaches(aOwner, aOrder.mWorker)) {
+  const bool lost = aOwner.mLostOrders.count(aOrder.mWorker) != 0;
+  if (!lost && Reaches(aOwner, aOrder.mWorker)) {
     const OrderReply said = Apply(mWorkers.at(aOrder.mWorker), aOrder);
     if (Hears(aOwner, aOrder.mWorker)) {
       reply = said;
--- a/mulberryvalve/core/jobs/job_world_fake.h
+++ b/mulberryvalve/core/jobs/job_world_fake.h
@@ -59,6 +59,8 @@
   Epoch mEpoch;
   std::map<WorkerId, LinkState> mLinks;
   std::map<WorkerId, MonotonicTime> mNextHold;
+  // Workers that its orders do not reach, though renewals do.
+  std::set<WorkerId> mLostOrders;
   MonotonicTime mProvedAt;
   bool mActs = true;
   // While false nothing that it decides becomes durable.
