--- a/mulberryvalve/app/jobs/shard_runtime_test.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_test.cc
@@ -131,6 +131,52 @@
   bool mReleased MV_GUARDED_BY(mMutex) = false;
 };
 
+// LateWorker lists the end of one task from its tenth answer on until it is
+// told that it was seen. Thread-safe.
+class LateWorker : public TaskWorkerPort
+{
+public:
+  OrderReply Send(const TaskOrder&) override { return OrderReply(); }
+
+  HoldReply Hold(const HoldOrder& aOrder) override
+  {
+    constexpr size_t kListedFrom = 10;
+    constexpr Milliseconds kAnswersIn{ 10 };
+    const auto until = std::chrono::steady_clock::now() + kAnswersIn;
+    MutexLock lock(mMutex);
+    mSeen = mSeen || aOrder.mSeen >= EndNumber(1);
+    mCond.NotifyAll();
+    while (mPause.WaitUntil(mMutex, until)) {
+    }
+    HoldReply reply;
+    reply.mOutcome = OrderOutcome::kAccepted;
+    reply.mReading = WorkerReading{ WorkerTime{ 1000 }, Birth(1) };
+    if (++mHolds >= kListedFrom && !mSeen) {
+      reply.mEnded.push_back(EndedRow{ EndNumber(1),
+                                       TaskRef{ { JobId("a"), 0, 0 }, 0 },
+                                       RunNumber(7),
+                                       EndKind::kDone,
+                                       CheckpointId() });
+    }
+    return reply;
+  }
+
+  void AwaitSeen()
+  {
+    MutexLock lock(mMutex);
+    while (!mSeen) {
+      mCond.Wait(mMutex);
+    }
+  }
+
+private:
+  Mutex mMutex;
+  CondVar mCond;
+  CondVar mPause;
+  size_t mHolds MV_GUARDED_BY(mMutex) = 0;
+  bool mSeen MV_GUARDED_BY(mMutex) = false;
+};
+
 const LearnedPlacement kPlacement;
 const LeastWorkOrder kOrder;
 
@@ -254,4 +300,21 @@
   CHECK_EQUAL(1U, next.Codec().Decoded());
 }
 
+// Guards against ends that a worker lists for good, since they change no record
+// and so make no append.
+TEST(ShardRuntimeTest, EndsOfAJobThatIsOverAreNotedWithoutAnAppend)
+{
+  MemoryLog log;
+  LateWorker worker;
+  const JobLogJson codec;
+  HandIn(log, "a");
+  const FencedAppend proof{ KeyedPlace{ KeyedTopic::kProgress, 0 },
+                            Epoch(1),
+                            1 };
+  const JobRecord over{ JobId("a"), JobPhase::kCompleted, {} };
+  CHECK(log.AppendFenced(proof, { codec.Encode(over) }).has_value());
+  const Owner owner(log, worker, 64);
+  worker.AwaitSeen();
+}
+
 } // namespace mulberryvalve
