An owner stays when its shard was dealt anew

What callers saw: a shard without an owner for seconds at the start. Several instances joined within a millisecond, all but one left at once, and the one that was given the shard was answered without it at its next join: the group deals anew at each change, and lists what moved back one join later.

Change: who loses the shard at a join ends its ownership, but stays a member for the time of a hand-over; a look tells if another owns it.

--- a/mulberryvalve/app/jobs/jobs_fake.cc
+++ b/mulberryvalve/app/jobs/jobs_fake.cc
@@ -202,7 +202,10 @@
   }
   GroupShare share;
   share.mGeneration = Generation(group.mGeneration);
-  share.mHoldsShard = HolderOf(group) == aPort;
+  const uint64_t told = std::exchange(group.mTold[aPort], group.mGeneration);
+  const bool pauses = mOrder == DealOrder::kOldestAfterAPause && told != 0 &&
+                      told != group.mGeneration;
+  share.mHoldsShard = HolderOf(group) == aPort && !pauses;
   share.mIsAlone = members.size() == 1;
   return share;
 }
--- a/mulberryvalve/app/jobs/jobs_fake.h
+++ b/mulberryvalve/app/jobs/jobs_fake.h
@@ -135,6 +135,8 @@
 {
   kNewestFirst,
   kOldestFirst,
+  // The oldest, and its first join after a change does not list the shard.
+  kOldestAfterAPause,
 };
 
 // DealtGroup has a group for each of its shards. Thread-safe.
@@ -184,6 +186,8 @@
   {
     uint64_t mGeneration = 1;
     std::vector<uint16_t> mMembers;
+    // The generation that each member was told last.
+    std::map<uint16_t, uint64_t> mTold;
   };
 
   void Remove(Group& aGroup, uint16_t aPort) MV_REQUIRES(mMutex);
--- a/mulberryvalve/app/jobs/shard_bids.cc
+++ b/mulberryvalve/app/jobs/shard_bids.cc
@@ -23,6 +23,7 @@
   , mSelf(std::move(aSelf))
   , mLayout(aLayout)
   , mRandom(aRandom)
+  , mPhase(aRandom.Below(kPhases))
 {
 }
 
@@ -117,7 +118,7 @@
 Milliseconds ShardBids::Patience() const
 {
   const auto mine = static_cast<int64_t>(Owned(mSelf.mPeer));
-  const Milliseconds weak = IsCapable() ? Milliseconds(0) : mTerms.mWeak;
+  const Milliseconds weak = IsCapable(mSelf) ? Milliseconds(0) : mTerms.mWeak;
   return mTerms.mPerShard * mine + weak;
 }
 
--- a/mulberryvalve/app/jobs/shard_bids.h
+++ b/mulberryvalve/app/jobs/shard_bids.h
@@ -40,9 +40,21 @@
             const LayoutView& aLayout,
             RandomSource& aRandom);
 
-  // IsCapable tells whether this instance's processor is known to be at least
+  // IsWeak tells whether this instance's processor is known to be less than
   // half of the largest.
-  bool IsCapable() const { return IsCapable(mSelf); }
+  bool IsWeak() const
+  {
+    return mLayout.Present().mLargestProcessor > 0 && !IsCapable(mSelf);
+  }
+
+  // Phase returns by which part of aPeriod this instance's regular looks are
+  // shifted against those of others; always the same.
+  std::chrono::steady_clock::duration Phase(
+    std::chrono::steady_clock::duration aPeriod) const
+  {
+    return aPeriod * static_cast<int64_t>(mPhase) /
+           static_cast<int64_t>(kPhases);
+  }
 
   // OnView notes what a look at the shard's group showed at aNow.
   void OnView(ShardNumber aShard, const GroupView& aView, MonotonicTime aNow);
@@ -70,6 +82,8 @@
   bool Relieves(ShardNumber aShard, const GroupView& aView) const;
 
 private:
+  static constexpr uint64_t kPhases = 1000;
+
   struct Row
   {
     std::optional<GroupMember> mOwner;
@@ -100,6 +114,7 @@
   const GroupMember mSelf;
   const LayoutView& mLayout;
   RandomSource& mRandom;
+  const uint64_t mPhase;
   mutable Mutex mMutex;
   std::map<ShardNumber, Row> mRows MV_GUARDED_BY(mMutex);
 };
--- a/mulberryvalve/app/jobs/shard_keeper_test.cc
+++ b/mulberryvalve/app/jobs/shard_keeper_test.cc
@@ -152,6 +152,21 @@
   }
 }
 
+// Guards against an owner that leaves, and has others bid for its shard,
+// because a member that came and went made the group deal the shard anew.
+TEST(ShardKeeperTest, AnOwnerStaysWhenAnotherMemberHasComeAndGone)
+{
+  Fleet fleet(DealOrder::kOldestAfterAPause);
+  fleet.Add(1);
+  CHECK(fleet.AwaitOwners(1));
+  const size_t changes = fleet.Group().Changes();
+  constexpr uint16_t kVisitor = 9;
+  CHECK(fleet.Group().Join(kVisitor, 0).has_value());
+  CHECK(fleet.Group().Leave(kVisitor, 0).has_value());
+  CHECK(fleet.AwaitOwners(1));
+  CHECK_EQUAL(changes + 2, fleet.Group().Changes());
+}
+
 // Guards against an owner that can't carry its shard while an instance that can
 // is there: of two kinds that start together the weak ones own nothing.
 TEST(ShardKeeperTest, WeakInstancesLeaveTheShardsToCapableOnes)
--- a/mulberryvalve/app/jobs/shard_membership.cc
+++ b/mulberryvalve/app/jobs/shard_membership.cc
@@ -143,12 +143,13 @@
 // Weak instances, which are many, look at one shard after the other.
 Steady::time_point ShardMembership::NextLook(Steady::time_point aNow) const
 {
-  if (mBids.IsCapable()) {
+  if (!mBids.IsWeak()) {
     return aNow + mOptions.mLookInterval;
   }
   const Steady::duration round =
     mOptions.mWeakLookInterval * mOptions.mOwner.mShards;
-  const Steady::duration turn = mOptions.mWeakLookInterval * mShard;
+  const Steady::duration turn =
+    mOptions.mWeakLookInterval * mShard + mBids.Phase(round);
   const Steady::duration past = (aNow - mStartedAt - turn) % round;
   const bool isBeforeTurn = past < Steady::duration::zero();
   return aNow + (isBeforeTurn ? -past : round - past);
@@ -351,9 +352,13 @@
 
 void ShardMembership::OnShardNotHeld(MonotonicTime aSentAt)
 {
-  const bool waits =
-    mRuntime == nullptr && mBid == BidKind::kRelieve && aSentAt < mPatientUntil;
-  EndRuntime();
+  if (mRuntime != nullptr) {
+    // Dealt anew, the shard may come back; a look tells if another owns it.
+    EndRuntime();
+    mBid = BidKind::kRelieve;
+    mPatientUntil = aSentAt + mOptions.mBids.mHandOver;
+  }
+  const bool waits = mBid == BidKind::kRelieve && aSentAt < mPatientUntil;
   if (!waits) {
     LogEvent("group_left", { { "why", "the shard is not given" } });
     mState = MemberState::kLeaving;
