Open steps hold their jobs and are kept by acceptance

Cause: each pass looked up the job of each open step by its id, up to three times, and sorting moved whole steps (a third of Decide in a burst by perf).

Change: the book keeps open steps by the numbers of their jobs, with the jobs. A pass finds again by these what is still open. Sorting moves small keys, and each step once.

--- a/mulberryvalve/core/jobs/job_book.cc
+++ b/mulberryvalve/core/jobs/job_book.cc
@@ -3,6 +3,14 @@
 #include <utility>
 
 namespace mulberryvalve {
+namespace {
+
+OpenStep OpenStepOf(const JobEntry& aJob, const StepRef& aStep)
+{
+  return OpenStep{ aJob.mArrival, aStep.mOccurrence, aStep.mStep };
+}
+
+} // namespace
 
 JobEntry* JobBook::Add(JobGraph aGraph)
 {
@@ -120,7 +128,7 @@
   job.mBegun = true;
   if (step.mWaiting == 0) {
     step.mWaitingSince = MonotonicTime();
-    mOpen.erase(aTask.mStep);
+    mOpen.erase(OpenStepOf(job, aTask.mStep));
   }
 }
 
@@ -157,7 +165,7 @@
     step.mWaiting--;
   }
   if (step.mWaiting == 0) {
-    mOpen.erase(aTask.mStep);
+    mOpen.erase(OpenStepOf(job, aTask.mStep));
   }
   if (step.mDone == step.mTasks.size()) {
     OpenFollowers(job, aTask.mStep);
@@ -168,7 +176,7 @@
 {
   mWall = aWall;
   for (const JobId& id : mRecurring) {
-    const JobEntry& job = mJobs.at(id);
+    JobEntry& job = mJobs.at(id);
     for (uint32_t number = 0; number < job.mOccurrences.size(); number++) {
       for (uint32_t step = 0; step < job.mGraph.mSteps.size(); step++) {
         Reopen(job, StepRef{ id, number, step });
@@ -181,7 +189,7 @@
 {
   for (uint32_t number = 0; number < aJob.mOccurrences.size(); number++) {
     for (uint32_t step = 0; step < aJob.mGraph.mSteps.size(); step++) {
-      mOpen.erase(StepRef{ aJob.mGraph.mId, number, step });
+      mOpen.erase(OpenStep{ aJob.mArrival, number, step });
     }
   }
   mRecurring.erase(aJob.mGraph.mId);
@@ -261,15 +269,15 @@
   return true;
 }
 
-void JobBook::Reopen(const JobEntry& aJob, const StepRef& aStep)
+void JobBook::Reopen(JobEntry& aJob, const StepRef& aStep)
 {
   const StepState& step = aJob.mOccurrences[aStep.mOccurrence][aStep.mStep];
   if (step.mWaiting > 0 && !IsOver(aJob.mPhase) && IsDue(aJob, aStep)) {
-    mOpen.insert(aStep);
+    mOpen.emplace(OpenStepOf(aJob, aStep), &aJob);
   }
 }
 
-void JobBook::OpenFollowers(const JobEntry& aJob, const StepRef& aStep)
+void JobBook::OpenFollowers(JobEntry& aJob, const StepRef& aStep)
 {
   for (uint32_t step = 0; step < aJob.mGraph.mSteps.size(); step++) {
     Reopen(aJob, StepRef{ aStep.mJob, aStep.mOccurrence, step });
--- a/mulberryvalve/core/jobs/job_book.h
+++ b/mulberryvalve/core/jobs/job_book.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -51,6 +52,21 @@
   std::vector<std::vector<StepState>> mOccurrences;
 };
 
+// OpenStep names a step of a job that is not over by numbers, in the order of
+// acceptance.
+struct OpenStep
+{
+  uint64_t mArrival = 0;
+  uint32_t mOccurrence = 0;
+  uint32_t mStep = 0;
+
+  friend bool operator<(const OpenStep& aLeft, const OpenStep& aRight)
+  {
+    return std::tie(aLeft.mArrival, aLeft.mOccurrence, aLeft.mStep) <
+           std::tie(aRight.mArrival, aRight.mOccurrence, aRight.mStep);
+  }
+};
+
 // JobBook is not synchronised. References to entries hold until Retire.
 class JobBook
 {
@@ -80,8 +96,8 @@
   void Finish(const TaskRef& aTask);
 
   // Open returns the steps with waiting tasks whose turn has come, and those
-  // of occurrences that are due by aWall.
-  const std::set<StepRef>& Open() const { return mOpen; }
+  // of occurrences that are due by aWall, with their jobs.
+  const std::map<OpenStep, JobEntry*>& Open() const { return mOpen; }
   void OpenDue(WallTime aWall);
 
   // Close takes the steps of a job out of the open ones.
@@ -110,12 +126,12 @@
 
 private:
   bool IsDue(const JobEntry& aJob, const StepRef& aStep) const;
-  void Reopen(const JobEntry& aJob, const StepRef& aStep);
-  void OpenFollowers(const JobEntry& aJob, const StepRef& aStep);
+  void Reopen(JobEntry& aJob, const StepRef& aStep);
+  void OpenFollowers(JobEntry& aJob, const StepRef& aStep);
 
   ImageTable mImages;
   std::unordered_map<JobId, JobEntry> mJobs;
-  std::set<StepRef> mOpen;
+  std::map<OpenStep, JobEntry*> mOpen;
   std::set<JobId> mRecurring;
   WallTime mWall;
   uint64_t mLastArrival = 0;
--- a/mulberryvalve/core/jobs/job_shard.h
+++ b/mulberryvalve/core/jobs/job_shard.h
@@ -269,7 +269,7 @@
   // Orders (job_shard_orders.cc).
   void TakeChanges(MonotonicTime aNow);
   void PlaceOpen(MonotonicTime aNow);
-  void PlaceStep(const StepRef& aStep, MonotonicTime aNow);
+  void PlaceStep(JobEntry& aJob, const StepRef& aStep, MonotonicTime aNow);
   void DropPass();
   bool PlaceOne(JobEntry& aJob, const TaskRef& aTask, MonotonicTime aNow);
   void PlaceGang(JobEntry& aJob, const StepRef& aStep, MonotonicTime aNow);
--- a/mulberryvalve/core/jobs/job_shard_orders.cc
+++ b/mulberryvalve/core/jobs/job_shard_orders.cc
@@ -86,35 +86,39 @@
   }
   const size_t most = mSearch.Looks() + kLooksPerDecide;
   while (mPass.IsUnderWay() && mSearch.Looks() < most) {
-    const StepRef step = mPass.Next();
+    const WaitingStep& next = mPass.Next();
     mSearch.CountLooks(1);
-    if (mBook.Open().count(step) != 0) {
-      PlaceStep(step, aNow);
+    const StepRef& step = next.mStep;
+    const auto open = mBook.Open().find(
+      OpenStep{ next.mArrival, step.mOccurrence, step.mStep });
+    if (open != mBook.Open().end()) {
+      PlaceStep(*open->second, step, aNow);
     }
   }
 }
 
-void JobShard::PlaceStep(const StepRef& aStep, MonotonicTime aNow)
+void JobShard::PlaceStep(JobEntry& aJob,
+                         const StepRef& aStep,
+                         MonotonicTime aNow)
 {
-  JobEntry& job = *mBook.Find(aStep.mJob);
-  const StepSpec& spec = mBook.SpecOf(aStep);
-  StepState& step = mBook.StepOf(aStep);
+  const StepSpec& spec = aJob.mGraph.mSteps[aStep.mStep];
+  StepState& step = aJob.mOccurrences[aStep.mOccurrence][aStep.mStep];
   if (step.mWaitingSince == MonotonicTime()) {
     step.mWaitingSince = aNow;
   }
-  const bool hasWaited = HasWaited(job, step, aNow);
-  ExplainWait(job, aStep, aNow);
-  if (IsBlocked(job, aNow) || mPass.Refused().Covers(spec, hasWaited)) {
+  const bool hasWaited = HasWaited(aJob, step, aNow);
+  ExplainWait(aJob, aStep, aNow);
+  if (IsBlocked(aJob, aNow) || mPass.Refused().Covers(spec, hasWaited)) {
     return;
   }
   if (spec.mGang) {
-    PlaceGang(job, aStep, aNow);
+    PlaceGang(aJob, aStep, aNow);
     return;
   }
   for (uint32_t index = 0; index < spec.mCount; index++) {
     const TaskRef ref{ aStep, index };
-    const bool waits = mBook.FindTask(ref)->mPhase == TaskPhase::kWaiting;
-    if (waits && !PlaceOne(job, ref, aNow)) {
+    const bool waits = step.mTasks[index].mPhase == TaskPhase::kWaiting;
+    if (waits && !PlaceOne(aJob, ref, aNow)) {
       mPass.Refused().Add(spec, hasWaited);
       return;
     }
--- a/mulberryvalve/core/jobs/job_shard_waiting.cc
+++ b/mulberryvalve/core/jobs/job_shard_waiting.cc
@@ -51,15 +51,15 @@
 {
   std::vector<WaitingStep> steps;
   steps.reserve(mBook.Open().size());
-  for (const StepRef& open : mBook.Open()) {
-    JobEntry& job = *mBook.Find(open.mJob);
+  for (const auto& [open, entry] : mBook.Open()) {
+    JobEntry& job = *entry;
     WaitingStep& step = steps.emplace_back();
-    step.mStep = open;
+    step.mStep = StepRef{ job.mGraph.mId, open.mOccurrence, open.mStep };
     step.mPriority = job.mGraph.mRules.mPriority;
     step.mArrival = job.mArrival;
     step.mAcceptedAt = AcceptedAt(job, aNow);
     step.mObjectiveAt = step.mAcceptedAt;
-    if (mBook.SpecOf(open).mLasting) {
+    if (job.mGraph.mSteps[open.mStep].mLasting) {
       continue;
     }
     const JobForecast forecast = ForecastOf(job, open.mOccurrence, mRunTimes);
@@ -94,13 +94,13 @@
                            const StepRef& aStep,
                            MonotonicTime aNow)
 {
-  StepState& step = mBook.StepOf(aStep);
+  const StepState& step = aJob.mOccurrences[aStep.mOccurrence][aStep.mStep];
   const MonotonicTime due =
     std::max(step.mExplainAt, step.mWaitingSince + kFirstExplanation);
   if (aNow < due) {
     return;
   }
-  step.mExplainAt = aNow + kExplainAgain;
+  mBook.StepOf(aStep).mExplainAt = aNow + kExplainAgain;
   std::string why = std::to_string(step.mWaiting) + " tasks wait";
   const bool blocked = IsBlocked(aJob, aNow);
   if (blocked) {
--- a/mulberryvalve/core/jobs/placement_pass.h
+++ b/mulberryvalve/core/jobs/placement_pass.h
@@ -66,7 +66,7 @@
   bool IsUnderWay() const { return mNext < mOrder.size(); }
 
   // Next returns the next step; there must be one.
-  const StepRef& Next() { return mOrder[mNext++].mStep; }
+  const WaitingStep& Next() { return mOrder[mNext++]; }
 
   // Refused returns what found no worker in this pass.
   RefusedSteps& Refused() { return mRefused; }
--- a/mulberryvalve/core/jobs/waiting_order.cc
+++ b/mulberryvalve/core/jobs/waiting_order.cc
@@ -39,25 +39,31 @@
 void LeastWorkOrder::Sort(std::vector<WaitingStep>& aSteps,
                           MonotonicTime aNow) const
 {
-  using Weighed = std::pair<int64_t, WaitingStep>;
+  struct Weighed
+  {
+    int mPriority;
+    int64_t mWeight;
+    WaitingStep* mStep;
+  };
   std::vector<Weighed> weighed;
   weighed.reserve(aSteps.size());
   for (WaitingStep& step : aSteps) {
-    const int64_t weight = WeightOf(step, aNow);
-    weighed.emplace_back(weight, std::move(step));
+    weighed.push_back(Weighed{ step.mPriority, WeightOf(step, aNow), &step });
   }
   std::sort(weighed.begin(),
             weighed.end(),
             [](const Weighed& aLeft, const Weighed& aRight) {
-              const auto left = std::tie(aLeft.second.mPriority, aLeft.first);
-              const auto right =
-                std::tie(aRight.second.mPriority, aRight.first);
-              return left == right ? IsEarlier(aLeft.second, aRight.second)
+              const auto left = std::tie(aLeft.mPriority, aLeft.mWeight);
+              const auto right = std::tie(aRight.mPriority, aRight.mWeight);
+              return left == right ? IsEarlier(*aLeft.mStep, *aRight.mStep)
                                    : left < right;
             });
-  for (size_t index = 0; index < weighed.size(); index++) {
-    aSteps[index] = std::move(weighed[index].second);
+  std::vector<WaitingStep> sorted;
+  sorted.reserve(weighed.size());
+  for (const Weighed& entry : weighed) {
+    sorted.push_back(std::move(*entry.mStep));
   }
+  aSteps = std::move(sorted);
 }
 
 } // namespace mulberryvalve
