A step that waits is forecast anew only when its basis changed

Cause: each pass forecast the rest of the work of each open step, with two logarithms and an exponential for each step of its job.

Change: a step keeps its forecast with what it rests on: the versions of what is known of its queue and of the configuration, and how many tasks are done.

--- a/mulberryvalve/core/jobs/job_book.cc
+++ b/mulberryvalve/core/jobs/job_book.cc
@@ -160,6 +160,7 @@
   }
   task.mDone = true;
   step.mDone++;
+  job.mFinished++;
   if (task.mPhase == TaskPhase::kWaiting) {
     task.mPhase = TaskPhase::kDone;
     step.mWaiting--;
--- a/mulberryvalve/core/jobs/job_book.h
+++ b/mulberryvalve/core/jobs/job_book.h
@@ -6,6 +6,7 @@
 #include "mulberryvalve/core/jobs/job_state.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <tuple>
 #include <unordered_map>
@@ -13,6 +14,30 @@
 
 namespace mulberryvalve {
 
+// KnownForecast is what was forecast last for a step that waits, and on what
+// that rested.
+struct KnownForecast
+{
+  // Basis is what a forecast of a job depends on.
+  struct Basis
+  {
+    uint64_t mRunTimes = 0;
+    uint64_t mConfig = 0;
+    uint64_t mFinished = 0;
+
+    friend bool operator==(const Basis& aLeft, const Basis& aRight)
+    {
+      return std::tie(aLeft.mRunTimes, aLeft.mConfig, aLeft.mFinished) ==
+             std::tie(aRight.mRunTimes, aRight.mConfig, aRight.mFinished);
+    }
+  };
+
+  std::optional<Basis> mBasis;
+  // From the acceptance of the job to its objective.
+  Milliseconds mObjective{ 0 };
+  int64_t mRestOfWork = 0;
+};
+
 // StepState is one step of one occurrence.
 struct StepState
 {
@@ -23,6 +48,7 @@
   MonotonicTime mWaitingSince;
   // When it is next said why they wait.
   MonotonicTime mExplainAt;
+  KnownForecast mForecast;
   // How many of the tasks each worker has.
   std::map<WorkerId, uint32_t> mSiblings;
 };
@@ -46,6 +72,8 @@
   MonotonicTime mAcceptedAt;
   // Its place in the order of acceptance.
   uint64_t mArrival = 0;
+  // So many of its tasks have ended done.
+  uint64_t mFinished = 0;
   // The highest run number given under the present epoch.
   RunNumber mLastRun;
   MonotonicTime mOverSince;
--- a/mulberryvalve/core/jobs/job_shard.cc
+++ b/mulberryvalve/core/jobs/job_shard.cc
@@ -115,6 +115,7 @@
 void JobShard::OnConfig(const ClusterConfig& aConfig)
 {
   mConfig = aConfig;
+  mConfigVersion++;
   mSearch.ForgetRefusals();
   mChanged = true;
 }
--- a/mulberryvalve/core/jobs/job_shard.h
+++ b/mulberryvalve/core/jobs/job_shard.h
@@ -258,6 +258,7 @@
 
   // Steps that wait (job_shard_waiting.cc).
   std::vector<WaitingStep> WaitingSteps(MonotonicTime aNow);
+  const KnownForecast& Forecast(JobEntry& aJob, const OpenStep& aStep) const;
   MonotonicTime AcceptedAt(JobEntry& aJob, MonotonicTime aNow) const;
   bool HasWaited(const JobEntry& aJob,
                  const StepState& aStep,
@@ -342,6 +343,7 @@
   PlacementPass mPass;
   UsageSum mUsage;
   ClusterConfig mConfig;
+  uint64_t mConfigVersion = 0;
   InterferenceBook mInterference;
   RunTimeBook mRunTimes;
   WallTime mWall;
--- a/mulberryvalve/core/jobs/job_shard_waiting.cc
+++ b/mulberryvalve/core/jobs/job_shard_waiting.cc
@@ -62,15 +62,34 @@
     if (job.mGraph.mSteps[open.mStep].mLasting) {
       continue;
     }
-    const JobForecast forecast = ForecastOf(job, open.mOccurrence, mRunTimes);
-    const QueueRules& rules = RulesOf(job);
-    step.mObjectiveAt +=
-      rules.mSlack + forecast.mLongestChain * rules.mStretchPercent / kPercent;
+    const KnownForecast& forecast = Forecast(job, open);
+    step.mObjectiveAt += forecast.mObjective;
     step.mRestOfWork = forecast.mRestOfWork;
   }
   return steps;
 }
 
+// Most forecasts are as they were at the last pass.
+const KnownForecast& JobShard::Forecast(JobEntry& aJob,
+                                        const OpenStep& aStep) const
+{
+  KnownForecast& known =
+    aJob.mOccurrences[aStep.mOccurrence][aStep.mStep].mForecast;
+  const KnownForecast::Basis basis{ mRunTimes.VersionOf(aJob.mGraph.mQueue),
+                                    mConfigVersion,
+                                    aJob.mFinished };
+  if (known.mBasis == basis) {
+    return known;
+  }
+  const JobForecast forecast = ForecastOf(aJob, aStep.mOccurrence, mRunTimes);
+  const QueueRules& rules = RulesOf(aJob);
+  known.mBasis = basis;
+  known.mObjective =
+    rules.mSlack + forecast.mLongestChain * rules.mStretchPercent / kPercent;
+  known.mRestOfWork = forecast.mRestOfWork;
+  return known;
+}
+
 // The clocks of instances differ, and may jump: the age of a job that was
 // accepted before the claim is believed up to a limit.
 MonotonicTime JobShard::AcceptedAt(JobEntry& aJob, MonotonicTime aNow) const
--- a/mulberryvalve/core/jobs/run_time_book.cc
+++ b/mulberryvalve/core/jobs/run_time_book.cc
@@ -24,7 +24,9 @@
   if (aDeclared.count() <= 0 || aTaken.count() <= 0) {
     return;
   }
-  LearnedTimes& times = mQueues[aQueue];
+  QueueTimes& queue = mQueues[aQueue];
+  queue.mVersion++;
+  LearnedTimes& times = queue.mTimes;
   times.mQueue = aQueue;
   times.mTaken.Add(LogOf(aTaken));
   times.mError.Add(LogOf(aTaken) - LogOf(aDeclared));
@@ -35,10 +37,10 @@
 {
   const auto found = mQueues.find(aQueue);
   if (found == mQueues.end() || aDeclared.count() <= 0 ||
-      found->second.mTaken.mCount < kLeastCount) {
+      found->second.mTimes.mTaken.mCount < kLeastCount) {
     return aDeclared;
   }
-  const LearnedTimes& times = found->second;
+  const LearnedTimes& times = found->second.mTimes;
   const double ofTaken = times.mTaken.Variance() + kLeastVariance;
   const double ofError = times.mError.Variance() + kLeastVariance;
   // What scatters less is the better guess.
@@ -48,17 +50,25 @@
   return Milliseconds(std::lround(std::exp(expected)));
 }
 
+uint64_t RunTimeBook::VersionOf(const QueueId& aQueue) const
+{
+  const auto found = mQueues.find(aQueue);
+  return found == mQueues.end() ? 0 : found->second.mVersion;
+}
+
 void RunTimeBook::Save(LearnedRecord& aRecord) const
 {
   for (const auto& [queue, times] : mQueues) {
-    aRecord.mTimes.push_back(times);
+    aRecord.mTimes.push_back(times.mTimes);
   }
 }
 
 void RunTimeBook::Restore(const LearnedRecord& aRecord)
 {
   for (const LearnedTimes& times : aRecord.mTimes) {
-    mQueues[times.mQueue] = times;
+    QueueTimes& queue = mQueues[times.mQueue];
+    queue.mTimes = times;
+    queue.mVersion++;
   }
 }
 
--- a/mulberryvalve/core/jobs/run_time_book.h
+++ b/mulberryvalve/core/jobs/run_time_book.h
@@ -6,6 +6,7 @@
 
 #include "mulberryvalve/core/jobs/learned_record.h"
 
+#include <cstdint>
 #include <unordered_map>
 
 namespace mulberryvalve {
@@ -28,13 +29,23 @@
   // little was seen.
   Milliseconds Expect(const QueueId& aQueue, Milliseconds aDeclared) const;
 
+  // VersionOf returns a number that changes with what Expect returns for a
+  // queue.
+  uint64_t VersionOf(const QueueId& aQueue) const;
+
   // Save adds what is known to aRecord; Restore takes it back, in place of what
   // is known of the same queues.
   void Save(LearnedRecord& aRecord) const;
   void Restore(const LearnedRecord& aRecord);
 
 private:
-  std::unordered_map<QueueId, LearnedTimes> mQueues;
+  struct QueueTimes
+  {
+    LearnedTimes mTimes;
+    uint64_t mVersion = 0;
+  };
+
+  std::unordered_map<QueueId, QueueTimes> mQueues;
 };
 
 } // namespace mulberryvalve
