An answered hold looks each listed run up once

Change: a row is located once, and all steps of OnHold use that. Nothing is looked for as missing when as many of the charged tasks are listed as there are. A job counts its tasks that are done and knows whether any failed.

--- a/mulberryvalve/core/jobs/job_book.cc
+++ b/mulberryvalve/core/jobs/job_book.cc
@@ -31,6 +31,7 @@
       StepState& step = steps.emplace_back();
       step.mTasks.resize(spec.mCount);
       step.mWaiting = spec.mCount;
+      job.mTaskCount += spec.mCount;
     }
   }
   if (job.mGraph.mRecurrence.mTimes > 0) {
@@ -56,6 +57,7 @@
       continue;
     }
     task->mFailures = record.mFailures;
+    aJob.mHasFailures = aJob.mHasFailures || record.mFailures > 0;
     task->mCounted = record.mCounted;
     task->mCheckpoint = record.mCheckpoint;
     aJob.mBegun = true;
@@ -82,21 +84,28 @@
 
 const StepTask* JobBook::FindTask(const TaskRef& aTask) const
 {
-  const JobEntry* job = Find(aTask.mStep.mJob);
-  if (job == nullptr || aTask.mStep.mOccurrence >= job->mOccurrences.size()) {
-    return nullptr;
-  }
-  const auto& steps = job->mOccurrences[aTask.mStep.mOccurrence];
-  if (aTask.mStep.mStep >= steps.size()) {
-    return nullptr;
-  }
-  const auto& tasks = steps[aTask.mStep.mStep].mTasks;
-  return aTask.mIndex < tasks.size() ? &tasks[aTask.mIndex] : nullptr;
+  return const_cast<JobBook*>(this)->Locate(aTask).mTask;
 }
 
 StepTask* JobBook::FindTask(const TaskRef& aTask)
 {
-  return const_cast<StepTask*>(std::as_const(*this).FindTask(aTask));
+  return Locate(aTask).mTask;
+}
+
+TaskPlace JobBook::Locate(const TaskRef& aTask)
+{
+  JobEntry* job = Find(aTask.mStep.mJob);
+  if (job == nullptr || aTask.mStep.mOccurrence >= job->mOccurrences.size()) {
+    return TaskPlace();
+  }
+  auto& steps = job->mOccurrences[aTask.mStep.mOccurrence];
+  if (aTask.mStep.mStep >= steps.size() ||
+      aTask.mIndex >= steps[aTask.mStep.mStep].mTasks.size()) {
+    return TaskPlace();
+  }
+  return TaskPlace{ job,
+                    &job->mGraph.mSteps[aTask.mStep.mStep],
+                    &steps[aTask.mStep.mStep].mTasks[aTask.mIndex] };
 }
 
 StepState& JobBook::StepOf(const StepRef& aStep)
@@ -231,14 +240,7 @@
 
 bool JobBook::AllDone(const JobEntry& aJob)
 {
-  for (const auto& steps : aJob.mOccurrences) {
-    for (const StepState& step : steps) {
-      if (step.mDone < step.mTasks.size()) {
-        return false;
-      }
-    }
-  }
-  return true;
+  return aJob.mFinished == aJob.mTaskCount;
 }
 
 size_t JobBook::Waiting(const QueueId& aQueue) const
--- a/mulberryvalve/core/jobs/job_book.h
+++ b/mulberryvalve/core/jobs/job_book.h
@@ -72,8 +72,11 @@
   MonotonicTime mAcceptedAt;
   // Its place in the order of acceptance.
   uint64_t mArrival = 0;
-  // So many of its tasks have ended done.
+  // So many tasks it has, and so many of them have ended done.
+  uint64_t mTaskCount = 0;
   uint64_t mFinished = 0;
+  // A task of it has failed.
+  bool mHasFailures = false;
   // The highest run number given under the present epoch.
   RunNumber mLastRun;
   MonotonicTime mOverSince;
@@ -95,6 +98,15 @@
   }
 };
 
+// TaskPlace is where the book keeps a task; all are null when its job, step or
+// index is unknown.
+struct TaskPlace
+{
+  JobEntry* mJob = nullptr;
+  const StepSpec* mSpec = nullptr;
+  StepTask* mTask = nullptr;
+};
+
 // JobBook is not synchronised. References to entries hold until Retire.
 class JobBook
 {
@@ -113,6 +125,9 @@
   StepTask* FindTask(const TaskRef& aTask);
   const StepTask* FindTask(const TaskRef& aTask) const;
 
+  // Locate looks a task up once for all that is known of it.
+  TaskPlace Locate(const TaskRef& aTask);
+
   // StepOf and SpecOf return the parts of a step that exists.
   StepState& StepOf(const StepRef& aStep);
   const StepSpec& SpecOf(const StepRef& aStep) const;
--- a/mulberryvalve/core/jobs/job_shard.h
+++ b/mulberryvalve/core/jobs/job_shard.h
@@ -209,6 +209,13 @@
     }
   };
 
+  // ListedRun is a row of a worker's list, with the task that it names.
+  struct ListedRun
+  {
+    const RunningRow& mRow;
+    TaskPlace mPlace;
+  };
+
   std::optional<Milliseconds> WaitLeft(const WorkerRoom& aWorker,
                                        MonotonicTime aNow) const;
   void TakeBackWait(WorkerRoom& aWorker);
@@ -221,31 +228,33 @@
                  MonotonicTime aNow);
   void TakeEnd(WorkerRoom& aWorker, const EndedRow& aRow, MonotonicTime aNow);
   void NoteEnd(const EndedRow& aRow, const WorkerId& aWorker);
-  void CountEnd(StepTask& aTask, const EndedRow& aRow, const WorkerId& aWorker);
-  void LearnRunTime(const StepTask& aTask,
+  void CountEnd(const TaskPlace& aPlace,
+                const EndedRow& aRow,
+                const WorkerId& aWorker);
+  void LearnRunTime(const TaskPlace& aPlace,
                     const EndedRow& aRow,
                     MonotonicTime aNow);
   void JudgeWorker(WorkerRoom& aWorker,
                    const EndedRow& aRow,
                    MonotonicTime aNow);
   void TakeRunning(WorkerRoom& aWorker,
-                   const RunningRow& aRow,
+                   const ListedRun& aRun,
                    MonotonicTime aNow);
-  void ChargeForeign(WorkerRoom& aWorker, const TaskRef& aTask);
   void FreeMissing(WorkerRoom& aWorker,
-                   const HoldReply& aReply,
+                   const std::vector<ListedRun>& aRunning,
                    MonotonicTime aSentAt);
   void FollowTails(WorkerRoom& aWorker,
-                   const HoldReply& aReply,
+                   const std::vector<ListedRun>& aRunning,
                    MonotonicTime aSentAt,
                    MonotonicTime aNow);
   double LearnFrom(const WorkerRoom& aWorker,
-                   const RunningRow& aRow,
+                   const ListedRun& aRun,
                    double aLoad,
                    const std::vector<FillingShare>& aFilling,
                    MonotonicTime aNow);
-  std::vector<FillingShare> ReportedFilling(const WorkerRoom& aWorker,
-                                            const HoldReply& aReply) const;
+  std::vector<FillingShare> ReportedFilling(
+    const WorkerRoom& aWorker,
+    const std::vector<ListedRun>& aRunning) const;
   bool StopHeavy(const WorkerRoom& aWorker, ImageNumber aServing, int aWorst);
   void OnSilent(WorkerRoom& aWorker, OrderOutcome aOutcome);
   void ResetLife(WorkerRoom& aWorker, Birth aBirth);
@@ -372,6 +381,7 @@
   bool mChanged = true;
   MonotonicTime mPlaceAgainAt;
   bool mFenced = false;
+  uint64_t mLastListNumber = 0;
 };
 
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/job_shard_lists.cc
+++ b/mulberryvalve/core/jobs/job_shard_lists.cc
@@ -103,11 +103,14 @@
   }
   aWorker.mForeign = Resources();
   aWorker.mForeignUnknown = false;
+  std::vector<ListedRun> running;
+  running.reserve(aReply.mRunning.size());
   for (const RunningRow& row : aReply.mRunning) {
-    TakeRunning(aWorker, row, aNow);
+    running.push_back(ListedRun{ row, mBook.Locate(row.mTask) });
+    TakeRunning(aWorker, running.back(), aNow);
   }
-  FreeMissing(aWorker, aReply, aSentAt);
-  FollowTails(aWorker, aReply, aSentAt, aNow);
+  FreeMissing(aWorker, running, aSentAt);
+  FollowTails(aWorker, running, aSentAt, aNow);
   if (bounds() != before) {
     mWorkers.NoteChange(aWorker);
   }
@@ -121,10 +124,11 @@
     return;
   }
   aWorker.mTaken = aRow.mNumber;
-  StepTask* task = mBook.FindTask(aRow.mTask);
-  if (task == nullptr) {
+  const TaskPlace place = mBook.Locate(aRow.mTask);
+  if (place.mTask == nullptr) {
     return;
   }
+  StepTask* task = place.mTask;
   const JobId& id = aRow.mTask.mStep.mJob;
   const bool present = IsPlaced(task->mPhase) &&
                        task->mWorker == aWorker.mFacts.mId &&
@@ -132,22 +136,22 @@
   if (!task->HasCounted(aRow.mRun)) {
     // The record of a job that is over names no runs, so a successor can't tell
     // whether their ends were counted.
-    if (present || !IsOver(mBook.Find(id)->mPhase)) {
+    if (present || !IsOver(place.mJob->mPhase)) {
       NoteEnd(aRow, aWorker.mFacts.mId);
     }
-    CountEnd(*task, aRow, aWorker.mFacts.mId);
+    CountEnd(place, aRow, aWorker.mFacts.mId);
     mDirtyJobs.insert(id);
     JudgeWorker(aWorker, aRow, aNow);
   }
   if (present) {
-    LearnRunTime(*task, aRow, aNow);
+    LearnRunTime(place, aRow, aNow);
     Free(aRow.mTask);
   }
   if (aRow.mHow == EndKind::kDone) {
     FinishTask(aRow.mTask);
     FinishGang(aRow.mTask, aNow);
   }
-  FollowJob(*mBook.Find(id), aNow);
+  FollowJob(*place.mJob, aNow);
 }
 
 void JobShard::NoteEnd(const EndedRow& aRow, const WorkerId& aWorker)
@@ -161,24 +165,26 @@
   Note(std::move(ended));
 }
 
-void JobShard::CountEnd(StepTask& aTask,
+void JobShard::CountEnd(const TaskPlace& aPlace,
                         const EndedRow& aRow,
                         const WorkerId& aWorker)
 {
-  aTask.mCounted.push_back(aRow.mRun);
-  if (aTask.mCounted.size() > kCountedRuns) {
-    aTask.mCounted.erase(aTask.mCounted.begin());
+  StepTask& task = *aPlace.mTask;
+  task.mCounted.push_back(aRow.mRun);
+  if (task.mCounted.size() > kCountedRuns) {
+    task.mCounted.erase(task.mCounted.begin());
   }
   if (aRow.mHow == EndKind::kFailed) {
-    aTask.mFailures++;
-    aTask.mFailedAt = aWorker;
+    task.mFailures++;
+    task.mFailedAt = aWorker;
+    aPlace.mJob->mHasFailures = true;
   }
   if (aRow.mCheckpoint.Empty()) {
     return;
   }
-  aTask.mCheckpoint = aRow.mCheckpoint;
+  task.mCheckpoint = aRow.mCheckpoint;
   const StepRef& step = aRow.mTask.mStep;
-  if (mBook.SpecOf(step).mGang) {
+  if (aPlace.mSpec->mGang) {
     // One checkpoint is valid for all members and must be the same for all.
     for (StepTask& member : mBook.StepOf(step).mTasks) {
       member.mCheckpoint = aRow.mCheckpoint;
@@ -187,20 +193,20 @@
 }
 
 // Runs that began from a checkpoint, or were slowed down by order, say little.
-void JobShard::LearnRunTime(const StepTask& aTask,
+void JobShard::LearnRunTime(const TaskPlace& aPlace,
                             const EndedRow& aRow,
                             MonotonicTime aNow)
 {
-  const bool whole = aTask.mStartedAt != MonotonicTime() &&
-                     aTask.mCheckpoint.Empty() &&
-                     aTask.mPacePercent == kFullPace;
+  const StepTask& task = *aPlace.mTask;
+  const bool whole = task.mStartedAt != MonotonicTime() &&
+                     task.mCheckpoint.Empty() && task.mPacePercent == kFullPace;
   if (aRow.mHow != EndKind::kDone || !whole) {
     return;
   }
   mRunTimes.Learn(
-    mBook.Find(aRow.mTask.mStep.mJob)->mGraph.mQueue,
-    mBook.SpecOf(aRow.mTask.mStep).mEstimate,
-    std::chrono::duration_cast<Milliseconds>(aNow - aTask.mStartedAt));
+    aPlace.mJob->mGraph.mQueue,
+    aPlace.mSpec->mEstimate,
+    std::chrono::duration_cast<Milliseconds>(aNow - task.mStartedAt));
 }
 
 void JobShard::JudgeWorker(WorkerRoom& aWorker,
@@ -259,7 +265,7 @@
     return;
   }
   const int limit = RulesOf(aJob).mMaxAttempts;
-  if (limit <= 0) {
+  if (limit <= 0 || !aJob.mHasFailures) {
     return;
   }
   for (uint32_t number = 0; number < aJob.mOccurrences.size(); number++) {
@@ -302,61 +308,69 @@
 }
 
 void JobShard::TakeRunning(WorkerRoom& aWorker,
-                           const RunningRow& aRow,
+                           const ListedRun& aRun,
                            MonotonicTime aNow)
 {
-  StepTask* task = mBook.FindTask(aRow.mTask);
+  const RunningRow& row = aRun.mRow;
+  StepTask* task = aRun.mPlace.mTask;
   const WorkerId& id = aWorker.mFacts.mId;
   if (task != nullptr && IsPlaced(task->mPhase) && task->mWorker == id &&
-      task->mRun == aRow.mRun) {
+      task->mRun == row.mRun) {
     if (task->mPhase == TaskPhase::kUnsettled) {
       task->mPhase = TaskPhase::kRunning;
       task->mAnsweredAt = aNow;
-      mRepeat.erase(aRow.mTask);
+      mRepeat.erase(row.mTask);
     }
-    if (!aRow.mCheckpoint.Empty()) {
-      task->mCheckpoint = aRow.mCheckpoint;
+    if (!row.mCheckpoint.Empty()) {
+      task->mCheckpoint = row.mCheckpoint;
     }
     return;
   }
-  const JobEntry* job = mBook.Find(aRow.mTask.mStep.mJob);
-  const bool adoptable = task != nullptr && !IsOver(job->mPhase) &&
+  const bool adoptable = task != nullptr && !IsOver(aRun.mPlace.mJob->mPhase) &&
                          task->mPhase == TaskPhase::kWaiting &&
-                         !task->HasCounted(aRow.mRun);
+                         !task->HasCounted(row.mRun);
   if (adoptable) {
-    Note(DecisionKind::kTaskAdopted, aRow.mTask, id, aRow.mRun, "listed");
-    mBook.Place(aRow.mTask, id, aRow.mRun);
+    Note(DecisionKind::kTaskAdopted, row.mTask, id, row.mRun, "listed");
+    mBook.Place(row.mTask, id, row.mRun);
     task->mPhase = TaskPhase::kRunning;
     task->mAnsweredAt = aNow;
-    mWorkers.Charge(aWorker, aRow.mTask, mBook.SpecOf(aRow.mTask.mStep));
+    mWorkers.Charge(aWorker, row.mTask, *aRun.mPlace.mSpec);
     return;
   }
-  ChargeForeign(aWorker, aRow.mTask);
-  MonotonicTime& repeatAt = mForeign[ForeignRun{ aRow.mTask, aRow.mRun, id }];
+  // A run that is to be stopped takes room until the worker lists it no more.
+  if (task == nullptr) {
+    aWorker.mForeignUnknown = true;
+  } else {
+    aWorker.mForeign += aRun.mPlace.mSpec->Committed();
+  }
+  MonotonicTime& repeatAt = mForeign[ForeignRun{ row.mTask, row.mRun, id }];
   if (repeatAt <= aNow) {
     repeatAt = aNow + kForeignStopInterval;
-    Note(DecisionKind::kTaskStopped, aRow.mTask, id, aRow.mRun, "not wanted");
-    SendStop(aRow.mTask, aRow.mRun, aWorker);
+    Note(DecisionKind::kTaskStopped, row.mTask, id, row.mRun, "not wanted");
+    SendStop(row.mTask, row.mRun, aWorker);
   }
 }
 
-// A run that is to be stopped takes room until the worker lists it no more.
-void JobShard::ChargeForeign(WorkerRoom& aWorker, const TaskRef& aTask)
-{
-  if (mBook.FindTask(aTask) == nullptr) {
-    aWorker.mForeignUnknown = true;
-    return;
-  }
-  aWorker.mForeign += mBook.SpecOf(aTask.mStep).Committed();
-}
-
+// Mostly a worker lists each task that is charged to it; then none is looked
+// for.
 void JobShard::FreeMissing(WorkerRoom& aWorker,
-                           const HoldReply& aReply,
+                           const std::vector<ListedRun>& aRunning,
                            MonotonicTime aSentAt)
 {
-  std::set<TaskRef> present;
-  for (const RunningRow& row : aReply.mRunning) {
-    present.insert(row.mTask);
+  const uint64_t number = ++mLastListNumber;
+  size_t listed = 0;
+  for (const ListedRun& run : aRunning) {
+    StepTask* task = run.mPlace.mTask;
+    if (task == nullptr || task->mListNumber == number) {
+      continue;
+    }
+    task->mListNumber = number;
+    const bool charged =
+      IsPlaced(task->mPhase) && task->mWorker == aWorker.mFacts.mId;
+    listed += charged ? 1 : 0;
+  }
+  if (listed == aWorker.mTasks.size()) {
+    return;
   }
   const std::vector<TaskRef> charged(aWorker.mTasks.begin(),
                                      aWorker.mTasks.end());
@@ -365,7 +379,7 @@
     const bool answered = task->mPhase == TaskPhase::kRunning ||
                           task->mPhase == TaskPhase::kStopping;
     if (answered && task->mAnsweredAt != MonotonicTime() &&
-        task->mAnsweredAt < aSentAt && present.count(ref) == 0) {
+        task->mAnsweredAt < aSentAt && task->mListNumber != number) {
       Note(DecisionKind::kTaskLost,
            ref,
            aWorker.mFacts.mId,
--- a/mulberryvalve/core/jobs/job_shard_tails.cc
+++ b/mulberryvalve/core/jobs/job_shard_tails.cc
@@ -29,7 +29,7 @@
 } // namespace
 
 void JobShard::FollowTails(WorkerRoom& aWorker,
-                           const HoldReply& aReply,
+                           const std::vector<ListedRun>& aRunning,
                            MonotonicTime aSentAt,
                            MonotonicTime aNow)
 {
@@ -38,16 +38,17 @@
     return;
   }
   const std::vector<FillingShare> atFullPace = aWorker.Filling(kFullPace, 0, 0);
-  const std::vector<FillingShare> reported = ReportedFilling(aWorker, aReply);
+  const std::vector<FillingShare> reported = ReportedFilling(aWorker, aRunning);
   std::vector<ServingReport> reports;
   double bearable = kMostBearable;
   int worst = 0;
   ImageNumber worstImage = 0;
-  for (const RunningRow& row : aReply.mRunning) {
-    if (mBook.FindTask(row.mTask) == nullptr || row.mUsage <= 0) {
+  for (const ListedRun& run : aRunning) {
+    const RunningRow& row = run.mRow;
+    if (run.mPlace.mTask == nullptr || row.mUsage <= 0) {
       continue;
     }
-    const StepSpec& spec = mBook.SpecOf(row.mTask.mStep);
+    const StepSpec& spec = *run.mPlace.mSpec;
     const int64_t target = spec.mTailTarget.count();
     if (target <= 0) {
       continue;
@@ -55,7 +56,7 @@
     ServingReport report;
     report.mLoad = mInterference.LoadOf(spec.mImageNumber, row.mUsage);
     report.mLimit = mInterference.LimitOf(spec.mImageNumber, target);
-    const double peak = LearnFrom(aWorker, row, report.mLoad, reported, aNow);
+    const double peak = LearnFrom(aWorker, run, report.mLoad, reported, aNow);
     bearable = std::min(bearable, report.mLimit / peak - 1);
     report.mPressure = mInterference.Pressure(spec.mImageNumber, atFullPace);
     reports.push_back(report);
@@ -98,17 +99,17 @@
 // The shares of a worker's processors that tasks that fill used, as reported.
 std::vector<FillingShare> JobShard::ReportedFilling(
   const WorkerRoom& aWorker,
-  const HoldReply& aReply) const
+  const std::vector<ListedRun>& aRunning) const
 {
   const auto whole = static_cast<double>(aWorker.CpuCapacity());
   std::map<ImageNumber, double> shares;
-  for (const RunningRow& row : aReply.mRunning) {
-    if (mBook.FindTask(row.mTask) == nullptr) {
+  for (const ListedRun& run : aRunning) {
+    if (run.mPlace.mTask == nullptr) {
       continue;
     }
-    const StepSpec& spec = mBook.SpecOf(row.mTask.mStep);
+    const StepSpec& spec = *run.mPlace.mSpec;
     if (spec.mFills) {
-      shares[spec.mImageNumber] += static_cast<double>(row.mUsage) / whole;
+      shares[spec.mImageNumber] += static_cast<double>(run.mRow.mUsage) / whole;
     }
   }
   std::vector<FillingShare> filling;
@@ -123,21 +124,22 @@
 // a time. What a task has more than the middle one of the others, cleared of
 // what is known to press on these, is due to what fills beside it.
 double JobShard::LearnFrom(const WorkerRoom& aWorker,
-                           const RunningRow& aRow,
+                           const ListedRun& aRun,
                            double aLoad,
                            const std::vector<FillingShare>& aFilling,
                            MonotonicTime aNow)
 {
-  const StepSpec& spec = mBook.SpecOf(aRow.mTask.mStep);
-  auto& reports = mTails[aRow.mTask.mStep];
+  const StepSpec& spec = *aRun.mPlace.mSpec;
+  const TaskRef& ref = aRun.mRow.mTask;
+  auto& reports = mTails[ref.mStep];
   std::vector<double> others;
   for (const auto& [index, report] : reports) {
-    if (index != aRow.mTask.mIndex && aNow - report.mAt < kComparable) {
+    if (index != ref.mIndex && aNow - report.mAt < kComparable) {
       others.push_back(report.mLoad);
     }
   }
   const double pressure = mInterference.Pressure(spec.mImageNumber, aFilling);
-  TailReport& own = reports[aRow.mTask.mIndex];
+  TailReport& own = reports[ref.mIndex];
   const double since = std::chrono::duration<double>(aNow - own.mAt).count();
   own.mLoad = aLoad / (1 + pressure);
   own.mPeak =
@@ -186,10 +188,14 @@
 // Tells the tasks that fill on a worker its pace, where they do not know it.
 void JobShard::SendPaces(const WorkerRoom& aWorker)
 {
+  if (aWorker.mFilling == 0) {
+    return;
+  }
   for (const TaskRef& ref : aWorker.mTasks) {
-    StepTask& task = *mBook.FindTask(ref);
+    const TaskPlace place = mBook.Locate(ref);
+    StepTask& task = *place.mTask;
     const int percent = aWorker.mPace.mPercent;
-    if (!mBook.SpecOf(ref.mStep).mFills || task.mPacePercent == percent ||
+    if (!place.mSpec->mFills || task.mPacePercent == percent ||
         task.mPhase != TaskPhase::kRunning) {
       continue;
     }
--- a/mulberryvalve/core/jobs/job_state.h
+++ b/mulberryvalve/core/jobs/job_state.h
@@ -103,6 +103,8 @@
   MonotonicTime mStartedAt;
   // Since when the worker's lists are certain to reflect the last answer.
   MonotonicTime mAnsweredAt;
+  // The list in which a worker named it last.
+  uint64_t mListNumber = 0;
   // It was placed where it presses on services, since it had waited; it is
   // paced there, not moved.
   bool mIsTolerated = false;
