--- a/mulberryvalve/core/jobs/job_book.cc
+++ b/mulberryvalve/core/jobs/job_book.cc
@@ -3,6 +3,14 @@
 #include <utility>
 
 namespace mulberryvalve {
+namespace {
+
+OpenStep OpenStepOf(const JobEntry& aJob, const StepRef& aStep)
+{
+  return OpenStep{ aJob.mArrival, aStep.mOccurrence, aStep.mStep };
+}
+
+} // namespace
 
 JobEntry* JobBook::Add(JobGraph aGraph)
 {
@@ -23,6 +31,7 @@
       StepState& step = steps.emplace_back();
       step.mTasks.resize(spec.mCount);
       step.mWaiting = spec.mCount;
+      job.mTaskCount += spec.mCount;
     }
   }
   if (job.mGraph.mRecurrence.mTimes > 0) {
@@ -48,6 +57,7 @@
       continue;
     }
     task->mFailures = record.mFailures;
+    aJob.mHasFailures = aJob.mHasFailures || record.mFailures > 0;
     task->mCounted = record.mCounted;
     task->mCheckpoint = record.mCheckpoint;
     aJob.mBegun = true;
@@ -74,21 +84,28 @@
 
 const StepTask* JobBook::FindTask(const TaskRef& aTask) const
 {
-  const JobEntry* job = Find(aTask.mStep.mJob);
-  if (job == nullptr || aTask.mStep.mOccurrence >= job->mOccurrences.size()) {
-    return nullptr;
-  }
-  const auto& steps = job->mOccurrences[aTask.mStep.mOccurrence];
-  if (aTask.mStep.mStep >= steps.size()) {
-    return nullptr;
-  }
-  const auto& tasks = steps[aTask.mStep.mStep].mTasks;
-  return aTask.mIndex < tasks.size() ? &tasks[aTask.mIndex] : nullptr;
+  return const_cast<JobBook*>(this)->Locate(aTask).mTask;
 }
 
 StepTask* JobBook::FindTask(const TaskRef& aTask)
 {
-  return const_cast<StepTask*>(std::as_const(*this).FindTask(aTask));
+  return Locate(aTask).mTask;
+}
+
+TaskPlace JobBook::Locate(const TaskRef& aTask)
+{
+  JobEntry* job = Find(aTask.mStep.mJob);
+  if (job == nullptr || aTask.mStep.mOccurrence >= job->mOccurrences.size()) {
+    return TaskPlace();
+  }
+  auto& steps = job->mOccurrences[aTask.mStep.mOccurrence];
+  if (aTask.mStep.mStep >= steps.size() ||
+      aTask.mIndex >= steps[aTask.mStep.mStep].mTasks.size()) {
+    return TaskPlace();
+  }
+  return TaskPlace{ job,
+                    &job->mGraph.mSteps[aTask.mStep.mStep],
+                    &steps[aTask.mStep.mStep].mTasks[aTask.mIndex] };
 }
 
 StepState& JobBook::StepOf(const StepRef& aStep)
@@ -120,7 +137,7 @@
   job.mBegun = true;
   if (step.mWaiting == 0) {
     step.mWaitingSince = MonotonicTime();
-    mOpen.erase(aTask.mStep);
+    mOpen.erase(OpenStepOf(job, aTask.mStep));
   }
 }
 
@@ -152,12 +169,13 @@
   }
   task.mDone = true;
   step.mDone++;
+  job.mFinished++;
   if (task.mPhase == TaskPhase::kWaiting) {
     task.mPhase = TaskPhase::kDone;
     step.mWaiting--;
   }
   if (step.mWaiting == 0) {
-    mOpen.erase(aTask.mStep);
+    mOpen.erase(OpenStepOf(job, aTask.mStep));
   }
   if (step.mDone == step.mTasks.size()) {
     OpenFollowers(job, aTask.mStep);
@@ -168,7 +186,7 @@
 {
   mWall = aWall;
   for (const JobId& id : mRecurring) {
-    const JobEntry& job = mJobs.at(id);
+    JobEntry& job = mJobs.at(id);
     for (uint32_t number = 0; number < job.mOccurrences.size(); number++) {
       for (uint32_t step = 0; step < job.mGraph.mSteps.size(); step++) {
         Reopen(job, StepRef{ id, number, step });
@@ -181,7 +199,7 @@
 {
   for (uint32_t number = 0; number < aJob.mOccurrences.size(); number++) {
     for (uint32_t step = 0; step < aJob.mGraph.mSteps.size(); step++) {
-      mOpen.erase(StepRef{ aJob.mGraph.mId, number, step });
+      mOpen.erase(OpenStep{ aJob.mArrival, number, step });
     }
   }
   mRecurring.erase(aJob.mGraph.mId);
@@ -222,14 +240,7 @@
 
 bool JobBook::AllDone(const JobEntry& aJob)
 {
-  for (const auto& steps : aJob.mOccurrences) {
-    for (const StepState& step : steps) {
-      if (step.mDone < step.mTasks.size()) {
-        return false;
-      }
-    }
-  }
-  return true;
+  return aJob.mFinished == aJob.mTaskCount;
 }
 
 size_t JobBook::Waiting(const QueueId& aQueue) const
@@ -261,15 +272,15 @@
   return true;
 }
 
-void JobBook::Reopen(const JobEntry& aJob, const StepRef& aStep)
+void JobBook::Reopen(JobEntry& aJob, const StepRef& aStep)
 {
   const StepState& step = aJob.mOccurrences[aStep.mOccurrence][aStep.mStep];
   if (step.mWaiting > 0 && !IsOver(aJob.mPhase) && IsDue(aJob, aStep)) {
-    mOpen.insert(aStep);
+    mOpen.emplace(OpenStepOf(aJob, aStep), &aJob);
   }
 }
 
-void JobBook::OpenFollowers(const JobEntry& aJob, const StepRef& aStep)
+void JobBook::OpenFollowers(JobEntry& aJob, const StepRef& aStep)
 {
   for (uint32_t step = 0; step < aJob.mGraph.mSteps.size(); step++) {
     Reopen(aJob, StepRef{ aStep.mJob, aStep.mOccurrence, step });
--- a/mulberryvalve/core/jobs/job_book.h
+++ b/mulberryvalve/core/jobs/job_book.h
@@ -6,12 +6,38 @@
 #include "mulberryvalve/core/jobs/job_state.h"
 
 #include <map>
+#include <optional>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
 namespace mulberryvalve {
 
+// KnownForecast is what was forecast last for a step that waits, and on what
+// that rested.
+struct KnownForecast
+{
+  // Basis is what a forecast of a job depends on.
+  struct Basis
+  {
+    uint64_t mRunTimes = 0;
+    uint64_t mConfig = 0;
+    uint64_t mFinished = 0;
+
+    friend bool operator==(const Basis& aLeft, const Basis& aRight)
+    {
+      return std::tie(aLeft.mRunTimes, aLeft.mConfig, aLeft.mFinished) ==
+             std::tie(aRight.mRunTimes, aRight.mConfig, aRight.mFinished);
+    }
+  };
+
+  std::optional<Basis> mBasis;
+  // From the acceptance of the job to its objective.
+  Milliseconds mObjective{ 0 };
+  int64_t mRestOfWork = 0;
+};
+
 // StepState is one step of one occurrence.
 struct StepState
 {
@@ -22,6 +48,7 @@
   MonotonicTime mWaitingSince;
   // When it is next said why they wait.
   MonotonicTime mExplainAt;
+  KnownForecast mForecast;
   // How many of the tasks each worker has.
   std::map<WorkerId, uint32_t> mSiblings;
 };
@@ -45,12 +72,41 @@
   MonotonicTime mAcceptedAt;
   // Its place in the order of acceptance.
   uint64_t mArrival = 0;
+  // So many tasks it has, and so many of them have ended done.
+  uint64_t mTaskCount = 0;
+  uint64_t mFinished = 0;
+  // A task of it has failed.
+  bool mHasFailures = false;
   // The highest run number given under the present epoch.
   RunNumber mLastRun;
   MonotonicTime mOverSince;
   std::vector<std::vector<StepState>> mOccurrences;
 };
 
+// OpenStep names a step of a job that is not over by numbers, in the order of
+// acceptance.
+struct OpenStep
+{
+  uint64_t mArrival = 0;
+  uint32_t mOccurrence = 0;
+  uint32_t mStep = 0;
+
+  friend bool operator<(const OpenStep& aLeft, const OpenStep& aRight)
+  {
+    return std::tie(aLeft.mArrival, aLeft.mOccurrence, aLeft.mStep) <
+           std::tie(aRight.mArrival, aRight.mOccurrence, aRight.mStep);
+  }
+};
+
+// TaskPlace is where the book keeps a task; all are null when its job, step or
+// index is unknown.
+struct TaskPlace
+{
+  JobEntry* mJob = nullptr;
+  const StepSpec* mSpec = nullptr;
+  StepTask* mTask = nullptr;
+};
+
 // JobBook is not synchronised. References to entries hold until Retire.
 class JobBook
 {
@@ -69,6 +125,9 @@
   StepTask* FindTask(const TaskRef& aTask);
   const StepTask* FindTask(const TaskRef& aTask) const;
 
+  // Locate looks a task up once for all that is known of it.
+  TaskPlace Locate(const TaskRef& aTask);
+
   // StepOf and SpecOf return the parts of a step that exists.
   StepState& StepOf(const StepRef& aStep);
   const StepSpec& SpecOf(const StepRef& aStep) const;
@@ -80,8 +139,8 @@
   void Finish(const TaskRef& aTask);
 
   // Open returns the steps with waiting tasks whose turn has come, and those
-  // of occurrences that are due by aWall.
-  const std::set<StepRef>& Open() const { return mOpen; }
+  // of occurrences that are due by aWall, with their jobs.
+  const std::map<OpenStep, JobEntry*>& Open() const { return mOpen; }
   void OpenDue(WallTime aWall);
 
   // Close takes the steps of a job out of the open ones.
@@ -110,12 +169,12 @@
 
 private:
   bool IsDue(const JobEntry& aJob, const StepRef& aStep) const;
-  void Reopen(const JobEntry& aJob, const StepRef& aStep);
-  void OpenFollowers(const JobEntry& aJob, const StepRef& aStep);
+  void Reopen(JobEntry& aJob, const StepRef& aStep);
+  void OpenFollowers(JobEntry& aJob, const StepRef& aStep);
 
   ImageTable mImages;
   std::unordered_map<JobId, JobEntry> mJobs;
-  std::set<StepRef> mOpen;
+  std::map<OpenStep, JobEntry*> mOpen;
   std::set<JobId> mRecurring;
   WallTime mWall;
   uint64_t mLastArrival = 0;
--- a/mulberryvalve/core/jobs/job_shard.h
+++ b/mulberryvalve/core/jobs/job_shard.h
@@ -209,6 +209,13 @@
     }
   };
 
+  // ListedRun is a row of a worker's list, with the task that it names.
+  struct ListedRun
+  {
+    const RunningRow& mRow;
+    TaskPlace mPlace;
+  };
+
   std::optional<Milliseconds> WaitLeft(const WorkerRoom& aWorker,
                                        MonotonicTime aNow) const;
   void TakeBackWait(WorkerRoom& aWorker);
@@ -221,31 +228,33 @@
                  MonotonicTime aNow);
   void TakeEnd(WorkerRoom& aWorker, const EndedRow& aRow, MonotonicTime aNow);
   void NoteEnd(const EndedRow& aRow, const WorkerId& aWorker);
-  void CountEnd(StepTask& aTask, const EndedRow& aRow, const WorkerId& aWorker);
-  void LearnRunTime(const StepTask& aTask,
+  void CountEnd(const TaskPlace& aPlace,
+                const EndedRow& aRow,
+                const WorkerId& aWorker);
+  void LearnRunTime(const TaskPlace& aPlace,
                     const EndedRow& aRow,
                     MonotonicTime aNow);
   void JudgeWorker(WorkerRoom& aWorker,
                    const EndedRow& aRow,
                    MonotonicTime aNow);
   void TakeRunning(WorkerRoom& aWorker,
-                   const RunningRow& aRow,
+                   const ListedRun& aRun,
                    MonotonicTime aNow);
-  void ChargeForeign(WorkerRoom& aWorker, const TaskRef& aTask);
   void FreeMissing(WorkerRoom& aWorker,
-                   const HoldReply& aReply,
+                   const std::vector<ListedRun>& aRunning,
                    MonotonicTime aSentAt);
   void FollowTails(WorkerRoom& aWorker,
-                   const HoldReply& aReply,
+                   const std::vector<ListedRun>& aRunning,
                    MonotonicTime aSentAt,
                    MonotonicTime aNow);
   double LearnFrom(const WorkerRoom& aWorker,
-                   const RunningRow& aRow,
+                   const ListedRun& aRun,
                    double aLoad,
                    const std::vector<FillingShare>& aFilling,
                    MonotonicTime aNow);
-  std::vector<FillingShare> ReportedFilling(const WorkerRoom& aWorker,
-                                            const HoldReply& aReply) const;
+  std::vector<FillingShare> ReportedFilling(
+    const WorkerRoom& aWorker,
+    const std::vector<ListedRun>& aRunning) const;
   bool StopHeavy(const WorkerRoom& aWorker, ImageNumber aServing, int aWorst);
   void OnSilent(WorkerRoom& aWorker, OrderOutcome aOutcome);
   void ResetLife(WorkerRoom& aWorker, Birth aBirth);
@@ -258,6 +267,7 @@
 
   // Steps that wait (job_shard_waiting.cc).
   std::vector<WaitingStep> WaitingSteps(MonotonicTime aNow);
+  const KnownForecast& Forecast(JobEntry& aJob, const OpenStep& aStep) const;
   MonotonicTime AcceptedAt(JobEntry& aJob, MonotonicTime aNow) const;
   bool HasWaited(const JobEntry& aJob,
                  const StepState& aStep,
@@ -269,7 +279,7 @@
   // Orders (job_shard_orders.cc).
   void TakeChanges(MonotonicTime aNow);
   void PlaceOpen(MonotonicTime aNow);
-  void PlaceStep(const StepRef& aStep, MonotonicTime aNow);
+  void PlaceStep(JobEntry& aJob, const StepRef& aStep, MonotonicTime aNow);
   void DropPass();
   bool PlaceOne(JobEntry& aJob, const TaskRef& aTask, MonotonicTime aNow);
   void PlaceGang(JobEntry& aJob, const StepRef& aStep, MonotonicTime aNow);
@@ -342,6 +352,7 @@
   PlacementPass mPass;
   UsageSum mUsage;
   ClusterConfig mConfig;
+  uint64_t mConfigVersion = 0;
   InterferenceBook mInterference;
   RunTimeBook mRunTimes;
   WallTime mWall;
@@ -370,6 +381,7 @@
   bool mChanged = true;
   MonotonicTime mPlaceAgainAt;
   bool mFenced = false;
+  uint64_t mLastListNumber = 0;
 };
 
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/job_shard_waiting.cc
+++ b/mulberryvalve/core/jobs/job_shard_waiting.cc
@@ -51,26 +51,45 @@
 {
   std::vector<WaitingStep> steps;
   steps.reserve(mBook.Open().size());
-  for (const StepRef& open : mBook.Open()) {
-    JobEntry& job = *mBook.Find(open.mJob);
+  for (const auto& [open, entry] : mBook.Open()) {
+    JobEntry& job = *entry;
     WaitingStep& step = steps.emplace_back();
-    step.mStep = open;
+    step.mStep = StepRef{ job.mGraph.mId, open.mOccurrence, open.mStep };
     step.mPriority = job.mGraph.mRules.mPriority;
     step.mArrival = job.mArrival;
     step.mAcceptedAt = AcceptedAt(job, aNow);
     step.mObjectiveAt = step.mAcceptedAt;
-    if (mBook.SpecOf(open).mLasting) {
+    if (job.mGraph.mSteps[open.mStep].mLasting) {
       continue;
     }
-    const JobForecast forecast = ForecastOf(job, open.mOccurrence, mRunTimes);
-    const QueueRules& rules = RulesOf(job);
-    step.mObjectiveAt +=
-      rules.mSlack + forecast.mLongestChain * rules.mStretchPercent / kPercent;
+    const KnownForecast& forecast = Forecast(job, open);
+    step.mObjectiveAt += forecast.mObjective;
     step.mRestOfWork = forecast.mRestOfWork;
   }
   return steps;
 }
 
+// Most forecasts are as they were at the last pass.
+const KnownForecast& JobShard::Forecast(JobEntry& aJob,
+                                        const OpenStep& aStep) const
+{
+  KnownForecast& known =
+    aJob.mOccurrences[aStep.mOccurrence][aStep.mStep].mForecast;
+  const KnownForecast::Basis basis{ mRunTimes.VersionOf(aJob.mGraph.mQueue),
+                                    mConfigVersion,
+                                    aJob.mFinished };
+  if (known.mBasis == basis) {
+    return known;
+  }
+  const JobForecast forecast = ForecastOf(aJob, aStep.mOccurrence, mRunTimes);
+  const QueueRules& rules = RulesOf(aJob);
+  known.mBasis = basis;
+  known.mObjective =
+    rules.mSlack + forecast.mLongestChain * rules.mStretchPercent / kPercent;
+  known.mRestOfWork = forecast.mRestOfWork;
+  return known;
+}
+
 // The clocks of instances differ, and may jump: the age of a job that was
 // accepted before the claim is believed up to a limit.
 MonotonicTime JobShard::AcceptedAt(JobEntry& aJob, MonotonicTime aNow) const
@@ -94,13 +113,13 @@
                            const StepRef& aStep,
                            MonotonicTime aNow)
 {
-  StepState& step = mBook.StepOf(aStep);
+  const StepState& step = aJob.mOccurrences[aStep.mOccurrence][aStep.mStep];
   const MonotonicTime due =
     std::max(step.mExplainAt, step.mWaitingSince + kFirstExplanation);
   if (aNow < due) {
     return;
   }
-  step.mExplainAt = aNow + kExplainAgain;
+  mBook.StepOf(aStep).mExplainAt = aNow + kExplainAgain;
   std::string why = std::to_string(step.mWaiting) + " tasks wait";
   const bool blocked = IsBlocked(aJob, aNow);
   if (blocked) {
