HTTP exchanges with many endpoints on a few threads

Cause: HttpClientPool needs a thread that waits for each exchange. An owner of 350 workers keeps a renewal of up to 1.5 s under way at each.

Change: AsyncHttpClient drives all connections on a given number of threads with Asio; outcomes, time limits, kept connections and distrust after a loss are those of the pool. What both need (request text, reading of an answer) is in http_message. An answer that came in time counts although its thread ran late; a call whose time is over before it is begun is told as not connected.

Measured: async_http_client_test (7 tests) and upstream_client_test pass. Not used by the product yet.

--- a/mulberryvalve/adapters/http/http_client_pool.cc
+++ b/mulberryvalve/adapters/http/http_client_pool.cc
@@ -5,30 +5,21 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <iterator>
 #include <map>
-#include <strings.h>
+#include <string>
+#include <string_view>
 
 namespace mulberryvalve {
 namespace {
 
-namespace http = boost::beast::http;
 using Steady = std::chrono::steady_clock;
-using Parser = http::response_parser<http::string_body>;
 
 constexpr size_t kShards = 16;
 constexpr Milliseconds kMaxConnect{ 500 };
 constexpr std::chrono::seconds kMaxIdle{ 20 };
 constexpr size_t kReadBytes = 4 * 1024;
-constexpr uint64_t kMaxBodyBytes = 16 * 1024 * 1024;
-
-std::string KeyOf(const Endpoint& aEndpoint)
-{
-  return aEndpoint.mAddress + ":" + std::to_string(aEndpoint.mPort);
-}
 
 // Connection is one kept-alive connection; mUsedAt is when it last answered.
 struct Connection
@@ -37,74 +28,25 @@
   Steady::time_point mUsedAt;
 };
 
-std::string RequestText(const std::string& aHost, const HttpCall& aCall)
+// Reads one answer until its end.
+bool ReadAnswer(ClientSocket& aSocket,
+                Steady::time_point aEnd,
+                AnswerReader& aReader)
 {
-  const bool isPost = aCall.mMethod == HttpMethod::kPost;
-  std::string text = isPost ? "POST " : "GET ";
-  text += aCall.mPath + " HTTP/1.1\r\nHost: " + aHost + "\r\n";
-  for (const HttpHeader& header : aCall.mHeaders) {
-    text += header.mName + ": " + header.mValue + "\r\n";
-  }
-  if (isPost) {
-    text += "Content-Type: application/json\r\nContent-Length: " +
-            std::to_string(aCall.mBody.size()) + "\r\n";
-  }
-  return text + "\r\n" + aCall.mBody;
-}
-
-// Reads one answer whole. An answer that is known to end only with its
-// connection may be cut short, so it does not count.
-bool ReadAnswer(ClientSocket& aSocket, Steady::time_point aEnd, Parser& aParser)
-{
-  aParser.body_limit(kMaxBodyBytes);
-  aParser.eager(true);
   std::array<char, kReadBytes> bytes{};
-  std::string pending;
-  while (!aParser.is_done()) {
+  AnswerState state = AnswerState::kPartial;
+  while (state == AnswerState::kPartial) {
     const size_t got = aSocket.Read(bytes.data(), bytes.size(), aEnd);
     if (got == 0) {
       return false;
     }
-    pending.append(bytes.data(), got);
-    boost::system::error_code error;
-    const size_t used = aParser.put(boost::asio::buffer(pending), error);
-    pending.erase(0, used);
-    if (error && error != http::error::need_more) {
-      return false;
-    }
-    if (aParser.is_header_done() && aParser.need_eof()) {
-      return false;
-    }
-  }
-  return pending.empty();
-}
-
-HttpAnswer ToAnswer(Parser& aParser)
-{
-  auto& message = aParser.get();
-  HttpAnswer answer{ HttpOutcome::kAnswered,
-                     static_cast<int>(message.result_int()),
-                     std::move(message.body()),
-                     {} };
-  for (const auto& field : message) {
-    answer.mHeaders.push_back(HttpHeader{ std::string(field.name_string()),
-                                          std::string(field.value()) });
+    state = aReader.Take(std::string_view(bytes.data(), got));
   }
-  return answer;
+  return state == AnswerState::kWhole;
 }
 
 } // namespace
 
-std::string HttpAnswer::Header(const std::string& aName) const
-{
-  for (const HttpHeader& header : mHeaders) {
-    if (strcasecmp(header.mName.c_str(), aName.c_str()) == 0) {
-      return header.mValue;
-    }
-  }
-  return "";
-}
-
 class HttpClientPool::Impl
 {
 public:
@@ -117,7 +59,7 @@
   {
     const Steady::time_point begin = Steady::now();
     const Steady::time_point end = begin + aCall.mTimeout;
-    const std::string key = KeyOf(aEndpoint);
+    const std::string key = HostOf(aEndpoint);
     Connection connection = Take(key, begin);
     if (connection.mSocket == nullptr) {
       const Milliseconds connect = std::min(aCall.mTimeout / 2, kMaxConnect);
@@ -127,18 +69,17 @@
       DropOlder(key, Steady::now());
       return HttpAnswer{ HttpOutcome::kNotConnected, 0, "", {} };
     }
-    Parser parser;
+    AnswerReader reader;
     const bool answered =
       connection.mSocket->Write(RequestText(key, aCall), end) &&
-      ReadAnswer(*connection.mSocket, end, parser);
+      ReadAnswer(*connection.mSocket, end, reader);
     if (!answered) {
       DropOlder(key, Steady::now());
       return HttpAnswer{ HttpOutcome::kLost, 0, "", {} };
     }
-    const bool keep = parser.keep_alive();
-    HttpAnswer answer = ToAnswer(parser);
-    const std::string echoed = answer.Header(aCall.mEchoedHeader.mName);
-    if (keep && (echoed.empty() || echoed == aCall.mEchoedHeader.mValue)) {
+    const bool keep = reader.KeepsConnection();
+    HttpAnswer answer = reader.TakeAnswer();
+    if (keep && IsInStep(aCall, answer)) {
       Keep(key, std::move(connection));
     }
     return answer;
--- a/mulberryvalve/adapters/http/http_client_pool.h
+++ b/mulberryvalve/adapters/http/http_client_pool.h
@@ -3,69 +3,12 @@
 #ifndef MULBERRYVALVE_ADAPTERS_HTTP_HTTP_CLIENT_POOL_H_
 #define MULBERRYVALVE_ADAPTERS_HTTP_HTTP_CLIENT_POOL_H_
 
-#include "mulberryvalve/core/base/enum_table.h"
-#include "mulberryvalve/core/base/time.h"
-#include "mulberryvalve/core/model/worker.h"
+#include "mulberryvalve/adapters/http/http_message.h"
 
 #include <memory>
-#include <string>
-#include <utility>
-#include <vector>
 
 namespace mulberryvalve {
 
-// HttpOutcome is what became of one exchange. Only kNotConnected proves that
-// nothing was sent.
-enum class HttpOutcome
-{
-  kAnswered,
-  kNotConnected,
-  kLost,
-};
-
-inline constexpr EnumTable<HttpOutcome, 3> kHttpOutcomeNames{ { {
-  { HttpOutcome::kAnswered, "answered" },
-  { HttpOutcome::kNotConnected, "not_connected" },
-  { HttpOutcome::kLost, "lost" },
-} } };
-
-enum class HttpMethod
-{
-  kGet,
-  kPost,
-};
-
-struct HttpHeader
-{
-  std::string mName;
-  std::string mValue;
-};
-
-// HttpCall is one exchange. mTimeout bounds the whole of it. When
-// mEchoedHeader has a name, an answer with another value there came from a
-// connection that is out of step, which is closed.
-struct HttpCall
-{
-  HttpMethod mMethod = HttpMethod::kGet;
-  std::string mPath;
-  std::vector<HttpHeader> mHeaders;
-  std::string mBody;
-  Milliseconds mTimeout{ 0 };
-  HttpHeader mEchoedHeader;
-};
-
-// HttpAnswer is the whole answer when mOutcome is kAnswered.
-struct HttpAnswer
-{
-  HttpOutcome mOutcome = HttpOutcome::kLost;
-  int mStatus = 0;
-  std::string mBody;
-  std::vector<HttpHeader> mHeaders;
-
-  // Header returns the value of aName, or an empty text.
-  std::string Header(const std::string& aName) const;
-};
-
 // HttpClientPool makes exchanges, each on a connection of its own for the
 // time. An answer that carries no length is lost, since it may be cut short.
 // After a loss, idle connections to the same endpoint that answered last before
