An owner talks to its workers on a bounded number of threads

Cause: two threads a worker (700 at 350 workers), each of which woke up for every renewal and order, 70 MB, and a wake-up for each step of an exchange. Orders of different workers had no order among each other.

Change: TaskWorkerPort is asynchronous (WorkerReplies takes in the answers); WorkerLane holds what waits for a worker, LaneShard sends it on one thread, WorkerLanes deals workers to two shards, each with a lock. Renewals go first, then stops, paces and starts of whatever worker; paces overtake starts of other tasks at their worker. One order and one renewal a worker are under way at a time, as before; MaySend is asked before each order. A pass gives its orders to the lanes and writes its lines after the shard's lock was released. The lane of a worker that is gone no longer stays until the owner ends.

Tests: the fakes of workers answer through WorkerReplies; ThreadedWorker runs their former bodies on threads, InstantWorker and LastingWorker check and answer as before. StopsAreSentBeforeStartsThatWait asserts the same order.

--- a/mulberryvalve/adapters/http/async_http_client_test.cc
+++ b/mulberryvalve/adapters/http/async_http_client_test.cc
@@ -172,8 +172,10 @@
     lost.push_back(Begin(server->Address(), "a"));
   }
   CHECK(Exchange("b").mOutcome == HttpOutcome::kAnswered);
-  for (std::future<HttpAnswer>& answer : lost) {
+  for (const std::future<HttpAnswer>& answer : lost) {
     CHECK(answer.wait_for(Milliseconds(0)) == std::future_status::timeout);
+  }
+  for (std::future<HttpAnswer>& answer : lost) {
     CHECK(answer.get().mOutcome == HttpOutcome::kLost);
   }
 }
--- a/mulberryvalve/app/jobs/jobs_fake.cc
+++ b/mulberryvalve/app/jobs/jobs_fake.cc
@@ -341,7 +341,71 @@
   return found == mJoins.end() ? 0 : found->second;
 }
 
-OrderReply InstantWorker::Send(const TaskOrder& aOrder)
+ThreadedWorker::ThreadedWorker()
+  : mOrderThread([this] { RunOrders(); })
+  , mHoldThread([this] { RunHolds(); })
+{
+}
+
+ThreadedWorker::~ThreadedWorker()
+{
+  {
+    MutexLock lock(mCallMutex);
+    mEnding = true;
+    mCallCond.NotifyAll();
+  }
+  mOrderThread.join();
+  mHoldThread.join();
+}
+
+void ThreadedWorker::Send(TaskOrder aOrder, WorkerReplies& aReplies)
+{
+  MutexLock lock(mCallMutex);
+  mOrders.push_back(OrderCall{ std::move(aOrder), &aReplies });
+  mCallCond.NotifyAll();
+}
+
+void ThreadedWorker::Hold(HoldOrder aOrder, WorkerReplies& aReplies)
+{
+  MutexLock lock(mCallMutex);
+  mHolds.push_back(HoldCall{ std::move(aOrder), &aReplies });
+  mCallCond.NotifyAll();
+}
+
+// Returns nothing at the end.
+template<typename Call>
+std::optional<Call> ThreadedWorker::Await(
+  std::deque<Call> ThreadedWorker::*aCalls)
+{
+  MutexLock lock(mCallMutex);
+  std::deque<Call>& calls = this->*aCalls;
+  while (calls.empty()) {
+    if (mEnding) {
+      return std::nullopt;
+    }
+    mCallCond.Wait(mCallMutex);
+  }
+  Call call = std::move(calls.front());
+  calls.pop_front();
+  return call;
+}
+
+void ThreadedWorker::RunOrders()
+{
+  while (const std::optional<OrderCall> call =
+           Await(&ThreadedWorker::mOrders)) {
+    call->mReplies->OnOrderReply(call->mOrder, CarryOut(call->mOrder));
+  }
+}
+
+void ThreadedWorker::RunHolds()
+{
+  while (const std::optional<HoldCall> call = Await(&ThreadedWorker::mHolds)) {
+    call->mReplies->OnHoldReply(call->mOrder, List(call->mOrder));
+  }
+}
+
+OrderReply InstantWorker::CarryOut(const TaskOrder& aOrder)
 {
   MutexLock lock(mMutex);
   OrderReply reply;
@@ -363,7 +427,7 @@
   return reply;
 }
 
-HoldReply InstantWorker::Hold(const HoldOrder& aOrder)
+HoldReply InstantWorker::List(const HoldOrder& aOrder)
 {
   const auto until =
     std::chrono::steady_clock::now() + std::min(aOrder.mWait, kLongestWait);
--- a/mulberryvalve/app/jobs/jobs_fake.h
+++ b/mulberryvalve/app/jobs/jobs_fake.h
@@ -9,8 +9,10 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace mulberryvalve {
@@ -231,17 +233,58 @@
   const uint16_t mPort;
 };
 
-// InstantWorker ends each task as done when it is listed next. Thread-safe.
-class InstantWorker : public TaskWorkerPort
+// ThreadedWorker answers orders on one thread and renewals on another, one
+// after the other. Thread-safe.
+class ThreadedWorker : public TaskWorkerPort
 {
 public:
-  OrderReply Send(const TaskOrder& aOrder) override;
-  HoldReply Hold(const HoldOrder& aOrder) override;
+  ThreadedWorker();
+  ~ThreadedWorker() override;
+
+  void Send(TaskOrder aOrder, WorkerReplies& aReplies) override;
+  void Hold(HoldOrder aOrder, WorkerReplies& aReplies) override;
+
+private:
+  // CarryOut and List answer one call; they may block.
+  virtual OrderReply CarryOut(const TaskOrder& aOrder) = 0;
+  virtual HoldReply List(const HoldOrder& aOrder) = 0;
 
+  struct OrderCall
+  {
+    TaskOrder mOrder;
+    WorkerReplies* mReplies = nullptr;
+  };
+  struct HoldCall
+  {
+    HoldOrder mOrder;
+    WorkerReplies* mReplies = nullptr;
+  };
+
+  template<typename Call>
+  std::optional<Call> Await(std::deque<Call> ThreadedWorker::*aCalls);
+  void RunOrders();
+  void RunHolds();
+
+  Mutex mCallMutex;
+  CondVar mCallCond;
+  std::deque<OrderCall> mOrders MV_GUARDED_BY(mCallMutex);
+  std::deque<HoldCall> mHolds MV_GUARDED_BY(mCallMutex);
+  bool mEnding MV_GUARDED_BY(mCallMutex) = false;
+  std::thread mOrderThread;
+  std::thread mHoldThread;
+};
+
+// InstantWorker ends each task as done when it is listed next. Thread-safe.
+class InstantWorker : public ThreadedWorker
+{
+public:
   // Starts counts the starts of a task.
   size_t Starts(const TaskRef& aTask) const;
 
 private:
+  OrderReply CarryOut(const TaskOrder& aOrder) override;
+  HoldReply List(const HoldOrder& aOrder) override;
+
   mutable Mutex mMutex;
   CondVar mCond;
   Epoch mFence MV_GUARDED_BY(mMutex);
--- a/mulberryvalve/app/jobs/shard_runtime.cc
+++ b/mulberryvalve/app/jobs/shard_runtime.cc
@@ -47,6 +47,7 @@
   , mPorts(aPorts)
   , mMeter(aPorts.mMetrics, aPorts.mClock.Now())
   , mConfig(aPorts.mConfig.Present())
+  , mLanes(*this, aPorts.mWorkers)
 {
 }
 
@@ -73,9 +74,7 @@
   MutexLock lock(mMutex);
   mStopping = true;
   mOver = true;
-  for (auto& [id, lane] : mLanes) {
-    lane->BeginStop();
-  }
+  mLanes.BeginStop();
   mCond.NotifyAll();
   mWriteCond.NotifyAll();
   mDecideCond.NotifyAll();
@@ -116,13 +115,7 @@
     decisions.join();
   }
   BeginStop();
-  std::map<WorkerId, std::unique_ptr<WorkerLane>> lanes;
-  {
-    MutexLock lock(mMutex);
-    lanes.swap(mLanes);
-  }
-  lanes.clear();
-  CloseEndedLanes();
+  mLanes.Stop();
   LogEvent(EventLevel::kInfo,
            "shard_ended",
            mMeter.Account(mPorts.mClock.Now(), mProof.ProvedAt()));
@@ -161,21 +154,36 @@
 {
   Steady::time_point earliest = Steady::now();
   Steady::time_point tick = earliest + kTick;
+  while (AwaitDecision(earliest, tick)) {
+    Decided decided;
+    {
+      MutexLock lock(mMutex);
+      const Steady::time_point begin = Steady::now();
+      decided = Act();
+      mMustDecide = mShard->HasMoreToPlace();
+      const Steady::time_point end = Steady::now();
+      NoteDelays(std::chrono::duration_cast<Microseconds>(end - begin));
+      earliest = end + std::min<Steady::duration>(end - begin, kMaxPassGap);
+      tick = end + kTick;
+    }
+    CarryOut(std::move(decided));
+  }
+}
+
+// Waits until aEarliest when something happened, else until aTick. Returns
+// false when it is time to stop.
+bool ShardRuntime::AwaitDecision(Steady::time_point aEarliest,
+                                 Steady::time_point aTick)
+{
   MutexLock lock(mMutex);
   while (!mStopping) {
-    const Steady::time_point next = mMustDecide ? earliest : tick;
-    if (Steady::now() < next) {
-      mDecideCond.WaitUntil(mMutex, next);
-      continue;
+    const Steady::time_point next = mMustDecide ? aEarliest : aTick;
+    if (Steady::now() >= next) {
+      return true;
     }
-    const Steady::time_point begin = Steady::now();
-    Act();
-    mMustDecide = mShard->HasMoreToPlace();
-    const Steady::time_point end = Steady::now();
-    NoteDelays(std::chrono::duration_cast<Microseconds>(end - begin));
-    earliest = end + std::min<Steady::duration>(end - begin, kMaxPassGap);
-    tick = end + kTick;
+    mDecideCond.WaitUntil(mMutex, next);
   }
+  return false;
 }
 
 void ShardRuntime::DecideSoon()
@@ -206,7 +214,6 @@
       }
       continue;
     }
-    CloseEndedLanes();
     AppendProgress(batch);
     if (mOver || !PauseUntil(Steady::now() + kAppendGap)) {
       return;
@@ -263,10 +270,7 @@
   MutexLock lock(mMutex);
   mShard->OnDurable(aBatch);
   for (const ProgressBatch::EndsTaken& ends : aBatch.mEnds) {
-    const auto lane = mLanes.find(ends.mWorker);
-    if (lane != mLanes.end()) {
-      lane->second->OnDurable();
-    }
+    mLanes.OnDurable(ends.mWorker);
   }
   DecideSoon();
 }
@@ -285,27 +289,12 @@
   if (mStopping) {
     return;
   }
-  LaneHost& host = *this;
   for (const auto& [id, room] : mShard->Workers().All()) {
-    std::unique_ptr<WorkerLane>& lane = mLanes[id];
-    if (lane != nullptr && lane->Ended()) {
-      lane->BeginStop();
-      mEndedLanes.push_back(std::move(lane));
-    }
-    if (lane == nullptr) {
-      lane = std::make_unique<WorkerLane>(id, host, mPorts.mWorkers);
-    }
+    mLanes.Open(id);
   }
 }
 
-void ShardRuntime::CloseEndedLanes()
-{
-  std::vector<std::unique_ptr<WorkerLane>> ended;
-  MutexLock lock(mMutex);
-  ended.swap(mEndedLanes);
-}
-
-void ShardRuntime::Act()
+ShardRuntime::Decided ShardRuntime::Act()
 {
   const std::shared_ptr<const ClusterConfig> config = mPorts.mConfig.Present();
   if (config != mConfig) {
@@ -316,15 +305,9 @@
   OwnershipProof proof;
   proof.mProvedAt = mProof.ProvedAt();
   proof.mMayStart = ProvedAt(now) && !mStopping && config->mVersion > 0;
-  std::vector<TaskOrder> orders =
-    mShard->Decide(proof, now, mPorts.mClock.WallNow());
-  for (TaskOrder& order : orders) {
-    const auto lane = mLanes.find(order.mWorker);
-    if (lane != mLanes.end()) {
-      lane->second->Post(std::move(order));
-    }
-  }
-  LogDecisions();
+  Decided decided;
+  decided.mOrders = mShard->Decide(proof, now, mPorts.mClock.WallNow());
+  decided.mDecisions = mShard->TakeDecisions();
   if (mShard->IsFenced() && !mOver) {
     mOver = true;
     mStopping = true;
@@ -335,16 +318,24 @@
   if (mShard->NeedsAppend() || mStopping) {
     mWriteCond.NotifyAll();
   }
+  return decided;
+}
+
+void ShardRuntime::CarryOut(Decided aDecided)
+{
+  for (TaskOrder& order : aDecided.mOrders) {
+    mLanes.Post(std::move(order));
+  }
+  LogDecisions(aDecided.mDecisions);
 }
 
-void ShardRuntime::LogDecisions()
+void ShardRuntime::LogDecisions(const std::vector<JobDecision>& aDecisions)
 {
   const DecisionMeter meter(mPorts.mMetrics);
-  const std::vector<JobDecision> decisions = mShard->TakeDecisions();
-  for (const JobDecision& decision : decisions) {
+  for (const JobDecision& decision : aDecisions) {
     meter.Count(decision);
   }
-  for (DecisionLine& line : LinesOf(decisions)) {
+  for (DecisionLine& line : LinesOf(aDecisions)) {
     LogEvent(EventLevel::kInfo, line.mName, std::move(line.mFields));
   }
 }
@@ -357,7 +348,8 @@
   mMeter.Note(OwnerDelay::kIntakeGap, now - mIntakeReadAt);
   auto fields = mMeter.Report(now);
   if (fields) {
-    fields->push_back({ "lanes", std::to_string(mLanes.size()) });
+    fields->push_back(
+      { "workers", std::to_string(mShard->Workers().All().size()) });
     LogEvent(EventLevel::kWarn, "owner_behind", std::move(*fields));
   }
 }
--- a/mulberryvalve/app/jobs/shard_runtime.h
+++ b/mulberryvalve/app/jobs/shard_runtime.h
@@ -6,7 +6,7 @@
 #include "mulberryvalve/app/jobs/config_view.h"
 #include "mulberryvalve/app/jobs/owner_meter.h"
 #include "mulberryvalve/app/jobs/proof_clock.h"
-#include "mulberryvalve/app/jobs/worker_lane.h"
+#include "mulberryvalve/app/jobs/worker_lanes.h"
 #include "mulberryvalve/core/base/mutex.h"
 #include "mulberryvalve/core/jobs/job_shard.h"
 #include "mulberryvalve/ports/out/clock.h"
@@ -19,7 +19,6 @@
 #include "mulberryvalve/ports/out/shard_group.h"
 
 #include <atomic>
-#include <map>
 #include <memory>
 #include <string>
 #include <thread>
@@ -112,6 +111,13 @@
   // How soon a claim, or the loading after it, is tried again.
   static constexpr Milliseconds kRetryLoad{ 200 };
 
+  // Decided is what a pass leaves to be done without the lock.
+  struct Decided
+  {
+    std::vector<TaskOrder> mOrders;
+    std::vector<JobDecision> mDecisions;
+  };
+
   std::optional<HoldOrder> NextHold(const WorkerId& aWorker) override;
   bool OnHold(const HoldOrder& aOrder,
               const HoldReply& aReply,
@@ -125,6 +131,8 @@
   void FindRival();
   bool Load();
   void RunDecisions();
+  bool AwaitDecision(std::chrono::steady_clock::time_point aEarliest,
+                     std::chrono::steady_clock::time_point aTick);
   void DecideSoon() MV_REQUIRES(mMutex);
   void WriteProgress();
   void AppendProgress(const ProgressBatch& aBatch);
@@ -137,9 +145,9 @@
                   MonotonicTime aReadAt);
   void FollowWorkers();
   void OpenLanes() MV_REQUIRES(mMutex);
-  void CloseEndedLanes();
-  void Act() MV_REQUIRES(mMutex);
-  void LogDecisions() MV_REQUIRES(mMutex);
+  Decided Act() MV_REQUIRES(mMutex);
+  void CarryOut(Decided aDecided);
+  void LogDecisions(const std::vector<JobDecision>& aDecisions);
   void NoteDelays(Microseconds aPass) MV_REQUIRES(mMutex);
   void NoteWait(MonotonicTime aSince);
   bool ProvedAt(MonotonicTime aNow) const;
@@ -167,9 +175,6 @@
   // Wakes the thread that decides, when something happened.
   CondVar mDecideCond;
   std::unique_ptr<JobShard> mShard MV_GUARDED_BY(mMutex);
-  std::map<WorkerId, std::unique_ptr<WorkerLane>> mLanes MV_GUARDED_BY(mMutex);
-  // Lanes that have ended; they are joined without the lock.
-  std::vector<std::unique_ptr<WorkerLane>> mEndedLanes MV_GUARDED_BY(mMutex);
   std::shared_ptr<const ClusterConfig> mConfig MV_GUARDED_BY(mMutex);
   MonotonicTime mIntakeReadAt MV_GUARDED_BY(mMutex);
   // Something happened since the last decision.
@@ -180,6 +185,7 @@
   std::atomic<uint64_t> mRival{ 0 };
   std::atomic<bool> mOver{ false };
   std::atomic<bool> mEnded{ false };
+  WorkerLanes mLanes;
   std::thread mMain;
 };
 
--- a/mulberryvalve/app/jobs/shard_runtime_feeds.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_feeds.cc
@@ -127,7 +127,7 @@
   mConfig = mPorts.mConfig.Present();
   mShard->OnConfig(*mConfig);
   OpenLanes();
-  Act();
+  DecideSoon();
   return true;
 }
 
--- a/mulberryvalve/app/jobs/shard_runtime_test.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_test.cc
@@ -57,7 +57,7 @@
 
 // LastingWorker runs what it is told until it is stopped. It answers no start
 // of the job "held" before Release. Thread-safe.
-class LastingWorker : public TaskWorkerPort
+class LastingWorker : public ThreadedWorker
 {
 public:
   struct Sent
@@ -66,7 +66,25 @@
     JobId mJob;
   };
 
-  OrderReply Send(const TaskOrder& aOrder) override
+  // AwaitSent blocks until aCount orders have come and returns them.
+  std::vector<Sent> AwaitSent(size_t aCount)
+  {
+    MutexLock lock(mMutex);
+    while (mSent.size() < aCount) {
+      mCond.Wait(mMutex);
+    }
+    return mSent;
+  }
+
+  void Release()
+  {
+    MutexLock lock(mMutex);
+    mReleased = true;
+    mCond.NotifyAll();
+  }
+
+private:
+  OrderReply CarryOut(const TaskOrder& aOrder) override
   {
     MutexLock lock(mMutex);
     const JobId& job = aOrder.mTask.mStep.mJob;
@@ -86,7 +104,7 @@
     return reply;
   }
 
-  HoldReply Hold(const HoldOrder&) override
+  HoldReply List(const HoldOrder&) override
   {
     constexpr Milliseconds kAnswersIn{ 10 };
     const auto until = std::chrono::steady_clock::now() + kAnswersIn;
@@ -106,24 +124,6 @@
     return reply;
   }
 
-  // AwaitSent blocks until aCount orders have come and returns them.
-  std::vector<Sent> AwaitSent(size_t aCount)
-  {
-    MutexLock lock(mMutex);
-    while (mSent.size() < aCount) {
-      mCond.Wait(mMutex);
-    }
-    return mSent;
-  }
-
-  void Release()
-  {
-    MutexLock lock(mMutex);
-    mReleased = true;
-    mCond.NotifyAll();
-  }
-
-private:
   Mutex mMutex;
   CondVar mCond;
   std::vector<Sent> mSent MV_GUARDED_BY(mMutex);
--- a/mulberryvalve/app/jobs/worker_lane.cc
+++ b/mulberryvalve/app/jobs/worker_lane.cc
@@ -6,8 +6,6 @@
 namespace mulberryvalve {
 namespace {
 
-using Steady = std::chrono::steady_clock;
-
 // How long a lane waits before it asks a worker again that did not answer.
 constexpr Milliseconds kAskSilentAgain{ 300 };
 // The same where the worker was not asked to wait, since nothing is renewed.
@@ -16,110 +14,137 @@
 // first for about one append, then longer, since the log may be away.
 constexpr Milliseconds kFirstDurableWait{ 60 };
 constexpr Milliseconds kMaxDurableWait{ 800 };
+constexpr int kMaxDoublings = 4;
+
+LaneUrgency UrgencyOf(const TaskOrder& aOrder)
+{
+  switch (aOrder.mKind) {
+    case OrderKind::kStop:
+      return LaneUrgency::kStop;
+    case OrderKind::kPace:
+      return LaneUrgency::kPace;
+    case OrderKind::kStart:
+      return LaneUrgency::kStart;
+  }
+  return LaneUrgency::kStart;
+}
 
 } // namespace
 
-WorkerLane::WorkerLane(WorkerId aWorker, LaneHost& aHost, TaskWorkerPort& aPort)
-  : mWorker(std::move(aWorker))
-  , mHost(aHost)
-  , mPort(aPort)
+void WorkerLane::Post(TaskOrder aOrder)
 {
-  mHolds = std::thread([this] { RunHolds(); });
-  mOrders = std::thread([this] { RunOrders(); });
+  const bool isStop = aOrder.mKind == OrderKind::kStop;
+  (isStop ? mStops : mQueue).push_back(std::move(aOrder));
 }
 
-WorkerLane::~WorkerLane()
+std::optional<LaneUrgency> WorkerLane::NextUrgency() const
 {
-  BeginStop();
-  mHolds.join();
-  mOrders.join();
+  if (mOrderUnderWay) {
+    return std::nullopt;
+  }
+  if (!mStops.empty()) {
+    return LaneUrgency::kStop;
+  }
+  if (mQueue.empty()) {
+    return std::nullopt;
+  }
+  return UrgencyOf(mQueue[NextInQueue()]);
 }
 
-void WorkerLane::Post(TaskOrder aOrder)
+TaskOrder WorkerLane::TakeOrder()
 {
-  MutexLock lock(mMutex);
-  // A start that is queued behind the stop of its run is not sent any more.
-  const bool urgent = aOrder.mKind == OrderKind::kStop;
-  (urgent ? mStops : mQueue).push_back(std::move(aOrder));
-  mOrderCond.NotifyOne();
+  mOrderUnderWay = true;
+  if (!mStops.empty()) {
+    TaskOrder stop = std::move(mStops.front());
+    mStops.pop_front();
+    return stop;
+  }
+  const auto next = mQueue.begin() + static_cast<long>(NextInQueue());
+  TaskOrder order = std::move(*next);
+  mQueue.erase(next);
+  return order;
 }
 
-void WorkerLane::OnDurable()
+void WorkerLane::OrderDone()
 {
-  MutexLock lock(mMutex);
-  mDurable = true;
-  mHoldCond.NotifyOne();
+  mOrderUnderWay = false;
 }
 
-void WorkerLane::BeginStop()
+// The first pace that follows no start of its task, else the first order.
+size_t WorkerLane::NextInQueue() const
 {
-  MutexLock lock(mMutex);
-  mStopping = true;
-  mHoldCond.NotifyAll();
-  mOrderCond.NotifyAll();
+  for (auto pace = mQueue.begin(); pace != mQueue.end(); ++pace) {
+    const auto sameTask = [&](const TaskOrder& aEarlier) {
+      return aEarlier.mTask == pace->mTask;
+    };
+    if (pace->mKind == OrderKind::kPace &&
+        std::none_of(mQueue.begin(), pace, sameTask)) {
+      return static_cast<size_t>(pace - mQueue.begin());
+    }
+  }
+  return 0;
 }
 
-void WorkerLane::RunHolds()
+std::optional<WorkerLane::Time> WorkerLane::HoldDueAt() const
 {
-  Milliseconds durableWait = kFirstDurableWait;
-  while (Pause(Milliseconds(0), false)) {
-    const std::optional<HoldOrder> order = mHost.NextHold(mWorker);
-    if (!order) {
-      break;
-    }
-    const MonotonicTime sentAt = mHost.Now();
-    const HoldReply reply = mPort.Hold(*order);
-    const bool durable = mHost.OnHold(*order, reply, sentAt);
-    if (reply.mOutcome != OrderOutcome::kAccepted) {
-      Pause(kAskSilentAgain, false);
-    } else if (durable) {
-      durableWait = kFirstDurableWait;
-      if (order->mWait.count() == 0) {
-        Pause(kAskIdleAgain, false);
-      }
-    } else {
-      Pause(durableWait, true);
-      durableWait = std::min(2 * durableWait, kMaxDurableWait);
-    }
+  if (mHoldUnderWay || mHoldsEnded) {
+    return std::nullopt;
   }
-  mEnded = true;
+  return mHoldDueAt;
 }
 
-void WorkerLane::RunOrders()
+void WorkerLane::BeginHold()
 {
-  while (true) {
-    TaskOrder order;
-    {
-      MutexLock lock(mMutex);
-      while (mStops.empty() && mQueue.empty() && !mStopping) {
-        mOrderCond.Wait(mMutex);
-      }
-      if (mStopping) {
-        return;
-      }
-      std::deque<TaskOrder>& next = mStops.empty() ? mQueue : mStops;
-      order = std::move(next.front());
-      next.pop_front();
-    }
-    OrderReply reply;
-    reply.mOutcome = OrderOutcome::kNotSent;
-    if (mHost.MaySend(order)) {
-      reply = mPort.Send(order);
-    }
-    mHost.OnOrder(order, reply);
+  mHoldUnderWay = true;
+  mDurable = false;
+  mWaitsForDurable = false;
+}
+
+void WorkerLane::HoldDone(const HoldOrder& aOrder,
+                          OrderOutcome aOutcome,
+                          bool aDurable,
+                          Time aNow)
+{
+  mHoldUnderWay = false;
+  if (aOutcome != OrderOutcome::kAccepted) {
+    mHoldDueAt = aNow + kAskSilentAgain;
+    return;
   }
+  if (aDurable) {
+    mNotDurable = 0;
+    const bool asked = aOrder.mWait.count() > 0;
+    mHoldDueAt = aNow + (asked ? Milliseconds(0) : kAskIdleAgain);
+    return;
+  }
+  const Milliseconds wait =
+    std::min(kFirstDurableWait * (1 << mNotDurable), kMaxDurableWait);
+  mNotDurable = std::min(mNotDurable + 1, kMaxDoublings);
+  mWaitsForDurable = !mDurable;
+  mHoldDueAt = mDurable ? aNow : aNow + wait;
 }
 
-// Returns whether the lane goes on.
-bool WorkerLane::Pause(Milliseconds aLength, bool aUntilDurable)
+void WorkerLane::OnDurable(Time aNow)
 {
-  const Steady::time_point until = Steady::now() + aLength;
-  MutexLock lock(mMutex);
-  while (!mStopping && !(aUntilDurable && mDurable) && Steady::now() < until) {
-    mHoldCond.WaitUntil(mMutex, until);
+  mDurable = true;
+  if (std::exchange(mWaitsForDurable, false)) {
+    mHoldDueAt = std::min(mHoldDueAt, aNow);
   }
-  mDurable = false;
-  return !mStopping;
+}
+
+void WorkerLane::EndHolds()
+{
+  mHoldUnderWay = false;
+  mHoldsEnded = true;
+}
+
+void WorkerLane::OpenHolds()
+{
+  mHoldsEnded = false;
+}
+
+bool WorkerLane::IsOver() const
+{
+  return mHoldsEnded && !mOrderUnderWay && mStops.empty() && mQueue.empty();
 }
 
 } // namespace mulberryvalve
--- a/mulberryvalve/app/jobs/worker_lane.h
+++ b/mulberryvalve/app/jobs/worker_lane.h
@@ -1,88 +1,88 @@
-// WorkerLane: the two threads that talk to one worker for a shard's owner.
+// WorkerLane: what waits to be sent to one worker by a shard's owner.
 #ifndef MULBERRYVALVE_APP_JOBS_WORKER_LANE_H_
 #define MULBERRYVALVE_APP_JOBS_WORKER_LANE_H_
 
-#include "mulberryvalve/core/base/mutex.h"
-#include "mulberryvalve/ports/out/task_worker_port.h"
+#include "mulberryvalve/core/base/time.h"
+#include "mulberryvalve/core/jobs/worker_orders.h"
 
-#include <atomic>
+#include <chrono>
 #include <deque>
 #include <optional>
-#include <thread>
 
 namespace mulberryvalve {
 
-// LaneHost decides what a lane sends and takes in the answers.
-// Implementations are thread-safe and do not block for long.
-class LaneHost
+// LaneUrgency is in which order what waits is sent, the first first.
+enum class LaneUrgency
 {
-public:
-  virtual ~LaneHost() = default;
-
-  // NextHold returns the renewal that is due, or nothing when the worker is
-  // not known any more, which ends the lane.
-  virtual std::optional<HoldOrder> NextHold(const WorkerId& aWorker) = 0;
-
-  // OnHold takes in an answer to a renewal that was sent at aSentAt. It returns
-  // whether all ends that the worker listed are durable.
-  virtual bool OnHold(const HoldOrder& aOrder,
-                      const HoldReply& aReply,
-                      MonotonicTime aSentAt) = 0;
-
-  // MaySend tells, immediately before it is sent, whether an order still holds.
-  virtual bool MaySend(const TaskOrder& aOrder) = 0;
-
-  // OnOrder takes in the answer to an order.
-  virtual void OnOrder(const TaskOrder& aOrder, const OrderReply& aReply) = 0;
-
-  // Now returns the present time.
-  virtual MonotonicTime Now() const = 0;
+  kStop,
+  kPace,
+  kStart,
 };
 
-// WorkerLane renews and lists on one thread and sends orders on another, so
-// that a worker that does not answer holds up nobody else. Stops are sent
-// first, the rest in its order.
+inline constexpr EnumTable<LaneUrgency, 3> kLaneUrgencyNames{ { {
+  { LaneUrgency::kStop, "stop" },
+  { LaneUrgency::kPace, "pace" },
+  { LaneUrgency::kStart, "start" },
+} } };
+
+// WorkerLane is not synchronised. At most one order and one renewal of a worker
+// are under way at a time. Stops are sent first, then paces, then starts; but
+// orders for one task are sent in their order, except that a stop goes before
+// a start of its run, which is then not sent any more.
 class WorkerLane
 {
 public:
-  // aHost and aPort must outlive this object.
-  WorkerLane(WorkerId aWorker, LaneHost& aHost, TaskWorkerPort& aPort);
-  ~WorkerLane();
-  WorkerLane(const WorkerLane&) = delete;
-  WorkerLane& operator=(const WorkerLane&) = delete;
+  using Time = std::chrono::steady_clock::time_point;
 
-  // Post queues an order. Thread-safe, does not block.
+  // Post queues an order.
   void Post(TaskOrder aOrder);
 
+  // NextUrgency returns that of the order to send next, or nothing while one is
+  // under way or none waits.
+  std::optional<LaneUrgency> NextUrgency() const;
+
+  // TakeOrder returns the order to send next, which is under way until
+  // OrderDone. NextUrgency must have returned something.
+  TaskOrder TakeOrder();
+  void OrderDone();
+
+  // HoldDueAt returns when the next renewal is due, or nothing while one is
+  // under way or after the last.
+  std::optional<Time> HoldDueAt() const;
+
+  // BeginHold says that a renewal is under way until HoldDone. aDurable says
+  // whether all ends that the worker listed are durable.
+  void BeginHold();
+  void HoldDone(const HoldOrder& aOrder,
+                OrderOutcome aOutcome,
+                bool aDurable,
+                Time aNow);
+
   // OnDurable says that the ends which the worker listed are durable, so that
-  // the next renewal can say so. Thread-safe, does not block.
-  void OnDurable();
+  // the next renewal can say so.
+  void OnDurable(Time aNow);
 
-  // BeginStop makes both threads end after the call under way. Thread-safe.
-  void BeginStop();
+  // EndHolds says that the worker is not known any more; OpenHolds, that it is.
+  void EndHolds();
+  void OpenHolds();
 
-  // Ended tells whether the lane has ended because its worker is not known any
-  // more.
-  bool Ended() const { return mEnded; }
+  // IsOver tells whether nothing waits or is under way and no renewal follows.
+  bool IsOver() const;
 
 private:
-  void RunHolds();
-  void RunOrders();
-  bool Pause(Milliseconds aLength, bool aUntilDurable);
-
-  const WorkerId mWorker;
-  LaneHost& mHost;
-  TaskWorkerPort& mPort;
-  Mutex mMutex;
-  CondVar mHoldCond;
-  CondVar mOrderCond;
-  std::deque<TaskOrder> mStops MV_GUARDED_BY(mMutex);
-  std::deque<TaskOrder> mQueue MV_GUARDED_BY(mMutex);
-  bool mDurable MV_GUARDED_BY(mMutex) = false;
-  bool mStopping MV_GUARDED_BY(mMutex) = false;
-  std::atomic<bool> mEnded{ false };
-  std::thread mHolds;
-  std::thread mOrders;
+  size_t NextInQueue() const;
+
+  std::deque<TaskOrder> mStops;
+  std::deque<TaskOrder> mQueue;
+  bool mOrderUnderWay = false;
+  bool mHoldUnderWay = false;
+  bool mHoldsEnded = false;
+  // Ends became durable since the renewal began.
+  bool mDurable = false;
+  bool mWaitsForDurable = false;
+  Time mHoldDueAt;
+  // How often in a row the ends that were listed were not durable.
+  int mNotDurable = 0;
 };
 
 } // namespace mulberryvalve
