--- a/mulberryvalve/app/jobs/shard_runtime_test.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_test.cc
@@ -133,12 +133,21 @@
 
 // LateWorker lists the end of one task from its tenth answer on until it is
 // told that it was seen. Thread-safe.
-class LateWorker : public TaskWorkerPort
+class LateWorker : public ThreadedWorker
 {
 public:
-  OrderReply Send(const TaskOrder&) override { return OrderReply(); }
+  void AwaitSeen()
+  {
+    MutexLock lock(mMutex);
+    while (!mSeen) {
+      mCond.Wait(mMutex);
+    }
+  }
+
+private:
+  OrderReply CarryOut(const TaskOrder&) override { return OrderReply(); }
 
-  HoldReply Hold(const HoldOrder& aOrder) override
+  HoldReply List(const HoldOrder& aOrder) override
   {
     constexpr size_t kListedFrom = 10;
     constexpr Milliseconds kAnswersIn{ 10 };
@@ -161,15 +170,6 @@
     return reply;
   }
 
-  void AwaitSeen()
-  {
-    MutexLock lock(mMutex);
-    while (!mSeen) {
-      mCond.Wait(mMutex);
-    }
-  }
-
-private:
   Mutex mMutex;
   CondVar mCond;
   CondVar mPause;
