Jobs that wait are counted as they change

Cause: each question for the length of a queue walked all jobs that the owner keeps, those of the last minutes that are over too, under the lock of the shard.

Change: the book counts the jobs without a started task by queue.

All tests of core/jobs and same_orders_test hold.

What a question costs was not measured; it no longer grows with the number of jobs.

--- a/mulberryvalve/core/jobs/job_book.cc
+++ b/mulberryvalve/core/jobs/job_book.cc
@@ -22,6 +22,7 @@
   JobEntry& job = found->second;
   job.mGraph = std::move(aGraph);
   job.mArrival = ++mLastArrival;
+  CountWaiting(job);
   for (StepSpec& spec : job.mGraph.mSteps) {
     spec.mImageNumber = mImages.NumberOf(spec.mImage);
   }
@@ -68,6 +69,7 @@
   if (IsOver(aJob.mPhase)) {
     Close(aJob);
   }
+  CountWaiting(aJob);
 }
 
 JobEntry* JobBook::Find(const JobId& aId)
@@ -135,6 +137,7 @@
   task.mAnsweredAt = MonotonicTime();
   task.mStartedAt = MonotonicTime();
   job.mBegun = true;
+  CountWaiting(job);
   if (step.mWaiting == 0) {
     step.mWaitingSince = MonotonicTime();
     mOpen.erase(OpenStepOf(job, aTask.mStep));
@@ -195,8 +198,9 @@
   }
 }
 
-void JobBook::Close(const JobEntry& aJob)
+void JobBook::Close(JobEntry& aJob)
 {
+  CountWaiting(aJob);
   for (uint32_t number = 0; number < aJob.mOccurrences.size(); number++) {
     for (uint32_t step = 0; step < aJob.mGraph.mSteps.size(); step++) {
       mOpen.erase(OpenStep{ aJob.mArrival, number, step });
@@ -245,12 +249,24 @@
 
 size_t JobBook::Waiting(const QueueId& aQueue) const
 {
-  size_t count = 0;
-  for (const auto& [id, job] : mJobs) {
-    const bool waits = !job.mBegun && !IsOver(job.mPhase);
-    count += waits && job.mGraph.mQueue == aQueue ? 1 : 0;
+  const auto found = mWaiting.find(aQueue);
+  return found == mWaiting.end() ? 0 : found->second;
+}
+
+// Counts a job among those that wait, or takes it out.
+void JobBook::CountWaiting(JobEntry& aJob)
+{
+  const bool waits = !aJob.mBegun && !IsOver(aJob.mPhase);
+  if (waits == aJob.mCountsAsWaiting) {
+    return;
+  }
+  aJob.mCountsAsWaiting = waits;
+  size_t& count = mWaiting[aJob.mGraph.mQueue];
+  if (waits) {
+    count++;
+  } else if (--count == 0) {
+    mWaiting.erase(aJob.mGraph.mQueue);
   }
-  return count;
 }
 
 bool JobBook::IsDue(const JobEntry& aJob, const StepRef& aStep) const
--- a/mulberryvalve/core/jobs/job_book.h
+++ b/mulberryvalve/core/jobs/job_book.h
@@ -65,6 +65,8 @@
   bool mInherited = false;
   // A task of it has been started.
   bool mBegun = false;
+  // It is among those that JobBook::Waiting counts.
+  bool mCountsAsWaiting = false;
   // When it was read. A claim that supersedes this owner's may be older than
   // that, so a later proof of ownership is needed, or a fresh one.
   MonotonicTime mKnownAt;
@@ -129,10 +131,10 @@
   const std::map<OpenStep, JobEntry*>& Open() const { return mOpen; }
   void OpenDue(WallTime aWall);
 
-  // Close takes the steps of a job out of the open ones.
-  void Close(const JobEntry& aJob);
+  // Close takes the steps of a job that is over out of the open ones.
+  void Close(JobEntry& aJob);
 
-  // Retire forgets a job.
+  // Retire forgets a job that is over.
   void Retire(const JobId& aId);
 
   // ToRecord returns the durable progress of a job; of one that is over, its
@@ -155,6 +157,7 @@
 
 private:
   bool IsDue(const JobEntry& aJob, const StepRef& aStep) const;
+  void CountWaiting(JobEntry& aJob);
   void Reopen(JobEntry& aJob, const StepRef& aStep);
   void OpenFollowers(JobEntry& aJob, const StepRef& aStep);
 
@@ -162,6 +165,7 @@
   std::unordered_map<JobId, JobEntry> mJobs;
   std::map<OpenStep, JobEntry*> mOpen;
   std::set<JobId> mRecurring;
+  std::map<QueueId, size_t> mWaiting;
   WallTime mWall;
   uint64_t mLastArrival = 0;
 };
