A repeated stop waits once in its worker's lane

Cause: a stop is repeated each 700 ms until the worker answers, and each is queued anew; one order a worker is under way for up to 900 ms.

Change: a stop of a run for which one waits is not queued again; that one goes to the endpoint named last. Its answer counts for both, as a repetition depends on time alone.

Measured: ARepeatedStopWaitsOnce fails without the change; worker_lane_test, shard_runtime_test and jobs_test pass.

--- a/mulberryvalve/app/jobs/worker_lane.cc
+++ b/mulberryvalve/app/jobs/worker_lane.cc
@@ -33,8 +33,26 @@
 
 void WorkerLane::Post(TaskOrder aOrder)
 {
-  const bool isStop = aOrder.mKind == OrderKind::kStop;
-  (isStop ? mStops : mQueue).push_back(std::move(aOrder));
+  if (aOrder.mKind == OrderKind::kStop) {
+    PostStop(std::move(aOrder));
+  } else {
+    mQueue.push_back(std::move(aOrder));
+  }
+}
+
+// A stop that waits still is not queued again, but goes where the worker is
+// now.
+void WorkerLane::PostStop(TaskOrder aStop)
+{
+  const auto waits =
+    std::find_if(mStops.begin(), mStops.end(), [&](const TaskOrder& aEarlier) {
+      return aEarlier.mTask == aStop.mTask && aEarlier.mRun == aStop.mRun;
+    });
+  if (waits != mStops.end()) {
+    waits->mEndpoint = aStop.mEndpoint;
+    return;
+  }
+  mStops.push_back(std::move(aStop));
 }
 
 std::optional<LaneUrgency> WorkerLane::NextUrgency() const
--- a/mulberryvalve/app/jobs/worker_lane.h
+++ b/mulberryvalve/app/jobs/worker_lane.h
@@ -34,7 +34,7 @@
 public:
   using Time = std::chrono::steady_clock::time_point;
 
-  // Post queues an order.
+  // Post queues an order. A stop of a run for which one waits is queued once.
   void Post(TaskOrder aOrder);
 
   // NextUrgency returns that of the order to send next, or nothing while one is
@@ -70,6 +70,7 @@
   bool IsOver() const;
 
 private:
+  void PostStop(TaskOrder aStop);
   size_t NextInQueue() const;
 
   std::deque<TaskOrder> mStops;
--- a/mulberryvalve/app/jobs/worker_lane_test.cc
+++ b/mulberryvalve/app/jobs/worker_lane_test.cc
@@ -213,6 +213,28 @@
   CHECK(lane.TakeOrder().mKind == OrderKind::kPace);
 }
 
+// Guards against cancelled work that runs on because its stop waits behind the
+// repetitions of other stops for a worker that is slow to answer.
+TEST(WorkerLaneTest, ARepeatedStopWaitsOnce)
+{
+  WorkerLane lane;
+  lane.Post(OrderOf(OrderKind::kStop, "w", 1));
+  TaskOrder repeated = OrderOf(OrderKind::kStop, "w", 1);
+  repeated.mEndpoint = Endpoint{ "10.0.0.2", 2 };
+  lane.Post(repeated);
+  TaskOrder otherRun = OrderOf(OrderKind::kStop, "w", 1);
+  otherRun.mRun = RunNumber(2);
+  lane.Post(otherRun);
+  lane.Post(OrderOf(OrderKind::kStop, "w", 2));
+  STRCMP_EQUAL("10.0.0.2", lane.TakeOrder().mEndpoint.mAddress.c_str());
+  lane.OrderDone();
+  CHECK(lane.TakeOrder().mRun == RunNumber(2));
+  lane.OrderDone();
+  UNSIGNED_LONGS_EQUAL(2, lane.TakeOrder().mTask.mIndex);
+  lane.OrderDone();
+  CHECK_FALSE(lane.NextUrgency().has_value());
+}
+
 // Guards against orders to one worker that overtake each other on their way.
 TEST(WorkerLaneTest, OneOrderIsUnderWayAtATime)
 {
