--- a/mulberryvalve/app/jobs/shard_membership.cc
+++ b/mulberryvalve/app/jobs/shard_membership.cc
@@ -231,9 +231,13 @@
   return mState;
 }
 
+// The interval counts from the sending of the last call, so that one without an
+// answer is repeated before the group's patience is over.
 void ShardMembership::RunJoins()
 {
-  while (PauseUntilJoin()) {
+  Steady::time_point next = Steady::now() + mOptions.mJoinInterval;
+  while (PauseUntilJoin(next)) {
+    next = Steady::now() + mOptions.mJoinInterval;
     bool isMember = false;
     {
       MutexLock lock(mMutex);
@@ -255,11 +259,10 @@
   }
 }
 
-// Waits until a join or the end of the membership is due; returns false when it
-// is time to stop.
-bool ShardMembership::PauseUntilJoin()
+// Waits until the join of aNext or the end of the membership is due; returns
+// false when it is time to stop.
+bool ShardMembership::PauseUntilJoin(Steady::time_point aNext)
 {
-  const Steady::time_point next = Steady::now() + mOptions.mJoinInterval;
   MutexLock lock(mMutex);
   const bool wasOut = mState == MemberState::kOut;
   while (!mIsStopping) {
@@ -270,7 +273,7 @@
     if (mState != MemberState::kMember) {
       break;
     }
-    if (wasOut || Steady::now() >= next) {
+    if (wasOut || Steady::now() >= aNext) {
       if (!IsAbsent()) {
         break;
       }
@@ -279,7 +282,7 @@
       mJoinCond.Wait(mMutex);
       continue;
     }
-    mJoinCond.WaitUntil(mMutex, next);
+    mJoinCond.WaitUntil(mMutex, aNext);
   }
   return !mIsStopping;
 }
--- a/mulberryvalve/app/jobs/shard_membership.h
+++ b/mulberryvalve/app/jobs/shard_membership.h
@@ -80,7 +80,7 @@
     MV_REQUIRES(mMutex);
 
   void RunJoins();
-  bool PauseUntilJoin();
+  bool PauseUntilJoin(std::chrono::steady_clock::time_point aNext);
   void Join();
   void TakeShare(const GroupShare& aShare, MonotonicTime aSentAt);
   void OnShardHeld(Generation aGeneration, MonotonicTime aSentAt)
