An instance that lost bids comes back within seconds

Each lost bid doubled the time for which an instance stays away from a shard, up to 32 s, and only four seconds of holding it reset that: in a series of changes the instances that can carry a shard would be away when it is lost again.

--- a/mulberryvalve/app/jobs/shard_bids.cc
+++ b/mulberryvalve/app/jobs/shard_bids.cc
@@ -11,7 +11,7 @@
 // Several instances see an owner that is to be relieved, and one is enough.
 constexpr uint64_t kRelievesOneIn = 6;
 // The time for which an instance stays away doubles up to so many times.
-constexpr uint32_t kMaxDoublings = 5;
+constexpr uint32_t kMaxDoublings = 3;
 
 } // namespace
 
