--- a/mulberryvalve/app/jobs/shard_runtime.cc
+++ b/mulberryvalve/app/jobs/shard_runtime.cc
@@ -15,7 +15,7 @@
 // Deadlines that no message announces are looked at this often.
 constexpr Milliseconds kTick{ 100 };
 // The longest pause between two passes while there is something to decide.
-constexpr Milliseconds kMaxPassGap{ 20 };
+constexpr Milliseconds kMaxPassGap{ 100 };
 // Changes that come within this time share an append.
 constexpr Milliseconds kAppendGap{ 25 };
 constexpr Milliseconds kRetryAppend{ 150 };
