A successor counts the lease that its predecessor may have granted

A worker that had not answered the former owner answered its successor at 28.09 s, which adopted seven tasks, and not the next renewal, which the successor sends without a lease until the log says that nobody needs to wait for that worker. As the successor had granted no lease itself, the worker counted as "silent beyond its leases" the moment it fell silent (29.02 s), and its tasks were started elsewhere while they ran on under the former owner's lease.

The first answer to an owner now counts as a lease of full length, which no earlier owner can lengthen after it: the worker obeys the new token.

--- a/mulberryvalve/core/jobs/busy_owner_test.cc
+++ b/mulberryvalve/core/jobs/busy_owner_test.cc
@@ -90,4 +90,33 @@
   CHECK_EQUAL(0U, world.Running());
 }
 
+// Guards against a second run of a task (TWICE): a worker that was silent
+// answers the successor once and falls silent again before that has renewed it,
+// while the former owner's lease lasts.
+TEST(BusyOwnerTest, ALeaseOfTheFormerOwnerOutlivesTheFirstAnswer)
+{
+  JobWorld world(2);
+  FakeOwner& former = world.AddOwner();
+  world.mDurationOf = [](const TaskRef&) { return Milliseconds(60000); };
+  world.RunFor(Milliseconds(400));
+  world.Submit(OneStepJob("a", 2, 6000));
+  world.RunFor(Milliseconds(4000));
+  const WorkerId worker = world.Worker(0).mFacts.mId;
+  CHECK_EQUAL(1U, world.Worker(0).mRuns.size());
+  former.mLinks[worker] = LinkState::kCut;
+  world.RunFor(Milliseconds(2500));
+  former.mActs = false;
+  FakeOwner& next = world.AddOwner();
+  next.mLinks[worker] = LinkState::kCut;
+  world.RunFor(Milliseconds(40));
+  // What lets it renew the worker is not on the log yet when that answers.
+  next.mReachesLog = false;
+  next.mLinks[worker] = LinkState::kWhole;
+  world.RunFor(Milliseconds(100));
+  CHECK(next.mShard->Workers().Find(worker)->mInventoried);
+  next.mLinks[worker] = LinkState::kCut;
+  world.RunFor(Milliseconds(2000));
+  CHECK(world.Findings().empty());
+}
+
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/job_shard_lists.cc
+++ b/mulberryvalve/core/jobs/job_shard_lists.cc
@@ -73,6 +73,7 @@
   TakeLists(*room, aReply, aSentAt, aNow);
   if (!room->mInventoried) {
     room->mInventoried = true;
+    mWorkers.InheritLease(*room, aNow);
     mWorkers.NoteChange(*room);
     TakeBackWait(*room);
     mChanged = true;
--- a/mulberryvalve/core/jobs/worker_table.cc
+++ b/mulberryvalve/core/jobs/worker_table.cc
@@ -196,12 +196,25 @@
     return;
   }
   aWorker.mLeaseUntil = aUntil;
-  // The worker's clock was read before mClockAt and may be slow since then.
+  // The worker's clock was read before mClockAt.
   const int64_t left = aUntil.mMilliseconds - aWorker.mClock->mMilliseconds;
-  const int64_t slowest =
-    left * kPerMille / (kPerMille - mTerms.mClockDriftPerMille);
-  aWorker.mLapsesAt =
-    std::max(aWorker.mClockAt + Milliseconds(slowest), aNow) + mTerms.mMargin;
+  const MonotonicTime over =
+    std::max(aWorker.mClockAt + SlowestCourseOf(left), aNow) + mTerms.mMargin;
+  aWorker.mLapsesAt = std::max(aWorker.mLapsesAt, over);
+}
+
+// How long so much time on a worker's clock takes at most.
+Milliseconds WorkerTable::SlowestCourseOf(int64_t aMilliseconds) const
+{
+  return Milliseconds(aMilliseconds * kPerMille /
+                      (kPerMille - mTerms.mClockDriftPerMille));
+}
+
+void WorkerTable::InheritLease(WorkerRoom& aWorker, MonotonicTime aNow) const
+{
+  const MonotonicTime over =
+    aNow + SlowestCourseOf(mTerms.mLength.count()) + mTerms.mMargin;
+  aWorker.mLapsesAt = std::max(aWorker.mLapsesAt, over);
 }
 
 HoldOrder WorkerTable::NextHold(WorkerRoom& aWorker,
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -173,6 +173,10 @@
   std::optional<WorkerTime> LeaseForStart(WorkerRoom& aWorker,
                                           MonotonicTime aNow);
 
+  // InheritLease counts the longest lease that a former owner may have granted
+  // before the worker first answered this owner, at aNow.
+  void InheritLease(WorkerRoom& aWorker, MonotonicTime aNow) const;
+
   // OnReading takes in a reading of the worker's clock that arrived at aNow.
   void OnReading(WorkerRoom& aWorker,
                  const WorkerReading& aReading,
@@ -180,6 +184,7 @@
 
 private:
   WorkerTime ClockAt(const WorkerRoom& aWorker, MonotonicTime aNow) const;
+  Milliseconds SlowestCourseOf(int64_t aMilliseconds) const;
   void Grant(WorkerRoom& aWorker, WorkerTime aUntil, MonotonicTime aNow);
 
   const LeaseTerms mTerms;
