--- a/mulberryvalve/adapters/ws_call/ws_call_link.cc
+++ b/mulberryvalve/adapters/ws_call/ws_call_link.cc
@@ -308,7 +308,9 @@
     }
     while (!mLinks.empty()) {
       const auto first = mLinks.begin();
-      Drop(first->first, first->second.mConnection.get(), "stopping");
+      // Drop erases the row that holds this key.
+      const std::string key = first->first;
+      Drop(key, first->second.mConnection.get(), "stopping");
     }
     mIo.stop();
   }
