--- a/tests/process/fleet.cc
+++ b/tests/process/fleet.cc
@@ -266,6 +266,20 @@
   return "";
 }
 
+std::string Fleet::AwaitOwnerOf(const std::string& aShard)
+{
+  constexpr Milliseconds kLimit{ 10000 };
+  std::string owner;
+  Await(kLimit, [&] {
+    owner = OwnerOf(aShard);
+    return !owner.empty();
+  });
+  if (owner.empty()) {
+    throw std::runtime_error("nobody acts for the shard");
+  }
+  return owner;
+}
+
 std::string Fleet::Submit(const std::string& aInstance,
                           const std::string& aName,
                           const std::string& aHome,
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -69,6 +69,10 @@
   // OwnerOf returns the instance that acts on a shard, or an empty text.
   std::string OwnerOf(const std::string& aShard);
 
+  // AwaitOwnerOf waits for an instance that acts for a shard; none may for a
+  // moment while it confirms that it still owns it.
+  std::string AwaitOwnerOf(const std::string& aShard);
+
   // Submit submits a job over an instance and returns its id, or "".
   std::string Submit(const std::string& aInstance,
                      const std::string& aName,
--- a/tests/process/recovery_test.cc
+++ b/tests/process/recovery_test.cc
@@ -59,7 +59,7 @@
 TEST(Recovery, KilledOwnersTasksAreAdoptedAndNewOnesStart)
 {
   Fleet fleet(OneDomain());
-  const std::string owner = fleet.OwnerOf("a.0");
+  const std::string owner = fleet.AwaitOwnerOf("a.0");
   const std::string other = Other(fleet, owner);
   CHECK_FALSE(fleet.Submit(other, "job", "a", kTasks, 9000).empty());
   AwaitRunning(fleet, kTasks);
@@ -79,7 +79,7 @@
 TEST(Recovery, ThawedOwnerDoesNothingStale)
 {
   Fleet fleet(OneDomain());
-  const std::string owner = fleet.OwnerOf("a.0");
+  const std::string owner = fleet.AwaitOwnerOf("a.0");
   const std::string other = Other(fleet, owner);
   CHECK_FALSE(fleet.Submit(other, "job", "a", 100, 4000).empty());
   AwaitRunning(fleet, kTasks);
@@ -112,7 +112,7 @@
 TEST(Recovery, PlannedStopHandsOverAtOnce)
 {
   Fleet fleet(OneDomain());
-  const std::string owner = fleet.OwnerOf("a.0");
+  const std::string owner = fleet.AwaitOwnerOf("a.0");
   const std::string other = Other(fleet, owner);
   CHECK_FALSE(fleet.Submit(other, "job", "a", kTasks, 6000).empty());
   AwaitRunning(fleet, kTasks);
