Dropping a link keeps its row to the end

The copy of the key in CloseAll mended one caller; any that passes a key of the map was open to the same. Drop takes the row out whole, and the copy is gone. ws_call_test passes, also under the thread sanitizer; lint was not run again.

--- a/mulberryvalve/adapters/ws_call/ws_call_link.cc
+++ b/mulberryvalve/adapters/ws_call/ws_call_link.cc
@@ -262,8 +262,9 @@
     if (found == mLinks.end() || found->second.mConnection.get() != aRaw) {
       return;
     }
-    const Link link = std::move(found->second);
-    mLinks.erase(found);
+    // The row lives to the end, since aKey may be its key.
+    const auto row = mLinks.extract(found);
+    const Link& link = row.mapped();
     mLog.Write(
       EventLevel::kInfo, "peer_lost", { { "peer", aKey }, { "why", aWhy } });
     for (const auto& [number, call] : link.mCalls) {
@@ -308,9 +309,7 @@
     }
     while (!mLinks.empty()) {
       const auto first = mLinks.begin();
-      // Drop erases the row that holds this key.
-      const std::string key = first->first;
-      Drop(key, first->second.mConnection.get(), "stopping");
+      Drop(first->first, first->second.mConnection.get(), "stopping");
     }
     mIo.stop();
   }
