An owner orders no more starts than it can send

Cause: JobShard ordered a start as soon as any worker had room. What the owner could not send piled up in its lanes, as far as there was room on workers. Ruled out by the same play: long passes (below 32 ms), the lock (0 to 1 ms), the link (20 times the link: the same).

Change: StartWindow bounds the starts that are ordered and not answered, for the whole owner. Most answers of a round late (over 0.4 s from the decision): it shrinks to what is answered in time; most in time while starts are held back: it grows by a quarter. Only starts that were decided after the last change count. A pass that is held goes on with the next answer, and is sorted anew when it is older than 0.1 s. A gang starts whole while the window is not full. Starts without an answer leave it when the port gives up on them.

Evidence: weak_owner_test, without the change: start answered 9980 ms after its decision, none of 6 lasting tasks at work after a second, a gang of 300 not started in 8 s; three of five tests fail. With it all pass. same_orders_test and decision_cost_test unchanged, passed.

--- a/mulberryvalve/core/jobs/job_shard.h
+++ b/mulberryvalve/core/jobs/job_shard.h
@@ -9,6 +9,7 @@
 #include "mulberryvalve/core/jobs/job_placement.h"
 #include "mulberryvalve/core/jobs/placement_pass.h"
 #include "mulberryvalve/core/jobs/run_time_book.h"
+#include "mulberryvalve/core/jobs/start_window.h"
 #include "mulberryvalve/core/jobs/usage_sum.h"
 #include "mulberryvalve/core/jobs/waiting_order.h"
 #include "mulberryvalve/core/jobs/worker_search.h"
@@ -155,8 +156,15 @@
                                 WallTime aWall);
 
   // HasMoreToPlace tells whether the last call of Decide left steps to the next
-  // one, which is to come soon even when nothing happens.
-  bool HasMoreToPlace() const { return mPass.IsUnderWay(); }
+  // one, which is to come soon even when nothing happens. What waits for
+  // answers to starts does not count.
+  bool HasMoreToPlace() const
+  {
+    return mPass.IsUnderWay() && !mWindow.IsFull();
+  }
+
+  // TakeWindowFigures returns how many starts may be and are under way.
+  StartWindowFigures TakeWindowFigures() { return mWindow.TakeFigures(); }
 
   // TakeProgress returns what changed since the last call. OnDurable says that
   // it is on the log.
@@ -281,8 +289,10 @@
   // Orders (job_shard_orders.cc).
   void TakeChanges(MonotonicTime aNow);
   void PlaceOpen(MonotonicTime aNow);
+  void BeginPass(MonotonicTime aNow);
   void PlaceStep(JobEntry& aJob, OpenStep aStep, MonotonicTime aNow);
   void DropPass();
+  void HoldPass();
   bool PlaceOne(JobEntry& aJob, const TaskRef& aTask, MonotonicTime aNow);
   void PlaceGang(JobEntry& aJob, const StepRef& aStep, MonotonicTime aNow);
   PlacementQuery QueryFor(const JobEntry& aJob,
@@ -352,6 +362,9 @@
   WorkerTable mWorkers;
   WorkerSearch mSearch;
   PlacementPass mPass;
+  StartWindow mWindow;
+  // The pass stopped since no more starts may be under way.
+  bool mPassIsHeld = false;
   UsageSum mUsage;
   ClusterConfig mConfig;
   uint64_t mConfigVersion = 0;
--- a/mulberryvalve/core/jobs/job_shard_orders.cc
+++ b/mulberryvalve/core/jobs/job_shard_orders.cc
@@ -16,6 +16,9 @@
 constexpr Milliseconds kNoteWaits{ 1000 };
 // Steps that found no worker are tried again this often without a cause.
 constexpr Milliseconds kPlaceAgain{ 100 };
+// What waits is sorted anew when its order is older than this and the owner
+// can't send more.
+constexpr Milliseconds kSortAgain{ 100 };
 // Run numbers of an epoch start above all numbers of earlier epochs.
 constexpr uint64_t kRunsPerEpoch = 1 << 14;
 
@@ -34,6 +37,8 @@
   mBook.OpenDue(aWall);
   if (!aProof.mMayStart) {
     DropPass();
+  } else if (mWindow.IsFull()) {
+    mWindow.OnHeldBack();
   } else if (mPass.IsUnderWay() || mChanged || aNow >= mPlaceAgainAt) {
     if (aNow >= mPlaceAgainAt && mPressureVersion != mInterference.Version()) {
       mPressureVersion = mInterference.Version();
@@ -77,15 +82,15 @@
 void JobShard::PlaceOpen(MonotonicTime aNow)
 {
   TakeChanges(aNow);
+  const bool isHeld = std::exchange(mPassIsHeld, false);
+  if (isHeld && aNow >= mPass.BegunAt() + kSortAgain) {
+    DropPass();
+  }
   if (!mPass.IsUnderWay()) {
-    mChanged = false;
-    mMostIsUnused = mUsage.MostIsUnused();
-    std::vector<WaitingStep> open = WaitingSteps(aNow);
-    mPolicies.mOrder.Sort(open, aNow);
-    mPass = PlacementPass(std::move(open));
+    BeginPass(aNow);
   }
   const size_t most = mSearch.Looks() + kLooksPerDecide;
-  while (mPass.IsUnderWay() && mSearch.Looks() < most) {
+  while (mPass.IsUnderWay() && mSearch.Looks() < most && !mPassIsHeld) {
     mSearch.CountLooks(1);
     const auto open = mBook.Open().find(mPass.Next().mStep);
     if (open != mBook.Open().end()) {
@@ -94,6 +99,23 @@
   }
 }
 
+void JobShard::BeginPass(MonotonicTime aNow)
+{
+  mChanged = false;
+  mMostIsUnused = mUsage.MostIsUnused();
+  std::vector<WaitingStep> open = WaitingSteps(aNow);
+  mPolicies.mOrder.Sort(open, aNow);
+  mPass = PlacementPass(std::move(open), aNow);
+}
+
+// The rest of the pass waits for answers to starts that are under way.
+void JobShard::HoldPass()
+{
+  mWindow.OnHeldBack();
+  mPass.PutBack();
+  mPassIsHeld = true;
+}
+
 void JobShard::PlaceStep(JobEntry& aJob, OpenStep aStep, MonotonicTime aNow)
 {
   const StepSpec& spec = aJob.mGraph.mSteps[aStep.mStep];
@@ -108,6 +130,10 @@
   if (IsBlocked(aJob, aNow) || mPass.Refused().Covers(spec, hasWaited)) {
     return;
   }
+  if (mWindow.IsFull()) {
+    HoldPass();
+    return;
+  }
   const StepRef name = RefOf(aJob, aStep);
   if (spec.mGang) {
     PlaceGang(aJob, name, aNow);
@@ -116,6 +142,10 @@
   for (uint32_t index = 0; index < spec.mCount; index++) {
     const TaskRef ref{ name, index };
     const bool waits = step.mTasks[index].mPhase == TaskPhase::kWaiting;
+    if (waits && mWindow.IsFull()) {
+      HoldPass();
+      return;
+    }
     if (waits && !PlaceOne(aJob, ref, aNow)) {
       mPass.Refused().Add(spec, hasWaited);
       return;
@@ -260,6 +290,7 @@
   order.mSpecification = aJob.mGraph.mSpecification;
   order.mCheckpoint = mBook.FindTask(aTask)->mCheckpoint;
   mOrders.push_back(std::move(order));
+  mWindow.OnOrdered();
   JobDecision placed =
     DecisionOn(DecisionKind::kTaskPlaced,
                aTask,
--- a/mulberryvalve/core/jobs/job_shard_outcomes.cc
+++ b/mulberryvalve/core/jobs/job_shard_outcomes.cc
@@ -15,6 +15,9 @@
                        const OrderReply& aReply,
                        MonotonicTime aNow)
 {
+  if (aOrder.mKind == OrderKind::kStart) {
+    mWindow.OnAnswered(aOrder.mDecidedAt, aNow);
+  }
   WorkerRoom* worker = mWorkers.Find(aOrder.mWorker);
   if (aReply.mOutcome == OrderOutcome::kFenced) {
     mFenced = true;
--- a/mulberryvalve/core/jobs/placement_pass.h
+++ b/mulberryvalve/core/jobs/placement_pass.h
@@ -57,8 +57,10 @@
 {
 public:
   PlacementPass() = default;
-  explicit PlacementPass(std::vector<WaitingStep> aOrder)
+  // aBegunAt is when aOrder was the right order.
+  PlacementPass(std::vector<WaitingStep> aOrder, MonotonicTime aBegunAt)
     : mOrder(std::move(aOrder))
+    , mBegunAt(aBegunAt)
   {
   }
 
@@ -68,12 +70,19 @@
   // Next returns the next step; there must be one.
   const WaitingStep& Next() { return mOrder[mNext++]; }
 
+  // PutBack makes the step that Next returned last the next one again.
+  void PutBack() { mNext--; }
+
+  // BegunAt returns when the pass began.
+  MonotonicTime BegunAt() const { return mBegunAt; }
+
   // Refused returns what found no worker in this pass.
   RefusedSteps& Refused() { return mRefused; }
 
 private:
   std::vector<WaitingStep> mOrder;
   size_t mNext = 0;
+  MonotonicTime mBegunAt;
   RefusedSteps mRefused;
 };
 
--- /dev/null
+++ b/mulberryvalve/core/jobs/weak_owner_test.cc
@@ -0,0 +1,445 @@
+// Owners that can send fewer orders than there is work and room for.
+#include "mulberryvalve/core/jobs/job_shard.h"
+
+#include "CppUTest/TestHarness.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace mulberryvalve {
+namespace {
+
+constexpr Milliseconds kTick{ 20 };
+constexpr Milliseconds kAnswerTakes{ 20 };
+constexpr Milliseconds kGivesUpAfter{ 900 };
+constexpr Milliseconds kHoldEach{ 100 };
+constexpr Milliseconds kRunTakes{ 400 };
+constexpr Milliseconds kForEver{ 600000 };
+const ServiceId kService("service");
+
+// NarrowWorld is an owner with workers that it reaches through a link which
+// carries so many orders a tick. As in the owner's lanes, one order of a worker
+// is under way at a time, and stops go first. Renewals always arrive.
+class NarrowWorld
+{
+public:
+  NarrowWorld(size_t aWorkers, size_t aOrdersPerTick)
+    : mOrdersPerTick(aOrdersPerTick)
+  {
+    std::vector<WorkerFacts> facts;
+    for (size_t number = 0; number < aWorkers; number++) {
+      WorkerFacts worker;
+      worker.mId = WorkerId("w" + std::to_string(100 + number));
+      worker.mService = kService;
+      worker.mCapacity = Resources{ 16000, 64000, 0 };
+      worker.mBirth = Birth(1);
+      mWorkers[worker.mId];
+      facts.push_back(worker);
+    }
+    ClusterConfig config;
+    config.mVersion = 1;
+    mShard.OnConfig(config);
+    mShard.OnWorkers(facts, mNow);
+  }
+
+  void Submit(JobGraph aJob)
+  {
+    mSubmittedAt[aJob.mId] = mNow;
+    mLasting[aJob.mId] = aJob.mSteps[0].mLasting;
+    mShard.OnJob(std::move(aJob), mNow, mNow);
+  }
+
+  void Cancel(const JobId& aJob) { mShard.OnCancel(aJob, mNow); }
+
+  void RunFor(Milliseconds aLength)
+  {
+    const MonotonicTime until = mNow + aLength;
+    while (mNow < until) {
+      Step();
+    }
+  }
+
+  // Running counts the tasks of a job that are at work.
+  size_t Running(const JobId& aJob) const
+  {
+    size_t count = 0;
+    for (const auto& [id, worker] : mWorkers) {
+      for (const auto& [task, run] : worker.mRuns) {
+        count += task.mStep.mJob == aJob ? 1 : 0;
+      }
+    }
+    return count;
+  }
+
+  // Took returns how long a job took, or nothing while it is not over.
+  std::optional<Milliseconds> Took(const JobId& aJob) const
+  {
+    const auto over = mOverAt.find(aJob);
+    if (over == mOverAt.end()) {
+      return std::nullopt;
+    }
+    return std::chrono::duration_cast<Milliseconds>(over->second -
+                                                    mSubmittedAt.at(aJob));
+  }
+
+  // LongestAnswer returns the longest time from the decision of a start to its
+  // answer since it was last asked for.
+  Milliseconds LongestAnswer()
+  {
+    return std::chrono::ceil<Milliseconds>(
+      std::exchange(mLongestAnswer, Microseconds(0)));
+  }
+
+  // Silence makes a worker answer no orders.
+  void Silence(size_t aIndex)
+  {
+    std::next(mWorkers.begin(), static_cast<long>(aIndex))->second.mSilent =
+      true;
+  }
+
+private:
+  struct Run
+  {
+    RunNumber mRun;
+    MonotonicTime mEndsAt;
+    EndKind mEnd = EndKind::kDone;
+  };
+
+  struct Node
+  {
+    std::map<TaskRef, Run> mRuns;
+    std::vector<EndedRow> mEnded;
+    EndNumber mLastEnd;
+    MonotonicTime mNextHold;
+    bool mIsBusy = false;
+    bool mSilent = false;
+  };
+
+  struct Answer
+  {
+    TaskOrder mOrder;
+    OrderReply mReply;
+    MonotonicTime mAt;
+  };
+
+  int64_t Clock() const
+  {
+    return std::chrono::duration_cast<Milliseconds>(mNow.time_since_epoch())
+      .count();
+  }
+
+  WorkerReading Reading() const
+  {
+    return WorkerReading{ WorkerTime{ Clock() }, Birth(1) };
+  }
+
+  void Step()
+  {
+    mNow += kTick;
+    for (auto& [id, worker] : mWorkers) {
+      EndRuns(worker);
+      if (mNow >= worker.mNextHold) {
+        Hold(id, worker);
+      }
+    }
+    TakeAnswers();
+    do {
+      for (TaskOrder& order :
+           mShard.Decide(OwnershipProof{ mNow, true }, mNow, WallTime{ 0 })) {
+        mWaiting.push_back(std::move(order));
+      }
+    } while (mShard.HasMoreToPlace());
+    Send();
+    const ProgressBatch batch = mShard.TakeProgress(mNow);
+    mShard.OnDurable(batch);
+    for (const JobRecord& record : batch.mJobs) {
+      if (IsOver(record.mPhase)) {
+        mOverAt.emplace(record.mId, mNow);
+      }
+    }
+  }
+
+  void EndRuns(Node& aWorker)
+  {
+    for (auto run = aWorker.mRuns.begin(); run != aWorker.mRuns.end();) {
+      if (run->second.mEndsAt > mNow) {
+        ++run;
+        continue;
+      }
+      aWorker.mLastEnd = aWorker.mLastEnd.Next();
+      aWorker.mEnded.push_back(EndedRow{ aWorker.mLastEnd,
+                                         run->first,
+                                         run->second.mRun,
+                                         run->second.mEnd,
+                                         CheckpointId() });
+      run = aWorker.mRuns.erase(run);
+    }
+  }
+
+  void Hold(const WorkerId& aId, Node& aWorker)
+  {
+    aWorker.mNextHold = mNow + kHoldEach;
+    const std::optional<HoldOrder> order = mShard.NextHold(aId, true, mNow);
+    const auto seen = [&](const EndedRow& aRow) {
+      return aRow.mNumber <= order->mSeen;
+    };
+    auto& ended = aWorker.mEnded;
+    ended.erase(std::remove_if(ended.begin(), ended.end(), seen), ended.end());
+    HoldReply reply;
+    reply.mOutcome = OrderOutcome::kAccepted;
+    reply.mReading = Reading();
+    reply.mEnded = ended;
+    for (const auto& [task, run] : aWorker.mRuns) {
+      RunningRow row;
+      row.mTask = task;
+      row.mRun = run.mRun;
+      row.mPercent = 100;
+      reply.mRunning.push_back(row);
+    }
+    mShard.OnHold(*order, reply, mNow - kTick / 2, mNow);
+  }
+
+  void Send()
+  {
+    size_t left = mOrdersPerTick;
+    const auto isStop = [](const TaskOrder& aOrder) {
+      return aOrder.mKind == OrderKind::kStop;
+    };
+    std::stable_partition(mWaiting.begin(), mWaiting.end(), isStop);
+    for (auto order = mWaiting.begin(); order != mWaiting.end() && left > 0;) {
+      Node& worker = mWorkers.at(order->mWorker);
+      if (worker.mIsBusy) {
+        ++order;
+        continue;
+      }
+      if (mShard.IsWanted(*order, mNow)) {
+        left--;
+        worker.mIsBusy = true;
+        Carry(worker, std::move(*order));
+      } else {
+        OrderReply reply;
+        reply.mOutcome = OrderOutcome::kNotSent;
+        mShard.OnOrder(*order, reply, mNow);
+      }
+      order = mWaiting.erase(order);
+    }
+  }
+
+  void Carry(Node& aWorker, TaskOrder aOrder)
+  {
+    OrderReply reply;
+    MonotonicTime at = mNow + kGivesUpAfter;
+    if (!aWorker.mSilent) {
+      at = mNow + kAnswerTakes;
+      reply.mReading = Reading();
+      reply.mOutcome = Apply(aWorker, aOrder);
+    }
+    mAnswers.push_back(Answer{ std::move(aOrder), reply, at });
+  }
+
+  OrderOutcome Apply(Node& aWorker, const TaskOrder& aOrder)
+  {
+    const auto run = aWorker.mRuns.find(aOrder.mTask);
+    if (aOrder.mKind == OrderKind::kStop && run != aWorker.mRuns.end()) {
+      run->second.mEndsAt = mNow;
+      run->second.mEnd = EndKind::kStopped;
+    }
+    if (aOrder.mKind != OrderKind::kStart) {
+      return OrderOutcome::kAccepted;
+    }
+    if (aOrder.mUntil.mMilliseconds <= Clock()) {
+      return OrderOutcome::kTooLate;
+    }
+    const bool lasting = mLasting.at(aOrder.mTask.mStep.mJob);
+    aWorker.mRuns[aOrder.mTask] = Run{ aOrder.mRun,
+                                       mNow + (lasting ? kForEver : kRunTakes),
+                                       EndKind::kDone };
+    return OrderOutcome::kAccepted;
+  }
+
+  void TakeAnswers()
+  {
+    std::vector<Answer> due;
+    for (auto answer = mAnswers.begin(); answer != mAnswers.end();) {
+      if (answer->mAt > mNow) {
+        ++answer;
+        continue;
+      }
+      due.push_back(std::move(*answer));
+      answer = mAnswers.erase(answer);
+    }
+    for (const Answer& answer : due) {
+      mWorkers.at(answer.mOrder.mWorker).mIsBusy = false;
+      if (answer.mOrder.mKind == OrderKind::kStart) {
+        mLongestAnswer =
+          std::max(mLongestAnswer, mNow - answer.mOrder.mDecidedAt);
+      }
+      mShard.OnOrder(answer.mOrder, answer.mReply, mNow);
+    }
+  }
+
+  static JobShardOptions Options()
+  {
+    JobShardOptions options;
+    options.mEpoch = Epoch(1);
+    return options;
+  }
+
+  const size_t mOrdersPerTick;
+  const LearnedPlacement mPlacement;
+  const LeastWorkOrder mOrder;
+  MonotonicTime mNow{ std::chrono::seconds(1000) };
+  JobShard mShard{ Options(), JobPolicies{ mPlacement, mOrder }, mNow };
+  std::map<WorkerId, Node> mWorkers;
+  std::deque<TaskOrder> mWaiting;
+  std::deque<Answer> mAnswers;
+  std::map<JobId, MonotonicTime> mSubmittedAt;
+  std::map<JobId, bool> mLasting;
+  std::map<JobId, MonotonicTime> mOverAt;
+  Microseconds mLongestAnswer{ 0 };
+};
+
+// JobOf returns a job of steps that follow each other.
+JobGraph JobOf(const std::string& aId, size_t aSteps, uint32_t aTasks)
+{
+  JobGraph job;
+  job.mId = JobId(aId);
+  job.mQueue = QueueId("queue");
+  job.mRules.mService = kService;
+  // No job here is so old that its size counts for less.
+  job.mRules.mSlack = Milliseconds(4000);
+  for (uint32_t number = 0; number < aSteps; number++) {
+    StepSpec step;
+    step.mCount = aTasks;
+    step.mDemand = Resources{ 1000, 1000, 0 };
+    step.mEstimate = kRunTakes;
+    if (number > 0) {
+      step.mAfter = { number - 1 };
+    }
+    job.mSteps.push_back(step);
+  }
+  return job;
+}
+
+JobGraph LastingJob(const std::string& aId)
+{
+  JobGraph job = JobOf(aId, 1, 6);
+  job.mSteps[0].mLasting = true;
+  return job;
+}
+
+JobId Numbered(const char* aKind, size_t aNumber)
+{
+  return JobId(aKind + std::to_string(aNumber));
+}
+
+// Submits a small and a large job each 200 ms, of 52 tasks together, and plays
+// on.
+void PlayOverload(NarrowWorld& aWorld, size_t aFirst, size_t aPairs)
+{
+  for (size_t number = aFirst; number < aFirst + aPairs; number++) {
+    aWorld.Submit(JobOf(Numbered("small", number).Text(), 1, 4));
+    aWorld.Submit(JobOf(Numbered("large", number).Text(), 2, 24));
+    aWorld.RunFor(Milliseconds(200));
+  }
+}
+
+} // namespace
+
+TEST_GROUP(WeakOwnerTest){};
+
+// Guards against an owner whose starts pile up: they are answered ever later,
+// too late for their leases, and small jobs wait behind what was decided before
+// them. 100 orders a second can be sent, 260 tasks a second come, and there is
+// room for 1280 at a time.
+TEST(WeakOwnerTest, AnOwnerThatCanSendFewOrdersServesWhatItCan)
+{
+  NarrowWorld world(80, 2);
+  world.RunFor(Milliseconds(400));
+  PlayOverload(world, 0, 40);
+  world.LongestAnswer();
+  PlayOverload(world, 40, 60);
+  const Milliseconds longest = world.LongestAnswer();
+  CHECK_TEXT(longest < Milliseconds(1000),
+             ("longest " + std::to_string(longest.count())).c_str());
+  size_t late = 0;
+  size_t large = 0;
+  for (size_t number = 40; number < 90; number++) {
+    const auto took = world.Took(Numbered("small", number));
+    late += !took || *took > Milliseconds(1500) ? 1 : 0;
+  }
+  for (size_t number = 0; number < 100; number++) {
+    large += world.Took(Numbered("large", number)) ? 1 : 0;
+  }
+  UNSIGNED_LONGS_EQUAL(0, late);
+  // 20 s of 100 orders, less 400 for the small ones, are 33 large jobs.
+  CHECK_TEXT(large >= 25, std::to_string(large).c_str());
+}
+
+// Guards against tasks that are to last and don't run though there is capacity
+// (LOST), behind starts that were decided before them.
+TEST(WeakOwnerTest, LastingTasksStartAtOnceThoughOthersWait)
+{
+  NarrowWorld world(80, 2);
+  world.RunFor(Milliseconds(400));
+  PlayOverload(world, 0, 50);
+  world.Submit(LastingJob("lasts"));
+  PlayOverload(world, 50, 5);
+  UNSIGNED_LONGS_EQUAL(6, world.Running(JobId("lasts")));
+}
+
+// Guards against cancelled work that goes on (UNASKED) because its stops wait.
+TEST(WeakOwnerTest, CancelledWorkIsStoppedWithinASecond)
+{
+  NarrowWorld world(80, 2);
+  world.RunFor(Milliseconds(400));
+  world.Submit(LastingJob("gone"));
+  PlayOverload(world, 0, 50);
+  UNSIGNED_LONGS_EQUAL(6, world.Running(JobId("gone")));
+  world.Cancel(JobId("gone"));
+  PlayOverload(world, 50, 5);
+  UNSIGNED_LONGS_EQUAL(0, world.Running(JobId("gone")));
+}
+
+// Guards against a gang that waits for ever, since it has more members than
+// starts may be under way.
+TEST(WeakOwnerTest, AGangOfManyMembersStarts)
+{
+  NarrowWorld world(80, 2);
+  world.RunFor(Milliseconds(400));
+  PlayOverload(world, 0, 50);
+  JobGraph gang = JobOf("gang", 1, 300);
+  gang.mSteps[0].mGang = true;
+  gang.mRules.mPriority = -1;
+  world.Submit(std::move(gang));
+  PlayOverload(world, 50, 40);
+  CHECK(world.Took(JobId("gang")).has_value());
+}
+
+// Guards against workers that answer no order and hold up the starts on all
+// others.
+TEST(WeakOwnerTest, WorkersThatAnswerNoOrderHoldUpNoOthers)
+{
+  NarrowWorld world(80, 40);
+  world.RunFor(Milliseconds(400));
+  for (size_t number = 0; number < 20; number++) {
+    world.Silence(number);
+  }
+  PlayOverload(world, 0, 25);
+  size_t late = 0;
+  for (size_t number = 100; number < 125; number++) {
+    world.Submit(JobOf(Numbered("new", number).Text(), 1, 4));
+    PlayOverload(world, number, 1);
+  }
+  world.RunFor(Milliseconds(1500));
+  for (size_t number = 100; number < 125; number++) {
+    late += world.Took(Numbered("new", number)) ? 0 : 1;
+  }
+  UNSIGNED_LONGS_EQUAL(0, late);
+}
+
+} // namespace mulberryvalve
