--- a/mulberryvalve/core/jobs/job_world_fake.cc
+++ b/mulberryvalve/core/jobs/job_world_fake.cc
@@ -32,13 +32,6 @@
 
 } // namespace
 
-WorkerTime FakeWorkerNode::ClockAt(MonotonicTime aNow) const
-{
-  return WorkerTime{
-    std::chrono::duration_cast<Milliseconds>(aNow - mBornAt).count()
-  };
-}
-
 JobWorld::JobWorld(size_t aWorkers)
   : JobWorld(aWorkers, mLeastWork, mLearnedPlacement)
 {
@@ -155,20 +148,6 @@
   }
 }
 
-void JobWorld::Reborn(const WorkerId& aWorker)
-{
-  FakeWorkerNode& worker = mWorkers.at(aWorker);
-  worker.mBirth = worker.mBirth.Next();
-  worker.mFacts.mBirth = worker.mBirth;
-  worker.mBornAt = mNow;
-  worker.mFence = Epoch();
-  worker.mLease = WorkerTime();
-  worker.mRuns.clear();
-  worker.mEnded.clear();
-  worker.mClosed.clear();
-  worker.mLastEnd = EndNumber();
-}
-
 void JobWorld::Configure(const ClusterConfig& aConfig)
 {
   mConfig = aConfig;
@@ -182,15 +161,6 @@
   return std::next(mWorkers.begin(), static_cast<long>(aIndex))->second;
 }
 
-size_t JobWorld::Running() const
-{
-  size_t count = 0;
-  for (const auto& [id, worker] : mWorkers) {
-    count += worker.mRuns.size();
-  }
-  return count;
-}
-
 void JobWorld::StepWorker(FakeWorkerNode& aWorker)
 {
   std::vector<std::pair<TaskRef, EndKind>> ends;
@@ -204,7 +174,10 @@
     }
   }
   for (const auto& [task, how] : ends) {
-    End(aWorker, task, how);
+    // The end of another member of its gang may have ended it.
+    if (aWorker.mRuns.count(task) != 0) {
+      End(aWorker, task, how);
+    }
   }
 }
 
@@ -214,7 +187,9 @@
     aOwner.mProvedAt = mNow;
     std::vector<WorkerFacts> facts;
     for (const auto& [id, worker] : mWorkers) {
-      facts.push_back(worker.mFacts);
+      if (worker.IsListedAt(mNow)) {
+        facts.push_back(worker.ListedAt(mNow));
+      }
     }
     aOwner.mShard->OnWorkers(facts, mNow);
   }
@@ -229,7 +204,9 @@
       continue;
     }
     HoldReply reply;
-    if (Reaches(aOwner, id)) {
+    if (!Listens(id, order->mEndpoint)) {
+      reply.mOutcome = OrderOutcome::kNotSent;
+    } else if (Reaches(aOwner, id)) {
       HoldReply said = Hold(worker, *order);
       if (Hears(aOwner, id)) {
         reply = std::move(said);
@@ -262,7 +239,9 @@
   }
   OrderReply reply;
   const bool lost = aOwner.mLostOrders.count(aOrder.mWorker) != 0;
-  if (!lost && Reaches(aOwner, aOrder.mWorker)) {
+  if (!Listens(aOrder.mWorker, aOrder.mEndpoint)) {
+    reply.mOutcome = OrderOutcome::kNotSent;
+  } else if (!lost && Reaches(aOwner, aOrder.mWorker)) {
     const OrderReply said = Apply(mWorkers.at(aOrder.mWorker), aOrder);
     if (Hears(aOwner, aOrder.mWorker)) {
       reply = said;
@@ -368,16 +347,6 @@
   return reply;
 }
 
-void JobWorld::End(FakeWorkerNode& aWorker, const TaskRef& aTask, EndKind aHow)
-{
-  const RunNumber run = aWorker.mRuns.at(aTask).mRun;
-  aWorker.mRuns.erase(aTask);
-  aWorker.mClosed[aTask] = std::max(aWorker.mClosed[aTask], run);
-  aWorker.mLastEnd = aWorker.mLastEnd.Next();
-  aWorker.mEnded.push_back(
-    EndedRow{ aWorker.mLastEnd, aTask, run, aHow, CheckpointId() });
-}
-
 void JobWorld::CheckStart(const FakeWorkerNode& aWorker, const TaskRef& aTask)
 {
   Resources used = SpecOf(aTask).mDemand;
--- a/mulberryvalve/core/jobs/job_world_fake.h
+++ b/mulberryvalve/core/jobs/job_world_fake.h
@@ -34,10 +34,33 @@
   kReplaced,  // another worker answers at the address
 };
 
+// NodeState is what has become of a worker.
+enum class NodeState
+{
+  kUp,
+  kDark, // no owner reaches it, and it runs on
+  kLeft, // its process has ended, and nothing listens at its address
+};
+
+inline constexpr EnumTable<NodeState, 3> kNodeStateNames{ { {
+  { NodeState::kUp, "up" },
+  { NodeState::kDark, "dark" },
+  { NodeState::kLeft, "left" },
+} } };
+
 // FakeWorkerNode is one worker.
 struct FakeWorkerNode
 {
+  // What it says of itself; its present address is part of it.
   WorkerFacts mFacts;
+  NodeState mState = NodeState::kUp;
+  // The list of workers names it, until mUnlistedAt when that is set.
+  bool mListed = true;
+  std::optional<MonotonicTime> mUnlistedAt;
+  // When a draining worker leaves, by its last word.
+  std::optional<MonotonicTime> mLeavesAt;
+  // The course of its clock; 1000 is true.
+  int64_t mClockPerMille = 1000;
   Birth mBirth{ 1 };
   MonotonicTime mBornAt;
   Epoch mFence;
@@ -50,6 +73,10 @@
   std::function<int64_t(const FakeWorkerNode&, const TaskRef&)> mTail;
 
   WorkerTime ClockAt(MonotonicTime aNow) const;
+
+  // IsListedAt tells whether the list names it, and ListedAt what that says.
+  bool IsListedAt(MonotonicTime aNow) const;
+  WorkerFacts ListedAt(MonotonicTime aNow) const;
 };
 
 // FakeOwner is an owner with its own view of time, links and proof.
@@ -100,6 +127,28 @@
   // Reborn ends a worker's life and begins the next.
   void Reborn(const WorkerId& aWorker);
 
+  // Drain makes a worker announce that it leaves after a time at the earliest.
+  void Drain(const WorkerId& aWorker, Milliseconds aRemaining);
+
+  // Leave ends a worker's process, and with it all that runs there; the list
+  // names it no more.
+  void Leave(const WorkerId& aWorker);
+
+  // GoDark cuts a worker off from every owner. It runs on until its lease is
+  // over. The list names it until aUnlistedAt, or on when that is not set.
+  void GoDark(const WorkerId& aWorker,
+              std::optional<MonotonicTime> aUnlistedAt = std::nullopt);
+
+  // Return ends the darkness of a worker.
+  void Return(const WorkerId& aWorker);
+
+  // Move gives a worker another address; nothing listens at the former one. The
+  // list names it again once mListed is set.
+  void Move(const WorkerId& aWorker, const Endpoint& aEndpoint);
+
+  // Kill ends an owner's process.
+  void Kill(size_t aOwner) { mOwners[aOwner]->mActs = false; }
+
   // Configure puts a configuration in force for all owners.
   void Configure(const ClusterConfig& aConfig);
 
@@ -109,6 +158,12 @@
   const std::vector<std::string>& Findings() const { return mFindings; }
   size_t Running() const;
 
+  // RunningOf counts the runs of a job that are present, also on dark workers.
+  size_t RunningOf(const JobId& aJob) const;
+
+  // Where names the workers on which a task runs.
+  std::vector<WorkerId> Where(const TaskRef& aTask) const;
+
   // How long a task runs once started; an end kind may be set by mEndOf.
   std::function<Milliseconds(const TaskRef&)> mDurationOf;
   std::function<EndKind(const TaskRef&, RunNumber)> mEndOf;
@@ -118,6 +173,8 @@
   std::function<void(size_t)> mOnDecided;
   // Workers that fail all that they start.
   std::set<WorkerId> mFailing;
+  // The end of one member of a gang ends the others.
+  bool mGangsBreak = false;
 
 private:
   void StepWorker(FakeWorkerNode& aWorker);
@@ -127,6 +184,8 @@
   OrderOutcome Start(FakeWorkerNode& aWorker, const TaskOrder& aOrder);
   HoldReply Hold(FakeWorkerNode& aWorker, const HoldOrder& aOrder);
   void End(FakeWorkerNode& aWorker, const TaskRef& aTask, EndKind aHow);
+  void BreakGang(const TaskRef& aEnded, RunNumber aRun);
+  bool Listens(const WorkerId& aWorker, const Endpoint& aEndpoint) const;
   void CheckStart(const FakeWorkerNode& aWorker, const TaskRef& aTask);
   const StepSpec& SpecOf(const TaskRef& aTask) const;
   void Persist(FakeOwner& aOwner);
--- /dev/null
+++ b/mulberryvalve/core/jobs/job_world_workers.cc
@@ -0,0 +1,167 @@
+// What becomes of the workers of a JobWorld: they drain, leave, go dark, come
+// back, move and are born anew, and what they run ends.
+#include "mulberryvalve/core/jobs/job_world_fake.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberryvalve {
+
+WorkerTime FakeWorkerNode::ClockAt(MonotonicTime aNow) const
+{
+  const auto age = std::chrono::duration_cast<Milliseconds>(aNow - mBornAt);
+  return WorkerTime{ age.count() * mClockPerMille / 1000 };
+}
+
+bool FakeWorkerNode::IsListedAt(MonotonicTime aNow) const
+{
+  return mListed && (!mUnlistedAt || aNow < *mUnlistedAt);
+}
+
+WorkerFacts FakeWorkerNode::ListedAt(MonotonicTime aNow) const
+{
+  WorkerFacts facts = mFacts;
+  if (mLeavesAt) {
+    const auto left =
+      std::chrono::duration_cast<Milliseconds>(*mLeavesAt - aNow);
+    facts.mRemaining = std::max(Milliseconds(0), left);
+  }
+  return facts;
+}
+
+void JobWorld::Reborn(const WorkerId& aWorker)
+{
+  FakeWorkerNode& worker = mWorkers.at(aWorker);
+  worker.mBirth = worker.mBirth.Next();
+  worker.mFacts.mBirth = worker.mBirth;
+  worker.mBornAt = mNow;
+  worker.mState = NodeState::kUp;
+  worker.mListed = true;
+  worker.mUnlistedAt.reset();
+  if (worker.mLeavesAt) {
+    worker.mFacts.mState = WorkerState::kLive;
+    worker.mLeavesAt.reset();
+  }
+  worker.mFence = Epoch();
+  worker.mLease = WorkerTime();
+  worker.mRuns.clear();
+  worker.mEnded.clear();
+  worker.mClosed.clear();
+  worker.mLastEnd = EndNumber();
+}
+
+void JobWorld::Drain(const WorkerId& aWorker, Milliseconds aRemaining)
+{
+  FakeWorkerNode& worker = mWorkers.at(aWorker);
+  worker.mFacts.mState = WorkerState::kLeaving;
+  worker.mLeavesAt = mNow + aRemaining;
+}
+
+void JobWorld::Leave(const WorkerId& aWorker)
+{
+  FakeWorkerNode& worker = mWorkers.at(aWorker);
+  const auto runs = std::exchange(worker.mRuns, {});
+  worker.mState = NodeState::kLeft;
+  worker.mListed = false;
+  worker.mEnded.clear();
+  for (const auto& [task, run] : runs) {
+    if (mGangsBreak) {
+      BreakGang(task, run.mRun);
+    }
+  }
+}
+
+void JobWorld::GoDark(const WorkerId& aWorker,
+                      std::optional<MonotonicTime> aUnlistedAt)
+{
+  FakeWorkerNode& worker = mWorkers.at(aWorker);
+  worker.mState = NodeState::kDark;
+  worker.mUnlistedAt = aUnlistedAt;
+}
+
+void JobWorld::Return(const WorkerId& aWorker)
+{
+  FakeWorkerNode& worker = mWorkers.at(aWorker);
+  worker.mState = NodeState::kUp;
+  worker.mUnlistedAt.reset();
+}
+
+void JobWorld::Move(const WorkerId& aWorker, const Endpoint& aEndpoint)
+{
+  FakeWorkerNode& worker = mWorkers.at(aWorker);
+  worker.mFacts.mEndpoint = aEndpoint;
+  worker.mListed = false;
+}
+
+size_t JobWorld::Running() const
+{
+  size_t count = 0;
+  for (const auto& [id, worker] : mWorkers) {
+    count += worker.mRuns.size();
+  }
+  return count;
+}
+
+size_t JobWorld::RunningOf(const JobId& aJob) const
+{
+  size_t count = 0;
+  for (const auto& [id, worker] : mWorkers) {
+    for (const auto& [task, run] : worker.mRuns) {
+      count += task.mStep.mJob == aJob ? 1 : 0;
+    }
+  }
+  return count;
+}
+
+std::vector<WorkerId> JobWorld::Where(const TaskRef& aTask) const
+{
+  std::vector<WorkerId> found;
+  for (const auto& [id, worker] : mWorkers) {
+    if (worker.mRuns.count(aTask) != 0) {
+      found.push_back(id);
+    }
+  }
+  return found;
+}
+
+bool JobWorld::Listens(const WorkerId& aWorker, const Endpoint& aEndpoint) const
+{
+  const FakeWorkerNode& worker = mWorkers.at(aWorker);
+  const Endpoint& present = worker.mFacts.mEndpoint;
+  return worker.mState == NodeState::kUp &&
+         present.mAddress == aEndpoint.mAddress &&
+         present.mPort == aEndpoint.mPort;
+}
+
+void JobWorld::End(FakeWorkerNode& aWorker, const TaskRef& aTask, EndKind aHow)
+{
+  const RunNumber run = aWorker.mRuns.at(aTask).mRun;
+  aWorker.mRuns.erase(aTask);
+  aWorker.mClosed[aTask] = std::max(aWorker.mClosed[aTask], run);
+  aWorker.mLastEnd = aWorker.mLastEnd.Next();
+  aWorker.mEnded.push_back(
+    EndedRow{ aWorker.mLastEnd, aTask, run, aHow, CheckpointId() });
+  if (mGangsBreak && aHow != EndKind::kDone && aHow != EndKind::kBroken) {
+    BreakGang(aTask, run);
+  }
+}
+
+void JobWorld::BreakGang(const TaskRef& aEnded, RunNumber aRun)
+{
+  if (!SpecOf(aEnded).mGang) {
+    return;
+  }
+  std::vector<std::pair<FakeWorkerNode*, TaskRef>> members;
+  for (auto& [id, worker] : mWorkers) {
+    for (const auto& [task, run] : worker.mRuns) {
+      if (task.mStep == aEnded.mStep && run.mRun == aRun) {
+        members.emplace_back(&worker, task);
+      }
+    }
+  }
+  for (const auto& [worker, task] : members) {
+    End(*worker, task, EndKind::kBroken);
+  }
+}
+
+} // namespace mulberryvalve
--- /dev/null
+++ b/mulberryvalve/core/jobs/takeover_world_fake.h
@@ -0,0 +1,199 @@
+// A JobWorld for tests of changes of owner: its owners follow each other, its
+// workers have slow clocks, and its tasks run on unless told otherwise.
+#ifndef MULBERRYVALVE_CORE_JOBS_TAKEOVER_WORLD_FAKE_H_
+#define MULBERRYVALVE_CORE_JOBS_TAKEOVER_WORLD_FAKE_H_
+
+#include "mulberryvalve/core/jobs/job_world_fake.h"
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mulberryvalve {
+
+// The task of this index in the first step of a job.
+inline TaskRef TaskOf(const std::string& aJob, uint32_t aIndex)
+{
+  return TaskRef{ { JobId(aJob), 0, 0 }, aIndex };
+}
+
+// LastingJob returns a job of one step whose tasks run until it is cancelled.
+inline JobGraph LastingJob(const std::string& aId,
+                           uint32_t aCount,
+                           int64_t aCpu)
+{
+  JobGraph job = OneStepJob(aId, aCount, aCpu);
+  job.mSteps[0].mLasting = true;
+  return job;
+}
+
+// TakeoverWorld has one owner at first.
+class TakeoverWorld
+{
+public:
+  // Much longer than a test lasts.
+  static constexpr Milliseconds kLong{ 600000 };
+  // From the end of an owner to the load of its successor.
+  static constexpr Milliseconds kGap{ 600 };
+  // What waits is placed within this after a load.
+  static constexpr Milliseconds kAtOnce{ 500 };
+  // All that a lease may last: its length by a clock that is 2% slow, and what
+  // is added before it counts as over.
+  static constexpr Milliseconds kLeaseAtMost{ 5762 };
+  // An owner notes this often what its successors have to wait for.
+  static constexpr Milliseconds kNoteInterval{ 1000 };
+
+  explicit TakeoverWorld(size_t aWorkers)
+    : mWorld(aWorkers)
+    , mSize(aWorkers)
+  {
+    mWorld.mDurationOf = [](const TaskRef&) { return kLong; };
+    mWorld.mGangsBreak = true;
+    for (size_t index = 0; index < aWorkers; index++) {
+      mWorld.Worker(index).mClockPerMille = 980;
+    }
+    mWorld.AddOwner();
+  }
+
+  JobWorld* operator->() { return &mWorld; }
+
+  WorkerId IdOf(size_t aWorker) { return mWorld.Worker(aWorker).mFacts.mId; }
+
+  size_t IndexOf(const WorkerId& aWorker)
+  {
+    size_t index = 0;
+    while (IdOf(index) != aWorker) {
+      index++;
+    }
+    return index;
+  }
+
+  // The first worker on which a task runs; it must run.
+  WorkerId WorkerOf(const TaskRef& aTask) const
+  {
+    return mWorld.Where(aTask).at(0);
+  }
+
+  // These workers drain and leave at the time that they announced. Returns what
+  // still ran there then.
+  size_t DrainAndLeave(const std::vector<WorkerId>& aWorkers)
+  {
+    const Milliseconds remaining(2000);
+    for (const WorkerId& id : aWorkers) {
+      mWorld.Drain(id, remaining);
+    }
+    mWorld.RunFor(remaining);
+    size_t left = 0;
+    for (const WorkerId& id : aWorkers) {
+      left += mWorld.Worker(IndexOf(id)).mRuns.size();
+      mWorld.Leave(id);
+    }
+    return left;
+  }
+
+  std::vector<WorkerId> FirstWorkers(size_t aCount)
+  {
+    std::vector<WorkerId> ids;
+    for (size_t index = 0; index < aCount; index++) {
+      ids.push_back(IdOf(index));
+    }
+    return ids;
+  }
+
+  void KillOwner() { mWorld.Kill(mOwners - 1); }
+
+  // LoadOwner makes a new owner inherit what is durable now.
+  FakeOwner& LoadOwner()
+  {
+    mOwners++;
+    return mWorld.AddOwner();
+  }
+
+  // ReplaceOwner kills the present owner; its successor loads after kGap.
+  void ReplaceOwner()
+  {
+    KillOwner();
+    mWorld.RunFor(kGap);
+    LoadOwner();
+  }
+
+  // The same, and a job of so many small tasks is handed in between. Returns
+  // how many of them run kAtOnce after the load.
+  size_t PlacedAtOnce(const std::string& aJob, uint32_t aTasks)
+  {
+    KillOwner();
+    mWorld.Submit(OneStepJob(aJob, aTasks, 1000));
+    mWorld.RunFor(kGap);
+    LoadOwner();
+    mWorld.RunFor(kAtOnce);
+    return mWorld.RunningOf(JobId(aJob));
+  }
+
+  // A new owner loads, which the present one is not told of: that one goes on
+  // with one worker, the new one with the others.
+  void SplitOff(const WorkerId& aWorker)
+  {
+    FakeOwner& former = mWorld.Owner(mOwners - 1);
+    FakeOwner& next = LoadOwner();
+    for (size_t index = 0; index < mSize; index++) {
+      const WorkerId id = IdOf(index);
+      FakeOwner& cut = id == aWorker ? next : former;
+      cut.mLinks[id] = LinkState::kCut;
+    }
+  }
+
+  // What runs on a worker ends by itself.
+  void EndRunsOf(const WorkerId& aWorker)
+  {
+    for (auto& [task, run] : mWorld.Worker(IndexOf(aWorker)).mRuns) {
+      run.mEndsAt = mWorld.Now();
+    }
+  }
+
+  // Runs until a task runs on another worker than aWorker; tells whether that
+  // was at aLatest or before.
+  bool RunsElsewhereBy(const TaskRef& aTask,
+                       const WorkerId& aWorker,
+                       MonotonicTime aLatest)
+  {
+    while (!RunsElsewhere(aTask, aWorker) && mWorld.Now() < aLatest) {
+      mWorld.Step();
+    }
+    return RunsElsewhere(aTask, aWorker);
+  }
+
+  // When the leases of a worker that fell silent at aSince are over, and a
+  // successor can know that, with so many changes of owner meanwhile.
+  static MonotonicTime LeaseIsOver(MonotonicTime aSince, int aChanges)
+  {
+    return aSince + kLeaseAtMost + kNoteInterval + aChanges * kGap + kAtOnce;
+  }
+
+  // AllFindings returns what the checker found, one a line.
+  std::string AllFindings() const
+  {
+    std::string all;
+    for (const std::string& finding : mWorld.Findings()) {
+      all += finding + "\n";
+    }
+    return all;
+  }
+
+private:
+  bool RunsElsewhere(const TaskRef& aTask, const WorkerId& aWorker) const
+  {
+    const std::vector<WorkerId> where = mWorld.Where(aTask);
+    return std::any_of(where.begin(), where.end(), [&](const WorkerId& aId) {
+      return aId != aWorker;
+    });
+  }
+
+  JobWorld mWorld;
+  size_t mSize;
+  size_t mOwners = 1;
+};
+
+} // namespace mulberryvalve
+
+#endif // MULBERRYVALVE_CORE_JOBS_TAKEOVER_WORLD_FAKE_H_
