Owners tell what they do and what fails

Whether the owner waited for the log, lacked its processor or held tasks back could not be told: a blocked claim, load or append wrote a line a try and no line said since when nothing was decided.

OwnerWatch keeps what an owner does (claiming, loading, appending, deciding, nothing), since when, with how many failures of which kind, what the append carries, and the ages of the last decision and the last durable append. owner_stalled tells them at most once a second while one is beyond its bound; it is written also by the renewals of the membership, so an owner that is blocked in a call is told too. FaultTally tells a failure that repeats once a second with its count; shard_fault says so in 'times', and its 'what' of a claim, load or append is the activity's name. Take-overs tell records and bytes read. Exchanges count their bytes: the store's, orders and renewals apart.

No decision changes. owner_watch_test: 7 tests.

--- a/mulberryvalve/adapters/http/async_http_client.cc
+++ b/mulberryvalve/adapters/http/async_http_client.cc
@@ -52,7 +52,7 @@
   void Begin(const Endpoint& aEndpoint, AsyncHttpExchange aExchange)
   {
     if (aExchange.mEnd <= Steady::now()) {
-      const HttpAnswer notSent{ HttpOutcome::kNotConnected, 0, "", {} };
+      const HttpAnswer notSent{ HttpOutcome::kNotConnected, 0, "", {}, {} };
       aExchange.mCompletion->OnAnswer(notSent);
       return;
     }
--- a/mulberryvalve/adapters/http/async_http_connection.cc
+++ b/mulberryvalve/adapters/http/async_http_connection.cc
@@ -60,6 +60,7 @@
   mReadsLate = false;
   mReader = std::make_unique<AnswerReader>();
   mUnsent = RequestText(mHost, mExchange->mCall);
+  mRequestBytes = mUnsent.size();
   Arm(mExchange->mEnd);
   Send();
 }
@@ -207,6 +208,7 @@
   mExchange.reset();
   const bool keep = mUnsent.empty() && mReader->KeepsConnection();
   HttpAnswer answer = mReader->TakeAnswer();
+  answer.mTraffic = Traffic();
   mReader.reset();
   std::error_code ignored;
   mTimer.cancel(ignored);
@@ -226,7 +228,16 @@
   mExchange.reset();
   Close();
   mOwner.OnLost(mHost);
-  exchange.mCompletion->OnAnswer(HttpAnswer{ aOutcome, 0, "", {} });
+  exchange.mCompletion->OnAnswer(HttpAnswer{ aOutcome, 0, "", {}, Traffic() });
+}
+
+// Nothing went over a connection on which no request was begun.
+HttpTraffic AsyncHttpConnection::Traffic() const
+{
+  if (mReader == nullptr) {
+    return HttpTraffic();
+  }
+  return HttpTraffic{ mRequestBytes - mUnsent.size(), mReader->Received() };
 }
 
 } // namespace mulberryvalve
--- a/mulberryvalve/adapters/http/async_http_connection.h
+++ b/mulberryvalve/adapters/http/async_http_connection.h
@@ -81,6 +81,7 @@
   void Finish();
   void Fail(HttpOutcome aOutcome);
   bool HasUnread();
+  HttpTraffic Traffic() const;
 
   ConnectionOwner& mOwner;
   const std::string mHost;
@@ -90,6 +91,8 @@
   std::unique_ptr<AnswerReader> mReader;
   // What of the request is not sent yet.
   std::string mUnsent;
+  // The length of the whole request.
+  size_t mRequestBytes = 0;
   Time mUsedAt;
   Time mTimerEnd;
   bool mConnected = false;
--- a/mulberryvalve/adapters/http/http_client_pool.cc
+++ b/mulberryvalve/adapters/http/http_client_pool.cc
@@ -67,18 +67,20 @@
     }
     if (connection.mSocket == nullptr) {
       DropOlder(key, Steady::now());
-      return HttpAnswer{ HttpOutcome::kNotConnected, 0, "", {} };
+      return HttpAnswer{ HttpOutcome::kNotConnected, 0, "", {}, {} };
     }
     AnswerReader reader;
-    const bool answered =
-      connection.mSocket->Write(RequestText(key, aCall), end) &&
-      ReadAnswer(*connection.mSocket, end, reader);
+    const std::string text = RequestText(key, aCall);
+    const bool answered = connection.mSocket->Write(text, end) &&
+                          ReadAnswer(*connection.mSocket, end, reader);
     if (!answered) {
       DropOlder(key, Steady::now());
-      return HttpAnswer{ HttpOutcome::kLost, 0, "", {} };
+      const HttpTraffic traffic{ text.size(), reader.Received() };
+      return HttpAnswer{ HttpOutcome::kLost, 0, "", {}, traffic };
     }
     const bool keep = reader.KeepsConnection();
     HttpAnswer answer = reader.TakeAnswer();
+    answer.mTraffic = HttpTraffic{ text.size(), reader.Received() };
     if (keep && IsInStep(aCall, answer)) {
       Keep(key, std::move(connection));
     }
--- a/mulberryvalve/adapters/http/http_message.cc
+++ b/mulberryvalve/adapters/http/http_message.cc
@@ -54,6 +54,7 @@
   http::response_parser<http::string_body> mParser;
   // What came and is not parsed yet.
   std::string mPending;
+  size_t mReceived = 0;
 };
 
 AnswerReader::AnswerReader()
@@ -70,6 +71,7 @@
   auto& parser = mImpl->mParser;
   std::string& pending = mImpl->mPending;
   pending.append(aBytes);
+  mImpl->mReceived += aBytes.size();
   boost::system::error_code error;
   const size_t used = parser.put(boost::asio::buffer(pending), error);
   pending.erase(0, used);
@@ -85,6 +87,11 @@
   return pending.empty() ? AnswerState::kWhole : AnswerState::kBroken;
 }
 
+size_t AnswerReader::Received() const
+{
+  return mImpl->mReceived;
+}
+
 bool AnswerReader::KeepsConnection() const
 {
   return mImpl->mParser.keep_alive();
@@ -96,6 +103,7 @@
   HttpAnswer answer{ HttpOutcome::kAnswered,
                      static_cast<int>(message.result_int()),
                      std::move(message.body()),
+                     {},
                      {} };
   for (const auto& field : message) {
     answer.mHeaders.push_back(HttpHeader{ std::string(field.name_string()),
--- a/mulberryvalve/adapters/http/http_message.h
+++ b/mulberryvalve/adapters/http/http_message.h
@@ -55,6 +55,13 @@
   HttpHeader mEchoedHeader;
 };
 
+// HttpTraffic is how many bytes an exchange sent and received, heads included.
+struct HttpTraffic
+{
+  size_t mSent = 0;
+  size_t mReceived = 0;
+};
+
 // HttpAnswer is the whole answer when mOutcome is kAnswered.
 struct HttpAnswer
 {
@@ -62,6 +69,7 @@
   int mStatus = 0;
   std::string mBody;
   std::vector<HttpHeader> mHeaders;
+  HttpTraffic mTraffic{};
 
   // Header returns the value of aName, or an empty text.
   std::string Header(const std::string& aName) const;
@@ -105,6 +113,9 @@
   // Take takes in the next bytes. It must not be called after an end.
   AnswerState Take(std::string_view aBytes);
 
+  // Received returns how many bytes were taken in.
+  size_t Received() const;
+
   // KeepsConnection tells whether another call may follow on the connection.
   // The answer must be whole.
   bool KeepsConnection() const;
--- /dev/null
+++ b/mulberryvalve/app/jobs/owner_watch.h
@@ -0,0 +1,118 @@
+// OwnerWatch: what the owner of a shard is doing and since when, and when its
+// work last came to something.
+#ifndef MULBERRYVALVE_APP_JOBS_OWNER_WATCH_H_
+#define MULBERRYVALVE_APP_JOBS_OWNER_WATCH_H_
+
+#include "mulberryvalve/core/base/enum_table.h"
+#include "mulberryvalve/core/base/failure.h"
+#include "mulberryvalve/core/base/mutex.h"
+#include "mulberryvalve/core/base/time.h"
+#include "mulberryvalve/ports/out/event_log.h"
+#include "mulberryvalve/ports/out/keyed_log.h"
+#include "mulberryvalve/ports/out/metrics.h"
+
+#include <array>
+#include <optional>
+#include <vector>
+
+namespace mulberryvalve {
+
+// OwnerActivity is what an owner does, or waits for, while it holds a shard.
+enum class OwnerActivity
+{
+  kNothing,
+  kClaiming,
+  kLoading,
+  kAppending,
+  kDeciding,
+};
+
+inline constexpr EnumTable<OwnerActivity, 5> kOwnerActivityNames{ { {
+  { OwnerActivity::kNothing, "nothing" },
+  { OwnerActivity::kClaiming, "claiming" },
+  { OwnerActivity::kLoading, "loading" },
+  { OwnerActivity::kAppending, "appending" },
+  { OwnerActivity::kDeciding, "deciding" },
+} } };
+
+// LogVolume is the size of what one call to the log carries.
+struct LogVolume
+{
+  size_t mRecords = 0;
+  size_t mBytes = 0;
+
+  LogVolume& operator+=(const LogVolume& aOther)
+  {
+    mRecords += aOther.mRecords;
+    mBytes += aOther.mBytes;
+    return *this;
+  }
+};
+
+// VolumeOf adds up keys and values.
+LogVolume VolumeOf(const std::vector<KeyedEntry>& aEntries);
+
+// OwnerWatch knows each activity by its begin and its end; activities of
+// different kinds may be under way at once. Thread-safe; no method blocks for
+// long.
+class OwnerWatch
+{
+public:
+  // aMetrics must outlive this object. The ownership begins at aSince.
+  OwnerWatch(Metrics& aMetrics, MonotonicTime aSince);
+
+  // Begin says that an activity is under way. One of a kind at a time.
+  void Begin(OwnerActivity aActivity, MonotonicTime aNow);
+
+  // End says that it came to its end. The time that it took goes to the
+  // metrics. Without a begin it does nothing.
+  void End(OwnerActivity aActivity, MonotonicTime aNow);
+
+  // NoteAppend says what the append under way carries.
+  void NoteAppend(const LogVolume& aVolume);
+
+  // NoteLoad says how much a take-over has read.
+  void NoteLoad(const LogVolume& aVolume);
+
+  // NoteFailure says that a try of an activity under way failed.
+  void NoteFailure(OwnerActivity aActivity, FailureKind aKind);
+
+  // Report gives the ages of the last decision and the last durable append to
+  // the metrics. It returns the fields of a line when something is beyond its
+  // bound, at most once a second.
+  std::optional<std::vector<EventField>> Report(MonotonicTime aNow);
+
+  // OnOver says that the ownership is over: the ages are none of its any more.
+  void OnOver();
+
+private:
+  // Row is one activity; mSince has no value while it is not under way.
+  struct Row
+  {
+    std::optional<MonotonicTime> mSince;
+    uint64_t mFailures = 0;
+    std::optional<FailureKind> mKind;
+  };
+
+  static constexpr size_t kActivities = kOwnerActivityNames.mRows.size();
+
+  Row& At(OwnerActivity aActivity) MV_REQUIRES(mMutex);
+  OwnerActivity Longest() const MV_REQUIRES(mMutex);
+  bool IsBeyond(MonotonicTime aNow) const MV_REQUIRES(mMutex);
+  std::vector<EventField> Fields(MonotonicTime aNow) const MV_REQUIRES(mMutex);
+
+  Metrics& mMetrics;
+  mutable Mutex mMutex;
+  std::array<Row, kActivities> mRows MV_GUARDED_BY(mMutex);
+  LogVolume mAppend MV_GUARDED_BY(mMutex);
+  LogVolume mLargestAppend MV_GUARDED_BY(mMutex);
+  // When the last activity ended.
+  MonotonicTime mEndedAt MV_GUARDED_BY(mMutex);
+  MonotonicTime mDecidedAt MV_GUARDED_BY(mMutex);
+  MonotonicTime mDurableAt MV_GUARDED_BY(mMutex);
+  MonotonicTime mReportAt MV_GUARDED_BY(mMutex);
+};
+
+} // namespace mulberryvalve
+
+#endif // MULBERRYVALVE_APP_JOBS_OWNER_WATCH_H_
--- /dev/null
+++ b/mulberryvalve/app/jobs/owner_watch_test.cc
@@ -0,0 +1,167 @@
+// What an owner tells of what it does and of the failures that it meets.
+#include "mulberryvalve/app/jobs/fault_tally.h"
+#include "mulberryvalve/app/jobs/owner_watch.h"
+
+#include <map>
+#include <string>
+
+#include "CppUTest/TestHarness.h"
+
+namespace mulberryvalve {
+namespace {
+
+// Noted keeps the last value of each metric. For one thread.
+class Noted : public Metrics
+{
+public:
+  void Add(Counter aCounter, uint64_t aCount) override
+  {
+    mCounts[aCounter] += aCount;
+  }
+  void Set(Gauge aGauge, int64_t aValue) override { mGauges[aGauge] = aValue; }
+  void Record(Timing aTiming, Microseconds aElapsed) override
+  {
+    mTimes[aTiming] = aElapsed;
+  }
+  std::map<Counter, uint64_t> mCounts;
+  std::map<Gauge, int64_t> mGauges;
+  std::map<Timing, Microseconds> mTimes;
+};
+
+std::string ValueOf(const std::vector<EventField>& aFields,
+                    std::string_view aKey)
+{
+  for (const EventField& field : aFields) {
+    if (field.mKey == aKey) {
+      return field.mValue;
+    }
+  }
+  return "";
+}
+
+const MonotonicTime kBegin(std::chrono::seconds(1000));
+
+MonotonicTime After(int aMilliseconds)
+{
+  return kBegin + Milliseconds(aMilliseconds);
+}
+
+} // namespace
+
+TEST_GROUP(OwnerWatchTest){};
+
+TEST(OwnerWatchTest, AnOwnerThatDecidesEachTenthOfASecondSaysNothing)
+{
+  Noted metrics;
+  OwnerWatch watch(metrics, kBegin);
+  for (int ms = 0; ms < 5000; ms += 100) {
+    watch.Begin(OwnerActivity::kDeciding, After(ms));
+    watch.End(OwnerActivity::kDeciding, After(ms + 20));
+    CHECK_FALSE(watch.Report(After(ms + 20)).has_value());
+  }
+  CHECK_EQUAL(0, metrics.mGauges[Gauge::kDecisionAgeMs]);
+}
+
+// Guards against an owner that waits for the log without a word of what for.
+TEST(OwnerWatchTest, AnAppendBeyondItsBoundIsToldOnceASecond)
+{
+  Noted metrics;
+  OwnerWatch watch(metrics, kBegin);
+  watch.Begin(OwnerActivity::kAppending, After(500));
+  watch.NoteAppend(LogVolume{ 7, 900 });
+  size_t lines = 0;
+  for (int ms = 500; ms < 3500; ms += 100) {
+    watch.Begin(OwnerActivity::kDeciding, After(ms));
+    watch.End(OwnerActivity::kDeciding, After(ms));
+    watch.NoteFailure(OwnerActivity::kAppending, FailureKind::kMalformed);
+    const auto line = watch.Report(After(ms));
+    if (line && lines++ == 0) {
+      STRCMP_EQUAL("appending", ValueOf(*line, "activity").c_str());
+      STRCMP_EQUAL("1000", ValueOf(*line, "activity_ms").c_str());
+      STRCMP_EQUAL("malformed", ValueOf(*line, "kind").c_str());
+      STRCMP_EQUAL("11", ValueOf(*line, "failures").c_str());
+      STRCMP_EQUAL("0", ValueOf(*line, "decision_age_ms").c_str());
+      STRCMP_EQUAL("1500", ValueOf(*line, "durable_age_ms").c_str());
+      STRCMP_EQUAL("7", ValueOf(*line, "append_records").c_str());
+      STRCMP_EQUAL("900", ValueOf(*line, "append_bytes").c_str());
+    }
+  }
+  CHECK_EQUAL(2U, lines);
+  watch.End(OwnerActivity::kAppending, After(3500));
+  CHECK_FALSE(watch.Report(After(4000)).has_value());
+  CHECK_EQUAL(500, metrics.mGauges[Gauge::kDurableAgeMs]);
+  CHECK_EQUAL(3000000, metrics.mTimes[Timing::kProgressAppendUs].count());
+  CHECK_EQUAL(900U, metrics.mCounts[Counter::kLogAppendBytes]);
+}
+
+TEST(OwnerWatchTest, AnOwnerThatDoesNothingIsToldToo)
+{
+  Noted metrics;
+  OwnerWatch watch(metrics, kBegin);
+  watch.Begin(OwnerActivity::kDeciding, After(100));
+  watch.End(OwnerActivity::kDeciding, After(200));
+  const auto line = watch.Report(After(1900));
+  CHECK(line.has_value());
+  STRCMP_EQUAL("nothing", ValueOf(*line, "activity").c_str());
+  STRCMP_EQUAL("1700", ValueOf(*line, "activity_ms").c_str());
+  STRCMP_EQUAL("1700", ValueOf(*line, "decision_age_ms").c_str());
+}
+
+TEST(OwnerWatchTest, TheActivityThatBeganFirstIsTold)
+{
+  Noted metrics;
+  OwnerWatch watch(metrics, kBegin);
+  watch.Begin(OwnerActivity::kDeciding, After(100));
+  watch.Begin(OwnerActivity::kAppending, After(200));
+  const auto line = watch.Report(After(2000));
+  CHECK(line.has_value());
+  STRCMP_EQUAL("deciding", ValueOf(*line, "activity").c_str());
+}
+
+TEST(OwnerWatchTest, AVolumeIsKeysAndValues)
+{
+  const LogVolume volume =
+    VolumeOf({ KeyedEntry{ "ab", "cde" }, KeyedEntry{ "f", std::nullopt } });
+  CHECK_EQUAL(2U, volume.mRecords);
+  CHECK_EQUAL(6U, volume.mBytes);
+}
+
+// Guards against a line for each try of a call that fails for long, and against
+// failures that no line counts.
+TEST(OwnerWatchTest, RepeatedFailuresAreToldOnceASecondAndAllCounted)
+{
+  FaultTally tally;
+  uint64_t told = 0;
+  size_t lines = 0;
+  for (int ms = 0; ms < 3000; ms += 150) {
+    const auto line = tally.Note(
+      "claim", Fail(FailureKind::kLogUnavailable, "append"), After(ms));
+    lines += line ? 1 : 0;
+    told += line ? line->mTimes : 0;
+  }
+  CHECK_EQUAL(3U, lines);
+  CHECK(
+    tally.Note("claim", Fail(FailureKind::kConflict), After(3000)).has_value());
+  for (const FaultLine& line : tally.Rest()) {
+    STRCMP_EQUAL("claim", line.mWhat.c_str());
+    told += line.mTimes;
+  }
+  CHECK_EQUAL(20U, told);
+  CHECK_EQUAL(0U, tally.Rest().size());
+}
+
+TEST(OwnerWatchTest, WhatCameAfterTheLastLineIsDueASecondLater)
+{
+  FaultTally tally;
+  CHECK(
+    tally.Note("load", Fail(FailureKind::kMalformed), After(0)).has_value());
+  CHECK_FALSE(
+    tally.Note("load", Fail(FailureKind::kMalformed), After(200)).has_value());
+  CHECK_EQUAL(0U, tally.Due(After(900)).size());
+  const std::vector<FaultLine> due = tally.Due(After(1000));
+  CHECK_EQUAL(1U, due.size());
+  CHECK_EQUAL(1U, due[0].mTimes);
+  CHECK_EQUAL(0U, tally.Due(After(5000)).size());
+}
+
+} // namespace mulberryvalve
--- a/mulberryvalve/app/jobs/shard_runtime.cc
+++ b/mulberryvalve/app/jobs/shard_runtime.cc
@@ -1,8 +1,5 @@
 #include "mulberryvalve/app/jobs/shard_runtime.h"
 
-#include "mulberryvalve/app/jobs/decision_lines.h"
-#include "mulberryvalve/app/jobs/decision_meter.h"
-
 #include <algorithm>
 #include <utility>
 #include <xxhash.h>
@@ -46,6 +43,7 @@
   : mOptions(std::move(aOptions))
   , mPorts(aPorts)
   , mMeter(aPorts.mMetrics, aPorts.mClock.Now())
+  , mWatch(aPorts.mMetrics, aPorts.mClock.Now())
   , mConfig(aPorts.mConfig.Present())
   , mLanes(*this, aPorts.mWorkers)
 {
@@ -67,6 +65,7 @@
 void ShardRuntime::OnProof(MonotonicTime aSentAt)
 {
   mProof.Raise(aSentAt);
+  ReportStall();
 }
 
 void ShardRuntime::BeginStop()
@@ -116,26 +115,26 @@
   }
   BeginStop();
   mLanes.Stop();
-  LogEvent(EventLevel::kInfo,
-           "shard_ended",
-           mMeter.Account(mPorts.mClock.Now(), mProof.ProvedAt()));
+  LogLast();
   mEnded = true;
 }
 
 bool ShardRuntime::Claim()
 {
   const OwnerNote note{ mOptions.mEpoch, mOptions.mInstance };
+  mWatch.Begin(OwnerActivity::kClaiming, mPorts.mClock.Now());
   while (true) {
     const MonotonicTime sentAt = mPorts.mClock.Now();
     mSequence = 1;
     const Result<void> claimed = AppendOnce({ mPorts.mCodec.Encode(note) });
     if (claimed) {
+      mWatch.End(OwnerActivity::kClaiming, mPorts.mClock.Now());
       OnProof(sentAt);
       mSequence++;
       LogEvent(EventLevel::kInfo, "shard_claimed", {});
       return true;
     }
-    LogFault("claim", claimed.error());
+    LogFaultOf(OwnerActivity::kClaiming, claimed.error());
     if (claimed.error().mKind == FailureKind::kNotOwner) {
       FindRival();
       GiveUp("a higher epoch has written");
@@ -156,6 +155,7 @@
   Steady::time_point tick = earliest + kTick;
   while (AwaitDecision(earliest, tick)) {
     Decided decided;
+    mWatch.Begin(OwnerActivity::kDeciding, mPorts.mClock.Now());
     {
       MutexLock lock(mMutex);
       const Steady::time_point begin = Steady::now();
@@ -167,6 +167,8 @@
       tick = end + kTick;
     }
     CarryOut(std::move(decided));
+    mWatch.End(OwnerActivity::kDeciding, mPorts.mClock.Now());
+    ReportStall();
   }
 }
 
@@ -239,14 +241,16 @@
   if (aBatch.mLearned) {
     entries.push_back(mPorts.mCodec.Encode(*aBatch.mLearned));
   }
+  mWatch.Begin(OwnerActivity::kAppending, mPorts.mClock.Now());
   while (true) {
     const MonotonicTime sentAt = mPorts.mClock.Now();
     const Result<void> done = AppendOnce(entries);
     if (done) {
+      mWatch.End(OwnerActivity::kAppending, mPorts.mClock.Now());
       OnProof(sentAt);
       break;
     }
-    LogFault("append_progress", done.error());
+    LogFaultOf(OwnerActivity::kAppending, done.error());
     if (done.error().mKind == FailureKind::kNotOwner) {
       GiveUp("a higher epoch has written");
       return;
@@ -279,6 +283,7 @@
 {
   mPorts.mMetrics.Add(Counter::kLogAppends, 1);
   mPorts.mMetrics.Add(Counter::kLogAppendRecords, aEntries.size());
+  mWatch.NoteAppend(VolumeOf(aEntries));
   return mPorts.mLog.AppendFenced(
     FencedAppend{ Place(KeyedTopic::kProgress), mOptions.mEpoch, mSequence },
     aEntries);
@@ -329,36 +334,6 @@
   LogDecisions(aDecided.mDecisions);
 }
 
-void ShardRuntime::LogDecisions(const std::vector<JobDecision>& aDecisions)
-{
-  const DecisionMeter meter(mPorts.mMetrics);
-  for (const JobDecision& decision : aDecisions) {
-    meter.Count(decision);
-  }
-  for (DecisionLine& line : LinesOf(aDecisions)) {
-    LogEvent(EventLevel::kInfo, line.mName, std::move(line.mFields));
-  }
-}
-
-void ShardRuntime::NoteDelays(Microseconds aPass)
-{
-  const MonotonicTime now = mPorts.mClock.Now();
-  mMeter.Note(OwnerDelay::kPass, aPass);
-  mMeter.Note(OwnerDelay::kProofAge, now - mProof.ProvedAt());
-  mMeter.Note(OwnerDelay::kIntakeGap, now - mIntakeReadAt);
-  auto fields = mMeter.Report(now);
-  if (fields) {
-    fields->push_back(
-      { "workers", std::to_string(mShard->Workers().All().size()) });
-    LogEvent(EventLevel::kWarn, "owner_behind", std::move(*fields));
-  }
-}
-
-void ShardRuntime::NoteWait(MonotonicTime aSince)
-{
-  mMeter.Note(OwnerDelay::kLockWait, mPorts.mClock.Now() - aSince);
-}
-
 bool ShardRuntime::ProvedAt(MonotonicTime aNow) const
 {
   return aNow < mProof.ProvedAt() + mOptions.mProofLimit;
@@ -379,35 +354,6 @@
   BeginStop();
 }
 
-void ShardRuntime::LogGivenUp(const char* aWhy)
-{
-  std::vector<EventField> fields =
-    mMeter.Account(mPorts.mClock.Now(), mProof.ProvedAt());
-  fields.push_back({ "why", aWhy });
-  LogEvent(EventLevel::kWarn, "shard_given_up", std::move(fields));
-}
-
-void ShardRuntime::LogFault(const char* aWhat, const Failure& aFailure)
-{
-  mPorts.mMetrics.Add(Counter::kLogFailures, 1);
-  LogEvent(EventLevel::kWarn,
-           "shard_fault",
-           { { "what", aWhat },
-             { "kind", std::string(kFailureKindNames.Name(aFailure.mKind)) },
-             { "field", aFailure.mField },
-             { "detail", aFailure.mDetail } });
-}
-
-void ShardRuntime::LogEvent(EventLevel aLevel,
-                            std::string_view aName,
-                            std::vector<EventField> aFields)
-{
-  aFields.insert(aFields.begin(),
-                 { { "shard", std::to_string(mOptions.mShard) },
-                   { "epoch", std::to_string(mOptions.mEpoch.Value()) } });
-  mPorts.mEvents.Write(aLevel, aName, aFields);
-}
-
 std::optional<HoldOrder> ShardRuntime::NextHold(const WorkerId& aWorker)
 {
   MutexLock lock(mMutex);
--- a/mulberryvalve/app/jobs/shard_runtime.h
+++ b/mulberryvalve/app/jobs/shard_runtime.h
@@ -4,7 +4,9 @@
 #define MULBERRYVALVE_APP_JOBS_SHARD_RUNTIME_H_
 
 #include "mulberryvalve/app/jobs/config_view.h"
+#include "mulberryvalve/app/jobs/fault_tally.h"
 #include "mulberryvalve/app/jobs/owner_meter.h"
+#include "mulberryvalve/app/jobs/owner_watch.h"
 #include "mulberryvalve/app/jobs/proof_clock.h"
 #include "mulberryvalve/app/jobs/worker_lanes.h"
 #include "mulberryvalve/core/base/mutex.h"
@@ -21,6 +23,7 @@
 #include <atomic>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -82,7 +85,7 @@
   void Start();
 
   // OnProof says that the shard was still held by a call sent at aSentAt. It
-  // does not wait for a decision under way.
+  // does not wait for a decision under way, and tells when the work stalls.
   void OnProof(MonotonicTime aSentAt);
 
   // BeginStop ends all decisions; the threads end after the calls under way.
@@ -157,7 +160,11 @@
                 std::string_view aName,
                 std::vector<EventField> aFields);
   void LogGivenUp(const char* aWhy);
-  void LogFault(const char* aWhat, const Failure& aFailure);
+  void LogFault(std::string_view aWhat, const Failure& aFailure);
+  void LogFaultOf(OwnerActivity aActivity, const Failure& aFailure);
+  void WriteFault(const FaultLine& aLine);
+  void ReportStall();
+  void LogLast();
   KeyedPlace Place(KeyedTopic aTopic) const
   {
     return KeyedPlace{ aTopic, mOptions.mShard };
@@ -167,6 +174,8 @@
   ShardRuntimePorts mPorts;
   ProofClock mProof;
   OwnerMeter mMeter;
+  OwnerWatch mWatch;
+  FaultTally mFaults;
   mutable Mutex mMutex;
   // Wakes pauses, when the ownership ends.
   CondVar mCond;
--- a/mulberryvalve/app/jobs/shard_runtime_feeds.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_feeds.cc
@@ -50,6 +50,7 @@
   const MonotonicTime claimedAt = mPorts.mClock.Now();
   Result<KeyedPage> progress = Fail(FailureKind::kNotReady);
   Result<KeyedPage> intake = Fail(FailureKind::kNotReady);
+  mWatch.Begin(OwnerActivity::kLoading, claimedAt);
   while (true) {
     std::thread other([&] {
       if (!intake) {
@@ -63,11 +64,15 @@
     if (progress && intake) {
       break;
     }
-    LogFault("load", progress ? intake.error() : progress.error());
+    LogFaultOf(OwnerActivity::kLoading,
+               progress ? intake.error() : progress.error());
     if (!PauseUntil(Steady::now() + kRetryLoad)) {
       return false;
     }
   }
+  LogVolume volume = VolumeOf(progress.value().mEntries);
+  volume += VolumeOf(intake.value().mEntries);
+  mWatch.NoteLoad(volume);
   JobShardOptions options;
   options.mEpoch = mOptions.mEpoch;
   options.mLease = mOptions.mLease;
@@ -118,9 +123,12 @@
            "shard_loaded",
            { { "jobs", std::to_string(jobs) },
              { "records", std::to_string(records.size()) },
+             { "read_records", std::to_string(volume.mRecords) },
+             { "read_bytes", std::to_string(volume.mBytes) },
              { "intake_next", std::to_string(mIntakeNext) } });
   mPorts.mMetrics.Add(Counter::kTakeovers, 1);
   mPorts.mMetrics.Record(Timing::kTakeoverUs, mPorts.mClock.Now() - claimedAt);
+  mWatch.End(OwnerActivity::kLoading, mPorts.mClock.Now());
   MutexLock lock(mMutex);
   mShard = std::move(shard);
   mIntakeReadAt = claimedAt;
--- a/mulberryvalve/ports/out/metrics.h
+++ b/mulberryvalve/ports/out/metrics.h
@@ -72,9 +72,16 @@
   kWaitsForPressure,
   kWorkersSilent,
   kTakeovers,
+  kLogAppendBytes,
+  kLogLoadRecords,
+  kLogLoadBytes,
+  kOrderBytesSent,
+  kOrderBytesReceived,
+  kRenewalBytesSent,
+  kRenewalBytesReceived,
 };
 
-inline constexpr MetricTable<Counter, 31> kCounterNames{ { {
+inline constexpr MetricTable<Counter, 38> kCounterNames{ { {
   { Counter::kRequestsAnswered,
     "requests_answered",
     "Requests whose answer was given to the caller" },
@@ -149,6 +156,27 @@
     "workers_silent",
     "Times that a worker stopped answering" },
   { Counter::kTakeovers, "takeovers", "Shards that this instance took over" },
+  { Counter::kLogAppendBytes,
+    "log_append_bytes",
+    "Bytes of keys and values in an owner's appends" },
+  { Counter::kLogLoadRecords,
+    "log_load_records",
+    "Records that take-overs have read" },
+  { Counter::kLogLoadBytes,
+    "log_load_bytes",
+    "Bytes of keys and values that take-overs have read" },
+  { Counter::kOrderBytesSent,
+    "order_bytes_sent",
+    "Bytes of orders sent to workers" },
+  { Counter::kOrderBytesReceived,
+    "order_bytes_received",
+    "Bytes of workers' answers to orders" },
+  { Counter::kRenewalBytesSent,
+    "renewal_bytes_sent",
+    "Bytes of renewals sent to workers" },
+  { Counter::kRenewalBytesReceived,
+    "renewal_bytes_received",
+    "Bytes of workers' answers to renewals" },
 } } };
 static_assert(kCounterNames.InOrder());
 
@@ -163,9 +191,12 @@
   kPeersLive,
   kResidentBytes,
   kLogReachable,
+  kDecisionAgeMs,
+  kDurableAgeMs,
+  kLargestAppendBytes,
 };
 
-inline constexpr MetricTable<Gauge, 9> kGaugeNames{ { {
+inline constexpr MetricTable<Gauge, 12> kGaugeNames{ { {
   { Gauge::kShardsOwned, "shards_owned", "Shards that this instance owns" },
   { Gauge::kRequestsInFlight, "requests_in_flight", "Requests in flight" },
   { Gauge::kTasksWaiting, "tasks_waiting", "Tasks waiting for a worker" },
@@ -181,6 +212,15 @@
   { Gauge::kLogReachable,
     "log_reachable",
     "1 when the log service answers, otherwise 0" },
+  { Gauge::kDecisionAgeMs,
+    "decision_age_ms",
+    "Milliseconds since an owner's last decision" },
+  { Gauge::kDurableAgeMs,
+    "durable_age_ms",
+    "Milliseconds since an owner's last durable append" },
+  { Gauge::kLargestAppendBytes,
+    "largest_append_bytes",
+    "Bytes of the largest append of an ownership" },
 } } };
 static_assert(kGaugeNames.InOrder());
 
@@ -201,9 +241,13 @@
   kRenewalGapUs,
   kOrderWaitUs,
   kCancelToStopUs,
+  kClaimUs,
+  kLoadUs,
+  kProgressAppendUs,
+  kDecisionGapUs,
 };
 
-inline constexpr MetricTable<Timing, 15> kTimingNames{ { {
+inline constexpr MetricTable<Timing, 19> kTimingNames{ { {
   { Timing::kRequestUs,
     "request_us",
     "Time to answer a request in microseconds" },
@@ -255,6 +299,19 @@
     "cancel_to_stop_us",
     "Time from the reading of a cancellation to an answered stop, longest of "
     "a second, in microseconds" },
+  { Timing::kClaimUs,
+    "claim_us",
+    "Time of a claim with its repetitions in microseconds" },
+  { Timing::kLoadUs,
+    "load_us",
+    "Time in which a take-over read its records, with repetitions, in "
+    "microseconds" },
+  { Timing::kProgressAppendUs,
+    "progress_append_us",
+    "Time of an owner's append with its repetitions in microseconds" },
+  { Timing::kDecisionGapUs,
+    "decision_gap_us",
+    "Time between the ends of two decision passes in microseconds" },
 } } };
 static_assert(kTimingNames.InOrder());
 
