A superseded owner does not renew a worker whose wait it noted

Change: the test is replaced by a stricter one: a lasting task runs on the worker as it is cut off, and the owner reaches it again as it is superseded.

--- a/mulberryvalve/core/jobs/takeover_test.cc
+++ b/mulberryvalve/core/jobs/takeover_test.cc
@@ -467,20 +467,23 @@
   }
 }
 
-// A superseded owner reaches a worker again of which it had noted that there is
-// nothing to wait for: it can't take that back, so it must not use it.
-TEST(TakeoverTest, NoteOfNothingToWaitForBindsASupersededOwner)
+// A superseded owner reaches a worker again of which it had noted for how long
+// it is to be waited for: it can't take that back, so it must not renew or use
+// it.
+TEST(TakeoverTest, NoteOfAWaitBindsASupersededOwner)
 {
-  for (const int away : { 1500, 4000, 9000 }) {
-    TakeoverWorld world(3);
-    const WorkerId noted = world.IdOf(0);
+  for (const int away : { 1500, 3000, 4500, 9000 }) {
+    TakeoverWorld world(4);
+    world->Submit(LastingJob("lasting", 3, 9000));
+    world->RunFor(Milliseconds(1000));
+    const WorkerId noted = world.WorkerOf(TaskOf("lasting", 0));
     world->Owner(0).mLinks[noted] = LinkState::kCut;
     world->RunFor(Milliseconds(away));
-    world->Submit(LastingJob("lasting", 3, 9000));
-    world->RunFor(Milliseconds(600));
+    world->Submit(LastingJob("more", 1, 6000));
     world->Owner(0).mLinks.clear();
     world.SplitOff(noted);
     world->RunFor(kSettled);
+    CHECK_EQUAL(4U, world->Running());
     CheckNoFindings(world);
   }
 }
