--- a/mulberryvalve/app/jobs/keyed_cursor.cc
+++ b/mulberryvalve/app/jobs/keyed_cursor.cc
@@ -3,6 +3,16 @@
 #include <utility>
 
 namespace mulberryvalve {
+namespace {
+
+// The same read would fail in the same way again and again.
+bool IsForGood(FailureKind aKind)
+{
+  return aKind == FailureKind::kOffsetExpired ||
+         aKind == FailureKind::kMalformed;
+}
+
+} // namespace
 
 Result<KeyedChanges> KeyedCursor::Next(Milliseconds aWait)
 {
@@ -11,7 +21,7 @@
   }
   Result<KeyedPage> page = mLog.Read(mPlace, *mNext, aWait);
   if (!page) {
-    if (page.error().mKind == FailureKind::kOffsetExpired) {
+    if (IsForGood(page.error().mKind)) {
       return Whole();
     }
     return page.error();
--- a/mulberryvalve/app/jobs/keyed_cursor.h
+++ b/mulberryvalve/app/jobs/keyed_cursor.h
@@ -32,8 +32,9 @@
   }
 
   // Next returns the records that follow, waiting up to aWait for one. When the
-  // log has forgotten some, it begins again with the newest of each key.
-  // Errors: those of KeyedLog but kOffsetExpired.
+  // log has forgotten some, or what it holds here can't be read, it begins
+  // again with the newest of each key. Errors: those of KeyedLog but
+  // kOffsetExpired.
   Result<KeyedChanges> Next(Milliseconds aWait);
 
 private:
