--- a/mulberryvalve/adapters/json/json_reader.cc
+++ b/mulberryvalve/adapters/json/json_reader.cc
@@ -1,6 +1,8 @@
 #include "mulberryvalve/adapters/json/json_reader.h"
 
+#include <unordered_set>
 #include <utility>
+#include <vector>
 
 namespace mulberryvalve {
 namespace {
@@ -33,9 +35,33 @@
   return deepest;
 }
 
-} // namespace
+// NameCheck is told of each step of the parser and finds a name that stands
+// twice in one object.
+class NameCheck
+{
+public:
+  bool operator()(json::parse_event_t aEvent, const json& aParsed)
+  {
+    if (aEvent == json::parse_event_t::object_start) {
+      mOpen.emplace_back();
+    } else if (aEvent == json::parse_event_t::object_end) {
+      mOpen.pop_back();
+    } else if (aEvent == json::parse_event_t::key) {
+      const auto& name = aParsed.get_ref<const std::string&>();
+      mRepeated = !mOpen.back().insert(name).second || mRepeated;
+    }
+    return true;
+  }
 
-Result<json> ParseJson(std::string_view aText, size_t aMaxBytes)
+  bool Repeated() const { return mRepeated; }
+
+private:
+  std::vector<std::unordered_set<std::string>> mOpen;
+  bool mRepeated = false;
+};
+
+std::optional<Failure> FaultBeforeParsing(std::string_view aText,
+                                          size_t aMaxBytes)
 {
   if (aText.size() > aMaxBytes) {
     return Fail(FailureKind::kTooLarge,
@@ -45,14 +71,44 @@
   if (DeepestNesting(aText) > kMaxJsonDepth) {
     return Fail(FailureKind::kMalformed, "", "nested too deeply");
   }
-  json parsed = json::parse(aText, nullptr, false);
-  if (parsed.is_discarded()) {
+  return std::nullopt;
+}
+
+Result<json> ObjectOf(json aParsed)
+{
+  if (aParsed.is_discarded()) {
     return Fail(FailureKind::kMalformed, "", "not JSON");
   }
-  if (!parsed.is_object()) {
+  if (!aParsed.is_object()) {
     return Fail(FailureKind::kMalformed, "", "not a JSON object");
   }
-  return parsed;
+  return aParsed;
+}
+
+} // namespace
+
+Result<json> ParseJson(std::string_view aText, size_t aMaxBytes)
+{
+  if (const auto fault = FaultBeforeParsing(aText, aMaxBytes)) {
+    return *fault;
+  }
+  return ObjectOf(json::parse(aText, nullptr, false));
+}
+
+Result<json> ParseUnambiguousJson(std::string_view aText, size_t aMaxBytes)
+{
+  if (const auto fault = FaultBeforeParsing(aText, aMaxBytes)) {
+    return *fault;
+  }
+  NameCheck names;
+  const auto check = [&names](int, json::parse_event_t aEvent, json& aParsed) {
+    return names(aEvent, aParsed);
+  };
+  json parsed = json::parse(aText, check, false);
+  if (names.Repeated()) {
+    return Fail(FailureKind::kMalformed, "", "a name stands twice");
+  }
+  return ObjectOf(std::move(parsed));
 }
 
 const json* JsonReader::Find(const char* aName)
--- a/mulberryvalve/adapters/json/json_reader.h
+++ b/mulberryvalve/adapters/json/json_reader.h
@@ -21,6 +21,11 @@
 // or not an object).
 Result<nlohmann::json> ParseJson(std::string_view aText, size_t aMaxBytes);
 
+// ParseUnambiguousJson does the same and refuses an object in which a name
+// stands twice. Errors: those of ParseJson.
+Result<nlohmann::json> ParseUnambiguousJson(std::string_view aText,
+                                            size_t aMaxBytes);
+
 // JsonReader takes fields out of an object. The first fault is kept and makes
 // every later read return its default; check Fault() at the end. Not
 // synchronised; the object must outlive the reader.
