--- a/mulberryvalve/core/jobs/job_world_fake.cc
+++ b/mulberryvalve/core/jobs/job_world_fake.cc
@@ -133,6 +133,7 @@
   for (auto& [id, worker] : mWorkers) {
     StepWorker(worker);
   }
+  CarryLate();
   for (auto& owner : mOwners) {
     if (owner->mActs && !owner->mShard->IsFenced()) {
       StepOwner(*owner);
@@ -241,7 +242,7 @@
   const bool lost = aOwner.mLostOrders.count(aOrder.mWorker) != 0;
   if (!Listens(aOrder.mWorker, aOrder.mEndpoint)) {
     reply.mOutcome = OrderOutcome::kNotSent;
-  } else if (!lost && Reaches(aOwner, aOrder.mWorker)) {
+  } else if (!lost && Reaches(aOwner, aOrder.mWorker) && !Delay(aOrder)) {
     const OrderReply said = Apply(mWorkers.at(aOrder.mWorker), aOrder);
     if (Hears(aOwner, aOrder.mWorker)) {
       reply = said;
@@ -250,6 +251,33 @@
   aOwner.mShard->OnOrder(aOrder, reply, mNow);
 }
 
+// Takes over an order that is to be late.
+bool JobWorld::Delay(const TaskOrder& aOrder)
+{
+  const std::optional<Milliseconds> late =
+    mLateBy ? mLateBy(aOrder) : std::nullopt;
+  if (late) {
+    const Birth birth = mWorkers.at(aOrder.mWorker).mBirth;
+    mLate.push_back(LateOrder{ mNow + *late, birth, aOrder });
+  }
+  return late.has_value();
+}
+
+void JobWorld::CarryLate()
+{
+  std::vector<LateOrder> due;
+  for (LateOrder& late : std::exchange(mLate, {})) {
+    std::vector<LateOrder>& list = late.mArrivesAt <= mNow ? due : mLate;
+    list.push_back(std::move(late));
+  }
+  for (const LateOrder& late : due) {
+    FakeWorkerNode& worker = mWorkers.at(late.mOrder.mWorker);
+    if (worker.mState != NodeState::kLeft && worker.mBirth == late.mBirth) {
+      Apply(worker, late.mOrder);
+    }
+  }
+}
+
 OrderReply JobWorld::Apply(FakeWorkerNode& aWorker, const TaskOrder& aOrder)
 {
   OrderReply reply;
--- a/mulberryvalve/core/jobs/job_world_fake.h
+++ b/mulberryvalve/core/jobs/job_world_fake.h
@@ -173,13 +173,26 @@
   std::function<void(size_t)> mOnDecided;
   // Workers that fail all that they start.
   std::set<WorkerId> mFailing;
+  // An order for which it returns a time gets no answer, and is carried out so
+  // much later if its worker lives on.
+  std::function<std::optional<Milliseconds>(const TaskOrder&)> mLateBy;
   // The end of one member of a gang ends the others.
   bool mGangsBreak = false;
 
 private:
+  // LateOrder is an order on its way to one life of a worker.
+  struct LateOrder
+  {
+    MonotonicTime mArrivesAt;
+    Birth mBirth;
+    TaskOrder mOrder;
+  };
+
   void StepWorker(FakeWorkerNode& aWorker);
   void StepOwner(FakeOwner& aOwner);
   void Carry(FakeOwner& aOwner, const TaskOrder& aOrder);
+  bool Delay(const TaskOrder& aOrder);
+  void CarryLate();
   OrderReply Apply(FakeWorkerNode& aWorker, const TaskOrder& aOrder);
   OrderOutcome Start(FakeWorkerNode& aWorker, const TaskOrder& aOrder);
   HoldReply Hold(FakeWorkerNode& aWorker, const HoldOrder& aOrder);
@@ -205,6 +218,7 @@
   std::set<TaskRef> mNotedDone;
   ClusterConfig mConfig;
   Epoch mLastEpoch;
+  std::vector<LateOrder> mLate;
   std::vector<std::string> mFindings;
 };
 
