An owner that can't do its work gives the shard up

Callers would see a shard of live and ready instances served by nobody: the owner's membership is renewed by a thread of its own, and a claim, a load or an append that failed was repeated without end, whatever the failure. A claim at an epoch at which another sequence stands on the log (409) never succeeded; a body that the store refuses (400, 413) or a page that can't be read neither.

A failure that no repetition mends (MendsByRepetition) is not repeated: the owner says why, ends, leaves the group and stays away; the time away doubles until it has worked for a while, since being given a shard is no work (ShardBids::OnAdvance). A claim that meets its own epoch goes above it. A claim, load or append that failed for 6 s (the platform's bound on proof, and with a take-over below its recovery time) while the group answered without a gap gives up too; an append only when the log took what others wrote, since a log that takes nothing is no better for a successor. In an outage the owner stays. The store's undefined statuses from 500 on may have taken effect and are repeated. The log of the tests knows repeats of five appends only, as the store does.

Failed first, with the new logic switched off: four of five tests of stuck_owner_test (20 s without a completed job each); AnOwnerStaysInAnOutage passed before and after. After: 5 of 5, three times; jobs_test, shard_keeper_test, shard_runtime_test, platform_test pass.

--- /dev/null
+++ b/mulberryvalve/app/jobs/faulty_log_fake.h
@@ -0,0 +1,97 @@
+// FaultyLog: a log as one instance sees it, some of whose calls fail.
+#ifndef MULBERRYVALVE_APP_JOBS_FAULTY_LOG_FAKE_H_
+#define MULBERRYVALVE_APP_JOBS_FAULTY_LOG_FAKE_H_
+
+#include "mulberryvalve/core/base/mutex.h"
+#include "mulberryvalve/ports/out/keyed_log.h"
+
+#include <map>
+
+namespace mulberryvalve {
+
+// LogCall names the calls that can be made to fail.
+enum class LogCall
+{
+  kNewest,
+  kAppend,
+  kAppendFenced,
+};
+
+// FaultyLog passes calls on to another log. Thread-safe.
+class FaultyLog : public KeyedLog
+{
+public:
+  // aLog must outlive this object.
+  explicit FaultyLog(KeyedLog& aLog)
+    : mLog(aLog)
+  {
+  }
+
+  // FailAll makes each such call fail until Heal; nothing is done by it.
+  void FailAll(LogCall aCall, FailureKind aKind)
+  {
+    MutexLock lock(mMutex);
+    mFailing[aCall] = aKind;
+  }
+  void Heal()
+  {
+    MutexLock lock(mMutex);
+    mFailing.clear();
+  }
+
+  // Failures counts the calls of a kind that failed.
+  size_t Failures(LogCall aCall) const
+  {
+    MutexLock lock(mMutex);
+    const auto found = mFailures.find(aCall);
+    return found == mFailures.end() ? 0 : found->second;
+  }
+
+  Result<KeyedPage> Newest(const KeyedPlace& aPlace) override
+  {
+    const Result<void> may = Pass(LogCall::kNewest);
+    if (!may) {
+      return may.error();
+    }
+    return mLog.Newest(aPlace);
+  }
+  Result<KeyedPage> Read(const KeyedPlace& aPlace,
+                         uint64_t aFrom,
+                         Milliseconds aWait) override
+  {
+    return mLog.Read(aPlace, aFrom, aWait);
+  }
+  Result<void> Append(const KeyedPlace& aPlace,
+                      const std::vector<KeyedEntry>& aEntries) override
+  {
+    const Result<void> may = Pass(LogCall::kAppend);
+    return may ? mLog.Append(aPlace, aEntries) : may;
+  }
+  Result<void> AppendFenced(const FencedAppend& aProof,
+                            const std::vector<KeyedEntry>& aEntries) override
+  {
+    const Result<void> may = Pass(LogCall::kAppendFenced);
+    return may ? mLog.AppendFenced(aProof, aEntries) : may;
+  }
+
+private:
+  Result<void> Pass(LogCall aCall)
+  {
+    MutexLock lock(mMutex);
+    const auto found = mFailing.find(aCall);
+    if (found == mFailing.end()) {
+      return Done();
+    }
+    mFailures[aCall]++;
+    return Fail(found->second, "fake");
+  }
+
+  KeyedLog& mLog;
+  mutable Mutex mMutex;
+  std::map<LogCall, FailureKind> mFailing MV_GUARDED_BY(mMutex);
+  std::map<LogCall, size_t> mFailures MV_GUARDED_BY(mMutex);
+};
+
+} // namespace mulberryvalve
+
+#endif // MULBERRYVALVE_APP_JOBS_FAULTY_LOG_FAKE_H_
--- a/mulberryvalve/app/jobs/jobs_fake.cc
+++ b/mulberryvalve/app/jobs/jobs_fake.cc
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr Milliseconds kLongestWait{ 50 };
+// A repeat of one of so many last appends is known as such.
+constexpr uint64_t kKnownRepeats = 5;
 const ServiceId kService("service");
 
 } // namespace
@@ -118,7 +120,8 @@
     return Fail(FailureKind::kNotOwner);
   }
   const bool repeated = aProof.mEpoch == partition.mEpoch &&
-                        aProof.mSequence <= partition.mSequence;
+                        aProof.mSequence <= partition.mSequence &&
+                        aProof.mSequence + kKnownRepeats > partition.mSequence;
   if (repeated) {
     return Done();
   }
--- a/mulberryvalve/app/jobs/jobs_instance_fake.h
+++ b/mulberryvalve/app/jobs/jobs_instance_fake.h
@@ -32,12 +32,12 @@
 class JobsInstance
 {
 public:
-  JobsInstance(MemoryLog& aLog, InstantWorker& aWorkers, uint64_t aGeneration)
+  JobsInstance(KeyedLog& aLog, InstantWorker& aWorkers, uint64_t aGeneration)
     : JobsInstance(aLog, aWorkers, std::make_unique<OneGroup>(aGeneration))
   {
   }
 
-  JobsInstance(MemoryLog& aLog,
+  JobsInstance(KeyedLog& aLog,
                InstantWorker& aWorkers,
                std::unique_ptr<ShardGroup> aGroup,
                uint16_t aPort = 0,
@@ -52,7 +52,7 @@
   {
   }
 
-  JobsInstance(MemoryLog& aLog,
+  JobsInstance(KeyedLog& aLog,
                InstantWorker& aWorkers,
                std::unique_ptr<ShardGroup> aGroup,
                const ShardKeeperOptions& aOptions,
--- a/mulberryvalve/app/jobs/owner_watch.cc
+++ b/mulberryvalve/app/jobs/owner_watch.cc
@@ -9,6 +9,8 @@
 constexpr Milliseconds kReportInterval{ 1000 };
 // A decision is due each tenth of a second.
 constexpr Milliseconds kDecisionBound{ 1000 };
+// Renewals further apart leave room for an outage between them.
+constexpr Milliseconds kContactGap{ 1500 };
 
 // ActivityRow is the timing of an activity, and from which length on it is
 // beyond its bound.
@@ -104,6 +106,7 @@
   if (aActivity == OwnerActivity::kDeciding) {
     mMetrics.Record(Timing::kDecisionGapUs, aNow - mDecidedAt);
     mDecidedAt = aNow;
+    mHasDecided = true;
   }
   const bool wrote = aActivity == OwnerActivity::kAppending ||
                      aActivity == OwnerActivity::kClaiming;
@@ -150,6 +153,50 @@
   return Fields(aNow);
 }
 
+void OwnerWatch::OnContact(MonotonicTime aNow)
+{
+  MutexLock lock(mMutex);
+  if (!mContactSince || aNow > mContactAt + kContactGap) {
+    mContactSince = aNow;
+  }
+  mContactAt = aNow;
+}
+
+void OwnerWatch::OnOthersWrite(MonotonicTime aNow)
+{
+  MutexLock lock(mMutex);
+  mOthersAt = aNow;
+}
+
+bool OwnerWatch::IsStuck(MonotonicTime aNow, Milliseconds aLimit) const
+{
+  MutexLock lock(mMutex);
+  if (!mContactSince) {
+    return false;
+  }
+  for (const OwnerActivity activity : { OwnerActivity::kClaiming,
+                                        OwnerActivity::kLoading,
+                                        OwnerActivity::kAppending }) {
+    const Row& row = mRows[static_cast<size_t>(activity)];
+    if (!row.mSince || row.mFailures == 0) {
+      continue;
+    }
+    const MonotonicTime since = std::max(*row.mSince, *mContactSince);
+    const bool othersWrite = mOthersAt && aNow < *mOthersAt + aLimit;
+    const bool counts = activity != OwnerActivity::kAppending || othersWrite;
+    if (counts && aNow >= since + aLimit) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool OwnerWatch::Advances(MonotonicTime aNow) const
+{
+  MutexLock lock(mMutex);
+  return mHasDecided && !IsBeyond(aNow);
+}
+
 void OwnerWatch::OnOver()
 {
   MutexLock lock(mMutex);
--- a/mulberryvalve/app/jobs/owner_watch.h
+++ b/mulberryvalve/app/jobs/owner_watch.h
@@ -82,6 +82,21 @@
   // bound, at most once a second.
   std::optional<std::vector<EventField>> Report(MonotonicTime aNow);
 
+  // OnContact says that the group has answered this owner's renewal.
+  void OnContact(MonotonicTime aNow);
+
+  // OnOthersWrite says that the log has taken a record of another writer.
+  void OnOthersWrite(MonotonicTime aNow);
+
+  // IsStuck tells whether a claim, a load or an append has failed for aLimit
+  // while the group answered all the time. An append counts only if the log
+  // took something from others meanwhile: a log that takes nothing from anyone
+  // is no better for another owner.
+  bool IsStuck(MonotonicTime aNow, Milliseconds aLimit) const;
+
+  // Advances tells whether the owner decides and nothing is beyond its bound.
+  bool Advances(MonotonicTime aNow) const;
+
   // OnOver says that the ownership is over: the ages are none of its any more.
   void OnOver();
 
@@ -110,6 +125,11 @@
   MonotonicTime mEndedAt MV_GUARDED_BY(mMutex);
   MonotonicTime mDecidedAt MV_GUARDED_BY(mMutex);
   MonotonicTime mDurableAt MV_GUARDED_BY(mMutex);
+  bool mHasDecided MV_GUARDED_BY(mMutex) = false;
+  // Since when the group has answered without a gap.
+  std::optional<MonotonicTime> mContactSince MV_GUARDED_BY(mMutex);
+  MonotonicTime mContactAt MV_GUARDED_BY(mMutex);
+  std::optional<MonotonicTime> mOthersAt MV_GUARDED_BY(mMutex);
   MonotonicTime mReportAt MV_GUARDED_BY(mMutex);
 };
 
--- a/mulberryvalve/app/jobs/owner_watch_test.cc
+++ b/mulberryvalve/app/jobs/owner_watch_test.cc
@@ -126,6 +126,43 @@
   CHECK_EQUAL(6U, volume.mBytes);
 }
 
+// Guards against a shard that is given up as soon as an outage is over: the
+// group must have answered for as long as nothing advanced.
+TEST(OwnerWatchTest, AnOutageDoesNotCountAsBeingStuck)
+{
+  constexpr Milliseconds kLimit{ 6000 };
+  Noted metrics;
+  OwnerWatch watch(metrics, kBegin);
+  watch.OnContact(After(0));
+  watch.Begin(OwnerActivity::kLoading, After(100));
+  watch.NoteFailure(OwnerActivity::kLoading, FailureKind::kLogAnswerLost);
+  for (int ms = 9000; ms < 15000; ms += 350) {
+    watch.OnContact(After(ms));
+    CHECK_FALSE(watch.IsStuck(After(ms), kLimit));
+  }
+  watch.OnContact(After(15000));
+  CHECK(watch.IsStuck(After(15000), kLimit));
+  watch.End(OwnerActivity::kLoading, After(15100));
+  CHECK_FALSE(watch.IsStuck(After(16000), kLimit));
+}
+
+// Guards against a change of owner that helps nobody, since the log takes
+// appends from no one.
+TEST(OwnerWatchTest, AnAppendIsStuckOnlyWhileTheLogTakesWhatOthersWrite)
+{
+  constexpr Milliseconds kLimit{ 6000 };
+  Noted metrics;
+  OwnerWatch watch(metrics, kBegin);
+  watch.Begin(OwnerActivity::kAppending, After(0));
+  watch.NoteFailure(OwnerActivity::kAppending, FailureKind::kLogUnavailable);
+  for (int ms = 0; ms <= 7000; ms += 350) {
+    watch.OnContact(After(ms));
+  }
+  CHECK_FALSE(watch.IsStuck(After(7000), kLimit));
+  watch.OnOthersWrite(After(6900));
+  CHECK(watch.IsStuck(After(7000), kLimit));
+}
+
 // Guards against a line for each try of a call that fails for long, and against
 // failures that no line counts.
 TEST(OwnerWatchTest, RepeatedFailuresAreToldOnceASecondAndAllCounted)
--- a/mulberryvalve/app/jobs/shard_bids.cc
+++ b/mulberryvalve/app/jobs/shard_bids.cc
@@ -69,10 +69,16 @@
   if (!row.mHeldSince) {
     row.mHeldSince = aNow;
   }
-  if (aNow >= *row.mHeldSince + mTerms.mSettled) {
+  row.mOwner = mSelf;
+}
+
+void ShardBids::OnAdvance(ShardNumber aShard, MonotonicTime aNow)
+{
+  MutexLock lock(mMutex);
+  Row& row = mRows[aShard];
+  if (row.mHeldSince && aNow >= *row.mHeldSince + mTerms.mSettled) {
     row.mFailures = 0;
   }
-  row.mOwner = mSelf;
 }
 
 void ShardBids::Drop(ShardNumber aShard, MonotonicTime aNow)
--- a/mulberryvalve/app/jobs/shard_bids.h
+++ b/mulberryvalve/app/jobs/shard_bids.h
@@ -67,6 +67,10 @@
   // there.
   void OnHeld(ShardNumber aShard, MonotonicTime aNow);
 
+  // OnAdvance says that this instance does the work of the shard that it was
+  // given: former failures count no more once it has had it for a while.
+  void OnAdvance(ShardNumber aShard, MonotonicTime aNow);
+
   // Drop says that this instance is no member of the shard's group any more.
   void Drop(ShardNumber aShard, MonotonicTime aNow);
 
--- a/mulberryvalve/app/jobs/shard_membership.cc
+++ b/mulberryvalve/app/jobs/shard_membership.cc
@@ -343,16 +343,32 @@
   mOwner = mOptions.mSelf.mPeer;
   mBids.OnHeld(mShard, aSentAt);
   CountOwned();
+  if (mRuntime != nullptr) {
+    mRuntime->OnProof(aSentAt);
+  }
+  if (mRuntime != nullptr && mRuntime->MustLeave()) {
+    HandOver();
+    return;
+  }
+  if (mRuntime != nullptr && mRuntime->Advances()) {
+    mBids.OnAdvance(mShard, aSentAt);
+  }
   if (mRuntime != nullptr && mRuntime->IsOver()) {
     EndRuntime();
   }
   if (mRuntime == nullptr) {
     OpenRuntime(aGeneration);
-  } else {
-    mRuntime->OnProof(aSentAt);
   }
 }
 
+// Another instance may be able to do what this one can't.
+void ShardMembership::HandOver()
+{
+  LogEvent("group_left", { { "why", "the shard's work can't be done here" } });
+  EndRuntime();
+  mState = MemberState::kLeaving;
+}
+
 void ShardMembership::OnShardNotHeld(MonotonicTime aSentAt)
 {
   if (mRuntime != nullptr) {
--- a/mulberryvalve/app/jobs/shard_membership.h
+++ b/mulberryvalve/app/jobs/shard_membership.h
@@ -86,6 +86,7 @@
   void OnShardHeld(Generation aGeneration, MonotonicTime aSentAt)
     MV_REQUIRES(mMutex);
   void OnShardNotHeld(MonotonicTime aSentAt) MV_REQUIRES(mMutex);
+  void HandOver() MV_REQUIRES(mMutex);
   void Withdraw();
   bool IsAbsent() const MV_REQUIRES(mMutex);
 
--- a/mulberryvalve/app/jobs/shard_runtime.cc
+++ b/mulberryvalve/app/jobs/shard_runtime.cc
@@ -65,7 +65,14 @@
 void ShardRuntime::OnProof(MonotonicTime aSentAt)
 {
   mProof.Raise(aSentAt);
+  const MonotonicTime now = mPorts.mClock.Now();
+  mWatch.OnContact(now);
   ReportStall();
+  if (!mOver && mWatch.IsStuck(now, mOptions.mStallLimit)) {
+    mMustLeave = true;
+    mOver = true;
+    LogGivenUp("its work does not advance");
+  }
 }
 
 void ShardRuntime::BeginStop()
@@ -129,7 +136,7 @@
     const Result<void> claimed = AppendOnce({ mPorts.mCodec.Encode(note) });
     if (claimed) {
       mWatch.End(OwnerActivity::kClaiming, mPorts.mClock.Now());
-      OnProof(sentAt);
+      mProof.Raise(sentAt);
       mSequence++;
       LogEvent(EventLevel::kInfo, "shard_claimed", {});
       return true;
@@ -140,6 +147,15 @@
       GiveUp("a higher epoch has written");
       return false;
     }
+    if (claimed.error().mKind == FailureKind::kConflict) {
+      FindRival();
+      GiveUp("the epoch has written before");
+      return false;
+    }
+    if (!MendsByRepetition(claimed.error().mKind)) {
+      GiveUpToOthers("the claim can't be written");
+      return false;
+    }
     if (!PauseUntil(Steady::now() + kRetryLoad)) {
       return false;
     }
@@ -247,7 +263,7 @@
     const Result<void> done = AppendOnce(entries);
     if (done) {
       mWatch.End(OwnerActivity::kAppending, mPorts.mClock.Now());
-      OnProof(sentAt);
+      mProof.Raise(sentAt);
       break;
     }
     LogFaultOf(OwnerActivity::kAppending, done.error());
@@ -259,6 +275,10 @@
       GiveUp("the log expects another sequence");
       return;
     }
+    if (!MendsByRepetition(done.error().mKind)) {
+      GiveUpToOthers("the progress can't be written");
+      return;
+    }
     // The same sequence again: it takes effect once, whatever became of it.
     if (!PauseUntil(Steady::now() + kRetryAppend)) {
       return;
@@ -348,6 +368,12 @@
   return !mStopping;
 }
 
+void ShardRuntime::GiveUpToOthers(const char* aWhy)
+{
+  mMustLeave = true;
+  GiveUp(aWhy);
+}
+
 void ShardRuntime::GiveUp(const char* aWhy)
 {
   LogGivenUp(aWhy);
--- a/mulberryvalve/app/jobs/shard_runtime.h
+++ b/mulberryvalve/app/jobs/shard_runtime.h
@@ -49,6 +49,10 @@
   LeaseTerms mLease;
   // Without a proof of ownership for this long nothing is started or renewed.
   Milliseconds mProofLimit{ 6000 };
+  // An owner whose work has failed for so long, while the group answered, gives
+  // the shard up. An owner without proof for as long would start nothing
+  // either.
+  Milliseconds mStallLimit{ 6000 };
   // How long callers can ask for a job that is over.
   Milliseconds mKeepOver{ 150000 };
 };
@@ -84,8 +88,9 @@
   // Start begins the threads. Call once.
   void Start();
 
-  // OnProof says that the shard was still held by a call sent at aSentAt. It
-  // does not wait for a decision under way, and tells when the work stalls.
+  // OnProof says that the group has answered that the shard was still held by a
+  // call sent at aSentAt. It does not wait for a decision under way. It tells
+  // when the work stalls, and gives the shard up when that lasts.
   void OnProof(MonotonicTime aSentAt);
 
   // BeginStop ends all decisions; the threads end after the calls under way.
@@ -98,6 +103,13 @@
   // IsOver tells whether the shard is owned by another or given up.
   bool IsOver() const { return mOver; }
 
+  // MustLeave tells whether the shard was given up because this instance can't
+  // do an owner's work, so that another is to own it.
+  bool MustLeave() const { return mMustLeave; }
+
+  // Advances tells whether the owner does its work at present.
+  bool Advances() const { return mWatch.Advances(mPorts.mClock.Now()); }
+
   // EpochHeld returns the epoch of this ownership.
   Epoch EpochHeld() const { return mOptions.mEpoch; }
 
@@ -156,6 +168,7 @@
   bool ProvedAt(MonotonicTime aNow) const;
   bool PauseUntil(std::chrono::steady_clock::time_point aUntil);
   void GiveUp(const char* aWhy);
+  void GiveUpToOthers(const char* aWhy);
   void LogEvent(EventLevel aLevel,
                 std::string_view aName,
                 std::vector<EventField> aFields);
@@ -193,6 +206,7 @@
   uint64_t mIntakeNext = 0;
   std::atomic<uint64_t> mRival{ 0 };
   std::atomic<bool> mOver{ false };
+  std::atomic<bool> mMustLeave{ false };
   std::atomic<bool> mEnded{ false };
   WorkerLanes mLanes;
   std::thread mMain;
--- a/mulberryvalve/app/jobs/shard_runtime_feeds.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_feeds.cc
@@ -64,8 +64,12 @@
     if (progress && intake) {
       break;
     }
-    LogFaultOf(OwnerActivity::kLoading,
-               progress ? intake.error() : progress.error());
+    const Failure failure = progress ? intake.error() : progress.error();
+    LogFaultOf(OwnerActivity::kLoading, failure);
+    if (!MendsByRepetition(failure.mKind)) {
+      GiveUpToOthers("the records can't be read");
+      return false;
+    }
     if (!PauseUntil(Steady::now() + kRetryLoad)) {
       return false;
     }
@@ -195,6 +199,7 @@
       LogFault("intake_record", item.error());
     }
   }
+  mWatch.OnOthersWrite(aReadAt);
   MutexLock lock(mMutex);
   mIntakeReadAt = aReadAt;
   const MonotonicTime now = mPorts.mClock.Now();
--- /dev/null
+++ b/mulberryvalve/app/jobs/stuck_owner_test.cc
@@ -0,0 +1,242 @@
+// Owners that prove their ownership and can't do its work.
+#include "mulberryvalve/adapters/system/seeded_random.h"
+#include "mulberryvalve/app/jobs/faulty_log_fake.h"
+#include "mulberryvalve/app/jobs/jobs_instance_fake.h"
+
+#include "CppUTest/TestHarness.h"
+
+namespace mulberryvalve {
+namespace {
+
+constexpr uint16_t kStuck = 1;
+constexpr uint16_t kOther = 2;
+constexpr Milliseconds kStallLimit{ 300 };
+// Longer than each time after which an owner could give up.
+constexpr size_t kJoinsOfAnOutage = 60;
+
+// TermsOfATenth are those of BidTerms, a tenth as long.
+BidTerms TermsOfATenth()
+{
+  const BidTerms whole;
+  return BidTerms{ whole.mPerShard / 10,
+                   whole.mWeak / 10,
+                   whole.mSettled / 10,
+                   whole.mHandOver / 10,
+                   whole.mAway / 10 };
+}
+
+// OutageGroup is one member's access to a group; all its calls fail in an
+// outage. Thread-safe.
+class OutageGroup : public ShardGroup
+{
+public:
+  OutageGroup(DealtGroup& aGroup, uint16_t aPort)
+    : mMember(aGroup, aPort)
+  {
+  }
+
+  void Begin()
+  {
+    MutexLock lock(mMutex);
+    mIsOut = true;
+  }
+
+  // EndAfter ends the outage once aCalls calls have failed.
+  void EndAfter(size_t aCalls)
+  {
+    MutexLock lock(mMutex);
+    while (mFailed < aCalls) {
+      mCond.Wait(mMutex);
+    }
+    mIsOut = false;
+  }
+
+  Result<GroupShare> Join(ShardNumber aShard, Generation aKnown) override
+  {
+    if (IsOut()) {
+      return Fail(FailureKind::kLogUnavailable);
+    }
+    return mMember.Join(aShard, aKnown);
+  }
+  Result<GroupView> View(ShardNumber aShard) override
+  {
+    if (IsOut()) {
+      return Fail(FailureKind::kLogUnavailable);
+    }
+    return mMember.View(aShard);
+  }
+  Result<void> Leave(ShardNumber aShard) override
+  {
+    return mMember.Leave(aShard);
+  }
+
+private:
+  bool IsOut()
+  {
+    MutexLock lock(mMutex);
+    mFailed += mIsOut ? 1 : 0;
+    mCond.NotifyAll();
+    return mIsOut;
+  }
+
+  DealtGroupMember mMember;
+  Mutex mMutex;
+  CondVar mCond;
+  bool mIsOut MV_GUARDED_BY(mMutex) = false;
+  size_t mFailed MV_GUARDED_BY(mMutex) = 0;
+};
+
+// Pair is two instances of one group, the first of which sees a log that fails.
+class Pair
+{
+public:
+  Pair()
+    : mFaulty(mLog)
+  {
+  }
+
+  // Add starts an instance.
+  JobsInstance& Add(uint16_t aPort)
+  {
+    KeyedLog& log = aPort == kStuck ? static_cast<KeyedLog&>(mFaulty) : mLog;
+    ShardKeeperOptions options = JobsInstance::OptionsAt(aPort, 1);
+    options.mBids = TermsOfATenth();
+    options.mOwner.mStallLimit = kStallLimit;
+    auto access = std::make_unique<OutageGroup>(mGroup, aPort);
+    mAccess = access.get();
+    auto instance =
+      std::make_unique<JobsInstance>(log,
+                                     mWorkers,
+                                     std::move(access),
+                                     options,
+                                     std::make_unique<SeededRandom>(aPort));
+    instance->Start();
+    mInstances.push_back(std::move(instance));
+    return *mInstances.back();
+  }
+
+  // AwaitOwner waits until an instance holds the shard; false when time is up.
+  bool AwaitOwner(uint16_t aPort)
+  {
+    const RealClock clock;
+    const MonotonicTime until = clock.Now() + kPatience;
+    while (clock.Now() < until) {
+      const auto owners = mGroup.Owners();
+      if (!owners.empty() && owners.begin()->second == aPort) {
+        return true;
+      }
+      mGroup.AwaitJoins(1);
+    }
+    return false;
+  }
+
+  FaultyLog& Faulty() { return mFaulty; }
+  DealtGroup& Group() { return mGroup; }
+  // Access returns how the instance that was added last sees the group.
+  OutageGroup& Access() { return *mAccess; }
+
+private:
+  MemoryLog mLog;
+  FaultyLog mFaulty;
+  InstantWorker mWorkers;
+  OutageGroup* mAccess = nullptr;
+  DealtGroup mGroup{ DealOrder::kOldestFirst };
+  std::vector<std::unique_ptr<JobsInstance>> mInstances;
+};
+
+} // namespace
+
+TEST_GROUP(StuckOwnerTest){};
+
+// Guards against a claim that is repeated for ever because another sequence of
+// its epoch stands on the log.
+TEST(StuckOwnerTest, AClaimThatMeetsItsOwnEpochOnTheLogGoesAboveIt)
+{
+  MemoryLog log;
+  InstantWorker workers;
+  const JobLogJson codec;
+  const Epoch first(64);
+  for (uint64_t sequence = 1; sequence <= 10; sequence++) {
+    const FencedAppend proof{ KeyedPlace{ KeyedTopic::kProgress, 0 },
+                              first,
+                              sequence };
+    CHECK(log.AppendFenced(proof, { codec.Encode(OwnerNote{ first, "other" }) })
+            .has_value());
+  }
+  JobsInstance instance(log, workers, 1);
+  instance.Start();
+  instance.Complete("a");
+}
+
+// Guards against an owner that repeats a load, claim or append that no
+// repetition mends while nobody else may own the shard.
+TEST(StuckOwnerTest, AnOwnerWhoseCallsCanNotMendHandsTheShardOver)
+{
+  for (const LogCall call : { LogCall::kNewest, LogCall::kAppendFenced }) {
+    for (const FailureKind kind :
+         { FailureKind::kMalformed, FailureKind::kTooLarge }) {
+      Pair pair;
+      pair.Faulty().FailAll(call, kind);
+      pair.Add(kStuck);
+      CHECK(pair.AwaitOwner(kStuck));
+      JobsInstance& other = pair.Add(kOther);
+      other.Complete("a");
+    }
+  }
+}
+
+// Guards against an owner that the log refuses, for a reason that may pass,
+// while it goes on answering the group.
+TEST(StuckOwnerTest, AnOwnerThatDoesNotAdvanceHandsTheShardOver)
+{
+  for (const LogCall call : { LogCall::kNewest, LogCall::kAppendFenced }) {
+    Pair pair;
+    pair.Faulty().FailAll(call, FailureKind::kLogUnavailable);
+    pair.Add(kStuck);
+    CHECK(pair.AwaitOwner(kStuck));
+    JobsInstance& other = pair.Add(kOther);
+    other.Complete("a");
+  }
+}
+
+// Guards against an owner that can write no more after it has loaded, while the
+// log takes what others hand in.
+TEST(StuckOwnerTest, AnOwnerThatCanNotAppendHandsTheShardOver)
+{
+  Pair pair;
+  JobsInstance& stuck = pair.Add(kStuck);
+  stuck.Complete("a");
+  JobsInstance& other = pair.Add(kOther);
+  pair.Faulty().FailAll(LogCall::kAppendFenced, FailureKind::kLogUnavailable);
+  bool completed = false;
+  CHECK(other.Jobs().Submit(SmallJob("b"), other.In(kPatience)).has_value());
+  const MonotonicTime until = other.In(kPatience);
+  while (!completed && other.In(Milliseconds(0)) < until) {
+    // The log goes on taking what callers hand in.
+    CHECK(other.Jobs().Submit(SmallJob("c"), other.In(kPatience)).has_value());
+    const auto phase =
+      other.Jobs().Phase(JobId("b"), other.In(Milliseconds(300)));
+    completed = phase && phase.value() == JobPhase::kCompleted;
+  }
+  CHECK(completed);
+}
+
+// Guards against a shard that is given up in an outage of the store, in which
+// its owner keeps the running tasks.
+TEST(StuckOwnerTest, AnOwnerStaysInAnOutage)
+{
+  Pair pair;
+  JobsInstance& instance = pair.Add(kStuck);
+  instance.Complete("a");
+  const size_t changes = pair.Group().Changes();
+  pair.Access().Begin();
+  pair.Faulty().FailAll(LogCall::kAppendFenced, FailureKind::kLogUnavailable);
+  CHECK(
+    instance.Jobs().Submit(SmallJob("b"), instance.In(kPatience)).has_value());
+  pair.Access().EndAfter(kJoinsOfAnOutage);
+  pair.Faulty().Heal();
+  CHECK(instance.Await("b", JobPhase::kCompleted));
+  CHECK_EQUAL(changes, pair.Group().Changes());
+}
+
+} // namespace mulberryvalve
--- a/mulberryvalve/ports/out/keyed_log.h
+++ b/mulberryvalve/ports/out/keyed_log.h
@@ -64,6 +64,21 @@
   uint64_t mSequence = 0;
 };
 
+// MendsByRepetition tells whether the same call may succeed later. One that was
+// refused for what it carries, or whose answer can't be read, will not.
+inline bool MendsByRepetition(FailureKind aKind)
+{
+  switch (aKind) {
+    case FailureKind::kLogUnavailable:
+    case FailureKind::kLogRateLimited:
+    case FailureKind::kLogAnswerLost:
+    case FailureKind::kNotReady:
+      return true;
+    default:
+      return false;
+  }
+}
+
 // KeyedLog's implementations are thread-safe and block up to the time given.
 // Errors of all: kLogUnavailable and kLogRateLimited (nothing was done),
 // kLogAnswerLost (it may have been done or may yet be), kMalformed.
