--- a/mulberryvalve/core/jobs/job_world_fake.h
+++ b/mulberryvalve/core/jobs/job_world_fake.h
@@ -68,6 +68,9 @@
   std::map<TaskRef, FakeRun> mRuns;
   std::vector<EndedRow> mEnded;
   EndNumber mLastEnd;
+  // Its lease has lapsed since these ends; one that is told as seen only after
+  // that does not count as noted.
+  EndNumber mLapsedUpTo;
   std::map<TaskRef, RunNumber> mClosed;
   // What its reports say of serving tasks, in milliseconds.
   std::function<int64_t(const FakeWorkerNode&, const TaskRef&)> mTail;
--- a/mulberryvalve/core/jobs/job_world_workers.cc
+++ b/mulberryvalve/core/jobs/job_world_workers.cc
@@ -48,6 +48,7 @@
   worker.mEnded.clear();
   worker.mClosed.clear();
   worker.mLastEnd = EndNumber();
+  worker.mLapsedUpTo = EndNumber();
 }
 
 void JobWorld::Drain(const WorkerId& aWorker, Milliseconds aRemaining)
