A successor holds back only what may run on workers that have not answered

Cause: JobShard::IsBlocked held back each inherited job while any worker of the log's list had not answered, also one that had drained and left with nothing on it and can't answer ever.

Change: the record of a worker on which its owner starts nothing (it is silent, or drains) names the tasks that may run there at most: charged ones (unsettled starts are), listed ones that are not wanted, and ones whose end there is not durable. A silent one also has the wait that is left, an empty one none. Both are noted at once and anew every 0.5 s at changes (1 s beyond 64 such workers). A successor (FormerWorkers) holds back these tasks, the whole gang of one, and places the others. A worker without a note holds back all, as before. Nothing is started on a noted worker until the note is taken back durably; a silent one is not renewed either. A silent, unlisted and empty worker is forgotten at once. Only what a worker said and what owners ordered counts: a refused connection proves nothing.

A worker that is to be forgotten and is listed again in the same append keeps its record, which was dropped after it was written.

The record: may_run, rows of job, occurrence, step and indexes, missing when there is no such note; at most 512 tasks, which with ids of 256 bytes is less than the store takes (a test); a worker with more has no note and holds back all. By reading, older code takes the wait alone, and records without the field are read as before (existing tests).

--- a/mulberryvalve/adapters/json/job_log_json.cc
+++ b/mulberryvalve/adapters/json/job_log_json.cc
@@ -3,6 +3,7 @@
 #include "mulberryvalve/adapters/json/json_reader.h"
 #include "mulberryvalve/adapters/json/learned_json.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <limits>
@@ -256,6 +257,55 @@
   return record;
 }
 
+// The tasks of a step are one row: its job, occurrence, step and their indexes.
+constexpr size_t kStepColumns = 4;
+
+json TasksToJson(const std::vector<TaskRef>& aTasks)
+{
+  json rows = json::array();
+  const StepRef* step = nullptr;
+  for (const TaskRef& task : aTasks) {
+    if (step == nullptr || !(*step == task.mStep)) {
+      step = &task.mStep;
+      rows.push_back(
+        { step->mJob.Text(), step->mOccurrence, step->mStep, json::array() });
+    }
+    rows.back().back().push_back(task.mIndex);
+  }
+  return rows;
+}
+
+bool IsIndex(const json& aValue)
+{
+  return aValue.is_number_unsigned() &&
+         aValue.get<uint64_t>() <= std::numeric_limits<uint32_t>::max();
+}
+
+bool IsStepRow(const json& aRow)
+{
+  return aRow.is_array() && aRow.size() == kStepColumns &&
+         aRow[0].is_string() && IsIndex(aRow[1]) && IsIndex(aRow[2]) &&
+         aRow[3].is_array() && !aRow[3].empty() &&
+         std::all_of(aRow[3].begin(), aRow[3].end(), IsIndex);
+}
+
+Result<std::vector<TaskRef>> TasksFromJson(const json& aRows)
+{
+  std::vector<TaskRef> tasks;
+  for (const json& row : aRows) {
+    if (!IsStepRow(row) || tasks.size() + row[3].size() > kMaxNotedTasks) {
+      return Fail(FailureKind::kMalformed, "may_run", "a row is not readable");
+    }
+    const StepRef step{ JobId(row[0].get<std::string>()),
+                        row[1].get<uint32_t>(),
+                        row[2].get<uint32_t>() };
+    for (const json& index : row[3]) {
+      tasks.push_back(TaskRef{ step, index.get<uint32_t>() });
+    }
+  }
+  return tasks;
+}
+
 Result<KnownWorker> WorkerFromJson(const std::string& aId, const json& aObject)
 {
   JsonReader reader(aObject);
@@ -269,6 +319,14 @@
   if (reader.Has("wait_left_ms")) {
     worker.mWaitLeft = Milliseconds(reader.Number("wait_left_ms"));
   }
+  if (reader.Has("may_run")) {
+    Result<std::vector<TaskRef>> tasks =
+      TasksFromJson(reader.Array("may_run", kMaxNotedTasks));
+    if (!tasks) {
+      return tasks.error();
+    }
+    worker.mMayRun = std::move(tasks.value());
+  }
   if (reader.Fault()) {
     return *reader.Fault();
   }
@@ -348,6 +406,9 @@
   if (aWorker.mWaitLeft) {
     object["wait_left_ms"] = aWorker.mWaitLeft->count();
   }
+  if (aWorker.mMayRun) {
+    object["may_run"] = TasksToJson(*aWorker.mMayRun);
+  }
   return KeyedEntry{ Joined(kWorkerPrefix, aWorker.mId.Text()), object.dump() };
 }
 
--- a/mulberryvalve/adapters/json/job_log_json_test.cc
+++ b/mulberryvalve/adapters/json/job_log_json_test.cc
@@ -137,6 +137,82 @@
   CHECK_EQUAL(0, std::get<KnownWorker>(item.value()).mWaitLeft.value().count());
 }
 
+namespace {
+
+KnownWorker WorkerWith(std::optional<std::vector<TaskRef>> aMayRun)
+{
+  KnownWorker worker;
+  worker.mId = WorkerId("w");
+  worker.mEndpoint = Endpoint{ "10.0.0.1", 80 };
+  worker.mMayRun = std::move(aMayRun);
+  return worker;
+}
+
+KnownWorker Reread(const KnownWorker& aWorker)
+{
+  const JobLogJson codec;
+  const Result<ProgressItem> item = codec.DecodeProgress(codec.Encode(aWorker));
+  CHECK(item.has_value());
+  return std::get<KnownWorker>(item.value());
+}
+
+} // namespace
+
+// A task that is missing from the note would be started twice.
+TEST(JobLogJsonTest, WorkersKeepTheTasksThatMayRun)
+{
+  const StepRef step{ JobId("a\"b"), 0, 1 };
+  const StepRef other{ JobId("c"), 4294967295, 0 };
+  const std::vector<TaskRef> tasks = { { step, 0 },
+                                       { step, 4294967295 },
+                                       { other, 7 } };
+  CHECK(tasks == Reread(WorkerWith(tasks)).mMayRun.value());
+  CHECK(Reread(WorkerWith(std::vector<TaskRef>())).mMayRun.value().empty());
+  CHECK_FALSE(Reread(WorkerWith(std::nullopt)).mMayRun.has_value());
+}
+
+// The log refuses a record that is larger.
+TEST(JobLogJsonTest, AWorkerWithTheMostTasksFitsInARecord)
+{
+  constexpr size_t kMaxIdBytes = 256;
+  constexpr size_t kLogRecordBytes = 262144;
+  std::vector<TaskRef> tasks;
+  for (uint32_t number = 0; number < kMaxNotedTasks; number++) {
+    std::string id = std::to_string(number);
+    id.resize(kMaxIdBytes, 'x');
+    tasks.push_back(TaskRef{ { JobId(id), 4294967295, 255 }, 65535 });
+  }
+  const KeyedEntry entry = JobLogJson().Encode(WorkerWith(tasks));
+  CHECK(entry.mValue->size() < kLogRecordBytes);
+  CHECK(tasks == Reread(WorkerWith(tasks)).mMayRun.value());
+  tasks.push_back(tasks.front());
+  CHECK_FALSE(JobLogJson()
+                .DecodeProgress(JobLogJson().Encode(WorkerWith(tasks)))
+                .has_value());
+}
+
+TEST(JobLogJsonTest, UnreadableTasksOfAWorkerAreAFault)
+{
+  for (const char* rows : { "1",
+                            "{}",
+                            "[1]",
+                            "[[]]",
+                            R"([["j",0,0]])",
+                            R"([["j",0,0,[]]])",
+                            R"([["j",0,0,[-1]]])",
+                            R"([["j",0,0,[1.5]]])",
+                            R"([["j",0,0,[4294967296]]])",
+                            R"([["j",0,4294967296,[1]]])",
+                            R"([["j","0",0,[1]]])",
+                            R"([[7,0,0,[1]]])",
+                            R"([["j",0,0,[1],0]])" }) {
+    const std::string text =
+      R"({"address":"a","port":1,"service":"s","may_run":)" +
+      std::string(rows) + "}";
+    CHECK_FALSE(JobLogJson().DecodeProgress({ "worker/w", text }).has_value());
+  }
+}
+
 TEST(JobLogJsonTest, WhatCanNotBeReadIsAFault)
 {
   const JobLogJson codec;
--- a/mulberryvalve/core/jobs/job_placement.cc
+++ b/mulberryvalve/core/jobs/job_placement.cc
@@ -157,7 +157,7 @@
     return PlacementRefusal::kLeaving;
   }
   if (!aWorker.mInventoried || aWorker.mSilent || !aWorker.mRecorded ||
-      aWorker.mForeignUnknown) {
+      aWorker.mNoted || aWorker.mForeignUnknown) {
     return PlacementRefusal::kUnsure;
   }
   if (aQuery.mNow < aWorker.mAvoidUntil) {
--- a/mulberryvalve/core/jobs/job_shard.cc
+++ b/mulberryvalve/core/jobs/job_shard.cc
@@ -12,11 +12,16 @@
 // How often what was learned is made durable. A successor learns anew what this
 // much time brought.
 constexpr Milliseconds kNoteLearned{ 2000 };
-// Workers that answer at all do so before this after a claim.
-constexpr Milliseconds kFirstNote{ 2000 };
+// When the rest of the waits that the former owner noted is first noted anew.
+constexpr Milliseconds kFirstNote{ 200 };
 // Decisions that nobody collects are dropped beyond this.
 constexpr size_t kMaxDecisions = 4096;
 
+bool IsSame(const Endpoint& aLeft, const Endpoint& aRight)
+{
+  return aLeft.mAddress == aRight.mAddress && aLeft.mPort == aRight.mPort;
+}
+
 } // namespace
 
 JobShard::JobShard(JobShardOptions aOptions,
@@ -57,11 +62,14 @@
   room.mRecorded = true;
   room.mBirth = aWorker.mBirth;
   room.mWaitNoted = aWorker.mWaitLeft.has_value();
+  room.mNoted = room.mWaitNoted || aWorker.mMayRun.has_value();
+  room.mNoWaitNoted = aWorker.mWaitLeft == Milliseconds(0);
   const Milliseconds lease =
     mOptions.mLease.mLength + 10 * mOptions.mLease.mMargin;
   const Milliseconds wait =
     aWorker.mWaitLeft.value_or(mOptions.mProofLimit + lease);
-  mUnasked[aWorker.mId] = mClaimedAt + wait + mOptions.mLease.mMargin;
+  const MonotonicTime until = mClaimedAt + wait + mOptions.mLease.mMargin;
+  mFormer.Add(aWorker.mId, FormerWorker{ until, aWorker.mMayRun });
 }
 
 void JobShard::InheritLearned(const LearnedRecord& aLearned)
@@ -127,9 +135,7 @@
   for (const WorkerFacts& facts : aWorkers) {
     listed.insert(facts.mId);
     WorkerRoom& room = mWorkers.Add(facts.mId);
-    const bool moved =
-      room.mFacts.mEndpoint.mAddress != facts.mEndpoint.mAddress ||
-      room.mFacts.mEndpoint.mPort != facts.mEndpoint.mPort;
+    const bool moved = !IsSame(room.mFacts.mEndpoint, facts.mEndpoint);
     mWorkers.SetFacts(room, facts);
     if (!room.mListed) {
       room.mListed = true;
@@ -141,6 +147,11 @@
     if (room.mBirth < facts.mBirth && room.mBirth != Birth()) {
       ResetLife(room, facts.mBirth);
     }
+    const bool mayStart = room.mInventoried && !room.mSilent &&
+                          facts.mState != WorkerState::kLeaving;
+    if (mayStart) {
+      TakeBackNote(room);
+    }
     if (!room.mRecorded || moved) {
       mDirtyWorkers.insert(facts.mId);
     }
@@ -149,51 +160,13 @@
       room.mLeavesAt = aNow + *facts.mRemaining;
     }
   }
-  std::vector<WorkerId> gone;
   for (auto& [id, room] : mWorkers.All()) {
     if (room.mListed && listed.count(id) == 0) {
       room.mListed = false;
       mWorkers.NoteChange(room);
     }
-    const bool waited = mUnasked.count(id) != 0;
-    if (!room.mListed && room.mSilent && room.mTasks.empty() && !waited &&
-        aNow >= room.mLapsesAt) {
-      gone.push_back(id);
-    }
-  }
-  for (const WorkerId& id : gone) {
-    NoteWorker(DecisionKind::kWorkerLapsed, id, "left the list");
-    mDirtyWorkers.erase(id);
-    mForgotten.insert(id);
-    mWorkers.Remove(id);
   }
-}
-
-// A silent worker gets no start and no renewal until its record says so again,
-// so what runs there ends with the leases that it has.
-std::optional<Milliseconds> JobShard::WaitLeft(const WorkerRoom& aWorker,
-                                               MonotonicTime aNow) const
-{
-  const auto unasked = mUnasked.find(aWorker.mFacts.mId);
-  const bool isUnasked = unasked != mUnasked.end();
-  if (!isUnasked && !(aWorker.mSilent && aWorker.mInventoried)) {
-    return std::nullopt;
-  }
-  const MonotonicTime until = isUnasked ? unasked->second : aWorker.mLapsesAt;
-  return std::max(Milliseconds(0),
-                  std::chrono::ceil<Milliseconds>(until - aNow));
-}
-
-void JobShard::TakeBackWait(WorkerRoom& aWorker)
-{
-  if (!aWorker.mWaitNoted) {
-    return;
-  }
-  aWorker.mWaitNoted = false;
-  aWorker.mNoWaitNoted = false;
-  aWorker.mRecorded = false;
-  mWorkers.NoteChange(aWorker);
-  mDirtyWorkers.insert(aWorker.mFacts.mId);
+  mHasList = true;
 }
 
 std::vector<JobId> JobShard::Retirable(MonotonicTime aNow) const
@@ -228,17 +201,8 @@
     if (room == nullptr) {
       continue;
     }
-    KnownWorker known{ id,
-                       room->mFacts.mEndpoint,
-                       room->mFacts.mService,
-                       room->mBirth,
-                       std::nullopt };
-    known.mWaitLeft = WaitLeft(*room, aNow);
-    if (known.mWaitLeft) {
-      room->mWaitNoted = true;
-      room->mNoWaitNoted = *known.mWaitLeft == Milliseconds(0);
-    }
-    batch.mWorkers.push_back(known);
+    mForgotten.erase(id);
+    batch.mWorkers.push_back(TakeRecord(*room, aNow));
   }
   mDirtyWorkers.clear();
   batch.mForgotten.assign(mForgotten.begin(), mForgotten.end());
@@ -270,21 +234,30 @@
     mBook.Retire(id);
   }
   for (const KnownWorker& worker : aBatch.mWorkers) {
-    WorkerRoom* room = mWorkers.Find(worker.mId);
-    if (room != nullptr &&
-        (!room->mInventoried || !worker.mWaitLeft.has_value())) {
-      room->mRecorded = true;
-      mWorkers.NoteChange(*room);
-    }
+    NoteDurable(worker);
   }
   for (const ProgressBatch::EndsTaken& ends : aBatch.mEnds) {
     WorkerRoom* room = mWorkers.Find(ends.mWorker);
     if (room != nullptr && room->mBirth == ends.mBirth) {
       room->mDurable = std::max(room->mDurable, ends.mNumber);
+      auto& waiting = room->mEndsNotDurable;
+      waiting.erase(waiting.begin(), waiting.upper_bound(room->mDurable));
     }
   }
 }
 
+void JobShard::NoteDurable(const KnownWorker& aWorker)
+{
+  WorkerRoom* room = mWorkers.Find(aWorker.mId);
+  if (room == nullptr || room->mBirth != aWorker.mBirth) {
+    return;
+  }
+  if (!room->mInventoried || !aWorker.mWaitLeft.has_value()) {
+    room->mRecorded = true;
+    mWorkers.NoteChange(*room);
+  }
+}
+
 std::optional<JobPhase> JobShard::Phase(const JobId& aJob) const
 {
   const JobEntry* job = mBook.Find(aJob);
--- a/mulberryvalve/core/jobs/job_shard.h
+++ b/mulberryvalve/core/jobs/job_shard.h
@@ -4,9 +4,11 @@
 #define MULBERRYVALVE_CORE_JOBS_JOB_SHARD_H_
 
 #include "mulberryvalve/core/jobs/cluster_config.h"
+#include "mulberryvalve/core/jobs/former_workers.h"
 #include "mulberryvalve/core/jobs/job_book.h"
 #include "mulberryvalve/core/jobs/job_decision.h"
 #include "mulberryvalve/core/jobs/job_placement.h"
+#include "mulberryvalve/core/jobs/known_worker.h"
 #include "mulberryvalve/core/jobs/placement_pass.h"
 #include "mulberryvalve/core/jobs/run_time_book.h"
 #include "mulberryvalve/core/jobs/usage_sum.h"
@@ -53,19 +55,6 @@
   bool mMayStart = false;
 };
 
-// KnownWorker is a worker that an owner has used, as its successor finds it on
-// the log.
-struct KnownWorker
-{
-  WorkerId mId;
-  Endpoint mEndpoint;
-  ServiceId mService;
-  Birth mBirth;
-  // Set while an owner does not reach it: for how long, from the writing of the
-  // record on, it may run what was started there.
-  std::optional<Milliseconds> mWaitLeft;
-};
-
 // ProgressBatch is what is to be made durable next. OnDurable takes it back.
 struct ProgressBatch
 {
@@ -216,10 +205,23 @@
     TaskPlace mPlace;
   };
 
-  std::optional<Milliseconds> WaitLeft(const WorkerRoom& aWorker,
-                                       MonotonicTime aNow) const;
-  void TakeBackWait(WorkerRoom& aWorker);
   std::vector<JobId> Retirable(MonotonicTime aNow) const;
+  void NoteDurable(const KnownWorker& aWorker);
+
+  // Notes for the successor, and those of the former owner
+  // (job_shard_notes.cc).
+  KnownWorker RecordOf(const WorkerRoom& aWorker, MonotonicTime aNow) const;
+  KnownWorker TakeRecord(WorkerRoom& aWorker, MonotonicTime aNow);
+  void TakeBackNote(WorkerRoom& aWorker);
+  void FollowNotes(MonotonicTime aNow);
+  void NoteFormer(MonotonicTime aNow);
+  void FollowNote(const WorkerRoom& aWorker, bool aAgain);
+  void ForgetGone(MonotonicTime aNow);
+  bool IsGone(const WorkerRoom& aWorker, MonotonicTime aNow) const;
+  bool IsBlocked(const JobEntry& aJob, MonotonicTime aNow) const;
+  bool IsHeld(const JobEntry& aJob,
+              const StepRef& aStep,
+              MonotonicTime aNow) const;
 
   // Ends and lists (job_shard_lists.cc).
   void TakeLists(WorkerRoom& aWorker,
@@ -304,10 +306,8 @@
                 RunNumber aRun,
                 const WorkerRoom& aWorker);
   void SendPaces(const WorkerRoom& aWorker);
-  void NoteWaits(MonotonicTime aNow);
   void RepeatStops(MonotonicTime aNow);
   void MoveOffLeaving(MonotonicTime aNow);
-  bool IsBlocked(const JobEntry& aJob, MonotonicTime aNow);
   bool IsProvedFor(const JobEntry& aJob, MonotonicTime aNow) const;
   RunNumber NextRun(JobEntry& aJob);
   void OnStartOutcome(const TaskOrder& aOrder,
@@ -360,10 +360,10 @@
   WallTime mWall;
   // The reports of the tasks of each step, by their index.
   std::map<StepRef, std::map<uint32_t, TailReport>> mTails;
-  // Workers of former owners that have not answered yet, and until when they
-  // may run what a former owner started.
-  std::map<WorkerId, MonotonicTime> mUnasked;
+  FormerWorkers mFormer;
   MonotonicTime mNoteWaitsAt;
+  // The list of workers was read.
+  bool mHasList = false;
   MonotonicTime mNoteLearnedAt;
   MonotonicTime mRetireAt;
   std::set<JobId> mCancelledEarly;
--- a/mulberryvalve/core/jobs/job_shard_lists.cc
+++ b/mulberryvalve/core/jobs/job_shard_lists.cc
@@ -49,7 +49,7 @@
     if (aReply.mOutcome == OrderOutcome::kGone) {
       // Its process is over, and with it all that ran there.
       FreeAll(*room, "another worker answers at its address");
-      mUnasked.erase(aOrder.mWorker);
+      mFormer.SetOver(aOrder.mWorker, aNow);
       mChanged = true;
     }
     return;
@@ -66,7 +66,7 @@
   }
   if (room->mSilent) {
     mWorkers.SetSilent(*room, false);
-    TakeBackWait(*room);
+    TakeBackNote(*room);
     NoteWorker(DecisionKind::kWorkerBack, aOrder.mWorker, "answers");
   }
   mWorkers.OnReading(*room, aReply.mReading, aNow);
@@ -75,9 +75,9 @@
     room->mInventoried = true;
     mWorkers.InheritLease(*room, aNow);
     mWorkers.NoteChange(*room);
-    TakeBackWait(*room);
+    TakeBackNote(*room);
     mChanged = true;
-    mUnasked.erase(aOrder.mWorker);
+    mFormer.Remove(aOrder.mWorker);
     NoteWorker(DecisionKind::kWorkerKnown,
                aOrder.mWorker,
                std::to_string(aReply.mRunning.size()) + " running");
@@ -104,6 +104,7 @@
   }
   aWorker.mForeign = Resources();
   aWorker.mForeignUnknown = false;
+  aWorker.mForeignRuns.clear();
   std::vector<ListedRun> running;
   running.reserve(aReply.mRunning.size());
   for (const RunningRow& row : aReply.mRunning) {
@@ -112,6 +113,9 @@
   }
   FreeMissing(aWorker, running, aSentAt);
   FollowTails(aWorker, running, aSentAt, aNow);
+  if (aWorker.mWaitNoted && !aWorker.RunsNothing()) {
+    TakeBackNote(aWorker);
+  }
   if (bounds() != before) {
     mWorkers.NoteChange(aWorker);
   }
@@ -125,6 +129,7 @@
     return;
   }
   aWorker.mTaken = aRow.mNumber;
+  aWorker.mEndsNotDurable[aRow.mNumber] = aRow.mTask;
   const TaskPlace place = mBook.Locate(aRow.mTask);
   if (place.mTask == nullptr) {
     return;
@@ -339,6 +344,7 @@
     return;
   }
   // A run that is to be stopped takes room until the worker lists it no more.
+  aWorker.mForeignRuns.insert(row.mTask);
   if (task == nullptr) {
     aWorker.mForeignUnknown = true;
   } else {
@@ -414,9 +420,12 @@
   aWorker.mClock.reset();
   aWorker.mLeaseUntil = WorkerTime();
   aWorker.mInventoried = false;
+  // It has seen no fencing token: an owner that was superseded must not use it.
+  aWorker.mRecorded = false;
   aWorker.mFailuresInRow = 0;
   aWorker.mForeign = Resources();
   aWorker.mForeignUnknown = false;
+  aWorker.mEndsNotDurable.clear();
   mWorkers.NoteChange(aWorker);
   mDirtyWorkers.insert(aWorker.mFacts.mId);
 }
@@ -430,6 +439,7 @@
     Note(DecisionKind::kTaskLost, ref, aWorker.mFacts.mId, task->mRun, aWhy);
     Free(ref);
   }
+  aWorker.mForeignRuns.clear();
 }
 
 // A successor renews what a silent worker runs. So a lease is over only when
@@ -439,7 +449,7 @@
   for (const WorkerId& id : mWorkers.Silent()) {
     WorkerRoom& room = *mWorkers.Find(id);
     if (room.mTasks.empty() || aNow < room.mLapsesAt ||
-        aProof.mProvedAt < room.mLapsesAt || mUnasked.count(id) != 0) {
+        aProof.mProvedAt < room.mLapsesAt || mFormer.IsWaitedFor(id)) {
       continue;
     }
     NoteWorker(DecisionKind::kWorkerLapsed, id, "silent beyond its leases");
--- a/mulberryvalve/core/jobs/job_shard_orders.cc
+++ b/mulberryvalve/core/jobs/job_shard_orders.cc
@@ -12,8 +12,6 @@
 constexpr Milliseconds kLeaveBefore{ 1500 };
 // A stop and the lists that show it take less.
 constexpr Milliseconds kKeepForLasting{ 2500 };
-// How often the rest of the wait for silent workers is made durable.
-constexpr Milliseconds kNoteWaits{ 1000 };
 // Steps that found no worker are tried again this often without a cause.
 constexpr Milliseconds kPlaceAgain{ 100 };
 // Run numbers of an epoch start above all numbers of earlier epochs.
@@ -29,7 +27,10 @@
   FreeLapsed(aProof, aNow);
   mProvedAt = std::max(mProvedAt, aProof.mProvedAt);
   RepeatStops(aNow);
-  NoteWaits(aNow);
+  // A successor may renew what a worker runs that this owner waits for.
+  mFormer.Advance(mProvedAt);
+  ForgetGone(aNow);
+  FollowNotes(aNow);
   MoveOffLeaving(aNow);
   mBook.OpenDue(aWall);
   if (!aProof.mMayStart) {
@@ -116,7 +117,7 @@
   for (uint32_t index = 0; index < spec.mCount; index++) {
     const TaskRef ref{ name, index };
     const bool waits = step.mTasks[index].mPhase == TaskPhase::kWaiting;
-    if (waits && !PlaceOne(aJob, ref, aNow)) {
+    if (waits && !mFormer.Holds(ref) && !PlaceOne(aJob, ref, aNow)) {
       mPass.Refused().Add(spec, hasWaited);
       return;
     }
@@ -151,7 +152,7 @@
 {
   const StepSpec& spec = mBook.SpecOf(aStep);
   StepState& step = mBook.StepOf(aStep);
-  if (step.mWaiting != step.mTasks.size()) {
+  if (step.mWaiting != step.mTasks.size() || mFormer.HoldsAnyOf(aStep)) {
     return;
   }
   std::vector<WorkerRoom*> chosen;
@@ -326,25 +327,6 @@
   }
 }
 
-// A successor need not wait anew for workers that this owner waited for, nor
-// for those that it does not renew.
-void JobShard::NoteWaits(MonotonicTime aNow)
-{
-  if (aNow < mNoteWaitsAt) {
-    return;
-  }
-  mNoteWaitsAt = aNow + kNoteWaits;
-  for (const auto& [id, until] : mUnasked) {
-    mDirtyWorkers.insert(id);
-  }
-  for (const WorkerId& id : mWorkers.Silent()) {
-    const WorkerRoom& worker = *mWorkers.Find(id);
-    if (worker.mInventoried && !worker.mNoWaitNoted) {
-      mDirtyWorkers.insert(id);
-    }
-  }
-}
-
 void JobShard::MoveOffLeaving(MonotonicTime aNow)
 {
   for (const WorkerId& id : mWorkers.Leaving()) {
@@ -369,20 +351,6 @@
   return aJob.mKnownAt <= mProvedAt || aNow < mProvedAt + mOptions.mFreshProof;
 }
 
-bool JobShard::IsBlocked(const JobEntry& aJob, MonotonicTime aNow)
-{
-  if (!IsProvedFor(aJob, aNow)) {
-    return true;
-  }
-  if (!aJob.mInherited) {
-    return false;
-  }
-  for (auto row = mUnasked.begin(); row != mUnasked.end();) {
-    row = row->second <= aNow ? mUnasked.erase(row) : std::next(row);
-  }
-  return !mUnasked.empty();
-}
-
 RunNumber JobShard::NextRun(JobEntry& aJob)
 {
   const RunNumber first(mOptions.mEpoch.Value() * kRunsPerEpoch);
--- a/mulberryvalve/core/jobs/job_shard_waiting.cc
+++ b/mulberryvalve/core/jobs/job_shard_waiting.cc
@@ -125,9 +125,9 @@
   StepState& step = mBook.StepOf(aStep);
   step.mExplainAt = aNow + kExplainAgain;
   std::string why = std::to_string(step.mWaiting) + " tasks wait";
-  const bool blocked = IsBlocked(aJob, aNow);
+  const bool blocked = IsHeld(aJob, aStep, aNow);
   if (blocked) {
-    why += ", " + std::to_string(mUnasked.size()) +
+    why += ", " + std::to_string(mFormer.WaitedCount()) +
            " workers of the former owner have not answered";
   }
   WaitCause cause = blocked ? WaitCause::kFormerOwner : WaitCause::kNone;
--- a/mulberryvalve/core/jobs/takeover_test.cc
+++ b/mulberryvalve/core/jobs/takeover_test.cc
@@ -268,6 +268,8 @@
 {
   for (const auto& listing : kListings) {
     FullWithOneDark full(listing);
+    // Other tasks may have taken all room by now.
+    full.mWorld.EndRunsOf(full.mWorld.IdOf(9));
     const MonotonicTime over = TakeoverWorld::LeaseIsOver(full.mDarkAt, 1);
     CHECK(full.mWorld.RunsElsewhereBy(full.mTask, full.mDark, over));
     full.mWorld->RunFor(kSettled);
--- a/mulberryvalve/core/jobs/worker_table.cc
+++ b/mulberryvalve/core/jobs/worker_table.cc
@@ -53,6 +53,16 @@
   return shares;
 }
 
+std::set<TaskRef> WorkerRoom::MayRun() const
+{
+  std::set<TaskRef> tasks = mTasks;
+  tasks.insert(mForeignRuns.begin(), mForeignRuns.end());
+  for (const auto& [number, task] : mEndsNotDurable) {
+    tasks.insert(task);
+  }
+  return tasks;
+}
+
 WorkerRoom* WorkerTable::Find(const WorkerId& aId)
 {
   const auto found = mWorkers.find(aId);
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -43,11 +43,16 @@
   bool mSilent = false;
   // Its name is durable, so that a successor asks it before it acts.
   bool mRecorded = false;
+  // Its record says what may run there, or how long at most; that is taken back
+  // before anything is started there.
+  bool mNoted = false;
   // Its record says how long a successor has to wait for it at most; that is
-  // taken back before it is renewed.
+  // taken back before what runs there is renewed.
   bool mWaitNoted = false;
   // Its record says that there is nothing to wait for.
   bool mNoWaitNoted = false;
+  // So many tasks its record names.
+  size_t mNotedTasks = 0;
   Birth mBirth;
   // The last reading of its clock and when that arrived here.
   std::optional<WorkerTime> mClock;
@@ -73,6 +78,10 @@
   // the demand of such a run is not known, nothing is started beside it.
   Resources mForeign;
   bool mForeignUnknown = false;
+  std::set<TaskRef> mForeignRuns;
+  // The tasks of the ends between mDurable and mTaken. It lists them still, so
+  // a successor that does not ask it knows nothing of them.
+  std::map<EndNumber, TaskRef> mEndsNotDurable;
   int mLasting = 0;
   // The lasting tasks whose tail has a target, and their share of mCharged.
   int mServing = 0;
@@ -96,6 +105,15 @@
   // NeedsPacing tells whether tasks that fill may disturb tasks that serve.
   bool NeedsPacing() const { return mServing > 0 && mFilling > 0; }
 
+  // MayRun returns the tasks that may run there, or of which an end is not
+  // durable. It holds once the worker was inventoried, while nothing is started
+  // there. RunsNothing tells whether there are none.
+  std::set<TaskRef> MayRun() const;
+  bool RunsNothing() const
+  {
+    return mTasks.empty() && mForeignRuns.empty() && mEndsNotDurable.empty();
+  }
+
   // Filling returns the shares of what fills at aPercent of its speed, with
   // aMore thousandths of a core of aImage added.
   std::vector<FillingShare> Filling(int aPercent,
