A worker that moves gets nothing new until its new address is durable

Seen by callers: nothing yet; found by reading. A successor would ask at the former address, where nothing listens, and wait for up to 13 s or, with a note, start beside what runs.

Cause: OnWorkers wrote a new record when the address in the list changed, but the worker counted as recorded meanwhile, so starts and renewals went on.

Change: it counts as not recorded until a record with the present address is durable; one under way with the former address does not count.

Measured: job_shard_notes_test NothingIsStartedUntilANewAddressIsDurable fails when either half is left out (scratch copy) and passes.

--- a/mulberryvalve/core/jobs/job_shard.cc
+++ b/mulberryvalve/core/jobs/job_shard.cc
@@ -135,7 +135,11 @@
   for (const WorkerFacts& facts : aWorkers) {
     listed.insert(facts.mId);
     WorkerRoom& room = mWorkers.Add(facts.mId);
-    const bool moved = !IsSame(room.mFacts.mEndpoint, facts.mEndpoint);
+    if (!IsSame(room.mFacts.mEndpoint, facts.mEndpoint)) {
+      // A successor would ask at the former address.
+      room.mRecorded = false;
+      mWorkers.NoteChange(room);
+    }
     mWorkers.SetFacts(room, facts);
     if (!room.mListed) {
       room.mListed = true;
@@ -152,7 +156,7 @@
     if (mayStart) {
       TakeBackNote(room);
     }
-    if (!room.mRecorded || moved) {
+    if (!room.mRecorded) {
       mDirtyWorkers.insert(facts.mId);
     }
     room.mLeavesAt.reset();
@@ -249,7 +253,9 @@
 void JobShard::NoteDurable(const KnownWorker& aWorker)
 {
   WorkerRoom* room = mWorkers.Find(aWorker.mId);
-  if (room == nullptr || room->mBirth != aWorker.mBirth) {
+  const bool isPresent = room != nullptr && room->mBirth == aWorker.mBirth &&
+                         IsSame(room->mFacts.mEndpoint, aWorker.mEndpoint);
+  if (!isPresent) {
     return;
   }
   if (!room->mInventoried || !aWorker.mWaitLeft.has_value()) {
--- a/mulberryvalve/core/jobs/job_shard_notes_test.cc
+++ b/mulberryvalve/core/jobs/job_shard_notes_test.cc
@@ -198,6 +198,24 @@
   CHECK(hold.value().mUntil.has_value());
 }
 
+// A successor asked the former address, where nothing listens, and waited.
+TEST(JobShardNotesTest, NothingIsStartedUntilANewAddressIsDurable)
+{
+  BeginToUse();
+  mOne.Miss();
+  mOne.Starts();
+  mOne.Answer();
+  const ProgressBatch former = mOne.Take();
+  mOne.mFacts.mEndpoint = Endpoint{ "b", 2 };
+  mOne.ReadList();
+  mOne.Submit(OneStepJob("j", 1, 1000));
+  mOne.mShard.OnDurable(former);
+  CHECK_EQUAL(0U, mOne.Starts());
+  CHECK_FALSE(mOne.mShard.NextHold(kWorker, true, mOne.mNow)->mUntil);
+  mOne.Append();
+  CHECK_EQUAL(1U, mOne.Starts());
+}
+
 // A worker that is born anew knows no fencing token, so an owner that was
 // superseded started there what its successor had started elsewhere.
 TEST(JobShardNotesTest, NothingIsStartedInANewLifeUntilThatIsDurable)
