An owner says what it holds back after a take-over

Change: decision and line tasks_held, first, at changes once a second at most, and at the end: tasks, jobs, workers, the longest wait and up to 8 workers of it.

--- a/mulberryvalve/app/jobs/decision_lines_test.cc
+++ b/mulberryvalve/app/jobs/decision_lines_test.cc
@@ -55,6 +55,16 @@
   STRCMP_EQUAL("job_over job=a why=completed", TextOf(lines[2]).c_str());
 }
 
+TEST(DecisionLinesTest, ALineSaysWhatIsHeldBack)
+{
+  JobDecision held;
+  held.mKind = DecisionKind::kTasksHeld;
+  held.mHeldTasks = 2;
+  held.mWhy = "2 tasks";
+  const auto lines = LinesOf({ held });
+  STRCMP_EQUAL("tasks_held why=2 tasks", TextOf(lines[0]).c_str());
+}
+
 TEST(DecisionLinesTest, ALineNamesABoundedNumberOfRuns)
 {
   std::vector<JobDecision> decisions;
--- a/mulberryvalve/app/jobs/decision_meter.cc
+++ b/mulberryvalve/app/jobs/decision_meter.cc
@@ -26,9 +26,15 @@
     case DecisionKind::kWorkerSilent:
       mMetrics.Add(Counter::kWorkersSilent, 1);
       break;
+    case DecisionKind::kTasksHeld:
+      mMetrics.Add(Counter::kTasksHeldBack, aDecision.mHeldTasks);
+      break;
     default:
       break;
   }
+  if (aDecision.mHeldFor) {
+    mMetrics.Record(Timing::kHeldBackUs, *aDecision.mHeldFor);
+  }
   if (aDecision.mWaited) {
     mMetrics.Record(Timing::kFirstStartUs, *aDecision.mWaited);
   }
--- a/mulberryvalve/core/jobs/job_decision.h
+++ b/mulberryvalve/core/jobs/job_decision.h
@@ -30,9 +30,10 @@
   kWorkerAvoided, // it gets nothing new for a while
   kWorkerFenced,  // it obeys a newer owner
   kWorkerPaced,   // tasks that fill work at another speed there
+  kTasksHeld,     // tasks wait for workers of a former owner, or no more
 };
 
-inline constexpr EnumTable<DecisionKind, 18> kDecisionKindNames{ { {
+inline constexpr EnumTable<DecisionKind, 19> kDecisionKindNames{ { {
   { DecisionKind::kJobKnown, "job_known" },
   { DecisionKind::kJobCancelled, "job_cancelled" },
   { DecisionKind::kJobOver, "job_over" },
@@ -51,6 +52,7 @@
   { DecisionKind::kWorkerAvoided, "worker_avoided" },
   { DecisionKind::kWorkerFenced, "worker_fenced" },
   { DecisionKind::kWorkerPaced, "worker_paced" },
+  { DecisionKind::kTasksHeld, "tasks_held" },
 } } };
 
 // WaitCause is what most of the workers lack for a step that waits.
@@ -85,6 +87,10 @@
   WaitCause mWaitCause = WaitCause::kNone;
   // Of kTaskEnded.
   EndKind mEnd = EndKind::kStopped;
+  // Of kTasksHeld: how many they are, and how long after the claim there were
+  // none any more.
+  size_t mHeldTasks = 0;
+  std::optional<Milliseconds> mHeldFor;
   // Of the first start of a job that this owner read itself: the time since.
   std::optional<Milliseconds> mWaited;
 };
--- a/mulberryvalve/core/jobs/job_shard.h
+++ b/mulberryvalve/core/jobs/job_shard.h
@@ -198,6 +198,20 @@
     }
   };
 
+  // HeldTasks counts what waits for workers of former owners.
+  struct HeldTasks
+  {
+    size_t mJobs = 0;
+    size_t mTasks = 0;
+    size_t mWorkers = 0;
+
+    friend bool operator==(const HeldTasks& aLeft, const HeldTasks& aRight)
+    {
+      return std::tie(aLeft.mJobs, aLeft.mTasks, aLeft.mWorkers) ==
+             std::tie(aRight.mJobs, aRight.mTasks, aRight.mWorkers);
+    }
+  };
+
   // ListedRun is a row of a worker's list, with the task that it names.
   struct ListedRun
   {
@@ -222,6 +236,8 @@
   bool IsHeld(const JobEntry& aJob,
               const StepRef& aStep,
               MonotonicTime aNow) const;
+  HeldTasks CountHeld() const;
+  void ReportHeld(MonotonicTime aNow);
 
   // Ends and lists (job_shard_lists.cc).
   void TakeLists(WorkerRoom& aWorker,
@@ -362,6 +378,11 @@
   std::map<StepRef, std::map<uint32_t, TailReport>> mTails;
   FormerWorkers mFormer;
   MonotonicTime mNoteWaitsAt;
+  // What was said last of the tasks that are held back, and when to say it
+  // again.
+  HeldTasks mHeldSaid;
+  MonotonicTime mReportHeldAt;
+  bool mHeldAll = false;
   // The list of workers was read.
   bool mHasList = false;
   MonotonicTime mNoteLearnedAt;
--- a/mulberryvalve/core/jobs/job_shard_notes.cc
+++ b/mulberryvalve/core/jobs/job_shard_notes.cc
@@ -15,6 +15,9 @@
 constexpr size_t kManyNotes = 64;
 // Workers that answer at all do so before this after a claim.
 constexpr Milliseconds kFirstNote{ 2000 };
+// What is held back is said this often at most, with so many workers named.
+constexpr Milliseconds kReportHeld{ 1000 };
+constexpr size_t kMaxNamedWorkers = 8;
 
 std::optional<std::vector<TaskRef>> TasksToNote(const WorkerRoom& aWorker)
 {
@@ -31,6 +34,17 @@
                   std::chrono::ceil<Milliseconds>(aUntil - aNow));
 }
 
+// The last of aWorkers, which are waited for the longest.
+std::string NamesOf(const std::vector<WorkerId>& aWorkers)
+{
+  std::string names;
+  const size_t named = std::min(aWorkers.size(), kMaxNamedWorkers);
+  for (size_t number = 0; number < named; number++) {
+    names += " " + aWorkers[aWorkers.size() - 1 - number].Text();
+  }
+  return names;
+}
+
 } // namespace
 
 // A worker that is silent or leaves gets no start until its record says so
@@ -179,4 +193,67 @@
   return IsBlocked(aJob, aNow) || mFormer.HoldsAnyOf(aStep);
 }
 
+JobShard::HeldTasks JobShard::CountHeld() const
+{
+  HeldTasks held;
+  std::set<const JobEntry*> jobs;
+  for (const auto& [open, job] : mBook.Open()) {
+    const StepRef name = RefOf(*job, open);
+    const StepState& step = job->mOccurrences[open.mOccurrence][open.mStep];
+    size_t tasks = 0;
+    if (job->mInherited && mFormer.HoldsAll()) {
+      tasks = step.mWaiting;
+    } else if (mFormer.HoldsAnyOf(name)) {
+      for (uint32_t index = 0; index < step.mTasks.size(); index++) {
+        const bool waits = step.mTasks[index].mPhase == TaskPhase::kWaiting;
+        tasks += waits && mFormer.Holds(TaskRef{ name, index }) ? 1 : 0;
+      }
+    }
+    if (tasks > 0) {
+      jobs.insert(job);
+      held.mTasks += tasks;
+    }
+  }
+  held.mJobs = jobs.size();
+  held.mWorkers = held.mTasks > 0 ? mFormer.WaitedCount() : 0;
+  return held;
+}
+
+// Says how many tasks are held back for workers of the former owner: first,
+// when that changes, at once when only named tasks are left, and when it is
+// over.
+void JobShard::ReportHeld(MonotonicTime aNow)
+{
+  const bool over = mFormer.WaitedCount() == 0;
+  const bool due = aNow >= mReportHeldAt || mHeldAll != mFormer.HoldsAll();
+  if (over ? mHeldSaid == HeldTasks() : !due) {
+    return;
+  }
+  mHeldAll = mFormer.HoldsAll();
+  mReportHeldAt = aNow + kReportHeld;
+  const HeldTasks held = over ? HeldTasks() : CountHeld();
+  if (held == mHeldSaid) {
+    return;
+  }
+  mHeldSaid = held;
+  JobDecision decision;
+  decision.mKind = DecisionKind::kTasksHeld;
+  decision.mHeldTasks = held.mTasks;
+  if (held.mTasks == 0) {
+    decision.mHeldFor =
+      std::chrono::duration_cast<Milliseconds>(aNow - mClaimedAt);
+    decision.mWhy = "none any more, " +
+                    std::to_string(decision.mHeldFor->count()) +
+                    " ms after the claim";
+  } else {
+    const Milliseconds left = LeftUntil(mFormer.LongestWait(), aNow);
+    decision.mWhy =
+      std::to_string(held.mTasks) + " tasks of " + std::to_string(held.mJobs) +
+      " jobs for " + std::to_string(held.mWorkers) +
+      " workers of the former owner, for " + std::to_string(left.count()) +
+      " ms at most:" + NamesOf(mFormer.Waited());
+  }
+  Note(std::move(decision));
+}
+
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/job_shard_notes_test.cc
+++ b/mulberryvalve/core/jobs/job_shard_notes_test.cc
@@ -287,8 +287,9 @@
   CHECK(batch.mForgotten.empty());
 }
 
-// A gang of which one member may run elsewhere was started beside it.
-TEST(JobShardNotesTest, OnlyWhatMayRunIsHeldBack)
+// A gang of which one member may run elsewhere was started beside it; and no
+// line said what is held back.
+TEST(JobShardNotesTest, OnlyWhatMayRunIsHeldBackAndItIsSaid)
 {
   KnownWorker dark;
   dark.mId = WorkerId("dark");
@@ -309,6 +310,18 @@
   CHECK_EQUAL(0U, mOne.Starts());
   mOne.mNow += Milliseconds(200);
   CHECK_EQUAL(2U, mOne.Starts());
+  std::vector<JobDecision> held;
+  for (const JobDecision& decision : mOne.mShard.TakeDecisions()) {
+    if (decision.mKind == DecisionKind::kTasksHeld) {
+      held.push_back(decision);
+    }
+  }
+  CHECK_EQUAL(2U, held.size());
+  STRCMP_EQUAL("1 tasks of 1 jobs for 1 workers of the former owner, for "
+               "2950 ms at most: dark",
+               held[0].mWhy.c_str());
+  CHECK_EQUAL(0U, held[1].mHeldTasks);
+  CHECK_EQUAL(3400, held[1].mHeldFor.value().count());
 }
 
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/job_shard_orders.cc
+++ b/mulberryvalve/core/jobs/job_shard_orders.cc
@@ -43,6 +43,7 @@
     mPlaceAgainAt = aNow + kPlaceAgain;
     PlaceOpen(aNow);
   }
+  ReportHeld(aNow);
   for (TaskOrder& order : mOrders) {
     order.mDecidedAt = aNow;
   }
--- a/mulberryvalve/ports/out/metrics.h
+++ b/mulberryvalve/ports/out/metrics.h
@@ -72,9 +72,10 @@
   kWaitsForPressure,
   kWorkersSilent,
   kTakeovers,
+  kTasksHeldBack,
 };
 
-inline constexpr MetricTable<Counter, 31> kCounterNames{ { {
+inline constexpr MetricTable<Counter, 32> kCounterNames{ { {
   { Counter::kRequestsAnswered,
     "requests_answered",
     "Requests whose answer was given to the caller" },
@@ -149,6 +150,10 @@
     "workers_silent",
     "Times that a worker stopped answering" },
   { Counter::kTakeovers, "takeovers", "Shards that this instance took over" },
+  { Counter::kTasksHeldBack,
+    "tasks_held_back",
+    "Tasks that a take-over held back for workers of the former owner, at each "
+    "change" },
 } } };
 static_assert(kCounterNames.InOrder());
 
@@ -201,9 +206,10 @@
   kRenewalGapUs,
   kOrderWaitUs,
   kCancelToStopUs,
+  kHeldBackUs,
 };
 
-inline constexpr MetricTable<Timing, 15> kTimingNames{ { {
+inline constexpr MetricTable<Timing, 16> kTimingNames{ { {
   { Timing::kRequestUs,
     "request_us",
     "Time to answer a request in microseconds" },
@@ -255,6 +261,10 @@
     "cancel_to_stop_us",
     "Time from the reading of a cancellation to an answered stop, longest of "
     "a second, in microseconds" },
+  { Timing::kHeldBackUs,
+    "held_back_us",
+    "Time from the claim of a shard until no task was held back for workers of "
+    "the former owner, in microseconds" },
 } } };
 static_assert(kTimingNames.InOrder());
 
