--- a/mulberryvalve/ports/out/metrics.h
+++ b/mulberryvalve/ports/out/metrics.h
@@ -79,9 +79,10 @@
   kOrderBytesReceived,
   kRenewalBytesSent,
   kRenewalBytesReceived,
+  kTasksHeldBack,
 };
 
-inline constexpr MetricTable<Counter, 38> kCounterNames{ { {
+inline constexpr MetricTable<Counter, 39> kCounterNames{ { {
   { Counter::kRequestsAnswered,
     "requests_answered",
     "Requests whose answer was given to the caller" },
@@ -177,6 +178,10 @@
   { Counter::kRenewalBytesReceived,
     "renewal_bytes_received",
     "Bytes of workers' answers to renewals" },
+  { Counter::kTasksHeldBack,
+    "tasks_held_back",
+    "Tasks that a take-over held back for workers of the former owner, at each "
+    "change" },
 } } };
 static_assert(kCounterNames.InOrder());
 
@@ -245,9 +250,10 @@
   kLoadUs,
   kProgressAppendUs,
   kDecisionGapUs,
+  kHeldBackUs,
 };
 
-inline constexpr MetricTable<Timing, 19> kTimingNames{ { {
+inline constexpr MetricTable<Timing, 20> kTimingNames{ { {
   { Timing::kRequestUs,
     "request_us",
     "Time to answer a request in microseconds" },
@@ -312,6 +318,10 @@
   { Timing::kDecisionGapUs,
     "decision_gap_us",
     "Time between the ends of two decision passes in microseconds" },
+  { Timing::kHeldBackUs,
+    "held_back_us",
+    "Time from the claim of a shard until no task was held back for workers of "
+    "the former owner, in microseconds" },
 } } };
 static_assert(kTimingNames.InOrder());
 
