owner_behind and metrics tell the window of starts

Operators saw from order_wait_ms only that starts wait, not how many and whether they are held back. owner_behind has start_window and starts_under_way; the metrics have the same and starts_held_back.

--- a/mulberryvalve/app/jobs/shard_runtime_lines.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_lines.cc
@@ -24,10 +24,18 @@
   mMeter.Note(OwnerDelay::kPass, aPass);
   mMeter.Note(OwnerDelay::kProofAge, now - mProof.ProvedAt());
   mMeter.Note(OwnerDelay::kIntakeGap, now - mIntakeReadAt);
+  const StartWindowFigures window = mShard->TakeWindowFigures();
+  const auto size = static_cast<int64_t>(window.mSize);
+  const auto underWay = static_cast<int64_t>(window.mUnderWay);
+  mPorts.mMetrics.Set(Gauge::kStartWindow, size);
+  mPorts.mMetrics.Set(Gauge::kStartsUnderWay, underWay);
+  mPorts.mMetrics.Add(Counter::kStartsHeldBack, window.mTimesFull);
   auto fields = mMeter.Report(now);
   if (fields) {
     fields->push_back(
       { "workers", std::to_string(mShard->Workers().All().size()) });
+    fields->push_back({ "start_window", std::to_string(size) });
+    fields->push_back({ "starts_under_way", std::to_string(underWay) });
     LogEvent(EventLevel::kWarn, "owner_behind", std::move(*fields));
   }
 }
--- a/mulberryvalve/ports/out/metrics.h
+++ b/mulberryvalve/ports/out/metrics.h
@@ -79,9 +79,10 @@
   kOrderBytesReceived,
   kRenewalBytesSent,
   kRenewalBytesReceived,
+  kStartsHeldBack,
 };
 
-inline constexpr MetricTable<Counter, 38> kCounterNames{ { {
+inline constexpr MetricTable<Counter, 39> kCounterNames{ { {
   { Counter::kRequestsAnswered,
     "requests_answered",
     "Requests whose answer was given to the caller" },
@@ -177,6 +178,9 @@
   { Counter::kRenewalBytesReceived,
     "renewal_bytes_received",
     "Bytes of workers' answers to renewals" },
+  { Counter::kStartsHeldBack,
+    "starts_held_back",
+    "Times that starts waited since as many as may be were under way" },
 } } };
 static_assert(kCounterNames.InOrder());
 
@@ -194,9 +198,11 @@
   kDecisionAgeMs,
   kDurableAgeMs,
   kLargestAppendBytes,
+  kStartWindow,
+  kStartsUnderWay,
 };
 
-inline constexpr MetricTable<Gauge, 12> kGaugeNames{ { {
+inline constexpr MetricTable<Gauge, 14> kGaugeNames{ { {
   { Gauge::kShardsOwned, "shards_owned", "Shards that this instance owns" },
   { Gauge::kRequestsInFlight, "requests_in_flight", "Requests in flight" },
   { Gauge::kTasksWaiting, "tasks_waiting", "Tasks waiting for a worker" },
@@ -221,6 +227,12 @@
   { Gauge::kLargestAppendBytes,
     "largest_append_bytes",
     "Bytes of the largest append of an ownership" },
+  { Gauge::kStartWindow,
+    "start_window",
+    "Starts that an owner may have under way" },
+  { Gauge::kStartsUnderWay,
+    "starts_under_way",
+    "Starts that an owner has ordered and that have no answer" },
 } } };
 static_assert(kGaugeNames.InOrder());
 
