A record of a job that this code did not write is passed over

What operators would see: owners that end one after the other, each on reading the same record of the intake. A key that is no text becomes the id of a job, and writing an order about it as JSON throws; a dependency on a step that does not exist is a place beyond a list; a record of few bytes can name more tasks than there is memory for. That an owner ends was not run; the test shows that such records were taken.

Evidence, by odd_records_test on the code before: AJobThatThisCodeDidNotWriteIsRefused failed at the key 0xff.

Change: DecodeIntake refuses keys that are no printable text, JobFromJson dependencies but on earlier steps and jobs that do not fit into their records. Steps have a file of their own, job_step_json, with no other change.

--- a/mulberryvalve/adapters/json/job_log_json.cc
+++ b/mulberryvalve/adapters/json/job_log_json.cc
@@ -1,7 +1,10 @@
 #include "mulberryvalve/adapters/json/job_log_json.h"
 
+#include "mulberryvalve/adapters/json/job_step_json.h"
+#include "mulberryvalve/adapters/json/json_put.h"
 #include "mulberryvalve/adapters/json/json_reader.h"
 #include "mulberryvalve/adapters/json/learned_json.h"
+#include "mulberryvalve/adapters/json/text_check.h"
 
 #include <array>
 #include <charconv>
@@ -22,9 +25,6 @@
 constexpr std::string_view kLearnedKey = "learned";
 constexpr size_t kMaxRecordBytes = 256 * 1024;
 constexpr size_t kMaxSpecificationBytes = 16 * 1024;
-constexpr size_t kMaxSteps = 256;
-constexpr size_t kMaxTasks = 65536;
-constexpr int64_t kMaxCount = 65536;
 
 bool TakePrefix(std::string_view& aText, std::string_view aPrefix)
 {
@@ -40,27 +40,6 @@
   return std::string(aPrefix) + aId;
 }
 
-void PutFlag(json& aObject, const char* aName, bool aValue)
-{
-  if (aValue) {
-    aObject[aName] = true;
-  }
-}
-
-void PutNumber(json& aObject, const char* aName, int64_t aValue)
-{
-  if (aValue != 0) {
-    aObject[aName] = aValue;
-  }
-}
-
-void PutText(json& aObject, const char* aName, const std::string& aValue)
-{
-  if (!aValue.empty()) {
-    aObject[aName] = aValue;
-  }
-}
-
 void AppendNumber(std::string& aText, uint64_t aNumber)
 {
   std::array<char, std::numeric_limits<uint64_t>::digits10 + 1> digits{};
@@ -69,63 +48,6 @@
   aText.append(digits.data(), end);
 }
 
-json StepToJson(const StepSpec& aStep)
-{
-  json step{ { "count", aStep.mCount } };
-  PutNumber(step, "cpu_millis", aStep.mDemand.mCpuMillis);
-  PutNumber(step, "memory_mb", aStep.mDemand.mMemoryMb);
-  PutNumber(step, "accelerators", aStep.mDemand.mAccelerators);
-  PutNumber(step, "estimate_ms", aStep.mEstimate.count());
-  if (!aStep.mAfter.empty()) {
-    step["depends_on"] = aStep.mAfter;
-  }
-  PutFlag(step, "checkpoints", aStep.mCheckpointing);
-  PutFlag(step, "together", aStep.mGang);
-  PutFlag(step, "one_rack", aStep.mSameRack);
-  PutFlag(step, "copies", aStep.mSpeculative);
-  PutFlag(step, "lasting", aStep.mLasting);
-  PutFlag(step, "leftover_cpu", aStep.mFills);
-  PutText(step, "label", aStep.mRequiredLabel.Text());
-  PutText(step, "rack_of_data", aStep.mDataRack.Text());
-  PutNumber(step, "most_per_worker", aStep.mMaxPerWorker);
-  PutText(step, "task_image", aStep.mImage.Text());
-  PutNumber(step, "tail_target_ms", aStep.mTailTarget.count());
-  PutNumber(step, "may_be_away", aStep.mMayMiss);
-  return step;
-}
-
-StepSpec StepFromJson(JsonReader& aReader)
-{
-  StepSpec step;
-  step.mCount = static_cast<uint32_t>(aReader.Number("count", 1, kMaxCount));
-  step.mDemand.mCpuMillis = aReader.NumberOr("cpu_millis", 0);
-  step.mDemand.mMemoryMb = aReader.NumberOr("memory_mb", 0);
-  step.mDemand.mAccelerators = aReader.NumberOr("accelerators", 0);
-  step.mEstimate = Milliseconds(aReader.NumberOr("estimate_ms", 0));
-  if (aReader.Has("depends_on")) {
-    for (const json& before : aReader.Array("depends_on", kMaxSteps)) {
-      if (before.is_number_unsigned()) {
-        step.mAfter.push_back(before.get<uint32_t>());
-      }
-    }
-  }
-  step.mCheckpointing = aReader.FlagOr("checkpoints", false);
-  step.mGang = aReader.FlagOr("together", false);
-  step.mSameRack = aReader.FlagOr("one_rack", false);
-  step.mSpeculative = aReader.FlagOr("copies", false);
-  step.mLasting = aReader.FlagOr("lasting", false);
-  step.mFills = aReader.FlagOr("leftover_cpu", false);
-  step.mRequiredLabel = WorkerLabel(aReader.TextOr("label", ""));
-  step.mDataRack = RackId(aReader.TextOr("rack_of_data", ""));
-  step.mMaxPerWorker =
-    static_cast<uint32_t>(aReader.NumberOr("most_per_worker", 0, 0, kMaxCount));
-  step.mImage = ImageId(aReader.TextOr("task_image", ""));
-  step.mTailTarget = Milliseconds(aReader.NumberOr("tail_target_ms", 0));
-  step.mMayMiss =
-    static_cast<uint32_t>(aReader.NumberOr("may_be_away", 0, 0, kMaxCount));
-  return step;
-}
-
 json RulesToJson(const QueueRules& aRules)
 {
   return json{ { "service", aRules.mService.Text() },
@@ -139,9 +61,10 @@
 {
   QueueRules rules;
   rules.mService = ServiceId(aReader.Text("service"));
-  rules.mPriority = static_cast<int>(aReader.Number("priority", 0, kMaxCount));
+  rules.mPriority =
+    static_cast<int>(aReader.Number("priority", 0, kMaxJobCount));
   rules.mMaxAttempts =
-    static_cast<int>(aReader.Number("max_attempts", 0, kMaxCount));
+    static_cast<int>(aReader.Number("max_attempts", 0, kMaxJobCount));
   rules.mStretchPercent = aReader.Number("stretch_percent");
   rules.mSlack = Milliseconds(aReader.Number("slack_ms"));
   return rules;
@@ -159,9 +82,9 @@
   if (rules.Fault()) {
     return *rules.Fault();
   }
-  for (const json& row : reader.Array("steps", kMaxSteps)) {
+  for (const json& row : reader.Array("steps", kMaxJobSteps)) {
     JsonReader step(row);
-    job.mSteps.push_back(StepFromJson(step));
+    job.mSteps.push_back(StepFromJson(step, job.mSteps.size()));
     if (step.Fault()) {
       return *step.Fault();
     }
@@ -171,13 +94,16 @@
   }
   if (reader.Has("times")) {
     job.mRecurrence.mTimes =
-      static_cast<uint32_t>(reader.Number("times", 1, kMaxCount));
+      static_cast<uint32_t>(reader.Number("times", 1, kMaxJobCount));
     job.mRecurrence.mFirst.mMilliseconds = reader.Number("first_unix_ms");
     job.mRecurrence.mInterval = Milliseconds(reader.Number("interval_ms"));
   }
   if (reader.Fault()) {
     return *reader.Fault();
   }
+  if (!FitsIntoRecords(job)) {
+    return Fail(FailureKind::kTooLarge, "steps", "too many tasks");
+  }
   return job;
 }
 
@@ -243,7 +169,7 @@
   JobRecord record;
   record.mId = JobId(aId);
   record.mPhase = reader.Enum("phase", kJobPhaseNames);
-  for (const json& row : reader.Array("tasks", kMaxTasks)) {
+  for (const json& row : reader.Array("tasks", kMaxJobTasks)) {
     Result<TaskRecord> task = TaskFromJson(row);
     if (!task) {
       return task.error();
@@ -299,6 +225,15 @@
 
 } // namespace
 
+bool FitsIntoRecords(const JobGraph& aJob)
+{
+  uint64_t tasks = 0;
+  for (const StepSpec& step : aJob.mSteps) {
+    tasks += step.mCount;
+  }
+  return tasks * aJob.Occurrences() <= kMaxJobTasks;
+}
+
 KeyedEntry JobLogJson::Encode(const JobGraph& aJob) const
 {
   json object{ { "queue", aJob.mQueue.Text() },
@@ -393,6 +328,9 @@
   if (!aEntry.mValue) {
     return IntakeItem(DroppedRecord{ aEntry.mKey });
   }
+  if (const auto fault = CheckPrintable("key", aEntry.mKey, kMaxIdBytes)) {
+    return *fault;
+  }
   std::string_view id = aEntry.mKey;
   if (TakePrefix(id, kCancelPrefix)) {
     return IntakeItem(JobCancellation{ JobId(std::string(id)) });
--- a/mulberryvalve/adapters/json/job_log_json.h
+++ b/mulberryvalve/adapters/json/job_log_json.h
@@ -6,6 +6,12 @@
 
 namespace mulberryvalve {
 
+// The tasks of a job, all occurrences counted: its progress has a row for each.
+inline constexpr size_t kMaxJobTasks = 65536;
+
+// FitsIntoRecords tells whether a job has at most kMaxJobTasks. Thread-safe.
+bool FitsIntoRecords(const JobGraph& aJob);
+
 // JobLogJson keeps a job under its id, its cancellation under "cancel/ID", its
 // progress under "job/ID", a known worker under "worker/ID" and the owner's
 // note under "owner". Fields at their default are left out. Thread-safe.
--- /dev/null
+++ b/mulberryvalve/adapters/json/job_step_json.cc
@@ -0,0 +1,78 @@
+#include "mulberryvalve/adapters/json/job_step_json.h"
+
+#include "mulberryvalve/adapters/json/json_put.h"
+
+namespace mulberryvalve {
+namespace {
+
+using nlohmann::json;
+
+// Takes the steps that the step of number aNumber waits for: earlier ones.
+void TakeDependencies(JsonReader& aReader, size_t aNumber, StepSpec& aStep)
+{
+  for (const json& before : aReader.Array("depends_on", kMaxJobSteps)) {
+    if (!before.is_number_unsigned() || before.get<uint64_t>() >= aNumber) {
+      aReader.Adopt(
+        Fail(FailureKind::kInvalidInput, "depends_on", "no earlier step"));
+      return;
+    }
+    aStep.mAfter.push_back(before.get<uint32_t>());
+  }
+}
+
+} // namespace
+
+nlohmann::json StepToJson(const StepSpec& aStep)
+{
+  json step{ { "count", aStep.mCount } };
+  PutNumber(step, "cpu_millis", aStep.mDemand.mCpuMillis);
+  PutNumber(step, "memory_mb", aStep.mDemand.mMemoryMb);
+  PutNumber(step, "accelerators", aStep.mDemand.mAccelerators);
+  PutNumber(step, "estimate_ms", aStep.mEstimate.count());
+  if (!aStep.mAfter.empty()) {
+    step["depends_on"] = aStep.mAfter;
+  }
+  PutFlag(step, "checkpoints", aStep.mCheckpointing);
+  PutFlag(step, "together", aStep.mGang);
+  PutFlag(step, "one_rack", aStep.mSameRack);
+  PutFlag(step, "copies", aStep.mSpeculative);
+  PutFlag(step, "lasting", aStep.mLasting);
+  PutFlag(step, "leftover_cpu", aStep.mFills);
+  PutText(step, "label", aStep.mRequiredLabel.Text());
+  PutText(step, "rack_of_data", aStep.mDataRack.Text());
+  PutNumber(step, "most_per_worker", aStep.mMaxPerWorker);
+  PutText(step, "task_image", aStep.mImage.Text());
+  PutNumber(step, "tail_target_ms", aStep.mTailTarget.count());
+  PutNumber(step, "may_be_away", aStep.mMayMiss);
+  return step;
+}
+
+StepSpec StepFromJson(JsonReader& aReader, size_t aNumber)
+{
+  StepSpec step;
+  step.mCount = static_cast<uint32_t>(aReader.Number("count", 1, kMaxJobCount));
+  step.mDemand.mCpuMillis = aReader.NumberOr("cpu_millis", 0);
+  step.mDemand.mMemoryMb = aReader.NumberOr("memory_mb", 0);
+  step.mDemand.mAccelerators = aReader.NumberOr("accelerators", 0);
+  step.mEstimate = Milliseconds(aReader.NumberOr("estimate_ms", 0));
+  if (aReader.Has("depends_on")) {
+    TakeDependencies(aReader, aNumber, step);
+  }
+  step.mCheckpointing = aReader.FlagOr("checkpoints", false);
+  step.mGang = aReader.FlagOr("together", false);
+  step.mSameRack = aReader.FlagOr("one_rack", false);
+  step.mSpeculative = aReader.FlagOr("copies", false);
+  step.mLasting = aReader.FlagOr("lasting", false);
+  step.mFills = aReader.FlagOr("leftover_cpu", false);
+  step.mRequiredLabel = WorkerLabel(aReader.TextOr("label", ""));
+  step.mDataRack = RackId(aReader.TextOr("rack_of_data", ""));
+  step.mMaxPerWorker = static_cast<uint32_t>(
+    aReader.NumberOr("most_per_worker", 0, 0, kMaxJobCount));
+  step.mImage = ImageId(aReader.TextOr("task_image", ""));
+  step.mTailTarget = Milliseconds(aReader.NumberOr("tail_target_ms", 0));
+  step.mMayMiss =
+    static_cast<uint32_t>(aReader.NumberOr("may_be_away", 0, 0, kMaxJobCount));
+  return step;
+}
+
+} // namespace mulberryvalve
