Appends stay within what the store takes

The store takes record_bytes in a record and request_bytes in a call; both are in the settings and were used nowhere. Callers would see jobs that never complete: after an outage, or at a site that has grown, one call carried all that had gathered, was refused each time and repeated for ever. Of callers that hand in together all were refused when their sum was too much, or one of them.

An owner's batch goes in parts in its order, each under a sequence number of its own and durable by itself; ends of workers count with the last part only. The same limits hold for callers that share a call and for what is dropped from the intake.

Failed first, with the limits ignored: four of four tests of append_parts_test (1 of 30 callers taken; no job completed within 20 s after an outage). After: all five pass, with jobs_test, shard_keeper_test, shard_runtime_test, stuck_owner_test, platform_test and front_server_test.

--- /dev/null
+++ b/mulberryvalve/app/jobs/append_parts.cc
@@ -0,0 +1,96 @@
+#include "mulberryvalve/app/jobs/append_parts.h"
+
+#include <string>
+#include <utility>
+
+namespace mulberryvalve {
+namespace {
+
+// PartBuilder fills one part after the other.
+class PartBuilder
+{
+public:
+  explicit PartBuilder(const KeyedLogLimits& aLimits)
+    : mLimits(aLimits)
+    , mParts{ { ProgressPart() }, {} }
+  {
+  }
+
+  // Add puts aEntry into the part for which the caller then notes what is
+  // durable with it. A record above the limit is in none; it is told.
+  ProgressBatch& Add(KeyedEntry aEntry)
+  {
+    const size_t bytes = RecordBytes(aEntry);
+    if (bytes > mLimits.mRecordBytes) {
+      mParts.mTooLarge.push_back(Fail(FailureKind::kTooLarge,
+                                      aEntry.mKey,
+                                      std::to_string(bytes) +
+                                        " bytes, at most " +
+                                        std::to_string(mLimits.mRecordBytes)));
+      return Last().mBatch;
+    }
+    const size_t more = bytes + kRecordOverhead;
+    if (mBytes > 0 && mBytes + more > mLimits.mRequestBytes) {
+      mParts.mParts.emplace_back();
+      mBytes = 0;
+    }
+    mBytes += more;
+    Last().mEntries.push_back(std::move(aEntry));
+    return Last().mBatch;
+  }
+
+  ProgressPart& Last() { return mParts.mParts.back(); }
+
+  // Take returns the parts. Call once.
+  ProgressParts Take() { return std::move(mParts); }
+
+private:
+  const KeyedLogLimits mLimits;
+  ProgressParts mParts;
+  size_t mBytes = 0;
+};
+
+} // namespace
+
+std::vector<std::vector<KeyedEntry>> EntryParts(
+  std::vector<KeyedEntry> aEntries,
+  const KeyedLogLimits& aLimits)
+{
+  PartBuilder builder(aLimits);
+  for (KeyedEntry& entry : aEntries) {
+    builder.Add(std::move(entry));
+  }
+  std::vector<std::vector<KeyedEntry>> parts;
+  for (ProgressPart& part : builder.Take().mParts) {
+    if (!part.mEntries.empty()) {
+      parts.push_back(std::move(part.mEntries));
+    }
+  }
+  return parts;
+}
+
+ProgressParts PartsOf(const ProgressBatch& aBatch,
+                      const JobLogCodec& aCodec,
+                      const KeyedLogLimits& aLimits)
+{
+  PartBuilder builder(aLimits);
+  for (const JobRecord& record : aBatch.mJobs) {
+    builder.Add(aCodec.Encode(record)).mJobs.push_back(record);
+  }
+  for (const JobId& job : aBatch.mRetired) {
+    builder.Add(aCodec.DropProgress(job)).mRetired.push_back(job);
+  }
+  for (const KnownWorker& worker : aBatch.mWorkers) {
+    builder.Add(aCodec.Encode(worker)).mWorkers.push_back(worker);
+  }
+  for (const WorkerId& worker : aBatch.mForgotten) {
+    builder.Add(aCodec.DropWorker(worker)).mForgotten.push_back(worker);
+  }
+  if (aBatch.mLearned) {
+    builder.Add(aCodec.Encode(*aBatch.mLearned)).mLearned = aBatch.mLearned;
+  }
+  builder.Last().mBatch.mEnds = aBatch.mEnds;
+  return builder.Take();
+}
+
+} // namespace mulberryvalve
--- /dev/null
+++ b/mulberryvalve/app/jobs/append_parts_test.cc
@@ -0,0 +1,172 @@
+// Appends stay within what the log takes in a record and in a call.
+#include "mulberryvalve/app/jobs/append_parts.h"
+#include "mulberryvalve/app/jobs/faulty_log_fake.h"
+#include "mulberryvalve/app/jobs/group_append.h"
+#include "mulberryvalve/app/jobs/jobs_instance_fake.h"
+
+#include "CppUTest/TestHarness.h"
+
+#include <atomic>
+
+namespace mulberryvalve {
+namespace {
+
+// A record of a job with a few tasks fits, two do not fit into a call.
+constexpr KeyedLogLimits kTight{ 600, 700 };
+constexpr size_t kJobs = 30;
+
+size_t BytesOf(const std::vector<KeyedEntry>& aEntries)
+{
+  size_t bytes = 0;
+  for (const KeyedEntry& entry : aEntries) {
+    bytes += RecordBytes(entry) + kRecordOverhead;
+  }
+  return bytes;
+}
+
+ProgressBatch LargeBatch()
+{
+  ProgressBatch batch;
+  for (size_t job = 0; job < kJobs; job++) {
+    JobRecord record{ JobId("job" + std::to_string(job)),
+                      JobPhase::kRunning,
+                      {} };
+    record.mTasks.resize(10);
+    batch.mJobs.push_back(record);
+  }
+  batch.mRetired = { JobId("old") };
+  batch.mEnds = { { WorkerId("w"), Birth(1), EndNumber(9) } };
+  return batch;
+}
+
+} // namespace
+
+TEST_GROUP(AppendPartsTest){};
+
+TEST(AppendPartsTest, ABatchIsSplitInItsOrderWithTheEndsLast)
+{
+  const JobLogJson codec;
+  const ProgressBatch batch = LargeBatch();
+  const ProgressParts parts = PartsOf(batch, codec, kTight);
+  CHECK(parts.mParts.size() > 1);
+  CHECK(parts.mTooLarge.empty());
+  std::vector<std::string> jobs;
+  size_t ends = 0;
+  for (const ProgressPart& part : parts.mParts) {
+    CHECK(BytesOf(part.mEntries) <= kTight.mRequestBytes);
+    CHECK_FALSE(part.mEntries.empty());
+    for (const JobRecord& record : part.mBatch.mJobs) {
+      jobs.push_back(record.mId.Text());
+    }
+    ends += part.mBatch.mEnds.size();
+  }
+  CHECK_EQUAL(kJobs, jobs.size());
+  STRCMP_EQUAL("job0", jobs.front().c_str());
+  CHECK_EQUAL(1U, ends);
+  CHECK_EQUAL(1U, parts.mParts.back().mBatch.mEnds.size());
+  CHECK_EQUAL(1U, parts.mParts.back().mBatch.mRetired.size());
+}
+
+// Guards against a record above the limit that makes each append fail.
+TEST(AppendPartsTest, ARecordAboveTheLimitIsToldAndInNoCall)
+{
+  const JobLogJson codec;
+  ProgressBatch batch = LargeBatch();
+  batch.mJobs[3].mTasks.resize(500);
+  const ProgressParts parts = PartsOf(batch, codec, kTight);
+  CHECK_EQUAL(1U, parts.mTooLarge.size());
+  CHECK(FailureKind::kTooLarge == parts.mTooLarge[0].mKind);
+  STRCMP_EQUAL("job/job3", parts.mTooLarge[0].mField.c_str());
+  size_t jobs = 0;
+  for (const ProgressPart& part : parts.mParts) {
+    jobs += part.mBatch.mJobs.size();
+    for (const KeyedEntry& entry : part.mEntries) {
+      CHECK(RecordBytes(entry) <= kTight.mRecordBytes);
+    }
+  }
+  CHECK_EQUAL(kJobs, jobs);
+}
+
+// Guards against progress that is written never, since what has gathered while
+// the log was away is more than it takes in one call.
+TEST(AppendPartsTest, WhatHasGatheredIsWrittenInPartsAndLeavesTheLog)
+{
+  MemoryLog log;
+  FaultyLog limited(log);
+  limited.Limit(kTight);
+  InstantWorker workers;
+  JobsInstance instance(limited, workers, 1);
+  instance.Start();
+  instance.Complete("first");
+  limited.FailAll(LogCall::kAppendFenced, FailureKind::kLogUnavailable);
+  std::vector<std::string> ids;
+  for (size_t job = 0; job < kJobs; job++) {
+    ids.push_back("job" + std::to_string(job));
+    CHECK(instance.Jobs()
+            .Submit(SmallJob(ids.back().c_str()), instance.In(kPatience))
+            .has_value());
+  }
+  for (const std::string& id : ids) {
+    CHECK(instance.Await(id.c_str(), JobPhase::kRunning));
+  }
+  limited.Heal();
+  for (const std::string& id : ids) {
+    CHECK(instance.Await(id.c_str(), JobPhase::kCompleted));
+  }
+  const MonotonicTime until = instance.In(kPatience);
+  while (log.Holds(KeyedTopic::kIntake, "job0") &&
+         instance.In(Milliseconds(0)) < until) {
+    CHECK(
+      instance.Jobs().Phase(JobId("job0"), instance.In(kPatience)).has_value());
+  }
+  for (const std::string& id : ids) {
+    CHECK_FALSE(log.Holds(KeyedTopic::kIntake, id));
+  }
+}
+
+// Guards against a caller that is told to come back with a job that no record
+// holds.
+TEST(AppendPartsTest, AJobAboveTheLimitOfARecordIsSaidToBeTooLarge)
+{
+  MemoryLog log;
+  FaultyLog limited(log);
+  limited.Limit(kTight);
+  InstantWorker workers;
+  JobsInstance instance(limited, workers, 1);
+  JobGraph job = SmallJob("large");
+  job.mSpecification = std::string(1000, 'x');
+  const Result<void> done = instance.Jobs().Submit(job, instance.In(kPatience));
+  CHECK_FALSE(done.has_value());
+  CHECK(FailureKind::kTooLarge == done.error().mKind);
+  CHECK_FALSE(log.Holds(KeyedTopic::kIntake, "large"));
+}
+
+// Guards against callers that are all refused because together they hand in
+// more than the log takes in one call, or one of them more than a record holds.
+TEST(AppendPartsTest, CallersShareCallsOnlyAsFarAsTheLogTakes)
+{
+  MemoryLog log;
+  log.Slow(Milliseconds(20));
+  FaultyLog limited(log);
+  limited.Limit(kTight);
+  GroupAppend group(limited, KeyedPlace{ KeyedTopic::kIntake, 0 });
+  std::atomic<size_t> taken{ 0 };
+  std::vector<std::thread> callers;
+  for (size_t caller = 0; caller < kJobs; caller++) {
+    callers.emplace_back([&, caller] {
+      const KeyedEntry entry{ "key" + std::to_string(caller),
+                              std::string(200, 'x') };
+      taken += group.Append(entry) ? 1 : 0;
+    });
+  }
+  const KeyedEntry large{ "large", std::string(1000, 'x') };
+  const Result<void> refused = group.Append(large);
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  CHECK_EQUAL(kJobs, taken.load());
+  CHECK(FailureKind::kTooLarge == refused.error().mKind);
+  CHECK_EQUAL(0U, limited.Failures(LogCall::kAppend));
+}
+
+} // namespace mulberryvalve
--- a/mulberryvalve/app/jobs/faulty_log_fake.h
+++ b/mulberryvalve/app/jobs/faulty_log_fake.h
@@ -39,6 +39,18 @@
     mFailing.clear();
   }
 
+  // Limit makes appends above aLimits fail with kTooLarge.
+  void Limit(const KeyedLogLimits& aLimits)
+  {
+    MutexLock lock(mMutex);
+    mLimits = aLimits;
+  }
+  KeyedLogLimits Limits() const override
+  {
+    MutexLock lock(mMutex);
+    return mLimits;
+  }
+
   // Failures counts the calls of a kind that failed.
   size_t Failures(LogCall aCall) const
   {
@@ -64,17 +76,35 @@
   Result<void> Append(const KeyedPlace& aPlace,
                       const std::vector<KeyedEntry>& aEntries) override
   {
-    const Result<void> may = Pass(LogCall::kAppend);
+    const Result<void> may = PassAppend(LogCall::kAppend, aEntries);
     return may ? mLog.Append(aPlace, aEntries) : may;
   }
   Result<void> AppendFenced(const FencedAppend& aProof,
                             const std::vector<KeyedEntry>& aEntries) override
   {
-    const Result<void> may = Pass(LogCall::kAppendFenced);
+    const Result<void> may = PassAppend(LogCall::kAppendFenced, aEntries);
     return may ? mLog.AppendFenced(aProof, aEntries) : may;
   }
 
 private:
+  Result<void> PassAppend(LogCall aCall,
+                          const std::vector<KeyedEntry>& aEntries)
+  {
+    const KeyedLogLimits limits = Limits();
+    size_t bytes = 0;
+    bool fits = true;
+    for (const KeyedEntry& entry : aEntries) {
+      bytes += RecordBytes(entry) + kRecordOverhead;
+      fits = fits && RecordBytes(entry) <= limits.mRecordBytes;
+    }
+    if (!fits || bytes > limits.mRequestBytes) {
+      MutexLock lock(mMutex);
+      mFailures[aCall]++;
+      return Fail(FailureKind::kTooLarge, "fake");
+    }
+    return Pass(aCall);
+  }
+
   Result<void> Pass(LogCall aCall)
   {
     MutexLock lock(mMutex);
@@ -87,6 +117,7 @@
   }
 
   KeyedLog& mLog;
+  KeyedLogLimits mLimits MV_GUARDED_BY(mMutex);
   mutable Mutex mMutex;
   std::map<LogCall, FailureKind> mFailing MV_GUARDED_BY(mMutex);
   std::map<LogCall, size_t> mFailures MV_GUARDED_BY(mMutex);
--- a/mulberryvalve/app/jobs/group_append.h
+++ b/mulberryvalve/app/jobs/group_append.h
@@ -24,7 +24,9 @@
   }
 
   // Append adds aEntry and waits for the call that it went with; the outcome is
-  // that of the call. Errors: those of KeyedLog::Append.
+  // that of the call. A call carries no more than the log takes. Errors: those
+  // of KeyedLog::Append, and kTooLarge for an entry above the limit of a
+  // record, which goes with no call.
   Result<void> Append(const KeyedEntry& aEntry);
 
 private:
@@ -32,6 +34,7 @@
   struct Group
   {
     std::vector<KeyedEntry> mEntries;
+    size_t mBytes = 0;
     bool mDone = false;
     Result<void> mOutcome = Done();
   };
--- a/mulberryvalve/app/jobs/job_entry_service.cc
+++ b/mulberryvalve/app/jobs/job_entry_service.cc
@@ -82,8 +82,11 @@
       { "tries", std::to_string(tries) },
       { "kind", std::string(kFailureKindNames.Name(last.mKind)) },
       { "detail", last.mDetail } });
-  return Fail(mayHaveTaken ? FailureKind::kUnknownOutcome
-                           : FailureKind::kLogUnavailable,
+  if (mayHaveTaken) {
+    return Fail(FailureKind::kUnknownOutcome, aWhat, last.mDetail);
+  }
+  const bool tooLarge = last.mKind == FailureKind::kTooLarge;
+  return Fail(tooLarge ? FailureKind::kTooLarge : FailureKind::kLogUnavailable,
               aWhat,
               last.mDetail);
 }
--- a/mulberryvalve/app/jobs/shard_runtime.cc
+++ b/mulberryvalve/app/jobs/shard_runtime.cc
@@ -241,26 +241,30 @@
 
 void ShardRuntime::AppendProgress(const ProgressBatch& aBatch)
 {
-  std::vector<KeyedEntry> entries;
-  for (const JobRecord& record : aBatch.mJobs) {
-    entries.push_back(mPorts.mCodec.Encode(record));
+  const ProgressParts parts =
+    PartsOf(aBatch, mPorts.mCodec, mPorts.mLog.Limits());
+  for (const Failure& failure : parts.mTooLarge) {
+    LogFault("record_too_large", failure);
   }
-  for (const JobId& job : aBatch.mRetired) {
-    entries.push_back(mPorts.mCodec.DropProgress(job));
-  }
-  for (const KnownWorker& worker : aBatch.mWorkers) {
-    entries.push_back(mPorts.mCodec.Encode(worker));
-  }
-  for (const WorkerId& worker : aBatch.mForgotten) {
-    entries.push_back(mPorts.mCodec.DropWorker(worker));
+  for (const ProgressPart& part : parts.mParts) {
+    if (!AppendPart(part)) {
+      return;
+    }
+    TakeDurable(part.mBatch);
   }
-  if (aBatch.mLearned) {
-    entries.push_back(mPorts.mCodec.Encode(*aBatch.mLearned));
+  DropFromIntake(aBatch.mRetired);
+}
+
+// Returns false when the ownership is over.
+bool ShardRuntime::AppendPart(const ProgressPart& aPart)
+{
+  if (aPart.mEntries.empty()) {
+    return true;
   }
   mWatch.Begin(OwnerActivity::kAppending, mPorts.mClock.Now());
   while (true) {
     const MonotonicTime sentAt = mPorts.mClock.Now();
-    const Result<void> done = AppendOnce(entries);
+    const Result<void> done = AppendOnce(aPart.mEntries);
     if (done) {
       mWatch.End(OwnerActivity::kAppending, mPorts.mClock.Now());
       mProof.Raise(sentAt);
@@ -269,24 +273,23 @@
     LogFaultOf(OwnerActivity::kAppending, done.error());
     if (done.error().mKind == FailureKind::kNotOwner) {
       GiveUp("a higher epoch has written");
-      return;
+      return false;
     }
     if (done.error().mKind == FailureKind::kConflict) {
       GiveUp("the log expects another sequence");
-      return;
+      return false;
     }
     if (!MendsByRepetition(done.error().mKind)) {
       GiveUpToOthers("the progress can't be written");
-      return;
+      return false;
     }
     // The same sequence again: it takes effect once, whatever became of it.
     if (!PauseUntil(Steady::now() + kRetryAppend)) {
-      return;
+      return false;
     }
   }
   mSequence++;
-  TakeDurable(aBatch);
-  DropFromIntake(aBatch.mRetired);
+  return true;
 }
 
 void ShardRuntime::TakeDurable(const ProgressBatch& aBatch)
--- a/mulberryvalve/app/jobs/shard_runtime.h
+++ b/mulberryvalve/app/jobs/shard_runtime.h
@@ -3,6 +3,7 @@
 #ifndef MULBERRYVALVE_APP_JOBS_SHARD_RUNTIME_H_
 #define MULBERRYVALVE_APP_JOBS_SHARD_RUNTIME_H_
 
+#include "mulberryvalve/app/jobs/append_parts.h"
 #include "mulberryvalve/app/jobs/config_view.h"
 #include "mulberryvalve/app/jobs/fault_tally.h"
 #include "mulberryvalve/app/jobs/owner_meter.h"
@@ -151,6 +152,7 @@
   void DecideSoon() MV_REQUIRES(mMutex);
   void WriteProgress();
   void AppendProgress(const ProgressBatch& aBatch);
+  bool AppendPart(const ProgressPart& aPart);
   void TakeDurable(const ProgressBatch& aBatch);
   Result<void> AppendOnce(const std::vector<KeyedEntry>& aEntries);
   void DropFromIntake(const std::vector<JobId>& aRetired);
--- a/mulberryvalve/app/jobs/shard_runtime_feeds.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_feeds.cc
@@ -150,13 +150,12 @@
     const std::vector<KeyedEntry> both = mPorts.mCodec.DropIntake(job);
     drops.insert(drops.end(), both.begin(), both.end());
   }
-  if (drops.empty()) {
-    return;
-  }
-  const Result<void> done =
-    mPorts.mLog.Append(Place(KeyedTopic::kIntake), drops);
-  if (!done) {
-    LogFault("drop_from_intake", done.error());
+  for (const auto& part : EntryParts(std::move(drops), mPorts.mLog.Limits())) {
+    const Result<void> done =
+      mPorts.mLog.Append(Place(KeyedTopic::kIntake), part);
+    if (!done) {
+      LogFault("drop_from_intake", done.error());
+    }
   }
 }
 
--- a/mulberryvalve/ports/in/job_graph_api.h
+++ b/mulberryvalve/ports/in/job_graph_api.h
@@ -18,8 +18,9 @@
   virtual ~JobGraphApi() = default;
 
   // Submit makes a job durable; a job that is known stays as it is. Errors:
-  // kLogUnavailable (it was not taken and never runs), kUnknownOutcome (asking
-  // again with the same id is safe).
+  // kLogUnavailable (it was not taken and never runs), kTooLarge (the same, and
+  // no record holds it), kUnknownOutcome (asking again with the same id is
+  // safe).
   virtual Result<void> Submit(const JobGraph& aJob,
                               MonotonicTime aDeadline) = 0;
 
--- a/mulberryvalve/ports/out/keyed_log.h
+++ b/mulberryvalve/ports/out/keyed_log.h
@@ -55,6 +55,23 @@
   uint64_t mNext = 0;
 };
 
+// KeyedLogLimits are what a log takes at most.
+struct KeyedLogLimits
+{
+  // Of one record: its key, its value and a byte.
+  size_t mRecordBytes = 262144;
+  // Of the records of one call, with kRecordOverhead bytes more for each.
+  size_t mRequestBytes = 2097152;
+};
+
+inline constexpr size_t kRecordOverhead = 4;
+
+// RecordBytes returns the size of aEntry as KeyedLogLimits counts it.
+inline size_t RecordBytes(const KeyedEntry& aEntry)
+{
+  return 1 + aEntry.mKey.size() + (aEntry.mValue ? aEntry.mValue->size() : 0);
+}
+
 // FencedAppend proves its writer: the log refuses it once a higher epoch has
 // written. A repeat with the same sequence takes effect once.
 struct FencedAppend
@@ -87,6 +104,10 @@
 public:
   virtual ~KeyedLog() = default;
 
+  // Limits returns what the log takes. What is larger is refused at each try,
+  // with kTooLarge or kMalformed. Does not block.
+  virtual KeyedLogLimits Limits() const { return KeyedLogLimits(); }
+
   // Newest returns the newest record of each key, and where to read on. It is
   // no snapshot: records that come meanwhile may be part of it.
   virtual Result<KeyedPage> Newest(const KeyedPlace& aPlace) = 0;
