What owners write is UTF-8 whatever they were told

An owner that appends a text that is not UTF-8 would end with its process, for the encoder throws, and so would each successor that reads the input again. What reaches it today is read from JSON, whose reader refuses such bytes: specification, services, images and queues, checkpoints. It now writes replacements.

Failed first: TextThatIsNotUtf8IsWrittenAndReadAgain (the program ended by type_error 316); passes now. TheLargestRecordOfProgressIsReadAgain shows that what fits into a record is within the decoder's limits; it passed before too.

--- a/mulberryvalve/adapters/json/job_log_json.cc
+++ b/mulberryvalve/adapters/json/job_log_json.cc
@@ -40,6 +40,13 @@
   return std::string(aPrefix) + aId;
 }
 
+// Text that is not UTF-8 is written with replacements: an owner must not end
+// because of what it was told.
+std::string Written(const json& aValue)
+{
+  return aValue.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 void PutFlag(json& aObject, const char* aName, bool aValue)
 {
   if (aValue) {
@@ -206,8 +213,8 @@
     between = ",";
   }
   aText += "],";
-  aText +=
-    aTask.mCheckpoint.Empty() ? "\"\"" : json(aTask.mCheckpoint.Text()).dump();
+  aText += aTask.mCheckpoint.Empty() ? "\"\""
+                                     : Written(json(aTask.mCheckpoint.Text()));
   aText += ']';
 }
 
@@ -316,7 +323,7 @@
     object["first_unix_ms"] = aJob.mRecurrence.mFirst.mMilliseconds;
     object["interval_ms"] = aJob.mRecurrence.mInterval.count();
   }
-  return KeyedEntry{ aJob.mId.Text(), object.dump() };
+  return KeyedEntry{ aJob.mId.Text(), Written(object) };
 }
 
 KeyedEntry JobLogJson::Encode(const JobCancellation& aCancellation) const
@@ -355,12 +362,13 @@
 {
   const json object{ { "epoch", aNote.mEpoch.Value() },
                      { "instance", aNote.mInstance } };
-  return KeyedEntry{ std::string(kOwnerKey), object.dump() };
+  return KeyedEntry{ std::string(kOwnerKey), Written(object) };
 }
 
 KeyedEntry JobLogJson::Encode(const LearnedRecord& aLearned) const
 {
-  return KeyedEntry{ std::string(kLearnedKey), LearnedToJson(aLearned).dump() };
+  return KeyedEntry{ std::string(kLearnedKey),
+                     Written(LearnedToJson(aLearned)) };
 }
 
 std::vector<KeyedEntry> JobLogJson::DropIntake(const JobId& aJob) const
--- a/mulberryvalve/adapters/json/job_log_json_test.cc
+++ b/mulberryvalve/adapters/json/job_log_json_test.cc
@@ -1,5 +1,6 @@
 // What is encoded of jobs decodes to the same.
 #include "mulberryvalve/adapters/json/job_log_json.h"
+#include "mulberryvalve/ports/out/keyed_log.h"
 
 #include "CppUTest/TestHarness.h"
 
@@ -137,6 +138,49 @@
   CHECK_EQUAL(0, std::get<KnownWorker>(item.value()).mWaitLeft.value().count());
 }
 
+// Guards against an owner that ends, and each successor with it, because of a
+// text that is not UTF-8.
+TEST(JobLogJsonTest, TextThatIsNotUtf8IsWrittenAndReadAgain)
+{
+  const JobLogJson codec;
+  const std::string odd = "a\xff\xc3z";
+  JobGraph job = FullJob();
+  job.mSpecification = odd;
+  job.mRules.mService = ServiceId(odd);
+  job.mSteps[1].mImage = ImageId(odd);
+  CHECK(codec.DecodeIntake(codec.Encode(job)).has_value());
+  JobRecord record{ job.mId, JobPhase::kRunning, {} };
+  record.mTasks.resize(1);
+  record.mTasks[0].mCheckpoint = CheckpointId(odd);
+  CHECK(codec.DecodeProgress(codec.Encode(record)).has_value());
+  CHECK(
+    codec.DecodeProgress(codec.Encode(OwnerNote{ Epoch(1), odd })).has_value());
+  LearnedRecord learned;
+  learned.mTails.push_back(LearnedTail{ ImageId(odd), 1 });
+  CHECK(codec.DecodeProgress(codec.Encode(learned)).has_value());
+}
+
+// Guards against progress that a successor forgets: whatever fits into a record
+// is read again, with the shortest rows that there are.
+TEST(JobLogJsonTest, TheLargestRecordOfProgressIsReadAgain)
+{
+  const JobLogJson codec;
+  const KeyedLogLimits limits;
+  JobRecord record{ JobId("5c0e7a21d94b36f8"), JobPhase::kRunning, {} };
+  record.mTasks.resize(1);
+  const size_t first = RecordBytes(codec.Encode(record));
+  record.mTasks.resize(2);
+  const size_t row = RecordBytes(codec.Encode(record)) - first;
+  record.mTasks.resize(1 + (limits.mRecordBytes - first) / row);
+  const KeyedEntry entry = codec.Encode(record);
+  CHECK(RecordBytes(entry) <= limits.mRecordBytes);
+  CHECK(RecordBytes(entry) + row > limits.mRecordBytes);
+  const Result<ProgressItem> item = codec.DecodeProgress(entry);
+  CHECK(item.has_value());
+  CHECK_EQUAL(record.mTasks.size(),
+              std::get<JobRecord>(item.value()).mTasks.size());
+}
+
 TEST(JobLogJsonTest, WhatCanNotBeReadIsAFault)
 {
   const JobLogJson codec;
