A job that no owner could read is refused

A caller whose job has a field out of its range (a negative cpu, a queue whose priority is negative) was told that it is accepted. Each owner then passed the record over with a line, and the job was forgotten: the entry took any whole number, the decoder of the log only those from 0 on. The entry now reads what it is about to append and refuses with 400 and the field's name.

A key above 255 bytes, whose length is written in one byte, is above the limit of a record like a value that is too long.

Failed first: AJobThatNoOwnerCouldReadIsRefused (accepted).

--- a/mulberryvalve/app/jobs/append_parts.cc
+++ b/mulberryvalve/app/jobs/append_parts.cc
@@ -21,7 +21,7 @@
   ProgressBatch& Add(KeyedEntry aEntry)
   {
     const size_t bytes = RecordBytes(aEntry);
-    if (bytes > mLimits.mRecordBytes) {
+    if (!FitsRecord(aEntry, mLimits)) {
       mParts.mTooLarge.push_back(Fail(FailureKind::kTooLarge,
                                       aEntry.mKey,
                                       std::to_string(bytes) +
--- a/mulberryvalve/app/jobs/append_parts_test.cc
+++ b/mulberryvalve/app/jobs/append_parts_test.cc
@@ -67,14 +67,17 @@
   CHECK_EQUAL(1U, parts.mParts.back().mBatch.mRetired.size());
 }
 
-// Guards against a record above the limit that makes each append fail.
+// Guards against a record above the limit that makes each append fail, and
+// against a key that is written under another length.
 TEST(AppendPartsTest, ARecordAboveTheLimitIsToldAndInNoCall)
 {
   const JobLogJson codec;
   ProgressBatch batch = LargeBatch();
   batch.mJobs[3].mTasks.resize(500);
+  // The length of a key is written in one byte.
+  batch.mForgotten.emplace_back(std::string(250, 'w'));
   const ProgressParts parts = PartsOf(batch, codec, kTight);
-  CHECK_EQUAL(1U, parts.mTooLarge.size());
+  CHECK_EQUAL(2U, parts.mTooLarge.size());
   CHECK(FailureKind::kTooLarge == parts.mTooLarge[0].mKind);
   STRCMP_EQUAL("job/job3", parts.mTooLarge[0].mField.c_str());
   size_t jobs = 0;
@@ -141,6 +144,25 @@
   CHECK_FALSE(log.Holds(KeyedTopic::kIntake, "large"));
 }
 
+// Guards against a job that is accepted and that no owner can read.
+TEST(AppendPartsTest, AJobThatNoOwnerCouldReadIsRefused)
+{
+  MemoryLog log;
+  InstantWorker workers;
+  JobsInstance instance(log, workers, 1);
+  JobGraph job = SmallJob("odd");
+  job.mSteps[0].mDemand.mCpuMillis = -1;
+  Result<void> done = instance.Jobs().Submit(job, instance.In(kPatience));
+  CHECK_FALSE(done.has_value());
+  CHECK(FailureKind::kInvalidInput == done.error().mKind);
+  STRCMP_EQUAL("cpu_millis", done.error().mField.c_str());
+  job = SmallJob("odd");
+  job.mRules.mPriority = -1;
+  done = instance.Jobs().Submit(job, instance.In(kPatience));
+  CHECK_FALSE(done.has_value());
+  CHECK_FALSE(log.Holds(KeyedTopic::kIntake, "odd"));
+}
+
 // Guards against callers that are all refused because together they hand in
 // more than the log takes in one call, or one of them more than a record holds.
 TEST(AppendPartsTest, CallersShareCallsOnlyAsFarAsTheLogTakes)
--- a/mulberryvalve/app/jobs/group_append.cc
+++ b/mulberryvalve/app/jobs/group_append.cc
@@ -8,7 +8,7 @@
 Result<void> GroupAppend::Append(const KeyedEntry& aEntry)
 {
   const KeyedLogLimits limits = mLog.Limits();
-  if (RecordBytes(aEntry) > limits.mRecordBytes) {
+  if (!FitsRecord(aEntry, limits)) {
     return Fail(FailureKind::kTooLarge,
                 aEntry.mKey,
                 std::to_string(RecordBytes(aEntry)) + " bytes");
--- a/mulberryvalve/app/jobs/job_entry_service.cc
+++ b/mulberryvalve/app/jobs/job_entry_service.cc
@@ -29,7 +29,16 @@
 {
   JobGraph job = aJob;
   job.mAcceptedAt = mPorts.mClock.WallNow();
-  return Append(job.mId, mPorts.mCodec.Encode(job), "submit", aDeadline);
+  const KeyedEntry entry = mPorts.mCodec.Encode(job);
+  // A job that no owner could read would be accepted and forgotten.
+  const Result<IntakeItem> readable = mPorts.mCodec.DecodeIntake(entry);
+  if (!readable) {
+    const bool tooLarge = readable.error().mKind == FailureKind::kTooLarge;
+    return Fail(tooLarge ? FailureKind::kTooLarge : FailureKind::kInvalidInput,
+                readable.error().mField,
+                readable.error().mDetail);
+  }
+  return Append(job.mId, entry, "submit", aDeadline);
 }
 
 Result<void> JobEntryService::Cancel(const JobId& aJob, MonotonicTime aDeadline)
--- a/mulberryvalve/ports/in/job_graph_api.h
+++ b/mulberryvalve/ports/in/job_graph_api.h
@@ -19,8 +19,8 @@
 
   // Submit makes a job durable; a job that is known stays as it is. Errors:
   // kLogUnavailable (it was not taken and never runs), kTooLarge (the same, and
-  // no record holds it), kUnknownOutcome (asking again with the same id is
-  // safe).
+  // no record holds it), kInvalidInput (the same, and a field is out of its
+  // range), kUnknownOutcome (asking again with the same id is safe).
   virtual Result<void> Submit(const JobGraph& aJob,
                               MonotonicTime aDeadline) = 0;
 
--- a/mulberryvalve/ports/out/keyed_log.h
+++ b/mulberryvalve/ports/out/keyed_log.h
@@ -62,6 +62,7 @@
   size_t mRecordBytes = 262144;
   // Of the records of one call, with kRecordOverhead bytes more for each.
   size_t mRequestBytes = 2097152;
+  size_t mKeyBytes = 255;
 };
 
 inline constexpr size_t kRecordOverhead = 4;
@@ -72,6 +73,13 @@
   return 1 + aEntry.mKey.size() + (aEntry.mValue ? aEntry.mValue->size() : 0);
 }
 
+// FitsRecord tells whether aEntry is within the limits of a record.
+inline bool FitsRecord(const KeyedEntry& aEntry, const KeyedLogLimits& aLimits)
+{
+  return aEntry.mKey.size() <= aLimits.mKeyBytes &&
+         RecordBytes(aEntry) <= aLimits.mRecordBytes;
+}
+
 // FencedAppend proves its writer: the log refuses it once a higher epoch has
 // written. A repeat with the same sequence takes effect once.
 struct FencedAppend
