Review: notes that become durable late, a former address, silent workers and the window

Four tests of JobShardNotesTest, each of which fails on (run once, alone): ANoteOfTasksThatBecomesDurableLateIsTakenBackToo, ANoteOfAForgottenWorkerIsNoRecordOfItsReturn, AnotherWorkerAtAFormerAddressEndsNothing and StartsOnASilentWorkerHoldNoOthersBack. No product code is changed.

--- a/mulberryvalve/core/jobs/job_shard_notes_test.cc
+++ b/mulberryvalve/core/jobs/job_shard_notes_test.cc
@@ -183,6 +183,72 @@
   CHECK_EQUAL(1U, mOne.Starts());
 }
 
+// A note of tasks that became durable after the worker was ready again counted
+// as a plain record: a successor started beside what was started since.
+TEST(JobShardNotesTest, ANoteOfTasksThatBecomesDurableLateIsTakenBackToo)
+{
+  const TaskRef last{ kTask.mStep, 1 };
+  mOne.Submit(OneStepJob("j", 2, 1000));
+  mOne.mReply.mRunning = { RunOf(kTask), RunOf(last) };
+  BeginToUse();
+  mOne.mFacts.mState = WorkerState::kLeaving;
+  mOne.ReadList();
+  mOne.Starts();
+  const ProgressBatch note = mOne.Take();
+  CHECK_EQUAL(2U, note.mWorkers.at(0).mMayRun.value().size());
+  CHECK_FALSE(note.mWorkers.at(0).mWaitLeft.has_value());
+  mOne.mFacts.mState = WorkerState::kLive;
+  mOne.ReadList();
+  mOne.Submit(OneStepJob("k", 1, 1000));
+  mOne.mShard.OnDurable(note);
+  const size_t tooEarly = mOne.Starts();
+  CHECK_EQUAL(0U, tooEarly);
+  mOne.Append();
+  const size_t starts = mOne.Starts();
+  CHECK_EQUAL(1U, starts);
+}
+
+// The answer of whoever has a worker's former address said that the worker is
+// over, which runs on at its new one: its task was free to be started again.
+TEST(JobShardNotesTest, AnotherWorkerAtAFormerAddressEndsNothing)
+{
+  mOne.Submit(OneStepJob("j", 1, 1000));
+  mOne.mReply.mRunning = { RunOf(kTask) };
+  BeginToUse();
+  HoldOrder former;
+  former.mWorker = kWorker;
+  former.mEndpoint = mOne.mFacts.mEndpoint;
+  mOne.mFacts.mEndpoint = Endpoint{ "b", 2 };
+  mOne.ReadList();
+  HoldReply gone;
+  gone.mOutcome = OrderOutcome::kGone;
+  mOne.mShard.OnHold(former, gone, mOne.mNow, mOne.mNow);
+  CHECK_EQUAL(1U, mOne.mShard.Workers().Find(kWorker)->mTasks.size());
+}
+
+// Starts that wait for a worker which is known to be silent held back all
+// others, though another worker has room.
+TEST(JobShardNotesTest, StartsOnASilentWorkerHoldNoOthersBack)
+{
+  mOne.mFacts.mCapacity = Resources{ 256000, 256000, 0 };
+  BeginToUse();
+  mOne.Submit(OneStepJob("j", 256, 1000));
+  const size_t toTheFirst = mOne.Starts();
+  CHECK_EQUAL(256U, toTheFirst);
+  mOne.Miss();
+  WorkerFacts other = mOne.mFacts;
+  other.mId = WorkerId("other");
+  other.mEndpoint = Endpoint{ "c", 3 };
+  mOne.mShard.OnWorkers({ mOne.mFacts, other }, mOne.mNow);
+  HoldOrder hold;
+  hold.mWorker = other.mId;
+  mOne.mShard.OnHold(hold, mOne.mReply, mOne.mNow, mOne.mNow);
+  mOne.Append();
+  mOne.Submit(OneStepJob("k", 1, 1000));
+  const size_t toTheOther = mOne.Starts();
+  CHECK_EQUAL(1U, toTheOther);
+}
+
 // A worker that drains is renewed: only its tasks are noted, not for how long.
 TEST(JobShardNotesTest, ADrainingWorkerWithTasksIsNotedWithThem)
 {
@@ -287,6 +353,28 @@
   CHECK(batch.mForgotten.empty());
 }
 
+// A note that was under way when its worker was forgotten counted as the record
+// of the worker that was listed again: a successor would not wait for it.
+TEST(JobShardNotesTest, ANoteOfAForgottenWorkerIsNoRecordOfItsReturn)
+{
+  mOne.mFacts.mBirth = Birth(1);
+  BeginToUse();
+  mOne.Miss();
+  mOne.Starts();
+  const ProgressBatch note = mOne.Take();
+  mOne.mShard.OnWorkers({}, mOne.mNow);
+  mOne.Starts();
+  mOne.ReadList();
+  mOne.mShard.OnDurable(note);
+  mOne.Answer();
+  mOne.Submit(OneStepJob("j", 1, 1000));
+  const size_t tooEarly = mOne.Starts();
+  CHECK_EQUAL(0U, tooEarly);
+  mOne.Append();
+  const size_t starts = mOne.Starts();
+  CHECK_EQUAL(1U, starts);
+}
+
 // A gang of which one member may run elsewhere was started beside it; and no
 // line said what is held back.
 TEST(JobShardNotesTest, OnlyWhatMayRunIsHeldBackAndItIsSaid)
