An answer from a worker's former address ends nothing

What callers would see: a task that runs twice, after its worker was listed at another address and whoever has the former one answered a renewal that was still under way. JobShard took the worker's tasks for ended.

The answer counts only for the address that the worker has now. Endpoints are compared in one place.

--- a/mulberryvalve/app/jobs/shard_bids.cc
+++ b/mulberryvalve/app/jobs/shard_bids.cc
@@ -33,9 +33,9 @@
 {
   MutexLock lock(mMutex);
   Row& row = mRows[aShard];
-  const bool same =
-    row.mIsSeen && row.mOwner.has_value() == aView.mOwner.has_value() &&
-    (!row.mOwner || IsSamePeer(row.mOwner->mPeer, aView.mOwner->mPeer));
+  const bool same = row.mIsSeen &&
+                    row.mOwner.has_value() == aView.mOwner.has_value() &&
+                    (!row.mOwner || row.mOwner->mPeer == aView.mOwner->mPeer);
   if (!same) {
     row.mSince = aNow;
   }
@@ -116,7 +116,7 @@
 bool ShardBids::Relieves(ShardNumber aShard, const GroupView& aView) const
 {
   MutexLock lock(mMutex);
-  return !aView.mOwner || IsSamePeer(aView.mOwner->mPeer, mSelf.mPeer) ||
+  return !aView.mOwner || aView.mOwner->mPeer == mSelf.mPeer ||
          IsBetter(mSelf, *aView.mOwner, aShard);
 }
 
@@ -130,12 +130,11 @@
 
 size_t ShardBids::Owned(const Endpoint& aPeer) const
 {
-  const bool isSelf = IsSamePeer(aPeer, mSelf.mPeer);
+  const bool isSelf = aPeer == mSelf.mPeer;
   return static_cast<size_t>(
     std::count_if(mRows.begin(), mRows.end(), [&](const auto& aEntry) {
       const Row& row = aEntry.second;
-      return isSelf ? row.mIsMine
-                    : row.mOwner && IsSamePeer(row.mOwner->mPeer, aPeer);
+      return isSelf ? row.mIsMine : row.mOwner && row.mOwner->mPeer == aPeer;
     }));
 }
 
@@ -145,7 +144,7 @@
   return std::none_of(
     mRows.upper_bound(aShard), mRows.end(), [&](const auto& aEntry) {
       const auto& owner = aEntry.second.mOwner;
-      return owner && IsSamePeer(owner->mPeer, aPeer);
+      return owner && owner->mPeer == aPeer;
     });
 }
 
@@ -158,8 +157,7 @@
     return isCapable;
   }
   // A bid of the other's for this very shard is none that it owns.
-  const bool bids =
-    IsSamePeer(aOther.mPeer, mSelf.mPeer) && mRows.at(aShard).mIsMine;
+  const bool bids = aOther.mPeer == mSelf.mPeer && mRows.at(aShard).mIsMine;
   return Owned(aOther.mPeer) - (bids ? 1 : 0) == 0 &&
          Owned(aOwner.mPeer) >= 2 && IsLastOf(aShard, aOwner.mPeer);
 }
--- a/mulberryvalve/app/jobs/shard_bids.h
+++ b/mulberryvalve/app/jobs/shard_bids.h
@@ -123,12 +123,6 @@
   std::map<ShardNumber, Row> mRows MV_GUARDED_BY(mMutex);
 };
 
-// IsSamePeer compares where two members are reached.
-inline bool IsSamePeer(const Endpoint& aLeft, const Endpoint& aRight)
-{
-  return aLeft.mAddress == aRight.mAddress && aLeft.mPort == aRight.mPort;
-}
-
 } // namespace mulberryvalve
 
 #endif // MULBERRYVALVE_APP_JOBS_SHARD_BIDS_H_
--- a/mulberryvalve/app/jobs/shard_membership.cc
+++ b/mulberryvalve/app/jobs/shard_membership.cc
@@ -214,7 +214,7 @@
     return mState;
   }
   const bool isOthers =
-    aView.mOwner && !IsSamePeer(aView.mOwner->mPeer, mOptions.mSelf.mPeer);
+    aView.mOwner && aView.mOwner->mPeer != mOptions.mSelf.mPeer;
   if (mRuntime != nullptr && isOthers) {
     LogEvent("group_left", { { "why", "another owns the shard" } });
     return IsAbsent() ? MemberState::kLost : MemberState::kLeaving;
--- a/mulberryvalve/core/jobs/job_shard.cc
+++ b/mulberryvalve/core/jobs/job_shard.cc
@@ -17,11 +17,6 @@
 // Decisions that nobody collects are dropped beyond this.
 constexpr size_t kMaxDecisions = 4096;
 
-bool IsSame(const Endpoint& aLeft, const Endpoint& aRight)
-{
-  return aLeft.mAddress == aRight.mAddress && aLeft.mPort == aRight.mPort;
-}
-
 } // namespace
 
 JobShard::JobShard(JobShardOptions aOptions,
@@ -135,7 +130,7 @@
   for (const WorkerFacts& facts : aWorkers) {
     listed.insert(facts.mId);
     WorkerRoom& room = mWorkers.Add(facts.mId);
-    if (!IsSame(room.mFacts.mEndpoint, facts.mEndpoint)) {
+    if (room.mFacts.mEndpoint != facts.mEndpoint) {
       // A successor would ask at the former address.
       room.mRecorded = false;
       mWorkers.NoteChange(room);
@@ -254,7 +249,7 @@
 {
   WorkerRoom* room = mWorkers.Find(aWorker.mId);
   const bool isPresent = room != nullptr && room->mBirth == aWorker.mBirth &&
-                         IsSame(room->mFacts.mEndpoint, aWorker.mEndpoint);
+                         room->mFacts.mEndpoint == aWorker.mEndpoint;
   if (!isPresent) {
     return;
   }
--- a/mulberryvalve/core/jobs/job_shard_lists.cc
+++ b/mulberryvalve/core/jobs/job_shard_lists.cc
@@ -44,9 +44,13 @@
     NoteWorker(DecisionKind::kWorkerFenced, aOrder.mWorker, "hold");
     return;
   }
+  const bool isGone = aReply.mOutcome == OrderOutcome::kGone;
+  if (isGone && aOrder.mEndpoint != room->mFacts.mEndpoint) {
+    return; // said at an address that it has left
+  }
   if (aReply.mOutcome != OrderOutcome::kAccepted) {
     OnSilent(*room, aReply.mOutcome);
-    if (aReply.mOutcome == OrderOutcome::kGone) {
+    if (isGone) {
       // Its process is over, and with it all that ran there.
       FreeAll(*room, "another worker answers at its address");
       mFormer.SetOver(aOrder.mWorker, aNow);
--- a/mulberryvalve/core/model/worker.h
+++ b/mulberryvalve/core/model/worker.h
@@ -27,6 +27,15 @@
 {
   std::string mAddress;
   uint16_t mPort = 0;
+
+  friend bool operator==(const Endpoint& aLeft, const Endpoint& aRight)
+  {
+    return aLeft.mAddress == aRight.mAddress && aLeft.mPort == aRight.mPort;
+  }
+  friend bool operator!=(const Endpoint& aLeft, const Endpoint& aRight)
+  {
+    return !(aLeft == aRight);
+  }
 };
 
 // WorkerSpec is a value type; not synchronised.
