A note that was taken back before it was durable is no record

What callers would see: a task that runs twice after a change of owner. A note of what may run on a worker that became durable after the worker was ready again, or listed again, counted as a plain record, so starts went there while the log said that nothing could be there.

--- a/mulberryvalve/core/jobs/job_shard.cc
+++ b/mulberryvalve/core/jobs/job_shard.cc
@@ -13,7 +13,7 @@
 // much time brought.
 constexpr Milliseconds kNoteLearned{ 2000 };
 // When the rest of the waits that the former owner noted is first noted anew.
-constexpr Milliseconds kFirstNote{ 200 };
+constexpr Milliseconds kFirstNoteOfWaits{ 200 };
 // Decisions that nobody collects are dropped beyond this.
 constexpr size_t kMaxDecisions = 4096;
 
@@ -27,7 +27,7 @@
   , mClaimedAt(aClaimedAt)
   , mWorkers(aOptions.mLease)
   , mSearch(aPolicies.mPlacement, mWorkers)
-  , mNoteWaitsAt(aClaimedAt + kFirstNote)
+  , mNoteWaitsAt(aClaimedAt + kFirstNoteOfWaits)
   , mNoteLearnedAt(aClaimedAt + kNoteLearned)
 {
 }
@@ -253,7 +253,10 @@
   if (!isPresent) {
     return;
   }
-  if (!room->mInventoried || !aWorker.mWaitLeft.has_value()) {
+  // A note that was taken back meanwhile is no record of a worker in use.
+  const bool isNote = aWorker.mWaitLeft || aWorker.mMayRun;
+  const bool isCurrent = !isNote || room->mNoted;
+  if (isCurrent && (!room->mInventoried || !aWorker.mWaitLeft)) {
     room->mRecorded = true;
     mWorkers.NoteChange(*room);
   }
