Starts on a silent worker leave the window of starts

What callers would see: when many workers go dark at once, no start goes anywhere for seconds, since the unanswered ones fill the window.

--- a/mulberryvalve/core/jobs/job_shard.h
+++ b/mulberryvalve/core/jobs/job_shard.h
@@ -336,6 +336,9 @@
   void MoveOffLeaving(MonotonicTime aNow);
   bool IsProvedFor(const JobEntry& aJob, MonotonicTime aNow) const;
   RunNumber NextRun(JobEntry& aJob);
+  void CountAnswer(WorkerRoom& aWorker,
+                   MonotonicTime aDecidedAt,
+                   MonotonicTime aNow);
   void OnStartOutcome(const TaskOrder& aOrder,
                       OrderOutcome aOutcome,
                       MonotonicTime aNow);
--- a/mulberryvalve/core/jobs/job_shard_lists.cc
+++ b/mulberryvalve/core/jobs/job_shard_lists.cc
@@ -408,6 +408,8 @@
     return;
   }
   mWorkers.SetSilent(aWorker, true);
+  mWindow.GiveUp(aWorker.mStartsUnderWay - aWorker.mStartsGivenUp);
+  aWorker.mStartsGivenUp = aWorker.mStartsUnderWay;
   NoteWorker(DecisionKind::kWorkerSilent,
              aWorker.mFacts.mId,
              std::string(kOrderOutcomeNames.Name(aOutcome)));
--- a/mulberryvalve/core/jobs/job_shard_orders.cc
+++ b/mulberryvalve/core/jobs/job_shard_orders.cc
@@ -68,6 +68,10 @@
   if (aOrder.mKind != OrderKind::kStart) {
     return true;
   }
+  const WorkerRoom* worker = mWorkers.Find(aOrder.mWorker);
+  if (worker == nullptr || worker->mSilent) {
+    return false;
+  }
   const StepTask* task = mBook.FindTask(aOrder.mTask);
   return task != nullptr && task->mPhase == TaskPhase::kStarting &&
          task->mWorker == aOrder.mWorker && task->mRun == aOrder.mRun &&
@@ -294,6 +298,7 @@
   order.mCheckpoint = mBook.FindTask(aTask)->mCheckpoint;
   mOrders.push_back(std::move(order));
   mWindow.OnOrdered();
+  aWorker.mStartsUnderWay++;
   JobDecision placed =
     DecisionOn(DecisionKind::kTaskPlaced,
                aTask,
--- a/mulberryvalve/core/jobs/job_shard_outcomes.cc
+++ b/mulberryvalve/core/jobs/job_shard_outcomes.cc
@@ -15,10 +15,10 @@
                        const OrderReply& aReply,
                        MonotonicTime aNow)
 {
-  if (aOrder.mKind == OrderKind::kStart) {
-    mWindow.OnAnswered(aOrder.mDecidedAt, aNow);
-  }
   WorkerRoom* worker = mWorkers.Find(aOrder.mWorker);
+  if (aOrder.mKind == OrderKind::kStart && worker != nullptr) {
+    CountAnswer(*worker, aOrder.mDecidedAt, aNow);
+  }
   if (aReply.mOutcome == OrderOutcome::kFenced) {
     mFenced = true;
     NoteWorker(DecisionKind::kWorkerFenced, aOrder.mWorker, "order");
@@ -44,6 +44,22 @@
   }
 }
 
+// A worker is removed only after it fell silent, when its starts were given up.
+void JobShard::CountAnswer(WorkerRoom& aWorker,
+                           MonotonicTime aDecidedAt,
+                           MonotonicTime aNow)
+{
+  if (aWorker.mStartsUnderWay == 0) {
+    return;
+  }
+  aWorker.mStartsUnderWay--;
+  if (aWorker.mStartsGivenUp > 0) {
+    aWorker.mStartsGivenUp--;
+    return;
+  }
+  mWindow.OnAnswered(aDecidedAt, aNow);
+}
+
 void JobShard::OnStartOutcome(const TaskOrder& aOrder,
                               OrderOutcome aOutcome,
                               MonotonicTime aNow)
--- a/mulberryvalve/core/jobs/start_window.cc
+++ b/mulberryvalve/core/jobs/start_window.cc
@@ -20,6 +20,11 @@
   mTimesFull++;
 }
 
+void StartWindow::GiveUp(size_t aStarts)
+{
+  mUnderWay -= std::min(aStarts, mUnderWay);
+}
+
 void StartWindow::OnAnswered(MonotonicTime aDecidedAt, MonotonicTime aNow)
 {
   mUnderWay -= mUnderWay > 0 ? 1 : 0;
--- a/mulberryvalve/core/jobs/start_window.h
+++ b/mulberryvalve/core/jobs/start_window.h
@@ -39,6 +39,10 @@
   // OnOrdered counts a start, until OnAnswered.
   void OnOrdered() { mUnderWay++; }
 
+  // GiveUp counts so many starts no more: their answers are not expected soon
+  // and say nothing of what the owner can send.
+  void GiveUp(size_t aStarts);
+
   // OnHeldBack says that a start waits since the window is full.
   void OnHeldBack();
 
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -79,6 +79,10 @@
   Resources mForeign;
   bool mForeignUnknown = false;
   std::set<TaskRef> mForeignRuns;
+  // Starts that were ordered there and are not answered, and how many of them
+  // count no more as under way, since it fell silent meanwhile.
+  size_t mStartsUnderWay = 0;
+  size_t mStartsGivenUp = 0;
   // The tasks of the ends between mDurable and mTaken. It lists them still, so
   // a successor that does not ask it knows nothing of them.
   std::map<EndNumber, TaskRef> mEndsNotDurable;
