What a rebirth ended is started again only with a later proof

What callers would see: a task started again after its end was taken note of. A superseded owner whose proof of 6 s still held saw a worker born anew, or another one at its address, took what ran there for lost and started it elsewhere, though its successor had noted the end.

A lapsed lease already asked for a proof of the lease's end; every task that ended without a word of its worker now does. Also: what is asked of a task before it is placed stands in one place.

--- a/mulberryvalve/core/jobs/job_shard.cc
+++ b/mulberryvalve/core/jobs/job_shard.cc
@@ -144,7 +144,7 @@
       room.mBirth = facts.mBirth;
     }
     if (room.mBirth < facts.mBirth && room.mBirth != Birth()) {
-      ResetLife(room, facts.mBirth);
+      ResetLife(room, facts.mBirth, aNow);
     }
     const bool mayStart = room.mInventoried && !room.mSilent &&
                           facts.mState != WorkerState::kLeaving;
--- a/mulberryvalve/core/jobs/job_shard.h
+++ b/mulberryvalve/core/jobs/job_shard.h
@@ -283,8 +283,8 @@
     const std::vector<ListedRun>& aRunning) const;
   bool StopHeavy(const WorkerRoom& aWorker, ImageNumber aServing, int aWorst);
   void OnSilent(WorkerRoom& aWorker, OrderOutcome aOutcome);
-  void ResetLife(WorkerRoom& aWorker, Birth aBirth);
-  void FreeAll(WorkerRoom& aWorker, const char* aWhy);
+  void ResetLife(WorkerRoom& aWorker, Birth aBirth, MonotonicTime aNow);
+  void FreeAll(WorkerRoom& aWorker, const char* aWhy, MonotonicTime aEndedBy);
   void FreeLapsed(const OwnershipProof& aProof, MonotonicTime aNow);
   void FinishTask(const TaskRef& aTask);
   void FinishGang(const TaskRef& aTask, MonotonicTime aNow);
@@ -311,6 +311,7 @@
   void PlaceStep(JobEntry& aJob, OpenStep aStep, MonotonicTime aNow);
   void DropPass();
   void HoldPass();
+  bool MayPlace(const TaskRef& aRef, const StepTask& aTask) const;
   bool PlaceOne(JobEntry& aJob, const TaskRef& aTask, MonotonicTime aNow);
   void PlaceGang(JobEntry& aJob, const StepRef& aStep, MonotonicTime aNow);
   PlacementQuery QueryFor(const JobEntry& aJob,
--- a/mulberryvalve/core/jobs/job_shard_lists.cc
+++ b/mulberryvalve/core/jobs/job_shard_lists.cc
@@ -52,7 +52,7 @@
     OnSilent(*room, aReply.mOutcome);
     if (isGone) {
       // Its process is over, and with it all that ran there.
-      FreeAll(*room, "another worker answers at its address");
+      FreeAll(*room, "another worker answers at its address", aNow);
       mFormer.SetOver(aOrder.mWorker, aNow);
       mChanged = true;
     }
@@ -64,7 +64,7 @@
   }
   if (room->mBirth < birth) {
     if (room->mBirth != Birth()) {
-      ResetLife(*room, birth);
+      ResetLife(*room, birth, aNow);
     }
     room->mBirth = birth;
   }
@@ -415,11 +415,11 @@
              std::string(kOrderOutcomeNames.Name(aOutcome)));
 }
 
-void JobShard::ResetLife(WorkerRoom& aWorker, Birth aBirth)
+void JobShard::ResetLife(WorkerRoom& aWorker, Birth aBirth, MonotonicTime aNow)
 {
   NoteWorker(
     DecisionKind::kWorkerReborn, aWorker.mFacts.mId, "its birth changed");
-  FreeAll(aWorker, "its worker was born anew");
+  FreeAll(aWorker, "its worker was born anew", aNow);
   aWorker.mBirth = aBirth;
   aWorker.mTaken = EndNumber();
   aWorker.mDurable = EndNumber();
@@ -436,13 +436,18 @@
   mDirtyWorkers.insert(aWorker.mFacts.mId);
 }
 
-void JobShard::FreeAll(WorkerRoom& aWorker, const char* aWhy)
+// What ran there has ended by aEndedBy. A successor may have seen that and have
+// started the tasks again, so that takes a proof of ownership of then.
+void JobShard::FreeAll(WorkerRoom& aWorker,
+                       const char* aWhy,
+                       MonotonicTime aEndedBy)
 {
   const std::vector<TaskRef> charged(aWorker.mTasks.begin(),
                                      aWorker.mTasks.end());
   for (const TaskRef& ref : charged) {
-    const StepTask* task = mBook.FindTask(ref);
+    StepTask* task = mBook.FindTask(ref);
     Note(DecisionKind::kTaskLost, ref, aWorker.mFacts.mId, task->mRun, aWhy);
+    task->mNeedsProofOf = aEndedBy;
     Free(ref);
   }
   aWorker.mForeignRuns.clear();
@@ -459,7 +464,7 @@
       continue;
     }
     NoteWorker(DecisionKind::kWorkerLapsed, id, "silent beyond its leases");
-    FreeAll(room, "its lease is over");
+    FreeAll(room, "its lease is over", room.mLapsesAt);
   }
 }
 
--- a/mulberryvalve/core/jobs/job_shard_orders.cc
+++ b/mulberryvalve/core/jobs/job_shard_orders.cc
@@ -147,8 +147,7 @@
   }
   for (uint32_t index = 0; index < spec.mCount; index++) {
     const TaskRef ref{ name, index };
-    const bool waits =
-      step.mTasks[index].mPhase == TaskPhase::kWaiting && !mFormer.Holds(ref);
+    const bool waits = MayPlace(ref, step.mTasks[index]);
     if (waits && mWindow.IsFull()) {
       HoldPass();
       return;
@@ -160,6 +159,13 @@
   }
 }
 
+// Tells whether a task waits, and certainly runs nowhere.
+bool JobShard::MayPlace(const TaskRef& aRef, const StepTask& aTask) const
+{
+  return aTask.mPhase == TaskPhase::kWaiting && !mFormer.Holds(aRef) &&
+         aTask.mNeedsProofOf <= mProvedAt;
+}
+
 bool JobShard::PlaceOne(JobEntry& aJob,
                         const TaskRef& aTask,
                         MonotonicTime aNow)
@@ -188,8 +194,10 @@
 {
   const StepSpec& spec = mBook.SpecOf(aStep);
   StepState& step = mBook.StepOf(aStep);
-  if (step.mWaiting != step.mTasks.size() || mFormer.HoldsAnyOf(aStep)) {
-    return;
+  for (uint32_t index = 0; index < spec.mCount; index++) {
+    if (!MayPlace(TaskRef{ aStep, index }, step.mTasks[index])) {
+      return;
+    }
   }
   std::vector<WorkerRoom*> chosen;
   for (uint32_t index = 0; index < spec.mCount; index++) {
--- a/mulberryvalve/core/jobs/job_state.h
+++ b/mulberryvalve/core/jobs/job_state.h
@@ -103,6 +103,8 @@
   MonotonicTime mStartedAt;
   // Since when the worker's lists are certain to reflect the last answer.
   MonotonicTime mAnsweredAt;
+  // It is started again only with a proof of ownership of this time or later.
+  MonotonicTime mNeedsProofOf;
   // The list in which a worker named it last.
   uint64_t mListNumber = 0;
   // It was placed where it presses on services, since it had waited; it is
