A full window of starts opens once a quarter of it is free

Cause, by reading: each answer opened the window for one start, and each such start took a pass of its own.

Change: once full, the window stays so until a quarter of it is free.

--- a/mulberryvalve/core/jobs/start_window.cc
+++ b/mulberryvalve/core/jobs/start_window.cc
@@ -11,9 +11,16 @@
 constexpr size_t kMostPart = 2;
 // It grows by the fourth part.
 constexpr size_t kGrowthPart = 4;
+constexpr size_t kFreePart = 4;
 
 } // namespace
 
+void StartWindow::OnOrdered()
+{
+  mUnderWay++;
+  FollowFilling();
+}
+
 void StartWindow::OnHeldBack()
 {
   mHeldBack = true;
@@ -23,13 +30,26 @@
 void StartWindow::OnAnswered(MonotonicTime aDecidedAt, MonotonicTime aNow)
 {
   mUnderWay -= mUnderWay > 0 ? 1 : 0;
-  if (aDecidedAt < mRoundBegan) {
-    return;
+  if (aDecidedAt >= mRoundBegan) {
+    Judge(aNow - aDecidedAt, aNow);
+  }
+  FollowFilling();
+}
+
+void StartWindow::FollowFilling()
+{
+  if (mUnderWay >= mSize) {
+    mIsFull = true;
+  } else if (mUnderWay <= mSize - mSize / kFreePart) {
+    mIsFull = false;
   }
-  const Microseconds wait = aNow - aDecidedAt;
+}
+
+void StartWindow::Judge(Microseconds aWait, MonotonicTime aNow)
+{
   mAnswers++;
-  mLateAnswers += wait > kLateAfter ? 1 : 0;
-  mWaits += wait;
+  mLateAnswers += aWait > kLateAfter ? 1 : 0;
+  mWaits += aWait;
   const size_t round = std::min(mSize, kMostPerRound);
   if (mAnswers >= round || mLateAnswers * 2 > round) {
     EndRound(aNow);
--- a/mulberryvalve/core/jobs/start_window.h
+++ b/mulberryvalve/core/jobs/start_window.h
@@ -33,11 +33,13 @@
   static constexpr size_t kMostPerRound = 128;
 
   // IsFull tells whether no more starts may be ordered now. Who has to order
-  // several at once may go beyond the size as long as this is false.
-  bool IsFull() const { return mUnderWay >= mSize; }
+  // several at once may go beyond the size as long as this is false. Once full
+  // it stays so until a quarter is free, so that what follows is chosen in few
+  // passes.
+  bool IsFull() const { return mIsFull; }
 
   // OnOrdered counts a start, until OnAnswered.
-  void OnOrdered() { mUnderWay++; }
+  void OnOrdered();
 
   // OnHeldBack says that a start waits since the window is full.
   void OnHeldBack();
@@ -50,11 +52,14 @@
   StartWindowFigures TakeFigures();
 
 private:
+  void Judge(Microseconds aWait, MonotonicTime aNow);
   void EndRound(MonotonicTime aNow);
   void Shrink();
+  void FollowFilling();
 
   size_t mSize = kFirstSize;
   size_t mUnderWay = 0;
+  bool mIsFull = false;
   size_t mTimesFull = 0;
   // The present round judges starts that were decided after it began.
   MonotonicTime mRoundBegan;
--- a/mulberryvalve/core/jobs/start_window_test.cc
+++ b/mulberryvalve/core/jobs/start_window_test.cc
@@ -109,7 +109,8 @@
     link.mWindow.OnOrdered();
   }
   CHECK(link.mWindow.IsFull());
-  for (size_t number = 0; number < 100; number++) {
+  const size_t untilFree = 100 + StartWindow::kFirstSize / 4;
+  for (size_t number = 1; number < untilFree; number++) {
     link.mWindow.OnAnswered(link.mNow, link.mNow);
   }
   CHECK(link.mWindow.IsFull());
@@ -117,6 +118,25 @@
   CHECK_FALSE(link.mWindow.IsFull());
 }
 
+// Guards against an owner that spends itself on one pass for each answer.
+TEST(StartWindowTest, OnceFullItStaysSoUntilAQuarterIsFree)
+{
+  Link link;
+  while (!link.mWindow.IsFull()) {
+    link.mWindow.OnOrdered();
+  }
+  UNSIGNED_LONGS_EQUAL(StartWindow::kFirstSize,
+                       link.mWindow.TakeFigures().mUnderWay);
+  for (size_t number = 1; number < StartWindow::kFirstSize / 4; number++) {
+    link.mWindow.OnAnswered(link.mNow, link.mNow);
+  }
+  CHECK(link.mWindow.IsFull());
+  link.mWindow.OnAnswered(link.mNow, link.mNow);
+  CHECK_FALSE(link.mWindow.IsFull());
+  link.mWindow.OnOrdered();
+  CHECK_FALSE(link.mWindow.IsFull());
+}
+
 TEST(StartWindowTest, FiguresSayHowOftenItWasFull)
 {
   Link link;
