--- a/mulberryvalve/core/jobs/start_window.cc
+++ b/mulberryvalve/core/jobs/start_window.cc
@@ -30,6 +30,7 @@
 void StartWindow::GiveUp(size_t aStarts)
 {
   mUnderWay -= std::min(aStarts, mUnderWay);
+  FollowFilling();
 }
 
 void StartWindow::OnAnswered(MonotonicTime aDecidedAt, MonotonicTime aNow)
