The comment of PartBuilder::Add says what it does

A record above the limit goes with no call, yet the caller notes it as written; the comment said only the former. Found by the review. No code changes.

--- a/mulberryvalve/app/jobs/append_parts.cc
+++ b/mulberryvalve/app/jobs/append_parts.cc
@@ -16,8 +16,10 @@
   {
   }
 
-  // Add puts aEntry into the part for which the caller then notes what is
-  // durable with it. A record above the limit is in none; it is told.
+  // Add puts aEntry into a part and returns the batch of that part, in which
+  // the caller notes what is durable with it. A record above the limit is told
+  // and goes with no call; the caller notes it all the same, so it is not
+  // repeated.
   ProgressBatch& Add(KeyedEntry aEntry)
   {
     const size_t bytes = RecordBytes(aEntry);
