--- a/mulberryvalve/adapters/http/async_http_client_test.cc
+++ b/mulberryvalve/adapters/http/async_http_client_test.cc
@@ -201,4 +201,31 @@
   CHECK(slow.get().mOutcome == HttpOutcome::kAnswered);
 }
 
+// Guards against a process that was paused while it connected and sends an
+// order after its deadline, when its permission may have run out.
+TEST(AsyncHttpClient, NothingIsSentOnAConnectionThatIsReadyTooLate)
+{
+  const Endpoint unreadable{ "no address", 1 };
+  std::promise<void> blocked[2];
+  std::promise<void> release[2];
+  const auto block = [&](size_t aNumber) {
+    mClient.Exchange(unreadable,
+                     MakeCall("x"),
+                     std::make_unique<BlockingCompletion>(
+                       blocked[aNumber], release[aNumber].get_future()));
+  };
+  block(0);
+  blocked[0].get_future().wait();
+  // The thread starts to connect and is blocked again before it is connected.
+  std::future<HttpAnswer> late = Begin(mServer.Address(), "a");
+  block(1);
+  release[0].set_value();
+  blocked[1].get_future().wait();
+  std::promise<void> never;
+  never.get_future().wait_for(kTimeout + kTolerance);
+  release[1].set_value();
+  CHECK(late.get().mOutcome == HttpOutcome::kNotConnected);
+  CHECK(Exchange("b").mOutcome == HttpOutcome::kAnswered);
+}
+
 } // namespace mulberryvalve
--- a/mulberryvalve/adapters/http/async_http_connection.cc
+++ b/mulberryvalve/adapters/http/async_http_connection.cc
@@ -120,7 +120,9 @@
   if (!mExchange) {
     return;
   }
-  if (aError) {
+  // This thread may run late, and the call may no longer be permitted then.
+  const bool isLate = Steady::now() >= mExchange->mDeadline;
+  if (aError || isLate) {
     FailExchange(HttpOutcome::kNotConnected);
     return;
   }
