--- a/mulberryvalve/adapters/http/bounded_server.cc
+++ b/mulberryvalve/adapters/http/bounded_server.cc
@@ -1,7 +1,6 @@
 #include "mulberryvalve/adapters/http/bounded_server.h"
 
 #include "mulberryvalve/adapters/http/bounded_stream.h"
-#include "mulberryvalve/adapters/http/bounded_thread_pool.h"
 
 #include <array>
 #include <charconv>
@@ -119,9 +118,11 @@
       mListening = true;
       mListeningChanged.NotifyAll();
     }
-    return new BoundedThreadPool(mOptions.mThreads,
-                                 mOptions.mMaxQueuedConnections,
-                                 [this] { CloseLongestIdle(); });
+    BoundedThreadPoolOptions options;
+    options.mMaxThreads = mOptions.mThreads;
+    options.mMaxQueued = mOptions.mMaxQueuedConnections;
+    return new BoundedThreadPool(
+      options, mThreadStarter, [this] { CloseLongestIdle(); });
   };
   set_payload_max_length(mOptions.mMaxBodyBytes);
 }
--- a/mulberryvalve/adapters/http/bounded_server.h
+++ b/mulberryvalve/adapters/http/bounded_server.h
@@ -4,6 +4,7 @@
 #ifndef MULBERRYVALVE_ADAPTERS_HTTP_BOUNDED_SERVER_H_
 #define MULBERRYVALVE_ADAPTERS_HTTP_BOUNDED_SERVER_H_
 
+#include "mulberryvalve/adapters/http/bounded_thread_pool.h"
 #include "mulberryvalve/core/base/mutex.h"
 #include "mulberryvalve/core/base/time.h"
 #include "mulberryvalve/core/model/worker.h"
@@ -27,10 +28,11 @@
   Milliseconds mIdleTimeout{ 30'000 };
 };
 
-// BoundedServer serves each connection on a thread of its pool. When the queue
-// is full, new connections get a 503 and are closed; when connections are
-// queued, the longest idle one is closed to free its thread. The methods
-// declared here are thread-safe.
+// BoundedServer serves each connection on a thread of its pool, which grows up
+// to mThreads with the connections that are open. When the queue is full, new
+// connections get a 503 and are closed; when connections are queued, the
+// longest idle one is closed to free its thread. The methods declared here are
+// thread-safe.
 class BoundedServer : public httplib::Server
 {
 public:
@@ -62,6 +64,7 @@
   void AwaitListening();
 
   const BoundedServerOptions mOptions;
+  SystemThreadStarter mThreadStarter;
   std::thread mThread;
   Mutex mMutex;
   CondVar mListeningChanged;
