--- a/mulberryvalve/app/jobs/append_batcher.cc
+++ b/mulberryvalve/app/jobs/append_batcher.cc
@@ -1,11 +1,29 @@
 #include "mulberryvalve/app/jobs/append_batcher.h"
 
+#include <chrono>
 #include <string>
 #include <utility>
 
 namespace mulberryvalve {
+namespace {
 
-Result<void> AppendBatcher::Append(const KeyedEntry& aEntry)
+// Consecutive callers that are refused return at times far apart.
+constexpr uint64_t kSpreadStep = 193;
+
+LogCallEnd EndOf(const Result<void>& aOutcome)
+{
+  if (aOutcome) {
+    return LogCallEnd::kAnswered;
+  }
+  return aOutcome.error().mKind == FailureKind::kLogAnswerLost
+           ? LogCallEnd::kLost
+           : LogCallEnd::kRefused;
+}
+
+} // namespace
+
+Result<void> AppendBatcher::Append(const KeyedEntry& aEntry,
+                                   MonotonicTime aHeardAt)
 {
   const KeyedLogLimits limits = mLog.Limits();
   if (!FitsRecord(aEntry, limits)) {
@@ -14,39 +32,91 @@
                 std::to_string(RecordBytes(aEntry)) + " bytes");
   }
   const size_t bytes = RecordBytes(aEntry) + kRecordOverhead;
-  std::shared_ptr<Batch> batch;
-  {
-    MutexLock lock(mMutex);
-    // The entry does not fit into the open batch: wait until that batch is
-    // sent.
-    while (mOpenBatch != nullptr &&
-           mOpenBatch->mBytes + bytes > limits.mRequestBytes) {
-      mCond.Wait(mMutex);
-    }
-    if (mOpenBatch == nullptr) {
-      mOpenBatch = std::make_shared<Batch>();
-    }
-    batch = mOpenBatch;
-    batch->mEntries.push_back(aEntry);
-    batch->mBytes += bytes;
-    while (mIsCallInFlight && !batch->mDone) {
+  MutexLock lock(mMutex);
+  mAvailability.OnOtherAnswer(aHeardAt);
+  WaitForRoom(bytes);
+  if (mOpenBatch == nullptr) {
+    mOpenBatch = std::make_shared<Batch>();
+  }
+  const std::shared_ptr<Batch> batch = mOpenBatch;
+  batch->mEntries.push_back(aEntry);
+  batch->mBytes += bytes;
+  if (WaitForTurn(*batch)) {
+    Send(*batch);
+  }
+  return OutcomeOf(*batch);
+}
+
+// If an entry of aBytes does not fit into the open batch, waits until that
+// batch is sent or refused.
+void AppendBatcher::WaitForRoom(size_t aBytes)
+{
+  while (mOpenBatch != nullptr &&
+         mOpenBatch->mBytes + aBytes > mLog.Limits().mRequestBytes) {
+    mCond.Wait(mMutex);
+  }
+}
+
+// Returns true if the caller has to send aBatch, false if it is done. The first
+// caller of a batch that gets its turn sends it for all of them.
+bool AppendBatcher::WaitForTurn(Batch& aBatch)
+{
+  while (!aBatch.mDone) {
+    if (aBatch.mSent) {
       mCond.Wait(mMutex);
+      continue;
     }
-    if (batch->mDone) {
-      return batch->mOutcome;
+    const MonotonicTime now = mClock.Now();
+    switch (mAvailability.NextTurn(now)) {
+      case AppendTurn::kSend:
+        return true;
+      case AppendTurn::kWait:
+        mCond.WaitUntil(mMutex,
+                        std::chrono::steady_clock::now() +
+                          (mAvailability.WaitUntil() - now));
+        break;
+      case AppendTurn::kRefuse:
+        Finish(
+          aBatch,
+          Fail(FailureKind::kLogUnavailable, "append", "no answer lately"));
+        mOpenBatch.reset();
+        break;
     }
-    // The first caller of the batch to get here makes the call for all of them.
-    mIsCallInFlight = true;
-    mOpenBatch.reset();
-    mCond.NotifyAll();
   }
-  Result<void> outcome = mLog.Append(mPlace, batch->mEntries);
-  MutexLock lock(mMutex);
-  batch->mOutcome = std::move(outcome);
-  batch->mDone = true;
-  mIsCallInFlight = false;
+  return false;
+}
+
+// Releases mMutex for the time of the call.
+void AppendBatcher::Send(Batch& aBatch)
+{
+  aBatch.mSent = true;
+  mOpenBatch.reset();
   mCond.NotifyAll();
-  return batch->mOutcome;
+  const MonotonicTime begunAt = mClock.Now();
+  mAvailability.OnCallBegan(begunAt);
+  mMutex.Unlock();
+  Result<void> outcome = mLog.Append(mPlace, aBatch.mEntries);
+  mMutex.Lock();
+  mAvailability.OnCallEnded(begunAt, EndOf(outcome), mClock.Now());
+  Finish(aBatch, std::move(outcome));
+}
+
+void AppendBatcher::Finish(Batch& aBatch, Result<void> aOutcome)
+{
+  aBatch.mOutcome = std::move(aOutcome);
+  aBatch.mDone = true;
+  mCond.NotifyAll();
+}
+
+// Each caller is told a time of its own to come back.
+Result<void> AppendBatcher::OutcomeOf(const Batch& aBatch)
+{
+  Result<void> outcome = aBatch.mOutcome;
+  if (!outcome) {
+    outcome.error().mRetryAt =
+      mAvailability.RetryAt(mClock.Now(), mNextSpread += kSpreadStep);
+  }
+  return outcome;
 }
 
 } // namespace mulberryvalve
--- a/mulberryvalve/app/jobs/append_batcher.h
+++ b/mulberryvalve/app/jobs/append_batcher.h
@@ -4,6 +4,8 @@
 #define MULBERRYVALVE_APP_JOBS_APPEND_BATCHER_H_
 
 #include "mulberryvalve/core/base/mutex.h"
+#include "mulberryvalve/core/jobs/log_availability.h"
+#include "mulberryvalve/ports/out/clock.h"
 #include "mulberryvalve/ports/out/keyed_log.h"
 
 #include <memory>
@@ -11,22 +13,28 @@
 
 namespace mulberryvalve {
 
-// Makes one call to the log at a time. Entries that are added meanwhile share
-// the next call, so a slow log gets no more calls than it answers. Thread-safe.
+// Makes one call to the log at a time, and a second one only while the first is
+// overdue. Entries that are added meanwhile share the next call, so a slow log
+// gets no more calls than it answers. Thread-safe.
 class AppendBatcher
 {
 public:
-  // aLog must outlive this object.
-  AppendBatcher(KeyedLog& aLog, TopicPartition aPlace)
+  // aLog and aClock must outlive this object.
+  AppendBatcher(KeyedLog& aLog, const Clock& aClock, TopicPartition aPlace)
     : mLog(aLog)
+    , mClock(aClock)
     , mPlace(aPlace)
   {
   }
 
   // Adds aEntry to a batch, waits for the batch's call and returns its outcome.
-  // No batch exceeds the limits of the log. Errors: those of KeyedLog::Append,
-  // and kTooLarge for an entry above the record limit, which is not appended.
-  Result<void> Append(const KeyedEntry& aEntry);
+  // No batch exceeds the limits of the log. While the log is silent, only a
+  // caller that tries it waits; aHeardAt, the sending time of the newest other
+  // call that the log answered, can end the silence. Errors: those of
+  // KeyedLog::Append; kTooLarge for an entry above the record limit, and
+  // kLogUnavailable for one that did not wait for a silent log: neither was
+  // sent. Failures say with mRetryAt when to come back.
+  Result<void> Append(const KeyedEntry& aEntry, MonotonicTime aHeardAt);
 
 private:
   // The entries of one call and, once it has returned, its outcome.
@@ -34,16 +42,26 @@
   {
     std::vector<KeyedEntry> mEntries;
     size_t mBytes = 0;
+    bool mSent = false;
     bool mDone = false;
     Result<void> mOutcome = Done();
   };
 
+  void WaitForRoom(size_t aBytes) MV_REQUIRES(mMutex);
+  bool WaitForTurn(Batch& aBatch) MV_REQUIRES(mMutex);
+  void Send(Batch& aBatch) MV_REQUIRES(mMutex);
+  void Finish(Batch& aBatch, Result<void> aOutcome) MV_REQUIRES(mMutex);
+  Result<void> OutcomeOf(const Batch& aBatch) MV_REQUIRES(mMutex);
+
   KeyedLog& mLog;
+  const Clock& mClock;
   const TopicPartition mPlace;
   Mutex mMutex;
   CondVar mCond;
   std::shared_ptr<Batch> mOpenBatch MV_GUARDED_BY(mMutex);
-  bool mIsCallInFlight MV_GUARDED_BY(mMutex) = false;
+  LogAvailability mAvailability MV_GUARDED_BY(mMutex);
+  // Spreads the return of refused callers.
+  uint64_t mNextSpread MV_GUARDED_BY(mMutex) = 0;
 };
 
 } // namespace mulberryvalve
--- /dev/null
+++ b/mulberryvalve/app/jobs/append_batcher_test.cc
@@ -0,0 +1,164 @@
+#include "mulberryvalve/app/jobs/append_batcher.h"
+
+#include <atomic>
+#include <optional>
+#include <thread>
+#include <vector>
+
+#include "CppUTest/TestHarness.h"
+
+namespace mulberryvalve {
+namespace {
+
+constexpr Milliseconds kOverdue = LogAvailability::kOverdueAfter;
+
+// A clock that the test sets.
+class ManualClock : public Clock
+{
+public:
+  MonotonicTime Now() const override
+  {
+    return MonotonicTime(Microseconds(mMicroseconds));
+  }
+  WallTime WallNow() const override { return WallTime{ 1 }; }
+  void Advance(Milliseconds aTime)
+  {
+    mMicroseconds += std::chrono::duration_cast<Microseconds>(aTime).count();
+  }
+
+private:
+  std::atomic<int64_t> mMicroseconds{ 1'000'000 };
+};
+
+// A log that answers no append until EndCalls. Thread-safe.
+class SilentLog : public KeyedLog
+{
+public:
+  Result<KeyedPage> ReadLatest(const TopicPartition&) override
+  {
+    return KeyedPage{};
+  }
+  Result<KeyedPage> Read(const TopicPartition&, uint64_t, Milliseconds) override
+  {
+    return KeyedPage{};
+  }
+  Result<void> Append(const TopicPartition&,
+                      const std::vector<KeyedEntry>&) override
+  {
+    MutexLock lock(mMutex);
+    mCalls++;
+    mCond.NotifyAll();
+    while (!mOutcome) {
+      mCond.Wait(mMutex);
+    }
+    return *mOutcome;
+  }
+  Result<void> AppendFenced(const AppendFence&,
+                            const std::vector<KeyedEntry>&) override
+  {
+    return Done();
+  }
+
+  void AwaitCalls(size_t aCalls)
+  {
+    MutexLock lock(mMutex);
+    while (mCalls < aCalls) {
+      mCond.Wait(mMutex);
+    }
+  }
+  size_t Calls()
+  {
+    MutexLock lock(mMutex);
+    return mCalls;
+  }
+
+  // Ends the calls in flight, and later ones at once, with aOutcome.
+  void EndCalls(Result<void> aOutcome)
+  {
+    MutexLock lock(mMutex);
+    mOutcome = std::move(aOutcome);
+    mCond.NotifyAll();
+  }
+
+private:
+  Mutex mMutex;
+  CondVar mCond;
+  size_t mCalls MV_GUARDED_BY(mMutex) = 0;
+  std::optional<Result<void>> mOutcome MV_GUARDED_BY(mMutex);
+};
+
+} // namespace
+
+TEST_GROUP(AppendBatcher)
+{
+  ManualClock mClock;
+  SilentLog mLog;
+  AppendBatcher mBatcher{ mLog,
+                          mClock,
+                          TopicPartition{ KeyedTopic::kIntake, 0 } };
+  std::vector<std::thread> mCallers;
+
+  Result<void> Append(MonotonicTime aHeardAt = MonotonicTime())
+  {
+    return mBatcher.Append(KeyedEntry{ "key", "value" }, aHeardAt);
+  }
+
+  // Two calls that the log does not answer, the second beside the first once
+  // that is overdue.
+  void FillWithOverdueCalls()
+  {
+    for (size_t calls = 1; calls <= LogAvailability::kMaxCalls; calls++) {
+      mCallers.emplace_back([this] { (void)Append(); });
+      mLog.AwaitCalls(calls);
+      mClock.Advance(kOverdue);
+    }
+  }
+  void LoseCalls()
+  {
+    mLog.EndCalls(Fail(FailureKind::kLogAnswerLost));
+    for (std::thread& caller : mCallers) {
+      caller.join();
+    }
+    mCallers.clear();
+  }
+};
+
+// Guards against holding callers up to their deadline behind calls that a
+// silent log does not answer: what was not sent is refused at once.
+TEST(AppendBatcher, ACallerDoesNotWaitForASilentLog)
+{
+  FillWithOverdueCalls();
+  const Result<void> refused = Append();
+  CHECK(FailureKind::kLogUnavailable == refused.error().mKind);
+  CHECK(refused.error().mRetryAt > mClock.Now());
+  CHECK_EQUAL(2U, mLog.Calls());
+  LoseCalls();
+}
+
+TEST(AppendBatcher, ASilentLogIsTriedAgainOnceItHasAnsweredOtherCalls)
+{
+  FillWithOverdueCalls();
+  LoseCalls();
+  mLog.EndCalls(Done());
+  const Result<void> refused = Append();
+  CHECK(FailureKind::kLogUnavailable == refused.error().mKind);
+  CHECK(Append(mClock.Now()).has_value());
+  CHECK(Append().has_value());
+}
+
+// Guards against a caller that gets its turn to send entries which another
+// caller is sending already.
+TEST(AppendBatcher, ABatchIsSentOnce)
+{
+  FillWithOverdueCalls();
+  mLog.EndCalls(Done());
+  for (std::thread& caller : mCallers) {
+    caller.join();
+  }
+  mCallers.clear();
+  CHECK_EQUAL(2U, mLog.Calls());
+  CHECK(Append().has_value());
+  CHECK_EQUAL(3U, mLog.Calls());
+}
+
+} // namespace mulberryvalve
--- a/mulberryvalve/app/jobs/append_splitting_test.cc
+++ b/mulberryvalve/app/jobs/append_splitting_test.cc
@@ -176,18 +176,19 @@
   log.SetAppendTime(Milliseconds(20));
   FaultyLog limited(log);
   limited.Limit(kSmallLimits);
-  AppendBatcher group(limited, TopicPartition{ KeyedTopic::kIntake, 0 });
+  const RealClock clock;
+  AppendBatcher group(limited, clock, TopicPartition{ KeyedTopic::kIntake, 0 });
   std::atomic<size_t> taken{ 0 };
   std::vector<std::thread> callers;
   for (size_t caller = 0; caller < kJobs; caller++) {
     callers.emplace_back([&, caller] {
       const KeyedEntry entry{ "key" + std::to_string(caller),
                               std::string(200, 'x') };
-      taken += group.Append(entry) ? 1 : 0;
+      taken += group.Append(entry, MonotonicTime()) ? 1 : 0;
     });
   }
   const KeyedEntry large{ "large", std::string(1000, 'x') };
-  const Result<void> refused = group.Append(large);
+  const Result<void> refused = group.Append(large, MonotonicTime());
   for (std::thread& caller : callers) {
     caller.join();
   }
--- a/mulberryvalve/app/jobs/job_graph_service.cc
+++ b/mulberryvalve/app/jobs/job_graph_service.cc
@@ -5,9 +5,12 @@
 namespace mulberryvalve {
 namespace {
 
-// Time reserved for sending the answer to the caller. Attempts stop this long
-// before the deadline.
-constexpr Milliseconds kAnswerReserve{ 150 };
+// An append is repeated only while the caller has more time than this left: for
+// the longest call to the log, or, if the log has answered other calls, for one
+// that it answers. A caller that learns early that the outcome is unknown can
+// ask another instance.
+constexpr Milliseconds kMinTimeToRepeat{ 1650 };
+constexpr Milliseconds kMinTimeIfHeard{ 650 };
 constexpr Milliseconds kRetryDelay{ 100 };
 constexpr Milliseconds kPeerTimeout{ 600 };
 // A query is retried only while its caller has at least this much time
@@ -23,7 +26,9 @@
 {
   for (ShardNumber shard = 0; shard < mShards; shard++) {
     mIntakeBatchers.push_back(std::make_unique<AppendBatcher>(
-      mPorts.mLog, TopicPartition{ KeyedTopic::kIntake, shard }));
+      mPorts.mLog,
+      mPorts.mClock,
+      TopicPartition{ KeyedTopic::kIntake, shard }));
   }
 }
 
@@ -63,12 +68,15 @@
   const ShardNumber shard = ShardOfJob(aJob, mShards);
   const MonotonicTime begin = mPorts.mClock.Now();
   bool mayHaveTakenEffect = false;
+  bool shouldRepeat = false;
   Failure last;
   int attempts = 0;
   do {
     attempts++;
     mPorts.mMetrics.Add(Counter::kLogAppends, 1);
-    const Result<void> done = mIntakeBatchers[shard]->Append(aEntry);
+    const MonotonicTime attemptedAt = mPorts.mClock.Now();
+    const Result<void> done =
+      mIntakeBatchers[shard]->Append(aEntry, mPorts.mMemberships.LastContact());
     if (done) {
       mPorts.mMetrics.Record(Timing::kAppendUs, mPorts.mClock.Now() - begin);
       mPorts.mEvents.Write(EventLevel::kInfo,
@@ -81,13 +89,14 @@
     }
     last = done.error();
     mPorts.mMetrics.Add(Counter::kLogFailures, 1);
-    if (last.mKind == FailureKind::kLogAnswerLost) {
-      mayHaveTakenEffect = true;
-    } else if (!mayHaveTakenEffect) {
-      break; // nothing was appended, so the caller can safely retry
+    mayHaveTakenEffect =
+      mayHaveTakenEffect || last.mKind == FailureKind::kLogAnswerLost;
+    // If nothing was appended, the caller can safely come back later.
+    shouldRepeat = mayHaveTakenEffect && IsTimeToRepeat(attemptedAt, aDeadline);
+    if (shouldRepeat) {
+      Pause();
     }
-    Pause();
-  } while (!mStop.IsSet() && mPorts.mClock.Now() + kAnswerReserve < aDeadline);
+  } while (shouldRepeat && !mStop.IsSet());
   mPorts.mEvents.Write(
     EventLevel::kWarn,
     mayHaveTakenEffect ? "job_unknown" : "job_refused",
@@ -100,10 +109,20 @@
     return Fail(FailureKind::kUnknownOutcome, aOperation, last.mDetail);
   }
   const bool isTooLarge = last.mKind == FailureKind::kTooLarge;
-  return Fail(isTooLarge ? FailureKind::kTooLarge
-                         : FailureKind::kLogUnavailable,
-              aOperation,
-              last.mDetail);
+  Failure refused =
+    Fail(isTooLarge ? FailureKind::kTooLarge : FailureKind::kLogUnavailable,
+         aOperation,
+         last.mDetail);
+  refused.mRetryAt = last.mRetryAt;
+  return refused;
+}
+
+bool JobGraphService::IsTimeToRepeat(MonotonicTime aAttemptedAt,
+                                     MonotonicTime aDeadline) const
+{
+  const bool heard = mPorts.mMemberships.LastContact() > aAttemptedAt;
+  const Milliseconds needed = heard ? kMinTimeIfHeard : kMinTimeToRepeat;
+  return mPorts.mClock.Now() + kRetryDelay + needed < aDeadline;
 }
 
 Result<std::optional<JobPhase>> JobGraphService::Phase(const JobId& aJob,
--- a/mulberryvalve/app/jobs/job_graph_service.h
+++ b/mulberryvalve/app/jobs/job_graph_service.h
@@ -48,6 +48,8 @@
                       const KeyedEntry& aEntry,
                       const char* aOperation,
                       MonotonicTime aDeadline);
+  bool IsTimeToRepeat(MonotonicTime aAttemptedAt,
+                      MonotonicTime aDeadline) const;
   Result<PeerQueryResult> Ask(const PeerQuery& aQuestion,
                               MonotonicTime aDeadline);
   void Pause();
--- a/mulberryvalve/core/base/failure.h
+++ b/mulberryvalve/core/base/failure.h
@@ -4,6 +4,7 @@
 #define MULBERRYVALVE_CORE_BASE_FAILURE_H_
 
 #include "mulberryvalve/core/base/enum_table.h"
+#include "mulberryvalve/core/base/time.h"
 
 #include <boost/outcome/result.hpp>
 #include <string>
@@ -62,13 +63,15 @@
 
 // Failure describes an error: its kind, the field concerned, and a message for
 // people. Code must branch on mKind only. mOldest is the oldest offset that the
-// log retains if mKind is kOffsetExpired.
+// log retains if mKind is kOffsetExpired. mRetryAt is when the caller should
+// try again, if that is known; zero if not.
 struct Failure
 {
   FailureKind mKind = FailureKind::kInvalidInput;
   std::string mField;
   std::string mDetail;
   uint64_t mOldest = 0;
+  MonotonicTime mRetryAt{};
 };
 
 // Result holds a T or a Failure. Check it before reading the value.
--- a/mulberryvalve/ports/in/job_graph_api.h
+++ b/mulberryvalve/ports/in/job_graph_api.h
@@ -20,9 +20,10 @@
   virtual ~JobGraphApi() = default;
 
   // Submit makes a job durable. It has no effect on a job that already exists.
-  // Errors: kLogUnavailable, kTooLarge (the job exceeds the record size limit)
-  // and kInvalidInput (a field is out of range): the job was not accepted and
-  // never runs. kUnknownOutcome: a retry with the same id is safe.
+  // Errors: kLogUnavailable (mRetryAt says when to come back), kTooLarge (the
+  // job exceeds the record size limit) and kInvalidInput (a field is out of
+  // range): the job was not accepted and never runs. kUnknownOutcome: a retry
+  // with the same id is safe.
   virtual Result<void> Submit(const JobGraph& aJob,
                               MonotonicTime aDeadline) = 0;
 
