--- a/mulberryvalve/app/jobs/worker_sender.h
+++ b/mulberryvalve/app/jobs/worker_sender.h
@@ -11,9 +11,9 @@
 
 // Renews the leases of all workers and sends them orders, on a fixed number of
 // threads. A worker that does not answer delays no other worker. Under overload
-// renewals are sent first, then stops, pace changes and starts, regardless of
-// the worker. Thread-safe: the workers are distributed over shards, each with
-// its own mutex and thread.
+// WorkerSendSchedule decides what is sent first, regardless of the worker.
+// Thread-safe: the workers are distributed over shards, each with its own mutex
+// and thread.
 class WorkerSender
 {
 public:
--- a/mulberryvalve/app/jobs/worker_sender_shard.cc
+++ b/mulberryvalve/app/jobs/worker_sender_shard.cc
@@ -87,10 +87,10 @@
       mInFlight++;
       return item;
     }
-    if (mDueRenewals.empty()) {
-      mCond.Wait(mMutex);
+    if (const std::optional<Time> due = mSchedule.NextRenewalAt()) {
+      mCond.WaitUntil(mMutex, *due);
     } else {
-      mCond.WaitUntil(mMutex, mDueRenewals.begin()->first);
+      mCond.Wait(mMutex);
     }
   }
   return std::nullopt;
@@ -99,20 +99,21 @@
 std::optional<WorkerSenderShard::SendItem> WorkerSenderShard::TakeItem(
   Time aNow)
 {
-  SendItem item;
-  if (!mDueRenewals.empty() && mDueRenewals.begin()->first <= aNow) {
-    item.mWorker = mDueRenewals.begin()->second;
-    const EntryIterator entryIt = mQueues.find(item.mWorker);
-    entryIt->second.mQueue.BeginRenewal();
-    Reschedule(entryIt);
-    return item;
-  }
-  if (mReadyOrders.empty()) {
+  const std::optional<WorkerSendSchedule::Item> next = mSchedule.Next(aNow);
+  if (!next) {
     return std::nullopt;
   }
-  item.mWorker = std::get<WorkerId>(*mReadyOrders.begin());
+  SendItem item;
+  item.mWorker = next->mWorker;
   const EntryIterator entryIt = mQueues.find(item.mWorker);
-  item.mOrder = entryIt->second.mQueue.TakeOrder();
+  switch (next->mKind) {
+    case WorkerSendSchedule::ItemKind::kOrder:
+      item.mOrder = entryIt->second.mQueue.TakeOrder();
+      break;
+    case WorkerSendSchedule::ItemKind::kRenewal:
+      entryIt->second.mQueue.BeginRenewal();
+      break;
+  }
   Reschedule(entryIt);
   return item;
 }
@@ -181,55 +182,22 @@
 {
   Reschedule(aEntry);
   if (aEntry->second.mQueue.IsFinished()) {
+    mSchedule.Remove(aEntry->first);
     mQueues.erase(aEntry);
   }
   mInFlight--;
   mItemDoneCond.NotifyAll();
 }
 
-// Updates the keys of a queue in mDueRenewals and mReadyOrders after it
-// changed.
+// Updates the schedule after a queue changed.
 void WorkerSenderShard::Reschedule(EntryIterator aEntry)
 {
-  RescheduleRenewal(aEntry);
-  RescheduleOrder(aEntry);
-}
-
-void WorkerSenderShard::RescheduleRenewal(EntryIterator aEntry)
-{
-  QueueEntry& entry = aEntry->second;
-  std::optional<RenewalKey> due;
-  if (const std::optional<Time> at = entry.mQueue.RenewalDueAt()) {
-    due.emplace(*at, aEntry->first);
-  }
-  if (due == entry.mRenewalKey) {
-    return;
-  }
-  if (entry.mRenewalKey) {
-    mDueRenewals.erase(*entry.mRenewalKey);
-  }
-  entry.mRenewalKey = std::move(due);
-  if (entry.mRenewalKey &&
-      mDueRenewals.insert(*entry.mRenewalKey).first == mDueRenewals.begin()) {
-    mCond.NotifyOne();
-  }
-}
-
-void WorkerSenderShard::RescheduleOrder(EntryIterator aEntry)
-{
-  QueueEntry& entry = aEntry->second;
-  const std::optional<SendPriority> priority = entry.mQueue.NextPriority();
-  if (priority && entry.mOrderKey &&
-      std::get<SendPriority>(*entry.mOrderKey) == *priority) {
-    return;
-  }
-  if (entry.mOrderKey) {
-    mReadyOrders.erase(*entry.mOrderKey);
-    entry.mOrderKey.reset();
-  }
-  if (priority) {
-    entry.mOrderKey.emplace(*priority, mNextSequence++, aEntry->first);
-    mReadyOrders.insert(*entry.mOrderKey);
+  const auto& [worker, entry] = *aEntry;
+  const bool isRenewalFirst =
+    mSchedule.SetRenewal(worker, entry.mQueue.RenewalDueAt());
+  const bool hasNewOrder =
+    mSchedule.SetOrder(worker, entry.mQueue.NextPriority());
+  if (isRenewalFirst || hasNewOrder) {
     mCond.NotifyOne();
   }
 }
--- a/mulberryvalve/app/jobs/worker_sender_shard.h
+++ b/mulberryvalve/app/jobs/worker_sender_shard.h
@@ -4,15 +4,13 @@
 #define MULBERRYVALVE_APP_JOBS_WORKER_SENDER_SHARD_H_
 
 #include "mulberryvalve/app/jobs/worker_send_queue.h"
+#include "mulberryvalve/app/jobs/worker_send_schedule.h"
 #include "mulberryvalve/core/base/mutex.h"
 #include "mulberryvalve/ports/out/task_worker_port.h"
 
 #include <map>
 #include <optional>
-#include <set>
 #include <thread>
-#include <tuple>
-#include <utility>
 
 namespace mulberryvalve {
 
@@ -66,17 +64,11 @@
 
 private:
   using Time = WorkerSendQueue::Time;
-  using RenewalKey = std::pair<Time, WorkerId>;
-  // The sequence number keeps orders of equal priority in FIFO order.
-  using OrderKey = std::tuple<SendPriority, uint64_t, WorkerId>;
 
-  // A send queue and its keys in mDueRenewals and mReadyOrders.
   struct QueueEntry
   {
     WorkerSendQueue mQueue;
     MonotonicTime mRenewalSentAt;
-    std::optional<RenewalKey> mRenewalKey;
-    std::optional<OrderKey> mOrderKey;
   };
 
   // The next item to send: an order if mOrder is set, otherwise a renewal.
@@ -99,8 +91,6 @@
                       const RenewalReply& aReply) override;
   void OnItemDone(EntryIterator aEntry) MV_REQUIRES(mMutex);
   void Reschedule(EntryIterator aEntry) MV_REQUIRES(mMutex);
-  void RescheduleRenewal(EntryIterator aEntry) MV_REQUIRES(mMutex);
-  void RescheduleOrder(EntryIterator aEntry) MV_REQUIRES(mMutex);
 
   WorkerSenderDelegate& mDelegate;
   TaskWorkerPort& mPort;
@@ -110,9 +100,7 @@
   // Wakes Stop when a call in flight has been answered.
   CondVar mItemDoneCond;
   std::map<WorkerId, QueueEntry> mQueues MV_GUARDED_BY(mMutex);
-  std::set<RenewalKey> mDueRenewals MV_GUARDED_BY(mMutex);
-  std::set<OrderKey> mReadyOrders MV_GUARDED_BY(mMutex);
-  uint64_t mNextSequence MV_GUARDED_BY(mMutex) = 0;
+  WorkerSendSchedule mSchedule MV_GUARDED_BY(mMutex);
   size_t mInFlight MV_GUARDED_BY(mMutex) = 0;
   bool mStopping MV_GUARDED_BY(mMutex) = false;
   std::thread mThread;
