--- a/mulberryvalve/app/jobs/shard_membership.cc
+++ b/mulberryvalve/app/jobs/shard_membership.cc
@@ -1,6 +1,7 @@
 #include "mulberryvalve/app/jobs/shard_membership.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace mulberryvalve {
@@ -125,8 +126,8 @@
   const Steady::time_point now = Steady::now();
   const Steady::time_point next = NextPollAt(now);
   const Steady::time_point stalePollAt = std::min(next, now + kStalePollDelay);
-  MutexLock lock(mMutex);
   RemoveEndedRuntimes();
+  MutexLock lock(mMutex);
   while (!mIsStopping) {
     const Steady::time_point until = mIsOwnerStale ? stalePollAt : next;
     if (!NeedsPoll()) {
@@ -454,13 +455,20 @@
                       static_cast<int64_t>(mBalancer.CountHeld()));
 }
 
+// Destroying the state of a large shard takes long, so it is done without the
+// lock, which joins and questions need.
 void ShardMembership::RemoveEndedRuntimes()
 {
-  const auto gone =
-    std::remove_if(mEndingRuntimes.begin(),
-                   mEndingRuntimes.end(),
-                   [](const auto& aRuntime) { return aRuntime->HasEnded(); });
-  mEndingRuntimes.erase(gone, mEndingRuntimes.end());
+  std::vector<std::shared_ptr<ShardRuntime>> ended;
+  MutexLock lock(mMutex);
+  const auto firstEnded =
+    std::stable_partition(mEndingRuntimes.begin(),
+                          mEndingRuntimes.end(),
+                          [](const std::shared_ptr<ShardRuntime>& aRuntime) {
+                            return !aRuntime->HasEnded();
+                          });
+  std::move(firstEnded, mEndingRuntimes.end(), std::back_inserter(ended));
+  mEndingRuntimes.erase(firstEnded, mEndingRuntimes.end());
 }
 
 // Logs only the first of several consecutive failures.
--- a/mulberryvalve/app/jobs/shard_membership.h
+++ b/mulberryvalve/app/jobs/shard_membership.h
@@ -95,7 +95,7 @@
 
   void StartRuntime(Generation aGeneration) MV_REQUIRES(mMutex);
   void StopRuntime() MV_REQUIRES(mMutex);
-  void RemoveEndedRuntimes() MV_REQUIRES(mMutex);
+  void RemoveEndedRuntimes();
   void UpdateOwnedGauge();
   void OnCallFailed(const char* aCall, const Failure& aFailure);
   void LogFailure(const char* aCall, const Failure& aFailure);
--- a/mulberryvalve/core/jobs/shard_scheduler_interference.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_interference.cc
@@ -144,13 +144,6 @@
   const StepSpec& spec = *aRun.mPlace.mSpec;
   const TaskRef& ref = aRun.mRow.mTask;
   auto& reports = mServiceLoads[ref.mStep];
-  std::vector<double> siblingLoads;
-  for (const auto& [index, report] : reports) {
-    if (index != ref.mIndex &&
-        aNow - report.mReportedAt < kSiblingReportWindow) {
-      siblingLoads.push_back(report.mLoad);
-    }
-  }
   const double pressure =
     mInterference.Pressure(spec.mImageNumber, aBestEffortShares);
   ServiceLoad& ownLoad = reports[ref.mIndex];
@@ -164,8 +157,18 @@
   ownLoad.mReportedAt = aNow;
   const bool isSettled =
     aNow - aWorker.mBestEffortChangedAt >= kSiblingReportWindow;
-  if (siblingLoads.size() < kMinSiblings || aBestEffortShares.empty() ||
-      !isSettled) {
+  if (aBestEffortShares.empty() || !isSettled) {
+    return ownLoad.mPeak;
+  }
+  std::vector<double> siblingLoads;
+  siblingLoads.reserve(reports.size());
+  for (const auto& [index, report] : reports) {
+    if (index != ref.mIndex &&
+        aNow - report.mReportedAt < kSiblingReportWindow) {
+      siblingLoads.push_back(report.mLoad);
+    }
+  }
+  if (siblingLoads.size() < kMinSiblings) {
     return ownLoad.mPeak;
   }
   const auto median =
