--- a/mulberryvalve/core/jobs/interference_test.cc
+++ b/mulberryvalve/core/jobs/interference_test.cc
@@ -221,4 +221,75 @@
   CHECK_EQUAL(before.mTimes.size(), after.mTimes.size());
 }
 
+// Guards against batch tasks that stay throttled after the services beside them
+// have gone, until something else is started there.
+TEST(InterferenceTest, PaceIsRestoredWhenTheServicesHaveGone)
+{
+  ShardSimulation world(1);
+  world.AddOwner();
+  int64_t tailMs = 4;
+  world.mDurationOf = [](const TaskRef&) { return Milliseconds(600000); };
+  world.Worker(0).mTailLatencyMs = [&](const SimulatedWorker&, const TaskRef&) {
+    return tailMs;
+  };
+  JobGraph service = OneStepJob("s", 2, 3000);
+  service.mSteps[0].mLongRunning = true;
+  service.mSteps[0].mTailLatencyTarget = Milliseconds(18);
+  service.mSteps[0].mImage = ImageId("service");
+  world.Submit(service);
+  world.RunFor(Milliseconds(1000));
+  JobGraph batch = OneStepJob("b", 4, 1800);
+  batch.mSteps[0].mBestEffort = true;
+  batch.mSteps[0].mImage = ImageId("batch");
+  world.Submit(batch);
+  world.RunFor(Milliseconds(1000));
+  const TaskRef task{ { JobId("b"), 0, 0 }, 0 };
+  const auto paceNow = [&] {
+    return world.Worker(0).mRuns.at(task).mPacePercent;
+  };
+  CHECK_EQUAL(kFullPace, paceNow());
+  tailMs = 19;
+  world.RunFor(Milliseconds(1500));
+  CHECK(paceNow() < kFullPace);
+  world.Cancel(JobId("s"));
+  world.RunFor(Milliseconds(2500));
+  CHECK_EQUAL(kFullPace, paceNow());
+}
+
+// An owner of a thousand workers can't afford two reports a second of each. A
+// service far below its target is asked less often, but within a second.
+TEST(InterferenceTest, CalmWorkersAreAskedLessOften)
+{
+  struct Row
+  {
+    int mPacePercent;
+    int mTailPercent;
+    bool mIsCalm;
+  };
+  const Row rows[] = {
+    { kFullPace, 30, true },
+    { kFullPace, 59, true },
+    { kFullPace, 60, false },
+    { 90, 30, false },
+    // Nothing was reported yet.
+    { kFullPace, 0, false },
+  };
+  const LeaseTerms terms;
+  CHECK(terms.mCalmPacingWait <= Milliseconds(1000));
+  for (const Row& row : rows) {
+    WorkerTable workers(terms);
+    WorkerEntry& worker = workers.Add(WorkerId("w"));
+    worker.mRecorded = true;
+    worker.mClock = WorkerTime{ 1 };
+    worker.mServingTasks = 1;
+    worker.mBestEffortTasks = 1;
+    worker.mPace.mPercent = row.mPacePercent;
+    worker.mPace.mTailPercentOfTarget = row.mTailPercent;
+    const RenewalRequest renewal =
+      workers.NextRenewal(worker, Epoch(1), true, At(0));
+    CHECK(renewal.mWait ==
+          (row.mIsCalm ? terms.mCalmPacingWait : terms.mPacingWait));
+  }
+}
+
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -359,7 +359,11 @@
   void QueueStop(const TaskRef& aTask,
                  RunNumber aRun,
                  const WorkerEntry& aWorker);
-  void QueuePaceOrders(const WorkerEntry& aWorker);
+  void QueuePaceOrders(const WorkerEntry& aWorker,
+                       const std::vector<ReportedRun>& aRunning);
+  void QueuePaceOrder(const WorkerEntry& aWorker,
+                      const TaskRef& aTask,
+                      const TaskLookup& aPlace);
   void ResendStops(MonotonicTime aNow);
   void EvacuateLeavingWorkers(MonotonicTime aNow);
   bool IsOwnershipProvedFor(const JobEntry& aJob, MonotonicTime aNow) const;
--- a/mulberryvalve/core/jobs/shard_scheduler_interference.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_interference.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 #include <vector>
 
 namespace mulberryvalve {
@@ -37,6 +38,7 @@
 {
   if (aWorker.mServingTasks == 0) {
     aWorker.mPace = PaceState();
+    QueuePaceOrders(aWorker, aRunning);
     return;
   }
   const std::vector<BestEffortShare> fullPaceShares =
@@ -101,7 +103,7 @@
   if (aWorker.mPace.mPercent != previousPercent) {
     aWorker.mBestEffortChangedAt = aNow;
   }
-  QueuePaceOrders(aWorker);
+  QueuePaceOrders(aWorker, aRunning);
 }
 
 // Returns the share of the worker's processors that the best-effort tasks of
@@ -211,25 +213,37 @@
   return stopped;
 }
 
-// Sends the worker's pace to its best-effort tasks that were not told it yet.
-void ShardScheduler::QueuePaceOrders(const WorkerEntry& aWorker)
+// Sends the worker's pace to the best-effort tasks in its report that were not
+// told it yet.
+void ShardScheduler::QueuePaceOrders(const WorkerEntry& aWorker,
+                                     const std::vector<ReportedRun>& aRunning)
 {
-  if (aWorker.mBestEffortTasks == 0) {
-    return;
-  }
-  for (const TaskRef& ref : aWorker.mTasks) {
-    const TaskLookup place = mJobTable.Locate(ref);
-    TaskProgress& task = *place.mTask;
-    const int percent = aWorker.mPace.mPercent;
-    if (!place.mSpec->mBestEffort || task.mPacePercent == percent ||
-        task.mPhase != TaskPhase::kRunning) {
-      continue;
+  for (const ReportedRun& run : aRunning) {
+    const TaskProgress* task = run.mPlace.mTask;
+    const bool isCurrentRun = task != nullptr && task->mRun == run.mRow.mRun &&
+                              task->mWorker == aWorker.mInfo.mId;
+    if (isCurrentRun) {
+      QueuePaceOrder(aWorker, run.mRow.mTask, run.mPlace);
     }
-    task.mPacePercent = percent;
-    TaskOrder order = MakeOrder(OrderKind::kPace, ref, task.mRun, aWorker);
-    order.mPercent = percent;
-    mPendingOrders.push_back(std::move(order));
   }
 }
 
+// Sends the worker's pace to a task there, if it is a running best-effort task
+// that was not told it yet.
+void ShardScheduler::QueuePaceOrder(const WorkerEntry& aWorker,
+                                    const TaskRef& aTask,
+                                    const TaskLookup& aPlace)
+{
+  TaskProgress& task = *aPlace.mTask;
+  const int percent = aWorker.mPace.mPercent;
+  if (!aPlace.mSpec->mBestEffort || task.mPacePercent == percent ||
+      task.mPhase != TaskPhase::kRunning) {
+    return;
+  }
+  task.mPacePercent = percent;
+  TaskOrder order = MakeOrder(OrderKind::kPace, aTask, task.mRun, aWorker);
+  order.mPercent = percent;
+  mPendingOrders.push_back(std::move(order));
+}
+
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/shard_scheduler_replies.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_replies.cc
@@ -74,7 +74,7 @@
       task.mAnsweredAt = aNow;
       task.mStartedAt = aNow;
       if (worker != nullptr) {
-        QueuePaceOrders(*worker);
+        QueuePaceOrder(*worker, aOrder.mTask, mJobTable.Locate(aOrder.mTask));
       }
     }
     return;
--- a/mulberryvalve/core/jobs/shard_simulation_fake.cc
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.cc
@@ -318,6 +318,9 @@
         std::max(aWorker.mLastClosedRun[aOrder.mTask], aOrder.mRun);
       break;
     case OrderKind::kPace:
+      if (run != aWorker.mRuns.end() && run->second.mRun == aOrder.mRun) {
+        run->second.mPacePercent = aOrder.mPercent;
+      }
       break;
   }
   return reply;
--- a/mulberryvalve/core/jobs/shard_simulation_fake.h
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.h
@@ -24,6 +24,8 @@
   MonotonicTime mEndsAt;
   EndKind mEnd = EndKind::kDone;
   bool mStopping = false;
+  // The pace that it was last told.
+  int mPacePercent = kFullPace;
 };
 
 // LinkState tells which messages between an owner and a worker get through.
