--- a/mulberryvalve/core/jobs/job_placement_policy.cc
+++ b/mulberryvalve/core/jobs/job_placement_policy.cc
@@ -1,7 +1,7 @@
 #include "mulberryvalve/core/jobs/job_placement_policy.h"
 
 #include <algorithm>
-#include <vector>
+#include <utility>
 
 namespace mulberryvalve {
 namespace {
@@ -44,18 +44,39 @@
 constexpr int64_t kServingUsagePercent = 42;
 constexpr int64_t kPercent = 100;
 
+// Returns the pressure that the best-effort tasks of a worker put on a serving
+// image, with aAddedCpu thousandths of a core more of aImage.
+double PressureOn(ImageNumber aServing,
+                  const InterferenceEstimator& aInterference,
+                  const WorkerEntry& aWorker,
+                  ImageNumber aImage,
+                  int64_t aAddedCpu)
+{
+  const auto capacity = static_cast<double>(aWorker.CpuCapacity());
+  double pressure = 0;
+  int64_t added = aAddedCpu;
+  for (const auto& [image, cpu] : aWorker.mBestEffortCpuByImage) {
+    const int64_t requested =
+      cpu + (image == aImage ? std::exchange(added, 0) : 0);
+    pressure += static_cast<double>(requested) / capacity *
+                aInterference.Weight(aServing, image);
+  }
+  return pressure + static_cast<double>(added) / capacity *
+                      aInterference.Weight(aServing, aImage);
+}
+
 // Returns the highest pressure that the best-effort tasks of a worker put on
-// any of its serving images, with aMore more of aImage.
+// any of its serving images, with aAddedCpu thousandths of a core more of
+// aImage.
 double WorstPressure(const InterferenceEstimator& aInterference,
                      const WorkerEntry& aWorker,
                      ImageNumber aImage,
                      int64_t aAddedCpu)
 {
   double worst = 0;
-  const std::vector<BestEffortShare> bestEffortShares =
-    aWorker.BestEffortShares(kFullPace, aImage, aAddedCpu);
   for (const auto& [serving, count] : aWorker.mServingImages) {
-    worst = std::max(worst, aInterference.Pressure(serving, bestEffortShares));
+    worst = std::max(
+      worst, PressureOn(serving, aInterference, aWorker, aImage, aAddedCpu));
   }
   return worst;
 }
@@ -74,8 +95,8 @@
                                                       step.mDemand.mCpuMillis);
   }
   if (step.mTailLatencyTarget.count() > 0 && aWorker.mBestEffortTasks > 0) {
-    return aQuery.mInterference.Pressure(
-      step.mImageNumber, aWorker.BestEffortShares(kFullPace, 0, 0));
+    return PressureOn(
+      step.mImageNumber, aQuery.mInterference, aWorker, step.mImageNumber, 0);
   }
   return 0;
 }
--- a/mulberryvalve/core/jobs/worker_table.cc
+++ b/mulberryvalve/core/jobs/worker_table.cc
@@ -11,6 +11,10 @@
 // that starts rarely extend a lease.
 constexpr Milliseconds kMinLeaseForStart{ 2500 };
 
+// A tail latency below this percentage of its target rises above the target
+// over several reports.
+constexpr int kCalmTailPercent = 60;
+
 int64_t MillisecondsBetween(MonotonicTime aFrom, MonotonicTime aTo)
 {
   return std::chrono::duration_cast<Milliseconds>(aTo - aFrom).count();
@@ -54,6 +58,12 @@
   return shares;
 }
 
+bool WorkerEntry::IsCalm() const
+{
+  return mPace.mPercent == kFullPace && mPace.mTailPercentOfTarget > 0 &&
+         mPace.mTailPercentOfTarget < kCalmTailPercent;
+}
+
 std::set<TaskRef> WorkerEntry::PossibleTasks() const
 {
   std::set<TaskRef> tasks = mTasks;
@@ -254,8 +264,9 @@
   // A worker answers at once while it has ends that were not acknowledged.
   const bool allAcknowledged =
     aWorker.mLastDurableEnd == aWorker.mLastProcessedEnd;
-  const Milliseconds wait =
-    aWorker.NeedsPacing() ? mTerms.mPacingWait : mTerms.mWait;
+  const Milliseconds pacingWait =
+    aWorker.IsCalm() ? mTerms.mCalmPacingWait : mTerms.mPacingWait;
+  const Milliseconds wait = aWorker.NeedsPacing() ? pacingWait : mTerms.mWait;
   order.mWait = allAcknowledged ? wait : Milliseconds(0);
   return order;
 }
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -24,8 +24,10 @@
   // How long a worker delays the answer to a renewal until a run ends.
   Milliseconds mWait{ 1500 };
   // The same on workers with both best-effort and serving tasks, so that
-  // reports on the latter arrive twice a second.
+  // reports on the latter arrive twice a second; and if none of these is near
+  // its target, so that a rise is noticed within a second.
   Milliseconds mPacingWait{ 400 };
+  Milliseconds mCalmPacingWait{ 900 };
   // How much slower than real time a worker's clock may run, in thousandths.
   int64_t mClockDriftPerMille = 20;
   // Added to the end of a lease before it is considered expired.
@@ -117,6 +119,10 @@
   // NeedsPacing returns whether best-effort tasks may disturb serving tasks.
   bool NeedsPacing() const { return mServingTasks > 0 && mBestEffortTasks > 0; }
 
+  // IsCalm returns whether the last report had all tail latencies far below
+  // their targets without any best-effort task being paced.
+  bool IsCalm() const;
+
   // PossibleTasks returns the tasks that may run on the worker or have a
   // reported end that is not durable. It is complete once the worker has sent
   // its run lists, while nothing is started there. HasNoRuns returns whether
