--- a/mulberryvalve/app/jobs/worker_send_schedule.cc
+++ b/mulberryvalve/app/jobs/worker_send_schedule.cc
@@ -2,10 +2,11 @@
 
 namespace mulberryvalve {
 
-bool WorkerSendSchedule::SetRenewal(const WorkerId& aWorker,
+bool WorkerSendSchedule::SetRenewal(Place& aPlace,
+                                    const WorkerId& aWorker,
                                     std::optional<Time> aDueAt)
 {
-  std::optional<RenewalKey>& key = mKeys[aWorker].mRenewal;
+  std::optional<RenewalKey>& key = aPlace.mRenewal;
   if (key && aDueAt && key->first == *aDueAt) {
     return false;
   }
@@ -20,10 +21,11 @@
   return mRenewals.insert(*key).first == mRenewals.begin();
 }
 
-bool WorkerSendSchedule::SetOrder(const WorkerId& aWorker,
+bool WorkerSendSchedule::SetOrder(Place& aPlace,
+                                  const WorkerId& aWorker,
                                   std::optional<SendPriority> aPriority)
 {
-  std::optional<OrderKey>& key = mKeys[aWorker].mOrder;
+  std::optional<OrderKey>& key = aPlace.mOrder;
   if (key && aPriority && std::get<SendPriority>(*key) == *aPriority) {
     return false;
   }
--- a/mulberryvalve/app/jobs/worker_send_schedule.h
+++ b/mulberryvalve/app/jobs/worker_send_schedule.h
@@ -5,7 +5,6 @@
 
 #include "mulberryvalve/app/jobs/worker_send_queue.h"
 
-#include <map>
 #include <optional>
 #include <set>
 #include <tuple>
@@ -39,14 +38,24 @@
     ItemKind mKind = ItemKind::kOrder;
   };
 
+  // A worker's place in the schedule, which the caller keeps for it.
+  class Place
+  {
+  private:
+    friend class WorkerSendSchedule;
+    std::optional<std::pair<Time, WorkerId>> mRenewal;
+    std::optional<std::tuple<SendPriority, uint64_t, WorkerId>> mOrder;
+  };
+
   // Set when the worker's next renewal is due, and the priority of its next
   // order, or that there is none. Return whether the thread that waits for
   // items must look again.
-  bool SetRenewal(const WorkerId& aWorker, std::optional<Time> aDueAt);
-  bool SetOrder(const WorkerId& aWorker, std::optional<SendPriority> aPriority);
-
-  // Removes a worker that has neither an order nor a renewal.
-  void Remove(const WorkerId& aWorker) { mKeys.erase(aWorker); }
+  bool SetRenewal(Place& aPlace,
+                  const WorkerId& aWorker,
+                  std::optional<Time> aDueAt);
+  bool SetOrder(Place& aPlace,
+                const WorkerId& aWorker,
+                std::optional<SendPriority> aPriority);
 
   // Returns what to send now, if anything. The caller takes it from the
   // worker's queue and calls both setters.
@@ -60,14 +69,6 @@
   // The sequence number keeps orders of equal priority in FIFO order.
   using OrderKey = std::tuple<SendPriority, uint64_t, WorkerId>;
 
-  // A worker's keys in the two sets.
-  struct Keys
-  {
-    std::optional<RenewalKey> mRenewal;
-    std::optional<OrderKey> mOrder;
-  };
-
-  std::map<WorkerId, Keys> mKeys;
   std::set<RenewalKey> mRenewals;
   std::set<OrderKey> mOrders;
   uint64_t mNextSequence = 0;
--- a/mulberryvalve/app/jobs/worker_send_schedule_test.cc
+++ b/mulberryvalve/app/jobs/worker_send_schedule_test.cc
@@ -74,6 +74,7 @@
   struct Worker
   {
     WorkerSendQueue mQueue;
+    WorkerSendSchedule::Place mPlace;
     size_t mUnreportedEnds = 0;
     bool mHoldsRenewal = false;
     uint64_t mRenewals = 0;
@@ -87,9 +88,11 @@
 
   void Reschedule(size_t aWorker)
   {
-    const WorkerSendQueue& queue = mWorkers[aWorker].mQueue;
-    (void)mSchedule.SetRenewal(IdOf(aWorker), queue.RenewalDueAt());
-    (void)mSchedule.SetOrder(IdOf(aWorker), queue.NextPriority());
+    Worker& worker = mWorkers[aWorker];
+    (void)mSchedule.SetRenewal(
+      worker.mPlace, IdOf(aWorker), worker.mQueue.RenewalDueAt());
+    (void)mSchedule.SetOrder(
+      worker.mPlace, IdOf(aWorker), worker.mQueue.NextPriority());
   }
 
   void AddOrder(OrderKind aKind)
--- a/mulberryvalve/app/jobs/worker_sender_shard.cc
+++ b/mulberryvalve/app/jobs/worker_sender_shard.cc
@@ -182,7 +182,6 @@
 {
   Reschedule(aEntry);
   if (aEntry->second.mQueue.IsFinished()) {
-    mSchedule.Remove(aEntry->first);
     mQueues.erase(aEntry);
   }
   mInFlight--;
@@ -192,11 +191,11 @@
 // Updates the schedule after a queue changed.
 void WorkerSenderShard::Reschedule(EntryIterator aEntry)
 {
-  const auto& [worker, entry] = *aEntry;
+  auto& [worker, entry] = *aEntry;
   const bool isRenewalFirst =
-    mSchedule.SetRenewal(worker, entry.mQueue.RenewalDueAt());
+    mSchedule.SetRenewal(entry.mPlace, worker, entry.mQueue.RenewalDueAt());
   const bool hasNewOrder =
-    mSchedule.SetOrder(worker, entry.mQueue.NextPriority());
+    mSchedule.SetOrder(entry.mPlace, worker, entry.mQueue.NextPriority());
   if (isRenewalFirst || hasNewOrder) {
     mCond.NotifyOne();
   }
--- a/mulberryvalve/app/jobs/worker_sender_shard.h
+++ b/mulberryvalve/app/jobs/worker_sender_shard.h
@@ -68,6 +68,7 @@
   struct QueueEntry
   {
     WorkerSendQueue mQueue;
+    WorkerSendSchedule::Place mPlace;
     MonotonicTime mRenewalSentAt;
   };
 
