--- a/mulberryvalve/app/jobs/shard_membership.cc
+++ b/mulberryvalve/app/jobs/shard_membership.cc
@@ -449,12 +449,6 @@
   mRuntime = nullptr;
 }
 
-void ShardMembership::UpdateOwnedGauge()
-{
-  mPorts.mMetrics.Set(Gauge::kShardsOwned,
-                      static_cast<int64_t>(mBalancer.CountHeld()));
-}
-
 // Destroying the state of a large shard takes long, so it is done without the
 // lock, which joins and questions need.
 void ShardMembership::RemoveEndedRuntimes()
@@ -471,37 +465,4 @@
   mEndingRuntimes.erase(firstEnded, mEndingRuntimes.end());
 }
 
-// Logs only the first of several consecutive failures.
-void ShardMembership::OnCallFailed(const char* aCall, const Failure& aFailure)
-{
-  bool lost = false;
-  {
-    MutexLock lock(mMutex);
-    lost = std::exchange(mIsReachable, false);
-  }
-  if (lost) {
-    LogFailure(aCall, aFailure);
-  }
-}
-
-void ShardMembership::LogFailure(const char* aCall, const Failure& aFailure)
-{
-  mPorts.mMetrics.Add(Counter::kLogFailures, 1);
-  mPorts.mEvents.Write(
-    EventLevel::kWarn,
-    "group_fault",
-    { { "shard", std::to_string(mShard) },
-      { "what", aCall },
-      { "kind", std::string(kFailureKindNames.Name(aFailure.mKind)) },
-      { "field", aFailure.mField },
-      { "detail", aFailure.mDetail } });
-}
-
-void ShardMembership::LogEvent(std::string_view aName,
-                               std::vector<EventField> aFields)
-{
-  aFields.insert(aFields.begin(), { "shard", std::to_string(mShard) });
-  mPorts.mEvents.Write(EventLevel::kInfo, aName, aFields);
-}
-
 } // namespace mulberryvalve
