--- a/mulberryvalve/ports/out/keyed_log.h
+++ b/mulberryvalve/ports/out/keyed_log.h
@@ -18,19 +18,21 @@
 // KeyedTopic identifies the kind of records in a partition.
 enum class KeyedTopic
 {
-  kIntake,    // submitted jobs and cancellations, written by any instance
-  kProgress,  // progress of jobs and known workers, written by owners
-  kOperators, // the operators' configuration
-  kWorkers,   // descriptions that workers publish of themselves
-  kLayout,    // sizes of the cluster's instances, written by any instance
+  kIntake,     // submitted jobs and cancellations, written by any instance
+  kProgress,   // progress of jobs and known workers, written by owners
+  kOperators,  // the operators' configuration
+  kWorkers,    // descriptions that workers publish of themselves
+  kLayout,     // sizes of the cluster's instances, written by any instance
+  kShardCount, // the number of shards, written once
 };
 
-inline constexpr EnumTable<KeyedTopic, 5> kKeyedTopicNames{ { {
+inline constexpr EnumTable<KeyedTopic, 6> kKeyedTopicNames{ { {
   { KeyedTopic::kIntake, "intake" },
   { KeyedTopic::kProgress, "progress" },
   { KeyedTopic::kOperators, "operators" },
   { KeyedTopic::kWorkers, "workers" },
   { KeyedTopic::kLayout, "layout" },
+  { KeyedTopic::kShardCount, "shard_count" },
 } } };
 
 // TopicPartition identifies one partition of a topic.
