--- a/mulberryvalve/core/jobs/shard_scheduler_interference.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_interference.cc
@@ -12,9 +12,6 @@
 namespace {
 
 constexpr int64_t kPercent = 100;
-// A report covers half a second, so one that follows another soon, as a run has
-// ended meanwhile, says little more.
-constexpr Milliseconds kMinEvaluationInterval{ 300 };
 // The loads of sibling tasks are compared only if they were reported within
 // this time of each other. A report covers half a second.
 constexpr Milliseconds kSiblingReportWindow{ 700 };
@@ -44,11 +41,6 @@
     QueuePaceOrders(aWorker, aRunning);
     return;
   }
-  if (aNow < aWorker.mPacingEvaluatedAt + kMinEvaluationInterval) {
-    QueuePaceOrders(aWorker, aRunning);
-    return;
-  }
-  aWorker.mPacingEvaluatedAt = aNow;
   const std::vector<BestEffortShare> fullPaceShares =
     aWorker.BestEffortShares(kFullPace, 0, 0);
   const std::vector<BestEffortShare> reportedShares =
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -110,10 +110,8 @@
   MonotonicTime mBestEffortChangedAt;
   // The pressure that all serving tasks tolerate at peak load.
   double mTolerablePressure = 0;
-  // The pace of the best-effort tasks beside serving tasks, and when it was
-  // last evaluated.
+  // The pace of the best-effort tasks beside serving tasks.
   PaceState mPace;
-  MonotonicTime mPacingEvaluatedAt;
   // Capacity is being freed for a long-running task; until then no others are
   // placed.
   MonotonicTime mReservedForLongRunningUntil;
