--- a/mulberryvalve/app/jobs/append_batcher.cc
+++ b/mulberryvalve/app/jobs/append_batcher.cc
@@ -34,7 +34,7 @@
   const size_t bytes = RecordBytes(aEntry) + kRecordOverhead;
   MutexLock lock(mMutex);
   mAvailability.OnOtherAnswer(aHeardAt);
-  WaitForRoom(bytes);
+  WaitForRoom(bytes, limits.mRequestBytes);
   if (mOpenBatch == nullptr) {
     mOpenBatch = std::make_shared<Batch>();
   }
@@ -47,12 +47,11 @@
   return OutcomeOf(*batch);
 }
 
-// If an entry of aBytes does not fit into the open batch, waits until that
-// batch is sent or refused.
-void AppendBatcher::WaitForRoom(size_t aBytes)
+// If an entry of aBytes does not fit into the open batch, which may have
+// aMaxBytes, waits until that batch is sent or refused.
+void AppendBatcher::WaitForRoom(size_t aBytes, size_t aMaxBytes)
 {
-  while (mOpenBatch != nullptr &&
-         mOpenBatch->mBytes + aBytes > mLog.Limits().mRequestBytes) {
+  while (mOpenBatch != nullptr && mOpenBatch->mBytes + aBytes > aMaxBytes) {
     mCond.Wait(mMutex);
   }
 }
--- a/mulberryvalve/app/jobs/append_batcher.h
+++ b/mulberryvalve/app/jobs/append_batcher.h
@@ -47,7 +47,7 @@
     Result<void> mOutcome = Done();
   };
 
-  void WaitForRoom(size_t aBytes) MV_REQUIRES(mMutex);
+  void WaitForRoom(size_t aBytes, size_t aMaxBytes) MV_REQUIRES(mMutex);
   bool WaitForTurn(Batch& aBatch) MV_REQUIRES(mMutex);
   void Send(Batch& aBatch) MV_REQUIRES(mMutex);
   void Finish(Batch& aBatch, Result<void> aOutcome) MV_REQUIRES(mMutex);
--- a/mulberryvalve/app/jobs/worker_send_schedule.h
+++ b/mulberryvalve/app/jobs/worker_send_schedule.h
@@ -21,6 +21,12 @@
 public:
   using Time = WorkerSendQueue::Time;
 
+private:
+  using RenewalKey = std::pair<Time, WorkerId>;
+  // The sequence number keeps orders of equal priority in FIFO order.
+  using OrderKey = std::tuple<SendPriority, uint64_t, WorkerId>;
+
+public:
   // A lease lasts for several seconds, and a renewal waits at the worker for
   // part of that. What is left suffices for this delay and one lost reply.
   static constexpr Milliseconds kUrgentAfter{ 1000 };
@@ -43,8 +49,8 @@
   {
   private:
     friend class WorkerSendSchedule;
-    std::optional<std::pair<Time, WorkerId>> mRenewal;
-    std::optional<std::tuple<SendPriority, uint64_t, WorkerId>> mOrder;
+    std::optional<RenewalKey> mRenewal;
+    std::optional<OrderKey> mOrder;
   };
 
   // Set when the worker's next renewal is due, and the priority of its next
@@ -65,10 +71,6 @@
   std::optional<Time> NextRenewalAt() const;
 
 private:
-  using RenewalKey = std::pair<Time, WorkerId>;
-  // The sequence number keeps orders of equal priority in FIFO order.
-  using OrderKey = std::tuple<SendPriority, uint64_t, WorkerId>;
-
   std::set<RenewalKey> mRenewals;
   std::set<OrderKey> mOrders;
   uint64_t mNextSequence = 0;
--- a/mulberryvalve/core/jobs/shard_scheduler_interference.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_interference.cc
@@ -42,7 +42,7 @@
     return;
   }
   const std::vector<BestEffortShare> fullPaceShares =
-    aWorker.BestEffortShares(kFullPace, 0, 0);
+    aWorker.BestEffortShares();
   const std::vector<BestEffortShare> reportedShares =
     ReportedBestEffortShares(aWorker, aRunning);
   std::vector<ServingReport> reports;
--- a/mulberryvalve/core/jobs/worker_table.cc
+++ b/mulberryvalve/core/jobs/worker_table.cc
@@ -34,26 +34,14 @@
 
 } // namespace
 
-std::vector<BestEffortShare> WorkerEntry::BestEffortShares(
-  int aPercent,
-  ImageNumber aImage,
-  int64_t aAddedCpu) const
+std::vector<BestEffortShare> WorkerEntry::BestEffortShares() const
 {
   const auto capacity = static_cast<double>(CpuCapacity());
-  const double pace = static_cast<double>(aPercent) / kFullPace;
   std::vector<BestEffortShare> shares;
-  bool added = aAddedCpu == 0;
+  shares.reserve(mBestEffortCpuByImage.size());
   for (const auto& [image, cpu] : mBestEffortCpuByImage) {
-    double requested = static_cast<double>(cpu);
-    if (!added && image == aImage) {
-      requested += static_cast<double>(aAddedCpu);
-      added = true;
-    }
-    shares.push_back(BestEffortShare{ image, requested * pace / capacity });
-  }
-  if (!added) {
-    shares.push_back(BestEffortShare{
-      aImage, static_cast<double>(aAddedCpu) * pace / capacity });
+    shares.push_back(
+      BestEffortShare{ image, static_cast<double>(cpu) / capacity });
   }
   return shares;
 }
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -133,12 +133,9 @@
     return mTasks.empty() && mForeignRuns.empty() && mNonDurableEnds.empty();
   }
 
-  // BestEffortShares returns the CPU shares of the best-effort images at
-  // aPercent of full pace, with aAddedCpu thousandths of a core more for
-  // aImage.
-  std::vector<BestEffortShare> BestEffortShares(int aPercent,
-                                                ImageNumber aImage,
-                                                int64_t aAddedCpu) const;
+  // BestEffortShares returns the CPU shares of the best-effort images at full
+  // pace.
+  std::vector<BestEffortShare> BestEffortShares() const;
 
   // CpuCapacity returns the CPU capacity in thousandths of a core, at least 1.
   int64_t CpuCapacity() const
