Review, case: jobs run twice at a take-over while the store loses answers

Cause: a new owner stops runs of jobs that it hasn't read yet, and starts them elsewhere at once when it has.

--- a/review/standins/store.cc
+++ b/review/standins/store.cc
@@ -3,6 +3,14 @@
 #include <algorithm>
 
 namespace review {
+int64_t NowMs()
+{
+  static const Steady::time_point begin = Steady::now();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Steady::now() -
+                                                               begin)
+    .count();
+}
+
 namespace {
 
 using nlohmann::json;
@@ -13,6 +21,9 @@
 constexpr size_t kMaxPageBytes = 1024 * 1024;
 constexpr size_t kRememberedAnswers = 5;
 constexpr std::chrono::microseconds kAppendTime{ 3000 };
+// "4 ms an answer", less what an append takes.
+constexpr std::chrono::milliseconds kAnswerTime{ 1 };
+constexpr int64_t kNoAnswerMs = 2500;
 // part_mb_per_s of 20: 20 bytes a microsecond.
 constexpr size_t kBytesPerMicrosecond = 20;
 
@@ -68,6 +79,14 @@
   return out;
 }
 
+void WaitWhile(int64_t aMs, const std::function<bool()>& aCondition)
+{
+  const int64_t until = NowMs() + aMs;
+  while (NowMs() < until && aCondition()) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+}
+
 bool IsKeyed(const std::string& aTopic)
 {
   return aTopic.rfind("keyed.", 0) == 0;
@@ -75,14 +94,6 @@
 
 } // namespace
 
-int64_t NowMs()
-{
-  static const Steady::time_point begin = Steady::now();
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Steady::now() -
-                                                               begin)
-    .count();
-}
-
 Store::Store(std::string aAddress, Record& aRecord)
   : mAddress(std::move(aAddress))
   , mRecord(aRecord)
@@ -91,12 +102,10 @@
   mServer.set_tcp_nodelay(true);
   mServer.set_keep_alive_max_count(1000000);
   mServer.set_keep_alive_timeout(30);
-  const auto handle = [this](auto aMember) {
-    return [this, aMember](const httplib::Request& aRequest,
-                           httplib::Response& aResponse) {
-      if (!Refuse(aRequest, aResponse)) {
-        (this->*aMember)(aRequest, aResponse);
-      }
+  const auto handle = [this](Handler aHandler) {
+    return [this, aHandler](const httplib::Request& aRequest,
+                            httplib::Response& aResponse) {
+      Handle(aHandler, aRequest, aResponse);
     };
   };
   mServer.Post("/v1/log-append", handle(&Store::Append));
@@ -111,8 +120,92 @@
 
 Store::~Store()
 {
+  mStopping = true;
   mServer.stop();
   mThread.join();
+  for (std::thread& call : mLateCalls) {
+    call.join();
+  }
+}
+
+void Store::Handle(Handler aHandler,
+                   const httplib::Request& aRequest,
+                   httplib::Response& aResponse)
+{
+  std::this_thread::sleep_for(kAnswerTime);
+  if (Refuse(aRequest, aResponse)) {
+    return;
+  }
+  if (!IsLost(aRequest)) {
+    (this->*aHandler)(aRequest, aResponse);
+    return;
+  }
+  CarryOutLater(aHandler, aRequest);
+  // No answer: the caller gives up and closes the connection before this.
+  WaitWhile(kNoAnswerMs, [this] { return !mStopping; });
+  aResponse.status = 500;
+}
+
+bool Store::IsLost(const httplib::Request& aRequest)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  if (aRequest.method != "POST") {
+    return false;
+  }
+  if (aRequest.get_param_value("topic") == "keyed.progress" &&
+      aRequest.has_param("epoch")) {
+    const std::string epoch = aRequest.get_param_value("epoch");
+    const bool isOwner = mLateWrites && mLateWrites->mEpoch == epoch;
+    mLastEpoch = epoch;
+    mWriteCounts.mCalls++;
+    mWriteCounts.mLost += isOwner ? 1 : 0;
+    return isOwner;
+  }
+  mWriteCounts.mCalls++;
+  if (!mLateWrites || aRequest.path != "/v1/log-join") {
+    return false;
+  }
+  const json body = json::parse(aRequest.body);
+  const bool isOwner = body.at("member") == mLateWrites->mMember;
+  mWriteCounts.mLost += isOwner ? 1 : 0;
+  return isOwner;
+}
+
+void Store::CarryOutLater(Handler aHandler, const httplib::Request& aRequest)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  const int64_t delay = mLateWrites ? mLateWrites->mDelayMs : 0;
+  mRecord.Line("store: no answer to " + aRequest.path + " of the owner");
+  mLateCalls.emplace_back([this, aHandler, delay, call = aRequest] {
+    WaitWhile(delay, [this] { return !mStopping; });
+    httplib::Response unread;
+    if (!mStopping && !Refuse(call, unread)) {
+      (this->*aHandler)(call, unread);
+      mRecord.Line("store: late " + call.path + " was answered " +
+                   std::to_string(unread.status));
+    }
+  });
+}
+
+std::string Store::BeginLateWrites(int64_t aDelayMs)
+{
+  const std::string member = Holder("owners-0");
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mLateWrites = LateWrites{ member, mLastEpoch, aDelayMs };
+  mWriteCounts = WriteCounts();
+  return member;
+}
+
+void Store::EndLateWrites()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mLateWrites.reset();
+}
+
+Store::WriteCounts Store::TakeWriteCounts()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return mWriteCounts;
 }
 
 std::string Store::Endpoint() const
--- a/review/standins/store.h
+++ b/review/standins/store.h
@@ -47,6 +47,21 @@
   // is done: the store is partly down. An empty name: no topic.
   void SetTopicDown(const std::string& aTopic);
 
+  // From now on the writing calls of the process that owns shard 0 get no
+  // answer, and are carried out aDelayMs later if their condition still holds.
+  // Returns its member name.
+  std::string BeginLateWrites(int64_t aDelayMs);
+  void EndLateWrites();
+
+  // WriteCounts are the writing calls since BeginLateWrites, and how many of
+  // them got no answer.
+  struct WriteCounts
+  {
+    size_t mCalls = 0;
+    size_t mLost = 0;
+  };
+  WriteCounts TakeWriteCounts();
+
   // Returns the member of the group that holds partition 0, or "".
   std::string Holder(const std::string& aGroup);
 
@@ -93,6 +108,20 @@
     std::vector<std::string> mTarget = std::vector<std::string>(kPartitions);
   };
 
+  struct LateWrites
+  {
+    std::string mMember;
+    std::string mEpoch;
+    int64_t mDelayMs = 0;
+  };
+
+  using Handler = void (Store::*)(const httplib::Request&, httplib::Response&);
+
+  void Handle(Handler aHandler,
+              const httplib::Request& aRequest,
+              httplib::Response& aResponse);
+  bool IsLost(const httplib::Request& aRequest);
+  void CarryOutLater(Handler aHandler, const httplib::Request& aRequest);
   bool Refuse(const httplib::Request& aRequest, httplib::Response& aResponse);
   Partition& PartitionOf(const std::string& aTopic, uint32_t aPart);
   void AddRecord(const std::string& aTopic,
@@ -117,6 +146,12 @@
   std::mutex mMutex;
   std::condition_variable mAppended;
   std::string mTopicDown;
+  std::optional<LateWrites> mLateWrites;
+  WriteCounts mWriteCounts;
+  // The epoch of the last fenced append to shard 0's progress.
+  std::string mLastEpoch;
+  std::atomic<bool> mStopping{ false };
+  std::vector<std::thread> mLateCalls;
   std::map<std::pair<std::string, uint32_t>, std::unique_ptr<Partition>>
     mPartitions;
   std::map<std::string, Group> mGroups;
