--- a/review/standins/late_writes_case.cc
+++ b/review/standins/late_writes_case.cc
@@ -59,9 +59,8 @@
         const int mine = ++number;
         const size_t entry = static_cast<size_t>(mine % options.mEntries);
         for (int attempt = 0; attempt < 4; attempt++) {
-          const size_t at =
-            (entry + static_cast<size_t>(attempt)) %
-            static_cast<size_t>(options.mEntries);
+          const size_t at = (entry + static_cast<size_t>(attempt)) %
+                            static_cast<size_t>(options.mEntries);
           if (fleet.Call(at, "POST", JobId(mine), job.dump()).mStatus == 200) {
             accepted++;
             break;
