Review, case: tasks run twice when a worker starts again under its id

Cause: the owner releases all tasks of a worker whose new life it learns of from the list, also those whose starts that life has accepted. The stand-in of a worker can lose power.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,7 +4,7 @@
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-program=review/build/large_job_case
+program=review/build/restart_case
 [ -x "$program" ] && [ -x target/platform/mulberryvalve-entry ] || exit 2
 folder=$(mktemp -d) || exit 2
 timeout 118 "$program" "$here/record.txt" "$folder"
--- a/review/standins/fleet.cc
+++ b/review/standins/fleet.cc
@@ -325,8 +325,9 @@
   size_t entry = 0;
   std::string state;
   Await(aWaitMs, [&] {
-    SleepMs(200);
+    SleepMs(state.empty() ? 0 : 200);
     entry = (entry + 1) % mEntries.size();
+    state = "unknown";
     if (mEntries[entry].mPid == 0) {
       return false;
     }
--- a/review/standins/fleet.h
+++ b/review/standins/fleet.h
@@ -49,6 +49,7 @@
 
   Store& PlatformStore() { return *mStore; }
   History& Runs() { return mHistory; }
+  Worker& WorkerAt(size_t aNumber) { return *mWorkers[aNumber]; }
 
   // Starts the entries, and waits until each reports ready. Returns false if
   // that takes too long.
--- a/review/standins/worker.cc
+++ b/review/standins/worker.cc
@@ -10,6 +10,8 @@
 constexpr size_t kThreads = 16;
 constexpr size_t kMaxListedEnds = 500;
 constexpr int64_t kMaxWaitMs = 2000;
+// Longer than callers wait for any answer.
+constexpr int64_t kCallEndsMs = 3500;
 constexpr std::chrono::milliseconds kTick{ 2 };
 
 int64_t UnixMs()
@@ -117,15 +119,10 @@
   mServer.set_tcp_nodelay(true);
   mServer.set_keep_alive_max_count(1000000);
   mServer.set_keep_alive_timeout(30);
-  const auto handle = [this](auto aMember) {
-    return [this, aMember](const httplib::Request& aRequest,
-                           httplib::Response& aResponse) {
-      if (aRequest.get_header_value("Mulberryvalve-Expected-Instance") !=
-          mOptions.mId) {
-        aResponse.status = 421;
-        return;
-      }
-      (this->*aMember)(aRequest, aResponse);
+  const auto handle = [this](Handler aHandler) {
+    return [this, aHandler](const httplib::Request& aRequest,
+                            httplib::Response& aResponse) {
+      Handle(aHandler, aRequest, aResponse);
     };
   };
   mServer.Post("/v1/run-start", handle(&Worker::Start));
@@ -143,7 +140,7 @@
   mHeart = std::thread([this] {
     int64_t next = 0;
     while (!mStopping) {
-      if (NowMs() >= next) {
+      if (NowMs() >= next && !mIsDark) {
         next = NowMs() + mOptions.mHeartbeatMs;
         Heartbeat();
       }
@@ -162,6 +159,77 @@
   mHeart.join();
 }
 
+void Worker::Handle(Handler aHandler,
+                    const httplib::Request& aRequest,
+                    httplib::Response& aResponse)
+{
+  const uint64_t life = mLife;
+  if (mIsDark) {
+    AwaitEndOfCall();
+  } else if (IsOfThisLife(aRequest)) {
+    if (aRequest.get_header_value("Mulberryvalve-Expected-Instance") !=
+        mOptions.mId) {
+      aResponse.status = 421;
+      return;
+    }
+    (this->*aHandler)(aRequest, aResponse);
+    if (life == mLife && !mIsDark) {
+      return;
+    }
+    // Power was lost during the call.
+    AwaitEndOfCall();
+  }
+  // The connection is of a former life, and breaks.
+  aResponse.set_content_provider(
+    1, "text/plain", [](size_t, size_t, httplib::DataSink&) { return false; });
+}
+
+bool Worker::IsOfThisLife(const httplib::Request& aRequest)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  const uint64_t life = mLife;
+  return mConnections.emplace(aRequest.remote_port, life).first->second == life;
+}
+
+// Waits until the caller has given up.
+void Worker::AwaitEndOfCall()
+{
+  const int64_t until = NowMs() + kCallEndsMs;
+  while (NowMs() < until && !mStopping) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+}
+
+void Worker::LosePower(int64_t aDarkMs)
+{
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mIsDark = true;
+    mLife++;
+    mRecord.Line(mOptions.mId + ": loses power");
+    for (const auto& [task, run] : mRunning) {
+      mHistory.OnEnd(task, run.mIndex, "gone");
+      mRecord.Line(mOptions.mId + ": " + task + " run " +
+                   std::to_string(run.mRun) + " is gone");
+    }
+    mRunning.clear();
+    mEnded.clear();
+    mClosed.clear();
+    mFence = 0;
+    mUntil = 0;
+    mLastEnd = 0;
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(aDarkMs));
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mBornAt = NowMs();
+    mBornUnixMs = UnixMs();
+    mIsDark = false;
+    mRecord.Line(mOptions.mId + ": starts again");
+  }
+  Heartbeat();
+}
+
 void Worker::Heartbeat()
 {
   static std::atomic<uint64_t> sequence{ 0 };
@@ -178,7 +246,7 @@
                         { "mem_mb", mOptions.mMemoryMb },
                         { "gpu", 0 } } },
                     { "labels", { "a", mOptions.mRack } },
-                    { "born", mBornUnixMs },
+                    { "born", mBornUnixMs.load() },
                     { "clock_ms", Clock() },
                     { "sequence", ++sequence } };
   mStore.Put("keyed.servers", mOptions.mId, entry.dump());
@@ -235,7 +303,7 @@
   }
   aResponse.status = 409;
   aResponse.set_content(json{ { "clock_ms", Clock() },
-                              { "born", mBornUnixMs },
+                              { "born", mBornUnixMs.load() },
                               { "reason", "fence" } }
                           .dump(),
                         "application/json");
@@ -259,7 +327,7 @@
   if (IsFenced(body, aResponse)) {
     return;
   }
-  json answer{ { "clock_ms", Clock() }, { "born", mBornUnixMs } };
+  json answer{ { "clock_ms", Clock() }, { "born", mBornUnixMs.load() } };
   const auto present = mRunning.find(task);
   const bool isPresent =
     present != mRunning.end() && present->second.mRun == run;
@@ -312,7 +380,7 @@
   }
   aResponse.status = 200;
   aResponse.set_content(
-    json{ { "clock_ms", Clock() }, { "born", mBornUnixMs } }.dump(),
+    json{ { "clock_ms", Clock() }, { "born", mBornUnixMs.load() } }.dump(),
     "application/json");
 }
 
@@ -326,7 +394,7 @@
   }
   aResponse.status = 200;
   aResponse.set_content(
-    json{ { "clock_ms", Clock() }, { "born", mBornUnixMs } }.dump(),
+    json{ { "clock_ms", Clock() }, { "born", mBornUnixMs.load() } }.dump(),
     "application/json");
 }
 
@@ -379,7 +447,7 @@
   }
   aResponse.status = 200;
   aResponse.set_content(json{ { "clock_ms", Clock() },
-                              { "born", mBornUnixMs },
+                              { "born", mBornUnixMs.load() },
                               { "running", running },
                               { "ended", ended } }
                           .dump(),
--- a/review/standins/worker.h
+++ b/review/standins/worker.h
@@ -95,6 +95,11 @@
          Record& aRecord);
   ~Worker();
 
+  // The machine loses power, and the worker starts again after aDarkMs under
+  // its id and address. Until then nothing is answered. What it ran and knew is
+  // gone. Blocks for aDarkMs.
+  void LosePower(int64_t aDarkMs);
+
 private:
   struct Running
   {
@@ -113,6 +118,13 @@
     size_t mIndex = 0;
   };
 
+  using Handler = void (Worker::*)(const httplib::Request&, httplib::Response&);
+
+  void Handle(Handler aHandler,
+              const httplib::Request& aRequest,
+              httplib::Response& aResponse);
+  bool IsOfThisLife(const httplib::Request& aRequest);
+  void AwaitEndOfCall();
   int64_t Clock() const { return NowMs() - mBornAt; }
   void Tick();
   void Heartbeat();
@@ -125,8 +137,8 @@
   void Pace(const httplib::Request& aRequest, httplib::Response& aResponse);
 
   const WorkerOptions mOptions;
-  const int64_t mBornAt = NowMs();
-  const int64_t mBornUnixMs;
+  std::atomic<int64_t> mBornAt{ NowMs() };
+  std::atomic<int64_t> mBornUnixMs;
   Store& mStore;
   History& mHistory;
   Record& mRecord;
@@ -142,6 +154,10 @@
   // The highest run of each task that was stopped or has ended here.
   std::map<std::string, uint64_t> mClosed;
   std::atomic<bool> mStopping{ false };
+  std::atomic<bool> mIsDark{ false };
+  std::atomic<uint64_t> mLife{ 1 };
+  // The life in which each connection, by the caller's port, was opened.
+  std::map<int, uint64_t> mConnections;
   std::thread mThread;
   std::thread mTicker;
   std::thread mHeart;
