--- a/review/standins/late_writes_case.cc
+++ b/review/standins/late_writes_case.cc
@@ -54,7 +54,8 @@
   std::atomic<int> accepted{ 0 };
   std::vector<std::thread> clients;
   for (int client = 0; client < kClients; client++) {
-    clients.emplace_back([&] {
+    clients.emplace_back([&, client] {
+      SleepMs(client * kClientPauseMs / kClients);
       while (!over) {
         const int mine = ++number;
         const size_t entry = static_cast<size_t>(mine % options.mEntries);
