--- a/review/standins/store.h
+++ b/review/standins/store.h
@@ -16,7 +16,6 @@
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <optional>
-#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -66,10 +65,6 @@
   std::string Holder(const std::string& aGroup);
 
 private:
-  struct Entry
-  {
-    std::string mBytes;
-  };
   struct Producer
   {
     uint64_t mEpoch = 0;
