Reports of jobs that the owner has not read yet are kept

Cause: a former owner may read and start a job that came after its successor's claim. The successor's first report of the worker then lists a run of a job that it has not read, and it concluded that nobody wants the run: it stopped it and, having read the job, started its tasks elsewhere while the first run still worked. An end of such a run was dropped and acknowledged. Unknown and not yet read were the same to it.

Change: core/jobs/unread_jobs keeps such reports until the log has been read up to what was there when they arrived. A run is adopted and an end counted when the job is read; the ends from the first kept one on are not acknowledged; only what is still unknown after that is stopped or dropped.

--- a/mulberryvalve/app/jobs/keyed_cursor.cc
+++ b/mulberryvalve/app/jobs/keyed_cursor.cc
@@ -27,7 +27,8 @@
     return page.error();
   }
   mNext = page.value().mNext;
-  return KeyedChanges{ std::move(page.value().mEntries), false };
+  const bool reachesEnd = page.value().mReachesEnd;
+  return KeyedChanges{ std::move(page.value().mEntries), false, reachesEnd };
 }
 
 Result<KeyedChanges> KeyedCursor::ReadSnapshot()
@@ -37,7 +38,7 @@
     return page.error();
   }
   mNext = page.value().mNext;
-  return KeyedChanges{ std::move(page.value().mEntries), true };
+  return KeyedChanges{ std::move(page.value().mEntries), true, true };
 }
 
 } // namespace mulberryvalve
--- a/mulberryvalve/app/jobs/keyed_cursor.h
+++ b/mulberryvalve/app/jobs/keyed_cursor.h
@@ -17,6 +17,8 @@
   // The entries are a snapshot with the newest record of every key. Keys that
   // are missing have been deleted.
   bool mIsSnapshot = false;
+  // No record that was on the log when the read was sent is left to be read.
+  bool mReachesEnd = true;
 };
 
 // Not thread-safe.
--- a/mulberryvalve/app/jobs/shard_runtime.h
+++ b/mulberryvalve/app/jobs/shard_runtime.h
@@ -168,6 +168,7 @@
   void ApplyIntake(const std::vector<KeyedEntry>& aEntries,
                    MonotonicTime aNotBefore,
                    MonotonicTime aReadAt);
+  void OnIntakeRead(MonotonicTime aReadUpTo);
   void FollowWorkers();
   void StartRenewals() MV_REQUIRES(mMutex);
   PassResult RunDecisionPass() MV_REQUIRES(mMutex);
--- a/mulberryvalve/app/jobs/shard_runtime_readers.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_readers.cc
@@ -168,16 +168,18 @@
 void ShardRuntime::FollowIntake()
 {
   KeyedCursor cursor(mPorts.mLog, Place(KeyedTopic::kIntake), mIntakeOffset);
-  MonotonicTime lastSentAt;
+  // All entries that were on the log at this time have been read.
+  MonotonicTime readUpTo;
   while (!mIsOwnershipOver) {
     const MonotonicTime sentAt = mPorts.mClock.Now();
     mPorts.mMetrics.Add(Counter::kLogReads, 1);
     const Result<KeyedChanges> changes = cursor.Next(kIntakeReadTimeout);
     if (changes) {
-      // Entries that the previous read did not return were appended after it
-      // was sent.
-      ApplyIntake(changes.value().mEntries, lastSentAt, mPorts.mClock.Now());
-      lastSentAt = sentAt;
+      ApplyIntake(changes.value().mEntries, readUpTo, mPorts.mClock.Now());
+      if (changes.value().mReachesEnd) {
+        readUpTo = sentAt;
+        OnIntakeRead(readUpTo);
+      }
       continue;
     }
     LogFailure("read_intake", changes.error());
@@ -192,8 +194,6 @@
                                MonotonicTime aReadAt)
 {
   if (aEntries.empty()) {
-    MutexLock lock(mMutex);
-    mIntakeReadAt = aReadAt;
     return;
   }
   std::vector<IntakeItem> items;
@@ -207,7 +207,6 @@
   }
   mWatchdog.OnForeignWrite(aReadAt);
   MutexLock lock(mMutex);
-  mIntakeReadAt = aReadAt;
   const MonotonicTime now = mPorts.mClock.Now();
   for (IntakeItem& item : items) {
     if (auto* job = std::get_if<JobGraph>(&item)) {
@@ -219,6 +218,13 @@
   RequestDecisionPass();
 }
 
+void ShardRuntime::OnIntakeRead(MonotonicTime aReadUpTo)
+{
+  MutexLock lock(mMutex);
+  mIntakeReadAt = mPorts.mClock.Now();
+  mShard->OnIntakeRead(aReadUpTo);
+}
+
 void ShardRuntime::FollowWorkers()
 {
   const std::unique_ptr<WorkerFeed> feed = mPorts.mWorkerFeeds.Open();
--- a/mulberryvalve/core/jobs/shard_scheduler.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler.cc
@@ -32,6 +32,7 @@
   , mRefreshNotesAt(aClaimedAt + kFirstNoteRefresh)
   , mSaveLearnedAt(aClaimedAt + kSaveLearnedInterval)
 {
+  mUnreadJobs.OnLogRead(aClaimedAt);
 }
 
 void ShardScheduler::RestoreJob(JobGraph aGraph, const JobRecord* aRecord)
@@ -102,6 +103,7 @@
                                            mOptions.mLease.mMargin;
   mNeedsPlacement = true;
   LogJobDecision(DecisionKind::kJobKnown, id, job->mGraph.mQueue.Text());
+  ApplyKeptReports(*job, aNow);
   if (mCancelledUnknownJobs.erase(id) != 0) {
     EndJob(*job, JobPhase::kCancelled, mClaimedAt);
   }
@@ -223,9 +225,10 @@
     return batch;
   }
   for (const auto& [id, workerState] : mWorkers.All()) {
-    if (workerState.mLastDurableEnd < workerState.mLastProcessedEnd) {
+    const EndNumber settled = LastSettledEnd(workerState);
+    if (workerState.mLastDurableEnd < settled) {
       batch.mAckedEnds.push_back(
-        { id, workerState.mWorkerIncarnation, workerState.mLastProcessedEnd });
+        { id, workerState.mWorkerIncarnation, settled });
     }
   }
   return batch;
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -14,6 +14,7 @@
 #include "mulberryvalve/core/jobs/queueing_policy.h"
 #include "mulberryvalve/core/jobs/run_time_estimator.h"
 #include "mulberryvalve/core/jobs/start_window.h"
+#include "mulberryvalve/core/jobs/unread_jobs.h"
 #include "mulberryvalve/core/jobs/used_worker_record.h"
 #include "mulberryvalve/core/jobs/worker_search.h"
 #include "mulberryvalve/core/jobs/worker_table.h"
@@ -116,6 +117,13 @@
                       MonotonicTime aNow);
   void OnJobCancelled(const JobId& aJob, MonotonicTime aNow);
 
+  // Records that every job that was on the log at aReadUpTo has been passed to
+  // RestoreJob or OnJobSubmitted.
+  void OnIntakeRead(MonotonicTime aReadUpTo)
+  {
+    mUnreadJobs.OnLogRead(aReadUpTo);
+  }
+
   // Applies a new configuration.
   void OnConfig(const ClusterConfig& aConfig);
 
@@ -270,6 +278,15 @@
   void ProcessEnd(WorkerEntry& aWorker,
                   const RunEndReport& aRow,
                   MonotonicTime aNow);
+  void ApplyEnd(WorkerEntry& aWorker,
+                const RunEndReport& aRow,
+                MonotonicTime aNow);
+  bool IsJobKnown(const TaskRef& aTask) const
+  {
+    return mJobTable.Find(aTask.mStep.mJob) != nullptr;
+  }
+  void ApplyKeptReports(JobEntry& aJob, MonotonicTime aNow);
+  EndNumber LastSettledEnd(const WorkerEntry& aWorker) const;
   void LogEnd(const RunEndReport& aRow, const WorkerId& aWorker);
   void RecordEnd(const TaskLookup& aPlace,
                  const RunEndReport& aRow,
@@ -283,6 +300,9 @@
   void ProcessRunning(WorkerEntry& aWorker,
                       const ReportedRun& aRun,
                       MonotonicTime aNow);
+  void StopUnwantedRun(const WorkerEntry& aWorker,
+                       const RunReport& aRow,
+                       MonotonicTime aNow);
   void ReleaseMissingTasks(WorkerEntry& aWorker,
                            const std::vector<ReportedRun>& aRunning,
                            MonotonicTime aSentAt);
@@ -427,6 +447,7 @@
   // The loads of the serving tasks of each step, by task index.
   std::map<StepRef, std::map<uint32_t, ServiceLoad>> mServiceLoads;
   InheritedWorkers mInheritedWorkers;
+  UnreadJobs mUnreadJobs;
   MonotonicTime mRefreshNotesAt;
   // The counts of blocked tasks that were last logged, and when to log them
   // again.
--- a/mulberryvalve/core/jobs/shard_scheduler_handover.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_handover.cc
@@ -178,6 +178,7 @@
     mDirtyWorkers.erase(id);
     mRemovedWorkers.insert(id);
     mInheritedWorkers.Remove(id);
+    mUnreadJobs.ForgetWorker(id);
     mWorkers.Remove(id);
   }
 }
--- a/mulberryvalve/core/jobs/shard_scheduler_reports.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_reports.cc
@@ -114,10 +114,19 @@
   aWorker.mForeignDemandUnknown = false;
   aWorker.mForeignRuns.clear();
   std::vector<ReportedRun> running;
+  std::vector<RunReport> unknown;
   running.reserve(aReply.mRunning.size());
   for (const RunReport& row : aReply.mRunning) {
     running.push_back(ReportedRun{ row, mJobTable.Locate(row.mTask) });
     ProcessRunning(aWorker, running.back(), aNow);
+    if (!IsJobKnown(row.mTask)) {
+      unknown.push_back(row);
+    }
+  }
+  const WorkerId& id = aWorker.mInfo.mId;
+  for (const RunReport& row :
+       mUnreadJobs.KeepRuns(id, std::move(unknown), aNow)) {
+    StopUnwantedRun(aWorker, row, aNow);
   }
   ReleaseMissingTasks(aWorker, running, aSentAt);
   UpdatePacing(aWorker, running, aSentAt, aNow);
@@ -138,6 +147,17 @@
   }
   aWorker.mLastProcessedEnd = aRow.mNumber;
   aWorker.mNonDurableEnds[aRow.mNumber] = aRow.mTask;
+  if (!IsJobKnown(aRow.mTask) && mUnreadJobs.MayBeUnread(aNow)) {
+    mUnreadJobs.KeepEnd(aWorker.mInfo.mId, aRow, aNow);
+    return;
+  }
+  ApplyEnd(aWorker, aRow, aNow);
+}
+
+void ShardScheduler::ApplyEnd(WorkerEntry& aWorker,
+                              const RunEndReport& aRow,
+                              MonotonicTime aNow)
+{
   const TaskLookup place = mJobTable.Locate(aRow.mTask);
   if (place.mTask == nullptr) {
     return;
@@ -168,6 +188,36 @@
   UpdateJobPhase(*place.mJob, aNow);
 }
 
+// Processes what workers reported of a job before it was read.
+void ShardScheduler::ApplyKeptReports(JobEntry& aJob, MonotonicTime aNow)
+{
+  const UnreadJobs::KeptReports kept = mUnreadJobs.Take(aJob.mGraph.mId);
+  if (kept.mEnds.empty() && kept.mRuns.empty()) {
+    return;
+  }
+  aJob.mMayHaveFormerRuns = true;
+  for (const UnreadJobs::KeptEnd& end : kept.mEnds) {
+    if (WorkerEntry* worker = mWorkers.Find(end.mWorker)) {
+      ApplyEnd(*worker, end.mRow, aNow);
+    }
+  }
+  for (const UnreadJobs::KeptRun& run : kept.mRuns) {
+    if (WorkerEntry* worker = mWorkers.Find(run.mWorker)) {
+      const TaskLookup place = mJobTable.Locate(run.mRow.mTask);
+      ProcessRunning(*worker, ReportedRun{ run.mRow, place }, aNow);
+    }
+  }
+}
+
+// Returns the number of the last end of a worker that may be acknowledged once
+// the progress is durable.
+EndNumber ShardScheduler::LastSettledEnd(const WorkerEntry& aWorker) const
+{
+  const auto unsettled = mUnreadJobs.FirstEnd(aWorker.mInfo.mId);
+  return unsettled ? EndNumber(unsettled->Value() - 1)
+                   : aWorker.mLastProcessedEnd;
+}
+
 void ShardScheduler::LogEnd(const RunEndReport& aRow, const WorkerId& aWorker)
 {
   JobDecision ended =
@@ -365,13 +415,23 @@
   } else {
     aWorker.mForeignDemand += aRun.mPlace.mSpec->Committed();
   }
+  if (IsJobKnown(row.mTask)) {
+    StopUnwantedRun(aWorker, row, aNow);
+  }
+}
+
+void ShardScheduler::StopUnwantedRun(const WorkerEntry& aWorker,
+                                     const RunReport& aRow,
+                                     MonotonicTime aNow)
+{
+  const WorkerId& id = aWorker.mInfo.mId;
   MonotonicTime& nextStopAt =
-    mUnwantedStopAt[UnwantedRun{ row.mTask, row.mRun, id }];
+    mUnwantedStopAt[UnwantedRun{ aRow.mTask, aRow.mRun, id }];
   if (nextStopAt <= aNow) {
     nextStopAt = aNow + kUnwantedStopInterval;
     LogDecision(
-      DecisionKind::kTaskStopped, row.mTask, id, row.mRun, "not wanted");
-    QueueStop(row.mTask, row.mRun, aWorker);
+      DecisionKind::kTaskStopped, aRow.mTask, id, aRow.mRun, "not wanted");
+    QueueStop(aRow.mTask, aRow.mRun, aWorker);
   }
 }
 
@@ -452,6 +512,7 @@
   aWorker.mNonDurableEnds.clear();
   mWorkers.MarkChanged(aWorker);
   mDirtyWorkers.insert(aWorker.mInfo.mId);
+  mUnreadJobs.ForgetWorker(aWorker.mInfo.mId);
 }
 
 // Everything on the worker had ended by aEndedBy. A successor may have noticed
@@ -471,6 +532,7 @@
     ReleaseTask(ref);
   }
   aWorker.mForeignRuns.clear();
+  mUnreadJobs.KeepRuns(aWorker.mInfo.mId, {}, aEndedBy);
 }
 
 // A successor may have renewed the leases of an unresponsive worker, so a lease
--- a/mulberryvalve/core/jobs/shard_simulation_fake.cc
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.cc
@@ -117,11 +117,29 @@
   mJobs.push_back(aJob);
   for (auto& owner : mOwners) {
     if (owner->mCanAppend || owner->mReadsSubmissions) {
-      owner->mShard->OnJobSubmitted(aJob, mNow, mNow);
+      owner->mUnreadSubmissions.push_back(SimulatedSubmission{ aJob, mNow });
+      ReadIntake(*owner);
     }
   }
 }
 
+// Passes to an owner what was submitted since it last read.
+void ShardSimulation::ReadIntake(SimulatedOwner& aOwner)
+{
+  if (!aOwner.mReadsIntake) {
+    return;
+  }
+  const bool readsAll = aOwner.mCanAppend || aOwner.mReadsSubmissions;
+  for (SimulatedSubmission& submission :
+       std::exchange(aOwner.mUnreadSubmissions, {})) {
+    aOwner.mShard->OnJobSubmitted(
+      std::move(submission.mJob), submission.mSubmittedAt, mNow);
+  }
+  if (readsAll) {
+    aOwner.mShard->OnIntakeRead(mNow);
+  }
+}
+
 void ShardSimulation::Cancel(const JobId& aJob)
 {
   mCancelled.insert(aJob);
@@ -192,6 +210,7 @@
 
 void ShardSimulation::StepOwner(SimulatedOwner& aOwner)
 {
+  ReadIntake(aOwner);
   if (aOwner.mCanAppend) {
     aOwner.mProvedAt = mNow;
     std::vector<WorkerInfo> facts;
--- a/mulberryvalve/core/jobs/shard_simulation_fake.h
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.h
@@ -87,6 +87,13 @@
   WorkerInfo FactsAt(MonotonicTime aNow) const;
 };
 
+// SimulatedSubmission is a job on the log that an owner has not read yet.
+struct SimulatedSubmission
+{
+  JobGraph mJob;
+  MonotonicTime mSubmittedAt;
+};
+
 // SimulatedOwner is an owner with its own links to the workers and its own
 // proof of ownership.
 struct SimulatedOwner
@@ -103,6 +110,9 @@
   bool mCanAppend = true;
   // It still reads submissions, though its claim is superseded.
   bool mReadsSubmissions = false;
+  // While this is false, submissions reach it only once it is true again.
+  bool mReadsIntake = true;
+  std::vector<SimulatedSubmission> mUnreadSubmissions;
 };
 
 // ShardSimulation advances in ticks. Each finding of its checker is a text that
@@ -201,6 +211,7 @@
 
   void StepWorker(SimulatedWorker& aWorker);
   void StepOwner(SimulatedOwner& aOwner);
+  void ReadIntake(SimulatedOwner& aOwner);
   void Deliver(SimulatedOwner& aOwner, const TaskOrder& aOrder);
   bool DelayOrder(const TaskOrder& aOrder);
   void DeliverDelayed();
--- a/mulberryvalve/ports/out/keyed_log.h
+++ b/mulberryvalve/ports/out/keyed_log.h
@@ -56,6 +56,9 @@
 {
   std::vector<KeyedEntry> mEntries;
   uint64_t mNext = 0;
+  // Nothing follows: the page goes up to the end of the partition, as it was
+  // when the call was handled.
+  bool mReachesEnd = true;
 };
 
 // KeyedLogLimits are the size limits of a log, in bytes.
