A restarted worker keeps the starts that its new life may have accepted

Cause: a start that waited in the owner's send queue, or was sent just then, was accepted by the worker's new life. When the owner learned of that life, from the list of workers or a report, it concluded that everything charged to the worker had ended, and started it elsewhere before the first report of the new life.

Change: a task remembers which incarnation is known to run it, from the answer to its start or a report. A restart releases only what ran in a former one. What is not known to run in either stays charged until its answer or the first report of the new life decides. Any answer that carries a newer incarnation tells of the restart, not only a report; one by a former incarnation that arrives late releases the task.

Evidence: five tests in restarted_worker_test force the order of events.

--- a/mulberryvalve/core/jobs/job_graph.h
+++ b/mulberryvalve/core/jobs/job_graph.h
@@ -26,6 +26,10 @@
 // RunNumber orders the starts of one task: a later start has a higher number.
 using RunNumber = StrongNumber<struct RunNumberTag>;
 
+// WorkerIncarnation distinguishes the incarnations of a worker that keeps its
+// id over restarts; zero means unknown.
+using WorkerIncarnation = StrongNumber<struct BirthTag>;
+
 // QueueRules are the configured properties of one queue.
 struct QueueRules
 {
--- a/mulberryvalve/core/jobs/job_state.h
+++ b/mulberryvalve/core/jobs/job_state.h
@@ -102,6 +102,9 @@
   // When the worker reported that the task started; zero if this owner did not
   // receive that report.
   MonotonicTime mStartedAt;
+  // The incarnation of the worker that is known to run the task, with which the
+  // run ends; zero while it is not known which one does.
+  WorkerIncarnation mRunsIn;
   // When the worker's last answer about the task arrived. Run lists requested
   // after this time reflect it.
   MonotonicTime mAnsweredAt;
--- a/mulberryvalve/core/jobs/job_table.cc
+++ b/mulberryvalve/core/jobs/job_table.cc
@@ -135,6 +135,7 @@
   task.mRun = aRun;
   task.mPacePercent = 100;
   task.mIgnoresPressureLimit = false;
+  task.mRunsIn = WorkerIncarnation();
   task.mAnsweredAt = MonotonicTime();
   task.mStartedAt = MonotonicTime();
   job.mHasStarted = true;
--- a/mulberryvalve/core/jobs/restarted_worker_test.cc
+++ b/mulberryvalve/core/jobs/restarted_worker_test.cc
@@ -4,6 +4,67 @@
 #include "CppUTest/TestHarness.h"
 
 namespace mulberryvalve {
+namespace {
+
+constexpr uint32_t kTasks = 6;
+constexpr size_t kWorkers = 4;
+// An owner learns of a worker's new life within this.
+constexpr Milliseconds kNoticeLimit{ 500 };
+// How long a renewal hangs that was sent to a former life.
+constexpr Milliseconds kHangingRenewal{ 1500 };
+// Longer than every lease.
+constexpr Milliseconds kSettleTime{ 10000 };
+
+// The starts of a job wait in the owner's send queue to one of its workers,
+// which loses power and starts again under its id.
+class QueuedStarts
+{
+public:
+  QueuedStarts()
+    : mSim(kWorkers)
+    , mWorker(mSim.IdOf(0))
+  {
+    mSim->RunFor(kNoticeLimit);
+    Owner().mHeldOrders.insert(mWorker);
+    mSim->Submit(OneStepJob("j", kTasks, 7000));
+    mSim->RunFor(kNoticeLimit);
+    CHECK_FALSE(Owner().mSendQueue.empty());
+  }
+
+  SimulatedOwner& Owner() { return mSim->Owner(0); }
+
+  // The renewal that is in flight gets no answer before its timeout.
+  void Restart()
+  {
+    mSim->RestartWorker(mWorker);
+    Owner().mNextRenewalAt[mWorker] = mSim->Now() + kHangingRenewal;
+  }
+  void Deliver() { mSim->DeliverHeldOrders(Owner()); }
+
+  // Passes the answers on, and later orders without delay.
+  void Answer()
+  {
+    mSim->AnswerHeldOrders(Owner());
+    Owner().mHeldOrders.clear();
+  }
+
+  size_t RunsOnWorker() { return mSim->Worker(0).mRuns.size(); }
+
+  // Checks that every task runs, on one worker.
+  void CheckOneRunEach()
+  {
+    mSim->RunFor(kSettleTime);
+    STRCMP_EQUAL("", mSim.AllViolations().c_str());
+    CHECK_EQUAL(size_t{ kTasks }, mSim->RunningOf(JobId("j")));
+  }
+
+  TakeoverSimulation mSim;
+
+private:
+  const WorkerId mWorker;
+};
+
+} // namespace
 
 TEST_GROUP(RestartedWorkerTest){};
 
@@ -28,4 +89,75 @@
   }
 }
 
+// Guards against tasks being started elsewhere though the worker's new life has
+// accepted their starts, which were sent before its restart was known
+// (review/4).
+TEST(RestartedWorkerTest, StartsThatTheNewLifeAcceptedAreNotRepeated)
+{
+  for (const bool repliesTell : { true, false }) {
+    QueuedStarts starts;
+    starts.mSim->mOrderRepliesTellIncarnation = repliesTell;
+    starts.Restart();
+    starts.Deliver();
+    CHECK(starts.RunsOnWorker() > 0);
+    starts.Answer();
+    starts.CheckOneRunEach();
+  }
+}
+
+// The same, and the new life is known before the answers arrive.
+TEST(RestartedWorkerTest, StartsInFlightDuringARestartAreNotRepeated)
+{
+  for (const bool repliesTell : { true, false }) {
+    QueuedStarts starts;
+    starts.mSim->mOrderRepliesTellIncarnation = repliesTell;
+    starts.Restart();
+    starts.Deliver();
+    starts.mSim->RunFor(kNoticeLimit);
+    starts.Answer();
+    starts.CheckOneRunEach();
+  }
+}
+
+// Starts that were accepted before the restart have ended with it, also if
+// their answers arrive late.
+TEST(RestartedWorkerTest, StartsThatTheFormerLifeAcceptedAreRepeated)
+{
+  for (const bool repliesTell : { true, false }) {
+    QueuedStarts starts;
+    starts.mSim->mOrderRepliesTellIncarnation = repliesTell;
+    starts.Deliver();
+    CHECK(starts.RunsOnWorker() > 0);
+    starts.Restart();
+    starts.mSim->RunFor(kNoticeLimit);
+    starts.Answer();
+    starts.CheckOneRunEach();
+  }
+}
+
+// A start carries a lease by the clock of the life that it was decided for.
+TEST(RestartedWorkerTest, StartsForTheFormerLifeAreNotSentToAKnownNewOne)
+{
+  QueuedStarts starts;
+  starts.Restart();
+  starts.mSim->RunFor(kNoticeLimit);
+  starts.Deliver();
+  CHECK_EQUAL(0U, starts.RunsOnWorker());
+  starts.Answer();
+  starts.CheckOneRunEach();
+}
+
+// The new life accepted the starts under a lease of the former life's clock,
+// which lasts as long as the worker permits, and becomes unreachable.
+TEST(RestartedWorkerTest, LeaseOfAStartThatTheNewLifeAcceptedIsWaitedFor)
+{
+  QueuedStarts starts;
+  starts.mSim->RunFor(Milliseconds(3000));
+  starts.Restart();
+  starts.Deliver();
+  starts.mSim->MakeUnreachable(starts.mSim.IdOf(0));
+  starts.Answer();
+  starts.CheckOneRunEach();
+}
+
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -326,6 +326,10 @@
   void ResetIncarnation(WorkerEntry& aWorker,
                         WorkerIncarnation aBirth,
                         MonotonicTime aNow);
+  void ReleaseTasksOfFormerLife(WorkerEntry& aWorker, MonotonicTime aNow);
+  void ReleaseLostTask(const TaskRef& aTask,
+                       const char* aWhy,
+                       MonotonicTime aEndedBy);
   void ReleaseAllTasks(WorkerEntry& aWorker,
                        const char* aWhy,
                        MonotonicTime aEndedBy);
@@ -391,9 +395,15 @@
   void OnStartAnswered(WorkerEntry& aWorker,
                        MonotonicTime aDecidedAt,
                        MonotonicTime aNow);
+  void LearnIncarnation(WorkerEntry& aWorker,
+                        WorkerIncarnation aIncarnation,
+                        MonotonicTime aNow);
   void OnStartOutcome(const TaskOrder& aOrder,
-                      OrderOutcome aOutcome,
+                      const OrderReply& aReply,
                       MonotonicTime aNow);
+  void OnStartAccepted(const TaskOrder& aOrder,
+                       WorkerIncarnation aIncarnation,
+                       MonotonicTime aNow);
   void OnStopOutcome(const TaskOrder& aOrder,
                      OrderOutcome aOutcome,
                      MonotonicTime aNow);
--- a/mulberryvalve/core/jobs/shard_scheduler_placement.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_placement.cc
@@ -73,7 +73,8 @@
     return true;
   }
   const WorkerEntry* worker = mWorkers.Find(aOrder.mWorker);
-  if (worker == nullptr || worker->mSilent) {
+  if (worker == nullptr || worker->mSilent ||
+      aOrder.mWorkerIncarnation != worker->mWorkerIncarnation) {
     return false;
   }
   const TaskProgress* task = mJobTable.FindTask(aOrder.mTask);
@@ -364,6 +365,7 @@
   order.mRun = aRun;
   order.mWorker = aWorker.mInfo.mId;
   order.mEndpoint = aWorker.mInfo.mEndpoint;
+  order.mWorkerIncarnation = aWorker.mWorkerIncarnation;
   order.mEpoch = mOptions.mEpoch;
   return order;
 }
--- a/mulberryvalve/core/jobs/shard_scheduler_replies.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_replies.cc
@@ -24,9 +24,11 @@
     LogWorkerDecision(DecisionKind::kWorkerFenced, aOrder.mWorker, "order");
     return;
   }
-  if (worker != nullptr &&
-      aReply.mReading.mWorkerIncarnation == worker->mWorkerIncarnation) {
-    mWorkers.OnClockReading(*worker, aReply.mReading, aNow);
+  if (worker != nullptr) {
+    LearnIncarnation(*worker, aReply.mReading.mWorkerIncarnation, aNow);
+    if (aReply.mReading.mWorkerIncarnation == worker->mWorkerIncarnation) {
+      mWorkers.OnClockReading(*worker, aReply.mReading, aNow);
+    }
   }
   const TaskProgress* task = mJobTable.FindTask(aOrder.mTask);
   const bool isCurrentRun = task != nullptr && IsPlaced(task->mPhase) &&
@@ -36,7 +38,7 @@
     return;
   }
   if (aOrder.mKind == OrderKind::kStart) {
-    OnStartOutcome(aOrder, aReply.mOutcome, aNow);
+    OnStartOutcome(aOrder, aReply, aNow);
   } else if (aOrder.mKind == OrderKind::kStop) {
     OnStopOutcome(aOrder, aReply.mOutcome, aNow);
   } else if (aReply.mOutcome != OrderOutcome::kAccepted) {
@@ -45,6 +47,21 @@
   }
 }
 
+// An answer of a worker whose restart is not known yet shows its new life.
+void ShardScheduler::LearnIncarnation(WorkerEntry& aWorker,
+                                      WorkerIncarnation aIncarnation,
+                                      MonotonicTime aNow)
+{
+  if (!(aWorker.mWorkerIncarnation < aIncarnation)) {
+    return;
+  }
+  if (aWorker.mWorkerIncarnation == WorkerIncarnation()) {
+    aWorker.mWorkerIncarnation = aIncarnation;
+  } else {
+    ResetIncarnation(aWorker, aIncarnation, aNow);
+  }
+}
+
 // Starts on a worker that stopped answering were already taken out of the
 // window, and a worker is removed only after that.
 void ShardScheduler::OnStartAnswered(WorkerEntry& aWorker,
@@ -63,23 +80,23 @@
 }
 
 void ShardScheduler::OnStartOutcome(const TaskOrder& aOrder,
-                                    OrderOutcome aOutcome,
+                                    const OrderReply& aReply,
                                     MonotonicTime aNow)
 {
   TaskProgress& task = *mJobTable.FindTask(aOrder.mTask);
   WorkerEntry* worker = mWorkers.Find(aOrder.mWorker);
-  if (aOutcome == OrderOutcome::kAccepted) {
-    if (task.mPhase == TaskPhase::kStarting) {
-      task.mPhase = TaskPhase::kRunning;
-      task.mAnsweredAt = aNow;
-      task.mStartedAt = aNow;
-      if (worker != nullptr) {
-        QueuePaceOrder(*worker, aOrder.mTask, mJobTable.Locate(aOrder.mTask));
-      }
-    }
+  const OrderOutcome outcome = aReply.mOutcome;
+  const bool mayHaveStarted =
+    outcome == OrderOutcome::kAccepted || outcome == OrderOutcome::kUnknown;
+  if (mayHaveStarted && worker != nullptr &&
+      aOrder.mWorkerIncarnation < worker->mWorkerIncarnation) {
+    mWorkers.OnStartOfFormerLife(*worker, aNow);
+  }
+  if (outcome == OrderOutcome::kAccepted) {
+    OnStartAccepted(aOrder, aReply.mReading.mWorkerIncarnation, aNow);
     return;
   }
-  if (aOutcome == OrderOutcome::kUnknown) {
+  if (outcome == OrderOutcome::kUnknown) {
     LogDecision(DecisionKind::kTaskUnsettled,
                 aOrder.mTask,
                 aOrder.mWorker,
@@ -97,19 +114,46 @@
   // Either the worker will never start this run, or the run was started by an
   // earlier message. The worker's next report shows which.
   if (worker != nullptr) {
-    const bool unhealthy = aOutcome == OrderOutcome::kUnhealthy;
+    const bool unhealthy = outcome == OrderOutcome::kUnhealthy;
     AvoidWorker(*worker,
                 aNow + (unhealthy ? kAvoidUnhealthy : kAvoidRefusing),
-                kOrderOutcomeNames.Name(aOutcome).data());
+                kOrderOutcomeNames.Name(outcome).data());
   }
   LogDecision(DecisionKind::kTaskLost,
               aOrder.mTask,
               aOrder.mWorker,
               aOrder.mRun,
-              std::string(kOrderOutcomeNames.Name(aOutcome)));
+              std::string(kOrderOutcomeNames.Name(outcome)));
   ReleaseTask(aOrder.mTask);
 }
 
+// aIncarnation is the one that accepted the start, or zero if the answer does
+// not tell; then the next report decides whether the task runs.
+void ShardScheduler::OnStartAccepted(const TaskOrder& aOrder,
+                                     WorkerIncarnation aIncarnation,
+                                     MonotonicTime aNow)
+{
+  TaskProgress& task = *mJobTable.FindTask(aOrder.mTask);
+  WorkerEntry* worker = mWorkers.Find(aOrder.mWorker);
+  if (task.mRunsIn == WorkerIncarnation()) {
+    task.mRunsIn = aIncarnation;
+  }
+  if (worker != nullptr && task.mRunsIn != WorkerIncarnation() &&
+      task.mRunsIn < worker->mWorkerIncarnation) {
+    ReleaseLostTask(aOrder.mTask, "its worker has restarted", aNow);
+    return;
+  }
+  if (task.mPhase != TaskPhase::kStarting) {
+    return;
+  }
+  task.mPhase = TaskPhase::kRunning;
+  task.mAnsweredAt = aNow;
+  task.mStartedAt = aNow;
+  if (worker != nullptr) {
+    QueuePaceOrder(*worker, aOrder.mTask, mJobTable.Locate(aOrder.mTask));
+  }
+}
+
 void ShardScheduler::OnStopOutcome(const TaskOrder& aOrder,
                                    OrderOutcome aOutcome,
                                    MonotonicTime aNow)
--- a/mulberryvalve/core/jobs/shard_scheduler_reports.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_reports.cc
@@ -66,12 +66,7 @@
   if (birth < workerState->mWorkerIncarnation) {
     return; // sent before the worker restarted
   }
-  if (workerState->mWorkerIncarnation < birth) {
-    if (workerState->mWorkerIncarnation != WorkerIncarnation()) {
-      ResetIncarnation(*workerState, birth, aNow);
-    }
-    workerState->mWorkerIncarnation = birth;
-  }
+  LearnIncarnation(*workerState, birth, aNow);
   if (workerState->mSilent) {
     mWorkers.SetSilent(*workerState, false);
     RevokeHandoverNote(*workerState);
@@ -387,6 +382,7 @@
   const WorkerId& id = aWorker.mInfo.mId;
   if (task != nullptr && IsPlaced(task->mPhase) && task->mWorker == id &&
       task->mRun == row.mRun) {
+    task->mRunsIn = aWorker.mWorkerIncarnation;
     if (task->mPhase == TaskPhase::kUnsettled) {
       task->mPhase = TaskPhase::kRunning;
       task->mAnsweredAt = aNow;
@@ -404,6 +400,7 @@
     LogDecision(DecisionKind::kTaskAdopted, row.mTask, id, row.mRun, "listed");
     mJobTable.Assign(row.mTask, id, row.mRun);
     task->mPhase = TaskPhase::kRunning;
+    task->mRunsIn = aWorker.mWorkerIncarnation;
     task->mAnsweredAt = aNow;
     mWorkers.Charge(aWorker, row.mTask, *aRun.mPlace.mSpec);
     return;
@@ -496,8 +493,8 @@
   LogWorkerDecision(DecisionKind::kWorkerRestarted,
                     aWorker.mInfo.mId,
                     "its incarnation changed");
-  ReleaseAllTasks(aWorker, "its worker was born anew", aNow);
   aWorker.mWorkerIncarnation = aBirth;
+  ReleaseTasksOfFormerLife(aWorker, aNow);
   aWorker.mLastProcessedEnd = EndNumber();
   aWorker.mLastDurableEnd = EndNumber();
   aWorker.mClock.reset();
@@ -515,9 +512,40 @@
   mUnreadJobs.ForgetWorker(aWorker.mInfo.mId);
 }
 
-// Everything on the worker had ended by aEndedBy. A successor may have noticed
-// that and started the tasks again, so starting them here takes a proof of
+// A restart ends what ran in the former incarnation. The new one may have
+// accepted starts that were sent before the restart was known: a task that is
+// not known to run in either stays charged until an answer or the first report
+// of the new one shows where it runs.
+void ShardScheduler::ReleaseTasksOfFormerLife(WorkerEntry& aWorker,
+                                              MonotonicTime aNow)
+{
+  const std::vector<TaskRef> charged(aWorker.mTasks.begin(),
+                                     aWorker.mTasks.end());
+  for (const TaskRef& ref : charged) {
+    const WorkerIncarnation runsIn = mJobTable.FindTask(ref)->mRunsIn;
+    if (runsIn == WorkerIncarnation()) {
+      mWorkers.OnStartOfFormerLife(aWorker, aNow);
+    } else if (runsIn < aWorker.mWorkerIncarnation) {
+      ReleaseLostTask(ref, "its worker was born anew", aNow);
+    }
+  }
+  aWorker.mForeignRuns.clear();
+}
+
+// The task had ended by aEndedBy. A successor may have noticed
+// that and started the task again, so starting it here takes a proof of
 // ownership at that time or later.
+void ShardScheduler::ReleaseLostTask(const TaskRef& aTask,
+                                     const char* aWhy,
+                                     MonotonicTime aEndedBy)
+{
+  TaskProgress* task = mJobTable.FindTask(aTask);
+  LogDecision(DecisionKind::kTaskLost, aTask, task->mWorker, task->mRun, aWhy);
+  task->mMinOwnershipProofTime = aEndedBy;
+  ReleaseTask(aTask);
+}
+
+// Everything on the worker had ended by aEndedBy.
 void ShardScheduler::ReleaseAllTasks(WorkerEntry& aWorker,
                                      const char* aWhy,
                                      MonotonicTime aEndedBy)
@@ -525,11 +553,7 @@
   const std::vector<TaskRef> charged(aWorker.mTasks.begin(),
                                      aWorker.mTasks.end());
   for (const TaskRef& ref : charged) {
-    TaskProgress* task = mJobTable.FindTask(ref);
-    LogDecision(
-      DecisionKind::kTaskLost, ref, aWorker.mInfo.mId, task->mRun, aWhy);
-    task->mMinOwnershipProofTime = aEndedBy;
-    ReleaseTask(ref);
+    ReleaseLostTask(ref, aWhy, aEndedBy);
   }
   aWorker.mForeignRuns.clear();
   mUnreadJobs.KeepRuns(aWorker.mInfo.mId, {}, aEndedBy);
--- a/mulberryvalve/core/jobs/shard_simulation_fake.cc
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.cc
@@ -263,6 +263,10 @@
 
 void ShardSimulation::Deliver(SimulatedOwner& aOwner, const TaskOrder& aOrder)
 {
+  if (aOwner.mHeldOrders.count(aOrder.mWorker) != 0) {
+    aOwner.mSendQueue.push_back(aOrder);
+    return;
+  }
   if (mOnOrder) {
     mOnOrder(aOrder);
   }
@@ -280,6 +284,25 @@
   aOwner.mShard->OnOrder(aOrder, reply, mNow);
 }
 
+void ShardSimulation::DeliverHeldOrders(SimulatedOwner& aOwner)
+{
+  for (const TaskOrder& order : std::exchange(aOwner.mSendQueue, {})) {
+    OrderReply reply;
+    reply.mOutcome = OrderOutcome::kNotSent;
+    if (aOwner.mShard->IsStillNeeded(order, mNow)) {
+      reply = Apply(mWorkers.at(order.mWorker), order);
+    }
+    aOwner.mHeldReplies.emplace_back(order, reply);
+  }
+}
+
+void ShardSimulation::AnswerHeldOrders(SimulatedOwner& aOwner)
+{
+  for (const auto& [order, reply] : std::exchange(aOwner.mHeldReplies, {})) {
+    aOwner.mShard->OnOrder(order, reply, mNow);
+  }
+}
+
 // Queues an order if it is to be delayed. Returns whether it is.
 bool ShardSimulation::DelayOrder(const TaskOrder& aOrder)
 {
@@ -315,7 +338,9 @@
 {
   OrderReply reply;
   reply.mReading.mClock = aWorker.ClockAt(mNow);
-  reply.mReading.mWorkerIncarnation = aWorker.mWorkerIncarnation;
+  if (mOrderRepliesTellIncarnation) {
+    reply.mReading.mWorkerIncarnation = aWorker.mWorkerIncarnation;
+  }
   if (aOrder.mEpoch < aWorker.mFencingEpoch) {
     reply.mOutcome = OrderOutcome::kFenced;
     return reply;
--- a/mulberryvalve/core/jobs/shard_simulation_fake.h
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.h
@@ -104,6 +104,11 @@
   std::map<WorkerId, MonotonicTime> mNextRenewalAt;
   // Workers that its orders don't reach, though lease renewals do.
   std::set<WorkerId> mLostOrders;
+  // Workers whose orders wait in the send queue until DeliverHeldOrders.
+  std::set<WorkerId> mHeldOrders;
+  std::vector<TaskOrder> mSendQueue;
+  // What the held orders were answered, until AnswerHeldOrders.
+  std::vector<std::pair<TaskOrder, OrderReply>> mHeldReplies;
   MonotonicTime mProvedAt;
   bool mIsActive = true;
   // If false, none of its decisions becomes durable.
@@ -143,6 +148,11 @@
   // Runs ticks until aLength has passed.
   void RunFor(Milliseconds aLength);
 
+  // DeliverHeldOrders sends the orders of an owner that wait in its send queue
+  // and are still needed, and AnswerHeldOrders passes the replies on.
+  void DeliverHeldOrders(SimulatedOwner& aOwner);
+  void AnswerHeldOrders(SimulatedOwner& aOwner);
+
   // Restarts a worker as a new incarnation, with no runs and no fencing token.
   void RestartWorker(const WorkerId& aWorker);
 
@@ -197,6 +207,8 @@
   // If set and it returns a time, the order gets no reply and is applied that
   // much later, unless its worker has restarted or exited by then.
   std::function<std::optional<Milliseconds>(const TaskOrder&)> mDelayOf;
+  // Whether the answers to orders tell the worker's incarnation.
+  bool mOrderRepliesTellIncarnation = true;
   // Whether the end of one member of a gang ends the others.
   bool mGangsFailTogether = false;
 
--- a/mulberryvalve/core/jobs/worker_messages.h
+++ b/mulberryvalve/core/jobs/worker_messages.h
@@ -12,10 +12,6 @@
 
 namespace mulberryvalve {
 
-// WorkerIncarnation distinguishes the incarnations of a worker that keeps its
-// id over restarts; zero means unknown.
-using WorkerIncarnation = StrongNumber<struct BirthTag>;
-
 // EndNumber numbers the ends of runs that one incarnation of a worker reports,
 // from 1.
 using EndNumber = StrongNumber<struct EndNumberTag>;
@@ -58,6 +54,8 @@
   RunNumber mRun;
   WorkerId mWorker;
   Endpoint mEndpoint;
+  // The incarnation of the worker that the order was decided for.
+  WorkerIncarnation mWorkerIncarnation;
   Epoch mEpoch;
   WorkerTime mUntil;
   std::string mSpecification;
--- a/mulberryvalve/core/jobs/worker_table.cc
+++ b/mulberryvalve/core/jobs/worker_table.cc
@@ -225,9 +225,24 @@
 }
 
 void WorkerTable::InheritLease(WorkerEntry& aWorker, MonotonicTime aNow) const
+{
+  AssumeLease(aWorker, mTerms.mLength, aNow);
+}
+
+void WorkerTable::OnStartOfFormerLife(WorkerEntry& aWorker,
+                                      MonotonicTime aNow) const
+{
+  AssumeLease(aWorker, mTerms.mMaxGranted, aNow);
+}
+
+// Accounts for a lease of aLength on the worker's clock that may have been
+// granted at aNow.
+void WorkerTable::AssumeLease(WorkerEntry& aWorker,
+                              Milliseconds aLength,
+                              MonotonicTime aNow) const
 {
   const MonotonicTime expiredAt =
-    aNow + MaxRealDuration(mTerms.mLength.count()) + mTerms.mMargin;
+    aNow + MaxRealDuration(aLength.count()) + mTerms.mMargin;
   aWorker.mLeasesExpiredAt = std::max(aWorker.mLeasesExpiredAt, expiredAt);
 }
 
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -21,6 +21,8 @@
   // Duration of a lease after each renewal; less than the longest lease that a
   // worker grants.
   Milliseconds mLength{ 5500 };
+  // The longest lease that a worker grants, however much is asked for.
+  Milliseconds mMaxGranted{ 6000 };
   // How long a worker delays the answer to a renewal until a run ends.
   Milliseconds mWait{ 1500 };
   // The same on workers with both best-effort and serving tasks, so that
@@ -218,6 +220,11 @@
   // granted before the worker first answered this owner, at aNow.
   void InheritLease(WorkerEntry& aWorker, MonotonicTime aNow) const;
 
+  // OnStartOfFormerLife accounts for a start that carries a lease by the clock
+  // of a worker's former incarnation, and that the present one may accept by
+  // aNow.
+  void OnStartOfFormerLife(WorkerEntry& aWorker, MonotonicTime aNow) const;
+
   // OnClockReading stores a reading of the worker's clock that arrived at aNow.
   void OnClockReading(WorkerEntry& aWorker,
                       const ClockReading& aReading,
@@ -227,6 +234,9 @@
   WorkerTime EstimatedClock(const WorkerEntry& aWorker,
                             MonotonicTime aNow) const;
   Milliseconds MaxRealDuration(int64_t aMilliseconds) const;
+  void AssumeLease(WorkerEntry& aWorker,
+                   Milliseconds aLength,
+                   MonotonicTime aNow) const;
   void ExtendLease(WorkerEntry& aWorker, WorkerTime aUntil, MonotonicTime aNow);
 
   const LeaseTerms mTerms;
