A finished job leaves the intake before its progress is removed

Cause: a job that has been over for long is removed from two topics. Its progress went first, repeated until it succeeded; the job itself went with one append, whose refusal was only logged. A job without progress is what a new job looks like to the next owner. An end of the process between the two left the same.

Change: the job leaves the intake first. Only when that is durable is its progress removed, and the job forgotten; a removal that is refused or gets no answer is tried again after 5 s, and the job stays known meanwhile. An owner that loads progress of a job that is not on the intake, as the former one ended in between, removes that progress: owners can add none after the claim, so it is never that of a job which was not read yet.

Evidence: retired_jobs_test.

--- /dev/null
+++ b/mulberryvalve/app/jobs/retired_jobs_test.cc
@@ -0,0 +1,99 @@
+// Jobs that are over for long are removed from the log, in an order in which no
+// refused append and no end of the owner makes them look new.
+#include "mulberryvalve/app/jobs/faulty_log_fake.h"
+#include "mulberryvalve/app/jobs/jobs_instance_fake.h"
+
+#include <functional>
+
+#include "CppUTest/TestHarness.h"
+
+namespace mulberryvalve {
+namespace {
+
+constexpr Milliseconds kPollInterval{ 5 };
+
+// Polls until aCondition holds. Returns false on timeout.
+bool Eventually(const std::function<bool()>& aCondition)
+{
+  const RealClock clock;
+  const MonotonicTime until = clock.Now() + kTestTimeout;
+  while (!aCondition()) {
+    if (clock.Now() >= until) {
+      return false;
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return true;
+}
+
+const TaskRef kFirstTask{ { JobId("a"), 0, 0 }, 0 };
+
+} // namespace
+
+TEST_GROUP(RetiredJobsTest)
+{
+  MemoryLog mMemory;
+  FaultyLog mLog{ mMemory };
+  InstantWorker mWorkers;
+  const JobLogJson mCodec;
+
+  bool IsOnLog(KeyedTopic aTopic, const std::string& aKey) const
+  {
+    return mMemory.Holds(aTopic, aKey);
+  }
+};
+
+// Guards against a completed job being run again by the next owner, because its
+// progress was removed and the removal of the job itself was refused
+// (review/3).
+TEST(RetiredJobsTest, AJobWhoseRemovalWasRefusedIsNotRunAgain)
+{
+  {
+    JobsInstance former(mLog, mWorkers, 1);
+    former.Start();
+    former.Complete("a");
+    mLog.FailCalls(LogCall::kAppend, FailureKind::kLogUnavailable);
+    CHECK(Eventually([&] { return mLog.Failures(LogCall::kAppend) > 0; }));
+  }
+  mLog.ClearFailures();
+  JobsInstance next(mLog, mWorkers, 2);
+  next.Start();
+  next.Complete("b");
+  CHECK_EQUAL(1U, mWorkers.Starts(kFirstTask));
+}
+
+TEST(RetiredJobsTest, ARefusedRemovalIsRepeated)
+{
+  JobsInstance owner(mLog, mWorkers, 1);
+  owner.Start();
+  owner.Complete("a");
+  mLog.FailCalls(LogCall::kAppend, FailureKind::kLogUnavailable);
+  CHECK(Eventually([&] { return mLog.Failures(LogCall::kAppend) > 0; }));
+  CHECK(IsOnLog(KeyedTopic::kIntake, "a"));
+  CHECK(IsOnLog(KeyedTopic::kProgress, "job/a"));
+  mLog.ClearFailures();
+  CHECK(Eventually([&] { return !IsOnLog(KeyedTopic::kProgress, "job/a"); }));
+  CHECK_FALSE(IsOnLog(KeyedTopic::kIntake, "a"));
+}
+
+// The former owner ended after it had removed the job and before it removed the
+// job's progress.
+TEST(RetiredJobsTest, ProgressOfAJobThatIsGoneIsRemovedByTheNextOwner)
+{
+  {
+    JobsInstance former(mLog, mWorkers, 1);
+    former.Start();
+    former.Complete("a");
+  }
+  CHECK(mMemory
+          .Append(TopicPartition{ KeyedTopic::kIntake, 0 },
+                  mCodec.EncodeIntakeTombstones(JobId("a")))
+          .has_value());
+  CHECK(IsOnLog(KeyedTopic::kProgress, "job/a"));
+  JobsInstance next(mLog, mWorkers, 2);
+  next.Start();
+  CHECK(Eventually([&] { return !IsOnLog(KeyedTopic::kProgress, "job/a"); }));
+  CHECK_EQUAL(1U, mWorkers.Starts(kFirstTask));
+}
+
+} // namespace mulberryvalve
--- a/mulberryvalve/app/jobs/shard_runtime.cc
+++ b/mulberryvalve/app/jobs/shard_runtime.cc
@@ -215,6 +215,7 @@
 void ShardRuntime::RunProgressWriter()
 {
   while (true) {
+    RetireJobs();
     const Steady::time_point next = Steady::now() + kDecisionInterval;
     ProgressBatch batch;
     {
@@ -255,7 +256,6 @@
     }
     OnAppended(append.mBatch);
   }
-  RemoveFromIntake(aBatch.mRetired);
 }
 
 // Returns false if the ownership is over.
--- a/mulberryvalve/app/jobs/shard_runtime.h
+++ b/mulberryvalve/app/jobs/shard_runtime.h
@@ -163,7 +163,8 @@
   bool AppendWithRetries(const ProgressAppend& aAppend);
   void OnAppended(const ProgressBatch& aBatch);
   Result<void> AppendOnce(const std::vector<KeyedEntry>& aEntries);
-  void RemoveFromIntake(const std::vector<JobId>& aRetiredJobs);
+  void RetireJobs();
+  bool RemoveFromIntake(const std::vector<JobId>& aJobs);
   void FollowIntake();
   void ApplyIntake(const std::vector<KeyedEntry>& aEntries,
                    MonotonicTime aNotBefore,
@@ -215,6 +216,9 @@
   bool mStopping MV_GUARDED_BY(mMutex) = false;
   // Sequence number of the next append. Used by mThread only.
   uint64_t mSequence = 0;
+  // When finished jobs may be removed from the intake again after a removal
+  // failed. Used by mThread only.
+  std::chrono::steady_clock::time_point mRetireJobsAt;
   // Where FollowIntake starts reading. Set by Load.
   uint64_t mIntakeOffset = 0;
   std::atomic<uint64_t> mCompetingEpoch{ 0 };
--- a/mulberryvalve/app/jobs/shard_runtime_readers.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_readers.cc
@@ -13,6 +13,9 @@
 constexpr Milliseconds kIntakeReadTimeout{ 1000 };
 constexpr Milliseconds kIntakeRetryDelay{ 200 };
 constexpr Milliseconds kWorkerListInterval{ 400 };
+// Progress waits while a removal from the intake hangs, so one that failed is
+// not repeated soon.
+constexpr Milliseconds kRetireRetryDelay{ 5000 };
 
 // Returns the progress record of the job that aEntry submitted if that job is
 // finished, otherwise nullptr.
@@ -27,6 +30,22 @@
   return isFinished ? &found->second : nullptr;
 }
 
+// Returns the jobs with progress that are not on the intake: a former owner
+// removed them from it and ended before it removed their progress. Former
+// owners can add no progress after the claim, so none of them is a job of which
+// only the progress was read.
+std::vector<JobId> JobsOffIntake(const std::map<JobId, JobRecord>& aRecords,
+                                 const std::set<JobId>& aOnIntake)
+{
+  std::vector<JobId> jobs;
+  for (const auto& [id, record] : aRecords) {
+    if (aOnIntake.count(id) == 0) {
+      jobs.push_back(id);
+    }
+  }
+  return jobs;
+}
+
 } // namespace
 
 // The log holds a higher epoch than the group assigned if the group's
@@ -100,8 +119,12 @@
     }
   }
   std::vector<JobId> cancelled;
+  std::set<JobId> onIntake;
   size_t jobs = 0;
   for (const KeyedEntry& entry : intake.value().mEntries) {
+    if (const auto submitted = mPorts.mCodec.SubmittedJobId(entry)) {
+      onIntake.insert(*submitted);
+    }
     const JobRecord* finished = RecordOfEndedJob(mPorts.mCodec, entry, records);
     if (finished != nullptr) {
       // Only the phase of a finished job is still queried, so its specification
@@ -126,6 +149,7 @@
   for (const JobId& job : cancelled) {
     shard->OnJobCancelled(job, claimedAt);
   }
+  shard->OnRemovedFromIntake(JobsOffIntake(records, onIntake));
   mIntakeOffset = intake.value().mNext;
   LogEvent(EventLevel::kInfo,
            "shard_loaded",
@@ -147,22 +171,49 @@
   return true;
 }
 
-void ShardRuntime::RemoveFromIntake(const std::vector<JobId>& aRetiredJobs)
+// Removes jobs that have been over for long from the intake. Jobs that are not
+// removed, because an append is refused or gets no answer, are tried again
+// later.
+void ShardRuntime::RetireJobs()
+{
+  if (Steady::now() < mRetireJobsAt) {
+    return;
+  }
+  std::vector<JobId> jobs;
+  {
+    MutexLock lock(mMutex);
+    jobs = mShard->TakeRetirableJobs(mPorts.mClock.Now());
+  }
+  if (jobs.empty()) {
+    return;
+  }
+  if (!RemoveFromIntake(jobs)) {
+    mRetireJobsAt = Steady::now() + kRetireRetryDelay;
+    return;
+  }
+  MutexLock lock(mMutex);
+  mShard->OnRemovedFromIntake(jobs);
+}
+
+// Returns whether all of aJobs have been removed.
+bool ShardRuntime::RemoveFromIntake(const std::vector<JobId>& aJobs)
 {
-  std::vector<KeyedEntry> drops;
-  for (const JobId& job : aRetiredJobs) {
+  std::vector<KeyedEntry> tombstones;
+  for (const JobId& job : aJobs) {
     const std::vector<KeyedEntry> both =
       mPorts.mCodec.EncodeIntakeTombstones(job);
-    drops.insert(drops.end(), both.begin(), both.end());
+    tombstones.insert(tombstones.end(), both.begin(), both.end());
   }
   for (const auto& part :
-       SplitEntries(std::move(drops), mPorts.mLog.Limits())) {
+       SplitEntries(std::move(tombstones), mPorts.mLog.Limits())) {
     const Result<void> done =
       mPorts.mLog.Append(Place(KeyedTopic::kIntake), part);
     if (!done) {
       LogFailure("drop_from_intake", done.error());
+      return false;
     }
   }
+  return true;
 }
 
 void ShardRuntime::FollowIntake()
--- a/mulberryvalve/core/jobs/job_table.h
+++ b/mulberryvalve/core/jobs/job_table.h
@@ -83,6 +83,9 @@
   // The highest run number assigned in the current epoch.
   RunNumber mLastRun;
   MonotonicTime mFinishedAt;
+  // The job is no longer on the intake, from which it is removed some time
+  // after it finished.
+  bool mIsOffIntake = false;
   std::vector<std::vector<StepState>> mOccurrences;
 };
 
--- a/mulberryvalve/core/jobs/shard_scheduler.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler.cc
@@ -178,12 +178,16 @@
   mHasWorkerList = true;
 }
 
-std::vector<JobId> ShardScheduler::FindRetirableJobs(MonotonicTime aNow) const
+std::vector<JobId> ShardScheduler::TakeRetirableJobs(MonotonicTime aNow)
 {
   std::vector<JobId> jobs;
+  if (aNow < mRetireJobsAt) {
+    return jobs;
+  }
+  mRetireJobsAt = aNow + kRetireInterval;
   for (const auto& [id, job] : mJobTable.All()) {
-    const bool isSettled =
-      IsOver(job.mPhase) && job.mDurablePhase == job.mPhase;
+    const bool isSettled = IsOver(job.mPhase) &&
+                           job.mDurablePhase == job.mPhase && !job.mIsOffIntake;
     if (isSettled && aNow - job.mFinishedAt >= mOptions.mKeepOver &&
         jobs.size() < kMaxJobsPerBatch) {
       jobs.push_back(id);
@@ -192,6 +196,16 @@
   return jobs;
 }
 
+void ShardScheduler::OnRemovedFromIntake(const std::vector<JobId>& aJobs)
+{
+  mJobsOffIntake.insert(aJobs.begin(), aJobs.end());
+  for (const JobId& id : aJobs) {
+    if (JobEntry* job = mJobTable.Find(id)) {
+      job->mIsOffIntake = true;
+    }
+  }
+}
+
 ProgressBatch ShardScheduler::TakeProgress(MonotonicTime aNow)
 {
   ProgressBatch batch;
@@ -202,9 +216,9 @@
       batch.mJobs.push_back(mJobTable.ToRecord(*job));
     }
   }
-  if (aNow >= mRetireJobsAt) {
-    mRetireJobsAt = aNow + kRetireInterval;
-    batch.mRetired = FindRetirableJobs(aNow);
+  while (!mJobsOffIntake.empty() && batch.mRetired.size() < kMaxJobsPerBatch) {
+    batch.mRetired.push_back(*mJobsOffIntake.begin());
+    mJobsOffIntake.erase(mJobsOffIntake.begin());
   }
   for (const WorkerId& id : mDirtyWorkers) {
     WorkerEntry* workerState = mWorkers.Find(id);
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -169,6 +169,13 @@
   // Returns the size and the use of the window of unanswered starts.
   StartWindowStats TakeWindowStats() { return mWindow.TakeStats(); }
 
+  // TakeRetirableJobs returns jobs that have been over for long, at most some
+  // at a time and not on every call. Remove them from the intake, and call
+  // OnRemovedFromIntake once that is durable: only then is their progress
+  // removed, since a job on the intake without progress looks like a new one.
+  std::vector<JobId> TakeRetirableJobs(MonotonicTime aNow);
+  void OnRemovedFromIntake(const std::vector<JobId>& aJobs);
+
   // TakeProgress returns what changed since the last call. Call OnDurable once
   // the batch is on the log.
   ProgressBatch TakeProgress(MonotonicTime aNow);
@@ -178,7 +185,7 @@
   bool NeedsAppend() const
   {
     return !mDirtyJobs.empty() || !mDirtyWorkers.empty() ||
-           !mRemovedWorkers.empty();
+           !mRemovedWorkers.empty() || !mJobsOffIntake.empty();
   }
 
   // Returns the phase to report to callers, or nothing if the job is unknown.
@@ -248,7 +255,6 @@
     TaskLookup mPlace;
   };
 
-  std::vector<JobId> FindRetirableJobs(MonotonicTime aNow) const;
   void OnWorkerRecordDurable(const UsedWorkerRecord& aWorker);
 
   // Handover notes for the successor, and waits inherited from the former owner
@@ -468,6 +474,8 @@
   bool mHasWorkerList = false;
   MonotonicTime mSaveLearnedAt;
   MonotonicTime mRetireJobsAt;
+  // Jobs that are no longer on the intake and whose progress is to be removed.
+  std::set<JobId> mJobsOffIntake;
   // Cancellations that were read before their jobs.
   std::set<JobId> mCancelledUnknownJobs;
   std::set<JobId> mDirtyJobs;
