A successor asks former owners whether they have ended

Cause: the killed owner had noted nothing of these workers, so its successor waited for the latest time at which it might have renewed a lease: 6 s of proof after the claim and a lease. It concluded from a missing answer that the former owner may still act, and never looked whether it does.

Change: each claim has a record of its own on the log (owner/EPOCH), which names the claiming process and where it answers its peers. While a wait that no note limits is under way, a successor asks the processes of all former claims. A process that was started later, or one that has ended that ownership, tells for how long; where no process listens, none acts, since a process listens for its peers from before it owns a shard until after that. Once all have ended, the wait is as long as a lease requested by then. A former owner that is asked while it still acts learns that it was superseded and stops. Claims are removed 13.4 s after the next one, when nothing of them can run. Without an answer (power lost, cut off, an instance of an earlier version) the wait stays as long as it was.

--- a/mulberryvalve/adapters/json/job_log_json.cc
+++ b/mulberryvalve/adapters/json/job_log_json.cc
@@ -22,7 +22,8 @@
 constexpr std::string_view kCancelPrefix = "cancel/";
 constexpr std::string_view kJobPrefix = "job/";
 constexpr std::string_view kWorkerPrefix = "worker/";
-constexpr std::string_view kOwnerKey = "owner";
+constexpr std::string_view kOwnerPrefix = "owner/";
+constexpr std::string_view kNewestOwnerKey = "owner";
 constexpr std::string_view kLearnedKey = "learned";
 constexpr size_t kMaxRecordBytes = 256 * 1024;
 constexpr size_t kMaxSpecificationBytes = 16 * 1024;
@@ -41,6 +42,11 @@
   return std::string(aPrefix) + aId;
 }
 
+std::string OwnerKey(Epoch aEpoch)
+{
+  return KeyWithPrefix(kOwnerPrefix, std::to_string(aEpoch.Value()));
+}
+
 // Replaces invalid UTF-8, for which dump() would otherwise throw: input from
 // outside must not crash the owner.
 std::string DumpReplacingInvalidUtf8(const json& aValue)
@@ -276,6 +282,11 @@
   OwnershipRecord ownership;
   ownership.mEpoch = Epoch(static_cast<uint64_t>(reader.Number("epoch")));
   ownership.mInstance = reader.Text("instance");
+  ownership.mPeer.mAddress = reader.TextOr("address", "");
+  ownership.mPeer.mPort =
+    static_cast<uint16_t>(reader.NumberOr("port", 0, 0, UINT16_MAX));
+  ownership.mProcess =
+    Incarnation(static_cast<uint64_t>(reader.NumberOr("process", 0)));
   if (reader.Fault()) {
     return *reader.Fault();
   }
@@ -364,9 +375,14 @@
 
 KeyedEntry JobLogJson::Encode(const OwnershipRecord& aOwnership) const
 {
-  const json object{ { "epoch", aOwnership.mEpoch.Value() },
-                     { "instance", aOwnership.mInstance } };
-  return KeyedEntry{ std::string(kOwnerKey), DumpReplacingInvalidUtf8(object) };
+  json object{ { "epoch", aOwnership.mEpoch.Value() },
+               { "instance", aOwnership.mInstance } };
+  PutText(object, "address", aOwnership.mPeer.mAddress);
+  PutNumber(object, "port", aOwnership.mPeer.mPort);
+  PutNumber(
+    object, "process", static_cast<int64_t>(aOwnership.mProcess.Value()));
+  return KeyedEntry{ OwnerKey(aOwnership.mEpoch),
+                     DumpReplacingInvalidUtf8(object) };
 }
 
 KeyedEntry JobLogJson::Encode(const LearnedRecord& aLearned) const
@@ -394,6 +410,11 @@
                      std::nullopt };
 }
 
+KeyedEntry JobLogJson::EncodeOwnershipTombstone(Epoch aEpoch) const
+{
+  return KeyedEntry{ OwnerKey(aEpoch), std::nullopt };
+}
+
 std::optional<JobId> JobLogJson::SubmittedJobId(const KeyedEntry& aEntry) const
 {
   std::string_view id = aEntry.mKey;
@@ -440,7 +461,7 @@
     return ToVariant<ProgressItem>(
       WorkerFromJson(std::string(id), object.value()));
   }
-  if (id == kOwnerKey) {
+  if (id == kNewestOwnerKey || ConsumePrefix(id, kOwnerPrefix)) {
     return ToVariant<ProgressItem>(OwnershipFromJson(object.value()));
   }
   if (id == kLearnedKey) {
--- a/mulberryvalve/adapters/json/job_log_json.h
+++ b/mulberryvalve/adapters/json/job_log_json.h
@@ -15,8 +15,9 @@
 bool FitsJobTaskLimit(const JobGraph& aJob);
 
 // JobLogJson implements JobLogCodec. Keys: a job has its id, its cancellation
-// "cancel/ID", its progress "job/ID", a used worker "worker/ID", the ownership
-// record "owner". Fields with default values are omitted. Thread-safe.
+// "cancel/ID", its progress "job/ID", a used worker "worker/ID", the claim of
+// an epoch "owner/EPOCH" (formerly "owner", the newest claim). Fields with
+// default values are omitted. Thread-safe.
 class JobLogJson : public JobLogCodec
 {
 public:
@@ -30,6 +31,7 @@
     const JobId& aJob) const override;
   KeyedEntry EncodeProgressTombstone(const JobId& aJob) const override;
   KeyedEntry EncodeWorkerTombstone(const WorkerId& aWorker) const override;
+  KeyedEntry EncodeOwnershipTombstone(Epoch aEpoch) const override;
   std::optional<JobId> SubmittedJobId(const KeyedEntry& aEntry) const override;
   Result<IntakeItem> DecodeIntake(const KeyedEntry& aEntry) const override;
   Result<ProgressItem> DecodeProgress(const KeyedEntry& aEntry) const override;
--- a/mulberryvalve/adapters/json/job_log_json_test.cc
+++ b/mulberryvalve/adapters/json/job_log_json_test.cc
@@ -244,6 +244,30 @@
   CHECK(codec.DecodeProgress(codec.Encode(learned)).has_value());
 }
 
+// Each claim keeps a record of its own until it is removed. Records of earlier
+// versions, one for the newest claim, are readable.
+TEST(JobLogJsonTest, ClaimsHaveARecordForEachEpoch)
+{
+  const JobLogJson codec;
+  const OwnershipRecord claim{
+    Epoch(640), "entry-1", Endpoint{ "10.0.0.7", 7380 }, Incarnation(99)
+  };
+  const KeyedEntry entry = codec.Encode(claim);
+  STRCMP_EQUAL("owner/640", entry.mKey.c_str());
+  const auto item = codec.DecodeProgress(entry);
+  const auto& decoded = std::get<OwnershipRecord>(item.value());
+  CHECK(claim.mEpoch == decoded.mEpoch);
+  CHECK(claim.mProcess == decoded.mProcess);
+  STRCMP_EQUAL("10.0.0.7", decoded.mPeer.mAddress.c_str());
+  CHECK_EQUAL(7380, decoded.mPeer.mPort);
+  const KeyedEntry tombstone = codec.EncodeOwnershipTombstone(Epoch(640));
+  STRCMP_EQUAL("owner/640", tombstone.mKey.c_str());
+  CHECK_FALSE(tombstone.mValue.has_value());
+  const auto former = codec.DecodeProgress(
+    KeyedEntry{ "owner", R"({"epoch":64,"instance":"entry-2"})" });
+  CHECK(std::get<OwnershipRecord>(former.value()).mPeer.mAddress.empty());
+}
+
 // Guards against progress lost at a change of owner: the largest record that
 // can be written, with the shortest rows, must be readable.
 TEST(JobLogJsonTest, LargestProgressRecordDecodes)
--- a/mulberryvalve/adapters/ws_call/peer_query_codec.cc
+++ b/mulberryvalve/adapters/ws_call/peer_query_codec.cc
@@ -45,7 +45,9 @@
                           { "kind", kPeerQueryKindNames.Name(query.mKind) },
                           { "shard", query.mShard },
                           { "job", query.mJob.Text() },
-                          { "queue", query.mQueue.Text() } });
+                          { "queue", query.mQueue.Text() },
+                          { "epoch", query.mEpoch.Value() },
+                          { "process", query.mProcess.Value() } });
 }
 
 std::string EncodeResult(const ResultFrame& aFrame)
@@ -56,6 +58,9 @@
   if (aFrame.mResult.mPhase) {
     object["phase"] = kJobPhaseNames.Name(*aFrame.mResult.mPhase);
   }
+  if (aFrame.mResult.mEndedFor) {
+    object["ended_for_ms"] = aFrame.mResult.mEndedFor->count();
+  }
   return EncodeCbor(object);
 }
 
@@ -73,6 +78,10 @@
     static_cast<ShardNumber>(reader.Number("shard", 0, UINT32_MAX));
   frame.mQuery.mJob = JobId(reader.Text("job"));
   frame.mQuery.mQueue = QueueId(reader.Text("queue", kMaxQueueBytes));
+  frame.mQuery.mEpoch =
+    Epoch(static_cast<uint64_t>(reader.NumberOr("epoch", 0)));
+  frame.mQuery.mProcess =
+    Incarnation(static_cast<uint64_t>(reader.NumberOr("process", 0)));
   if (reader.Fault()) {
     return *reader.Fault();
   }
@@ -93,6 +102,9 @@
   if (reader.Has("phase")) {
     frame.mResult.mPhase = reader.Enum("phase", kJobPhaseNames);
   }
+  if (reader.Has("ended_for_ms")) {
+    frame.mResult.mEndedFor = Milliseconds(reader.Number("ended_for_ms", 0));
+  }
   if (reader.Fault()) {
     return *reader.Fault();
   }
--- a/mulberryvalve/adapters/ws_call/ws_call_test.cc
+++ b/mulberryvalve/adapters/ws_call/ws_call_test.cc
@@ -129,13 +129,21 @@
 
 TEST(WsCallTest, FramesRoundTrip)
 {
-  const QueryFrame frame{ 9, QueryForJob("job") };
+  QueryFrame frame{ 9, QueryForJob("job") };
+  frame.mQuery.mEpoch = Epoch(64);
+  frame.mQuery.mProcess = Incarnation(1764979200123);
   const auto query = DecodeQuery(EncodeQuery(frame));
   CHECK_EQUAL(9U, query.value().mCallId);
   CHECK(query.value().mQuery.mJob == JobId("job"));
+  CHECK(frame.mQuery.mEpoch == query.value().mQuery.mEpoch);
+  CHECK(frame.mQuery.mProcess == query.value().mQuery.mProcess);
   ResultFrame answer{ 9, { true, JobPhase::kCompleted, 4 } };
   const auto decoded = DecodeResult(EncodeResult(answer));
   CHECK(decoded.value().mResult.mPhase == JobPhase::kCompleted);
+  CHECK_FALSE(decoded.value().mResult.mEndedFor.has_value());
+  answer.mResult.mEndedFor = Milliseconds(700);
+  CHECK(DecodeResult(EncodeResult(answer)).value().mResult.mEndedFor ==
+        Milliseconds(700));
   answer.mResult.mPhase.reset();
   CHECK_FALSE(
     DecodeResult(EncodeResult(answer)).value().mResult.mPhase.has_value());
@@ -187,6 +195,20 @@
   ::close(silent);
 }
 
+// A process that has ended is told from one that can't be reached: the machine
+// of the former answers that nobody listens there.
+TEST(WsCallTest, APeerThatDoesNotListenIsTold)
+{
+  NullEventLog log;
+  CountingQueryHandler handler;
+  WsPeerQueryTransport link(Endpoint{ "127.0.0.1", FreePort() }, log);
+  CHECK(link.Start(handler).has_value());
+  const Endpoint nobody{ "127.0.0.1", FreePort() };
+  const auto answer = link.Ask(nobody, QueryForJob("known"), kLongTimeout);
+  CHECK_FALSE(answer.has_value());
+  CHECK(FailureKind::kPeerNotListening == answer.error().mKind);
+}
+
 // Guards against reconnect storms: one query that times out at a busy shard
 // owner must not make other instances reconnect to it.
 TEST(WsCallTest, SlowPeerKeepsItsConnection)
--- a/mulberryvalve/adapters/ws_call/ws_peer_query_transport.cc
+++ b/mulberryvalve/adapters/ws_call/ws_peer_query_transport.cc
@@ -172,7 +172,8 @@
     const Client::connection_ptr connection =
       mClient.get_connection("ws://" + aKey + "/", error);
     if (error) {
-      ClosePeerConnection(aKey, nullptr, error.message());
+      ClosePeerConnection(
+        aKey, nullptr, FailureKind::kPeerUnreachable, error.message());
       return;
     }
     aPeerConnection.mConnection = connection;
@@ -180,9 +181,19 @@
     connection->set_open_handler(
       [this, aKey, raw](const ConnectionHandle&) { OnOpen(aKey, raw); });
     const auto onClosed = [this, aKey, raw](const ConnectionHandle&) {
-      ClosePeerConnection(aKey, raw, raw->get_ec().message());
+      ClosePeerConnection(
+        aKey, raw, FailureKind::kPeerUnreachable, raw->get_ec().message());
     };
-    connection->set_fail_handler(onClosed);
+    connection->set_fail_handler([this, aKey, raw](const ConnectionHandle&) {
+      const std::error_code cause =
+        raw->get_transport_ec() ? raw->get_transport_ec() : raw->get_ec();
+      ClosePeerConnection(aKey,
+                          raw,
+                          cause == asio::error::connection_refused
+                            ? FailureKind::kPeerNotListening
+                            : FailureKind::kPeerUnreachable,
+                          cause.message());
+    });
     connection->set_close_handler(onClosed);
     connection->set_message_handler(
       [this, aKey](const ConnectionHandle&,
@@ -252,7 +263,10 @@
       return;
     }
     if (call->second.mResultsBeforeCall == peer.mResultsReceived) {
-      ClosePeerConnection(key, peer.mConnection.get(), "no answer in time");
+      ClosePeerConnection(key,
+                          peer.mConnection.get(),
+                          FailureKind::kPeerUnreachable,
+                          "no answer in time");
       return;
     }
     peer.mCalls.erase(call);
@@ -260,6 +274,7 @@
 
   void ClosePeerConnection(const std::string& aKey,
                            const void* aConnection,
+                           FailureKind aKind,
                            const std::string& aReason)
   {
     const auto found = mPeers.find(aKey);
@@ -273,8 +288,7 @@
     mLog.Write(
       EventLevel::kInfo, "peer_lost", { { "peer", aKey }, { "why", aReason } });
     for (const auto& [callId, call] : peer.mCalls) {
-      call.mPromise->set_value(
-        Fail(FailureKind::kPeerUnreachable, "peer", aReason));
+      call.mPromise->set_value(Fail(aKind, "peer", aReason));
     }
     if (peer.mConnection != nullptr) {
       std::error_code ignored;
@@ -314,8 +328,10 @@
     }
     while (!mPeers.empty()) {
       const auto first = mPeers.begin();
-      ClosePeerConnection(
-        first->first, first->second.mConnection.get(), "stopping");
+      ClosePeerConnection(first->first,
+                          first->second.mConnection.get(),
+                          FailureKind::kPeerUnreachable,
+                          "stopping");
     }
     mIo.stop();
   }
--- a/mulberryvalve/app/jobs/append_splitting.cc
+++ b/mulberryvalve/app/jobs/append_splitting.cc
@@ -89,6 +89,10 @@
     builder.Add(aCodec.EncodeWorkerTombstone(worker))
       .mRemovedWorkers.push_back(worker);
   }
+  for (const Epoch epoch : aBatch.mEndedClaims) {
+    builder.Add(aCodec.EncodeOwnershipTombstone(epoch))
+      .mEndedClaims.push_back(epoch);
+  }
   if (aBatch.mLearned) {
     builder.Add(aCodec.Encode(*aBatch.mLearned)).mLearned = aBatch.mLearned;
   }
--- a/mulberryvalve/app/jobs/jobs_instance_fake.h
+++ b/mulberryvalve/app/jobs/jobs_instance_fake.h
@@ -70,6 +70,7 @@
                                       mCodec,
                                       aWorkers,
                                       mFeeds,
+                                      mPeers,
                                       mConfig,
                                       SchedulingPolicies{ aPlacement, mOrder },
                                       mClock,
@@ -97,6 +98,12 @@
     return mClock.Now() + aTime;
   }
 
+  // Passes a peer's query on.
+  PeerQueryResult Ask(const PeerQuery& aQuery)
+  {
+    return mMemberships.OnQuery(aQuery);
+  }
+
   // Polls until the job is in aPhase. Returns false on timeout.
   bool Await(const char* aJob, JobPhase aPhase)
   {
--- a/mulberryvalve/app/jobs/jobs_test.cc
+++ b/mulberryvalve/app/jobs/jobs_test.cc
@@ -152,6 +152,31 @@
   CHECK(next.Await("a", JobPhase::kCompleted));
 }
 
+// Guards against a former owner that acts on beside its successor, and against
+// a successor that waits for one that has ended (review/5).
+TEST(JobsTest, AFormerOwnerStopsAndTellsItsSuccessorOfItsEnd)
+{
+  MemoryLog log;
+  InstantWorker workers;
+  JobsInstance former(log, workers, 1);
+  former.Start();
+  former.Complete("a");
+  PeerQuery query;
+  query.mKind = PeerQueryKind::kOwnershipEnd;
+  query.mEpoch = Epoch(64);
+  query.mProcess = Incarnation(1);
+  CHECK(former.Ask(query).mEndedFor.has_value());
+  query.mProcess = Incarnation();
+  CHECK_FALSE(former.Ask(query).mEndedFor.has_value());
+  const MonotonicTime until = former.TimeAfter(kTestTimeout);
+  bool ended = false;
+  while (!ended && former.TimeAfter(Milliseconds(0)) < until) {
+    std::this_thread::sleep_for(Milliseconds(5));
+    ended = former.Ask(query).mEndedFor.has_value();
+  }
+  CHECK(ended);
+}
+
 // Finished jobs stay on the log for the configured time.
 TEST(JobsTest, AFinishedJobIsRemovedFromTheLog)
 {
--- a/mulberryvalve/app/jobs/shard_membership.h
+++ b/mulberryvalve/app/jobs/shard_membership.h
@@ -71,6 +71,8 @@
   PeerQueryResult OnQuery(const PeerQuery& aQuestion);
 
 private:
+  PeerQueryResult AnswerOwnershipEnd(const PeerQuery& aQuestion);
+  std::shared_ptr<ShardRuntime> FindRuntime(Epoch aEpoch);
   void RunPolls();
   void DelayFirstPoll();
   bool WaitForNextPoll();
--- a/mulberryvalve/app/jobs/shard_membership_options.h
+++ b/mulberryvalve/app/jobs/shard_membership_options.h
@@ -39,6 +39,8 @@
   // The group assigns a member's shard to another one after this long without a
   // join.
   Milliseconds mMemberTtl{ 1200 };
+  // When this process was started, or later.
+  MonotonicTime mProcessStartedAt;
   // This instance, as it appears in the group's view.
   GroupMember mSelf;
 };
--- a/mulberryvalve/app/jobs/shard_runtime.cc
+++ b/mulberryvalve/app/jobs/shard_runtime.cc
@@ -77,6 +77,11 @@
   }
 }
 
+void ShardRuntime::OnSuperseded()
+{
+  GiveUp("a peer has claimed the shard");
+}
+
 void ShardRuntime::BeginStop()
 {
   MutexLock lock(mMutex);
@@ -107,6 +112,8 @@
       answer.mWaiting = mShard->Waiting(aQuestion.mQueue);
       answer.mOwns = isIntakeRecent;
       break;
+    case PeerQueryKind::kOwnershipEnd:
+      break; // answered by ShardMembership, which knows former epochs too
   }
   return answer;
 }
@@ -116,10 +123,12 @@
   if (Claim() && Load()) {
     std::thread intake([this] { FollowIntake(); });
     std::thread workers([this] { FollowWorkers(); });
+    std::thread formerOwners([this] { FollowFormerOwners(); });
     std::thread decisions([this] { RunDecisionPasses(); });
     RunProgressWriter();
     intake.join();
     workers.join();
+    formerOwners.join();
     decisions.join();
   }
   BeginStop();
@@ -130,7 +139,9 @@
 
 bool ShardRuntime::Claim()
 {
-  const OwnershipRecord note{ mOptions.mEpoch, mOptions.mInstance };
+  const OwnershipRecord note{
+    mOptions.mEpoch, mOptions.mInstance, mOptions.mPeer, mOptions.mProcess
+  };
   mWatchdog.Begin(OwnerActivity::kClaiming, mPorts.mClock.Now());
   while (true) {
     const MonotonicTime sentAt = mPorts.mClock.Now();
--- a/mulberryvalve/app/jobs/shard_runtime.h
+++ b/mulberryvalve/app/jobs/shard_runtime.h
@@ -49,6 +49,10 @@
   ShardNumber mShards = 1;
   Epoch mEpoch;
   std::string mInstance;
+  // This process: where it answers its peers, and its number, which no other
+  // process at that endpoint has.
+  Endpoint mPeer;
+  Incarnation mProcess;
   LeaseTerms mLease;
   // Once the last proof of ownership is older than this, no task is started and
   // no lease is renewed.
@@ -68,6 +72,7 @@
   const JobLogCodec& mCodec;
   TaskWorkerPort& mWorkers;
   WorkerFeedFactory& mWorkerFeeds;
+  PeerQueryClient& mPeers;
   const ConfigView& mConfig;
   SchedulingPolicies mPolicies;
   const Clock& mClock;
@@ -96,6 +101,9 @@
   // stall, and gives the shard up if the stall lasts for mStallTimeout.
   void OnOwnershipProof(MonotonicTime aSentAt);
 
+  // Gives the shard up, because a peer has claimed it under a higher epoch.
+  void OnSuperseded();
+
   // Stops all decisions. The threads end once their calls in flight have
   // returned.
   void BeginStop();
@@ -171,6 +179,8 @@
                    MonotonicTime aReadAt);
   void OnIntakeRead(MonotonicTime aReadUpTo);
   void FollowWorkers();
+  void FollowFormerOwners();
+  std::optional<MonotonicTime> AskForEnd(const FormerOwner& aOwner);
   void StartRenewals() MV_REQUIRES(mMutex);
   PassResult RunDecisionPass() MV_REQUIRES(mMutex);
   void DispatchDecisions(PassResult aResult);
--- a/mulberryvalve/app/jobs/shard_runtime_readers.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_readers.cc
@@ -3,6 +3,7 @@
 #include "mulberryvalve/app/jobs/keyed_cursor.h"
 #include "mulberryvalve/app/jobs/shard_runtime.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace mulberryvalve {
@@ -16,6 +17,10 @@
 // Progress waits while a removal from the intake hangs, so one that failed is
 // not repeated soon.
 constexpr Milliseconds kRetireRetryDelay{ 5000 };
+// Most workers answer a new owner within this; only then it asks for the ends
+// of former owners.
+constexpr Milliseconds kFormerOwnerInterval{ 250 };
+constexpr Milliseconds kPeerTimeout{ 500 };
 
 // Returns the progress record of the job that aEntry submitted if that job is
 // finished, otherwise nullptr.
@@ -61,7 +66,8 @@
   for (const KeyedEntry& entry : page.value().mEntries) {
     const Result<ProgressItem> item = mPorts.mCodec.DecodeProgress(entry);
     if (item && std::holds_alternative<OwnershipRecord>(item.value())) {
-      mCompetingEpoch = std::get<OwnershipRecord>(item.value()).mEpoch.Value();
+      const Epoch epoch = std::get<OwnershipRecord>(item.value()).mEpoch;
+      mCompetingEpoch = std::max(mCompetingEpoch.load(), epoch.Value());
     }
   }
 }
@@ -116,6 +122,11 @@
       shard->RestoreWorker(*worker);
     } else if (auto* learned = std::get_if<LearnedRecord>(&item.value())) {
       shard->RestoreLearned(*learned);
+    } else if (auto* claim = std::get_if<OwnershipRecord>(&item.value())) {
+      if (claim->mEpoch < mOptions.mEpoch) {
+        shard->RestoreFormerOwner(
+          FormerOwner{ claim->mEpoch, claim->mPeer, claim->mProcess });
+      }
     }
   }
   std::vector<JobId> cancelled;
@@ -300,4 +311,57 @@
   }
 }
 
+// Asks former owners whether they have ended, while a wait for a worker depends
+// on that.
+void ShardRuntime::FollowFormerOwners()
+{
+  while (SleepUntil(Steady::now() + kFormerOwnerInterval)) {
+    std::vector<FormerOwner> owners;
+    {
+      MutexLock lock(mMutex);
+      if (!mShard->MayNeedFormerOwners(mPorts.mClock.Now())) {
+        return;
+      }
+      owners = mShard->FormerOwnersToAsk();
+    }
+    for (const FormerOwner& owner : owners) {
+      if (const auto endedBy = AskForEnd(owner)) {
+        MutexLock lock(mMutex);
+        mShard->OnFormerOwnerEnded(owner.mEpoch, *endedBy);
+        RequestDecisionPass();
+      }
+    }
+  }
+}
+
+// Returns by when a former owner had ended, or nothing if it may still act. A
+// process listens for its peers from before it owns a shard until after that,
+// so where none listens, none acts.
+std::optional<MonotonicTime> ShardRuntime::AskForEnd(const FormerOwner& aOwner)
+{
+  PeerQuery query;
+  query.mKind = PeerQueryKind::kOwnershipEnd;
+  query.mShard = mOptions.mShard;
+  query.mEpoch = aOwner.mEpoch;
+  query.mProcess = aOwner.mProcess;
+  const Result<PeerQueryResult> result =
+    mPorts.mPeers.Ask(aOwner.mPeer, query, kPeerTimeout);
+  const MonotonicTime now = mPorts.mClock.Now();
+  std::optional<MonotonicTime> endedBy;
+  if (result && result.value().mEndedFor) {
+    endedBy = now - *result.value().mEndedFor;
+  } else if (!result &&
+             result.error().mKind == FailureKind::kPeerNotListening) {
+    endedBy = now;
+  }
+  if (endedBy) {
+    const auto ago = std::chrono::duration_cast<Milliseconds>(now - *endedBy);
+    LogEvent(EventLevel::kInfo,
+             "former_owner_ended",
+             { { "former_epoch", std::to_string(aOwner.mEpoch.Value()) },
+               { "ended_for_ms", std::to_string(ago.count()) } });
+  }
+  return endedBy;
+}
+
 } // namespace mulberryvalve
--- a/mulberryvalve/app/jobs/shard_runtime_test.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_test.cc
@@ -131,6 +131,51 @@
   bool mReleased MV_GUARDED_BY(mMutex) = false;
 };
 
+// Answers nothing. Thread-safe.
+class SilentWorker : public ThreadedWorker
+{
+private:
+  OrderReply HandleOrder(const TaskOrder&) override { return OrderReply(); }
+  RenewalReply HandleRenewal(const RenewalRequest&) override
+  {
+    std::this_thread::sleep_for(Milliseconds(10));
+    return RenewalReply();
+  }
+};
+
+// Tells that each former owner it is asked about has ended. Thread-safe.
+class EndedPeers : public PeerQueryClient
+{
+public:
+  Result<PeerQueryResult> Ask(const Endpoint& aPeer,
+                              const PeerQuery& aQuery,
+                              Milliseconds) override
+  {
+    MutexLock lock(mMutex);
+    mPeer = aPeer;
+    mQuery = aQuery;
+    PeerQueryResult result;
+    result.mEndedFor = Milliseconds(100);
+    return result;
+  }
+
+  PeerQuery LastQuery() const
+  {
+    MutexLock lock(mMutex);
+    return mQuery;
+  }
+  Endpoint LastPeer() const
+  {
+    MutexLock lock(mMutex);
+    return mPeer;
+  }
+
+private:
+  mutable Mutex mMutex;
+  Endpoint mPeer MV_GUARDED_BY(mMutex);
+  PeerQuery mQuery MV_GUARDED_BY(mMutex);
+};
+
 // Reports the end of one task from the tenth renewal on, until the owner
 // confirms that it has seen the report. Thread-safe.
 class LateEndWorker : public ThreadedWorker
@@ -190,6 +235,7 @@
                                   mCodec,
                                   aWorkers,
                                   mFeeds,
+                                  mPeers,
                                   mConfig,
                                   SchedulingPolicies{ kPlacement, kOrder },
                                   mClock,
@@ -220,6 +266,7 @@
 
   const CountingCodec& Codec() const { return mCodec; }
   EventWaiter& Events() { return mEvents; }
+  const EndedPeers& Peers() const { return mPeers; }
 
 private:
   static ShardRuntimeOptions OptionsOf(uint64_t aEpoch)
@@ -234,6 +281,7 @@
   EventWaiter mEvents;
   CountingCodec mCodec;
   SingleWorkerFeedFactory mFeeds;
+  EndedPeers mPeers;
   ConfigView mConfig;
   ShardRuntime mRuntime;
 };
@@ -319,4 +367,30 @@
   worker.AwaitEndSeen();
 }
 
+// Guards against a successor that waits for all that a former owner could have
+// done though its process has ended (review/5): it asks the process that the
+// claim names.
+TEST(ShardRuntimeTest, FormerOwnersAreAskedIfAWorkerDoesNotAnswer)
+{
+  MemoryLog log;
+  SilentWorker worker;
+  const JobLogJson codec;
+  UsedWorkerRecord used;
+  used.mId = WorkerId("w1");
+  const OwnershipRecord claim{
+    Epoch(3), "former", Endpoint{ "10.0.0.9", 7380 }, Incarnation(5)
+  };
+  const AppendFence proof{ TopicPartition{ KeyedTopic::kProgress, 0 },
+                           Epoch(3),
+                           1 };
+  CHECK(log.AppendFenced(proof, { codec.Encode(claim), codec.Encode(used) })
+          .has_value());
+  Owner owner(log, worker, 64);
+  owner.Events().Await("former_owner_ended");
+  CHECK(PeerQueryKind::kOwnershipEnd == owner.Peers().LastQuery().mKind);
+  CHECK(Epoch(3) == owner.Peers().LastQuery().mEpoch);
+  CHECK(Incarnation(5) == owner.Peers().LastQuery().mProcess);
+  CHECK_EQUAL(7380, owner.Peers().LastPeer().mPort);
+}
+
 } // namespace mulberryvalve
--- a/mulberryvalve/core/base/failure.h
+++ b/mulberryvalve/core/base/failure.h
@@ -25,6 +25,7 @@
   kLogAnswerLost,
   kOffsetExpired,
   kPeerUnreachable,
+  kPeerNotListening,
   kWorkerUnreachable,
   kWorkerRefused,
   kWorkerFenced,
@@ -37,7 +38,7 @@
   kShuttingDown,
 };
 
-inline constexpr EnumTable<FailureKind, 21> kFailureKindNames{ { {
+inline constexpr EnumTable<FailureKind, 22> kFailureKindNames{ { {
   { FailureKind::kInvalidInput, "invalid_input" },
   { FailureKind::kNotFound, "not_found" },
   { FailureKind::kConflict, "conflict" },
@@ -49,6 +50,7 @@
   { FailureKind::kLogAnswerLost, "log_answer_lost" },
   { FailureKind::kOffsetExpired, "offset_expired" },
   { FailureKind::kPeerUnreachable, "peer_unreachable" },
+  { FailureKind::kPeerNotListening, "peer_not_listening" },
   { FailureKind::kWorkerUnreachable, "worker_unreachable" },
   { FailureKind::kWorkerRefused, "worker_refused" },
   { FailureKind::kWorkerFenced, "worker_fenced" },
--- a/mulberryvalve/core/jobs/inherited_workers.cc
+++ b/mulberryvalve/core/jobs/inherited_workers.cc
@@ -42,6 +42,29 @@
   inherited.mPossibleTasks.emplace();
 }
 
+void InheritedWorkers::ShortenAssumedWaits(MonotonicTime aUntil)
+{
+  for (auto& [worker, inherited] : mWorkers) {
+    const bool isPending =
+      mPendingWaits.count({ inherited.mWaitUntil, worker }) != 0;
+    if (!isPending || !inherited.mIsAssumed) {
+      continue;
+    }
+    mPendingWaits.erase({ inherited.mWaitUntil, worker });
+    inherited.mWaitUntil = std::min(inherited.mWaitUntil, aUntil);
+    inherited.mIsAssumed = false;
+    mPendingWaits.emplace(inherited.mWaitUntil, worker);
+  }
+}
+
+bool InheritedWorkers::HasAssumedWaits() const
+{
+  return std::any_of(
+    mPendingWaits.begin(), mPendingWaits.end(), [this](const auto& aWait) {
+      return mWorkers.at(aWait.second).mIsAssumed;
+    });
+}
+
 const InheritedWorker* InheritedWorkers::Find(const WorkerId& aWorker) const
 {
   const auto found = mWorkers.find(aWorker);
--- a/mulberryvalve/core/jobs/inherited_workers.h
+++ b/mulberryvalve/core/jobs/inherited_workers.h
@@ -23,6 +23,9 @@
   MonotonicTime mWaitUntil;
   // The tasks that may run there. Unset if unknown: any inherited task may.
   std::optional<std::vector<TaskRef>> mPossibleTasks;
+  // No note limits the wait, which covers the latest time at which a former
+  // owner may have renewed a lease there.
+  bool mIsAssumed = false;
 };
 
 // Not thread-safe.
@@ -40,6 +43,12 @@
   // worker is unknown.
   void MarkIdle(const WorkerId& aWorker, MonotonicTime aNow);
 
+  // Ends the waits that no note limits by aUntil at the latest, as no former
+  // owner can have renewed a lease that lasts longer. HasAssumedWaits returns
+  // whether there is such a wait that ends later.
+  void ShortenAssumedWaits(MonotonicTime aUntil);
+  bool HasAssumedWaits() const;
+
   // Returns the state of a worker, or null if it is unknown or was removed.
   const InheritedWorker* Find(const WorkerId& aWorker) const;
 
--- a/mulberryvalve/core/jobs/shard_scheduler.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler.cc
@@ -63,13 +63,55 @@
   workerState.mHasHandoverNote =
     workerState.mNoteLimitsWait || aWorker.mPossibleTasks.has_value();
   workerState.mNoteSaysNoWait = aWorker.mRemainingLease == Milliseconds(0);
-  const Milliseconds lease =
-    mOptions.mLease.mLength + 10 * mOptions.mLease.mMargin;
-  const Milliseconds wait =
-    aWorker.mRemainingLease.value_or(mOptions.mProofLimit + lease);
+  const Milliseconds wait = aWorker.mRemainingLease.value_or(MaxFormerRuns());
   const MonotonicTime until = mClaimedAt + wait + mOptions.mLease.mMargin;
-  mInheritedWorkers.Add(aWorker.mId,
-                        InheritedWorker{ until, aWorker.mPossibleTasks });
+  mInheritedWorkers.Add(
+    aWorker.mId,
+    InheritedWorker{ until, aWorker.mPossibleTasks, !aWorker.mRemainingLease });
+}
+
+void ShardScheduler::RestoreFormerOwner(FormerOwner aOwner)
+{
+  mFormerOwners.Add(std::move(aOwner));
+}
+
+std::vector<FormerOwner> ShardScheduler::FormerOwnersToAsk() const
+{
+  return mInheritedWorkers.HasAssumedWaits() ? mFormerOwners.Unsettled()
+                                             : std::vector<FormerOwner>();
+}
+
+bool ShardScheduler::MayNeedFormerOwners(MonotonicTime aNow) const
+{
+  return aNow < mClaimedAt + MaxFormerRuns() &&
+         !mFormerOwners.Unsettled().empty() &&
+         mInheritedWorkers.HasAssumedWaits();
+}
+
+void ShardScheduler::OnFormerOwnerEnded(Epoch aEpoch, MonotonicTime aEndedBy)
+{
+  mFormerOwners.OnEnded(aEpoch, aEndedBy);
+  if (const auto allEndedBy = mFormerOwners.AllEndedBy()) {
+    mInheritedWorkers.ShortenAssumedWaits(
+      mWorkers.EndOfLeaseRequestedBy(*allEndedBy));
+  }
+}
+
+// Returns how long runs of the former owners may go on after the claim, if no
+// more is known of them.
+Milliseconds ShardScheduler::MaxFormerRuns() const
+{
+  return mOptions.mProofLimit + mOptions.mLease.mLength +
+         10 * mOptions.mLease.mMargin;
+}
+
+void ShardScheduler::RemoveEndedClaims(MonotonicTime aNow)
+{
+  if (aNow < mClaimedAt + MaxFormerRuns() + mOptions.mLease.mMargin) {
+    return;
+  }
+  const std::vector<Epoch> ended = mFormerOwners.TakeAll();
+  mEndedClaims.insert(mEndedClaims.end(), ended.begin(), ended.end());
 }
 
 void ShardScheduler::RestoreLearned(const LearnedRecord& aLearned)
@@ -231,6 +273,7 @@
   mDirtyWorkers.clear();
   batch.mRemovedWorkers.assign(mRemovedWorkers.begin(), mRemovedWorkers.end());
   mRemovedWorkers.clear();
+  batch.mEndedClaims = std::exchange(mEndedClaims, {});
   if (!batch.Empty() && aNow >= mSaveLearnedAt) {
     mSaveLearnedAt = aNow + kSaveLearnedInterval;
     batch.mLearned = Learned();
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -6,6 +6,7 @@
 
 #include "mulberryvalve/core/jobs/cluster_config.h"
 #include "mulberryvalve/core/jobs/cluster_usage.h"
+#include "mulberryvalve/core/jobs/former_owners.h"
 #include "mulberryvalve/core/jobs/inherited_workers.h"
 #include "mulberryvalve/core/jobs/job_decision.h"
 #include "mulberryvalve/core/jobs/job_placement_policy.h"
@@ -77,6 +78,8 @@
   std::vector<JobId> mRetired;
   std::vector<UsedWorkerRecord> mWorkers;
   std::vector<WorkerId> mRemovedWorkers;
+  // Former owners whose runs have all ended, so their claims are not needed.
+  std::vector<Epoch> mEndedClaims;
   std::vector<AckedEnds> mAckedEnds;
   // Set at intervals, and only if the batch holds something else to append.
   std::optional<LearnedRecord> mLearned;
@@ -85,7 +88,7 @@
   bool Empty() const
   {
     return mJobs.empty() && mRetired.empty() && mWorkers.empty() &&
-           mRemovedWorkers.empty();
+           mRemovedWorkers.empty() && mEndedClaims.empty();
   }
 };
 
@@ -106,6 +109,21 @@
   void RestoreJob(JobGraph aGraph, const JobRecord* aRecord);
   void RestoreWorker(const UsedWorkerRecord& aWorker);
 
+  // Restores a claim of an owner before this one.
+  void RestoreFormerOwner(FormerOwner aOwner);
+
+  // Returns whether runs of former owners may be left whose ends are not known,
+  // so that FormerOwnersToAsk may return an owner now or later.
+  bool MayNeedFormerOwners(MonotonicTime aNow) const;
+
+  // Returns the former owners whose ends would shorten a wait, if they were
+  // known. Ask them, and call OnFormerOwnerEnded.
+  std::vector<FormerOwner> FormerOwnersToAsk() const;
+
+  // Records that a former owner had ended by aEndedBy: it sent nothing after
+  // that.
+  void OnFormerOwnerEnded(Epoch aEpoch, MonotonicTime aEndedBy);
+
   // Restores the run times and the interference that former owners learned.
   void RestoreLearned(const LearnedRecord& aLearned);
 
@@ -185,7 +203,8 @@
   bool NeedsAppend() const
   {
     return !mDirtyJobs.empty() || !mDirtyWorkers.empty() ||
-           !mRemovedWorkers.empty() || !mJobsOffIntake.empty();
+           !mRemovedWorkers.empty() || !mJobsOffIntake.empty() ||
+           !mEndedClaims.empty();
   }
 
   // Returns the phase to report to callers, or nothing if the job is unknown.
@@ -267,6 +286,8 @@
   void RefreshHandoverNotes(MonotonicTime aNow);
   void RefreshInheritedNotes(MonotonicTime aNow);
   void RefreshNoteOf(const WorkerEntry& aWorker, bool aRefreshDue);
+  Milliseconds MaxFormerRuns() const;
+  void RemoveEndedClaims(MonotonicTime aNow);
   void RemoveGoneWorkers(MonotonicTime aNow);
   bool IsGone(const WorkerEntry& aWorker, MonotonicTime aNow) const;
   bool IsJobBlocked(const JobEntry& aJob, MonotonicTime aNow) const;
@@ -462,6 +483,8 @@
   WallTime mWallTime;
   // The loads of the serving tasks of each step, by task index.
   std::map<StepRef, std::map<uint32_t, ServiceLoad>> mServiceLoads;
+  FormerOwners mFormerOwners;
+  std::vector<Epoch> mEndedClaims;
   InheritedWorkers mInheritedWorkers;
   UnreadJobs mUnreadJobs;
   MonotonicTime mRefreshNotesAt;
--- a/mulberryvalve/core/jobs/shard_scheduler_placement.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_placement.cc
@@ -34,6 +34,7 @@
   // Inherited waits end only with proof of ownership, since a successor may
   // have renewed the leases of the worker.
   mInheritedWorkers.ExpireWaits(mProvedAt);
+  RemoveEndedClaims(aNow);
   RemoveGoneWorkers(aNow);
   RefreshHandoverNotes(aNow);
   EvacuateLeavingWorkers(aNow);
--- a/mulberryvalve/core/jobs/shard_simulation_fake.cc
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.cc
@@ -106,6 +106,8 @@
   }
   for (auto& other : mOwners) {
     other->mCanAppend = false;
+    owner->mShard->RestoreFormerOwner(
+      FormerOwner{ other->mEpoch, Endpoint{ "peer", 1 }, Incarnation(1) });
   }
   mOwners.push_back(std::move(owner));
   return *mOwners.back();
@@ -488,6 +490,7 @@
   for (const WorkerId& worker : batch.mRemovedWorkers) {
     mWorkerRecords.erase(worker);
   }
+  mRemovedClaims.insert(batch.mEndedClaims.begin(), batch.mEndedClaims.end());
   mLearned = batch.mLearned.value_or(mLearned);
   aOwner.mShard->OnDurable(batch);
 }
--- a/mulberryvalve/core/jobs/shard_simulation_fake.h
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.h
@@ -186,6 +186,7 @@
   SimulatedOwner& Owner(size_t aIndex) { return *mOwners[aIndex]; }
   MonotonicTime Now() const { return mNow; }
   const std::vector<std::string>& Violations() const { return mViolations; }
+  const std::set<Epoch>& RemovedClaims() const { return mRemovedClaims; }
   size_t Running() const;
 
   // Returns the number of runs of a job, including those on unreachable
@@ -250,6 +251,7 @@
   std::map<JobId, JobRecord> mJobRecords;
   std::map<WorkerId, UsedWorkerRecord> mWorkerRecords;
   LearnedRecord mLearned;
+  std::set<Epoch> mRemovedClaims;
   std::set<TaskRef> mAckedDone;
   ClusterConfig mConfig;
   Epoch mLastEpoch;
--- a/mulberryvalve/core/jobs/takeover_faults_test.cc
+++ b/mulberryvalve/core/jobs/takeover_faults_test.cc
@@ -81,12 +81,10 @@
         break;
       case 3:
         owner.mIsActive = Pick(2) == 0;
-        mSimulation.AddOwner();
-        mOwnerCount++;
+        AddOwner();
         break;
       case 4:
-        mSimulation.AddOwner();
-        mOwnerCount++;
+        AddOwner();
         break;
       default:
         InjectWorkerFault(index, id);
@@ -94,6 +92,19 @@
     }
   }
 
+  // Adds an owner that knows which former owners have ended.
+  void AddOwner()
+  {
+    ShardScheduler& added = *mSimulation.AddOwner().mShard;
+    for (size_t number = 0; number < mOwnerCount; number++) {
+      const SimulatedOwner& former = mSimulation.Owner(number);
+      if (!former.mIsActive) {
+        added.OnFormerOwnerEnded(former.mEpoch, mSimulation.Now());
+      }
+    }
+    mOwnerCount++;
+  }
+
   void InjectWorkerFault(size_t aIndex, const WorkerId& aWorker)
   {
     SimulatedWorker& worker = mSimulation.Worker(aIndex);
--- a/mulberryvalve/core/jobs/worker_table.cc
+++ b/mulberryvalve/core/jobs/worker_table.cc
@@ -11,6 +11,9 @@
 // that starts rarely extend a lease.
 constexpr Milliseconds kMinLeaseForStart{ 2500 };
 
+// An owner reads the clock of a worker that it renews every few seconds.
+constexpr Milliseconds kClockEstimateError{ 200 };
+
 // A tail latency below this percentage of its target rises above the target
 // over several reports.
 constexpr int kCalmTailPercent = 60;
@@ -229,6 +232,15 @@
   AssumeLease(aWorker, mTerms.mLength, aNow);
 }
 
+// A request names the end of the lease by an estimate of the worker's clock,
+// which may be ahead of it by as much as the clock is slow between readings.
+MonotonicTime WorkerTable::EndOfLeaseRequestedBy(
+  MonotonicTime aRequestedBy) const
+{
+  return aRequestedBy + MaxRealDuration(mTerms.mLength.count()) +
+         kClockEstimateError + mTerms.mMargin;
+}
+
 void WorkerTable::OnStartOfFormerLife(WorkerEntry& aWorker,
                                       MonotonicTime aNow) const
 {
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -220,6 +220,10 @@
   // granted before the worker first answered this owner, at aNow.
   void InheritLease(WorkerEntry& aWorker, MonotonicTime aNow) const;
 
+  // EndOfLeaseRequestedBy returns when a lease of the usual length has
+  // certainly expired that was requested by aRequestedBy.
+  MonotonicTime EndOfLeaseRequestedBy(MonotonicTime aRequestedBy) const;
+
   // OnStartOfFormerLife accounts for a start that carries a lease by the clock
   // of a worker's former incarnation, and that the present one may accept by
   // aNow.
--- a/mulberryvalve/ports/out/job_log_codec.h
+++ b/mulberryvalve/ports/out/job_log_codec.h
@@ -18,11 +18,15 @@
   JobId mJob;
 };
 
-// OwnershipRecord records which instance owns the shard and under which epoch.
+// OwnershipRecord records which process of which instance has claimed the shard
+// and under which epoch. Each claim has a record of its own. The peer endpoint
+// and the process may be unset.
 struct OwnershipRecord
 {
   Epoch mEpoch;
   std::string mInstance;
+  Endpoint mPeer{};
+  Incarnation mProcess{};
 };
 
 // Tombstone marks a key whose record was deleted.
@@ -60,6 +64,7 @@
     const JobId& aJob) const = 0;
   virtual KeyedEntry EncodeProgressTombstone(const JobId& aJob) const = 0;
   virtual KeyedEntry EncodeWorkerTombstone(const WorkerId& aWorker) const = 0;
+  virtual KeyedEntry EncodeOwnershipTombstone(Epoch aEpoch) const = 0;
 
   // SubmittedJobId returns the id of the job that an intake entry submits,
   // without decoding its value; nullopt for other entries.
--- a/mulberryvalve/ports/out/peer_query.h
+++ b/mulberryvalve/ports/out/peer_query.h
@@ -16,34 +16,44 @@
 {
   kJobPhase,
   kWaitingJobs,
+  kOwnershipEnd,
 };
 
-inline constexpr EnumTable<PeerQueryKind, 2> kPeerQueryKindNames{ { {
+inline constexpr EnumTable<PeerQueryKind, 3> kPeerQueryKindNames{ { {
   { PeerQueryKind::kJobPhase, "job_phase" },
   { PeerQueryKind::kWaitingJobs, "waiting_jobs" },
+  { PeerQueryKind::kOwnershipEnd, "ownership_end" },
 } } };
 
 // PeerQuery is a query to the owner of a shard. mJob is used by kJobPhase, and
-// mQueue by kWaitingJobs.
+// mQueue by kWaitingJobs. kOwnershipEnd is a query of a new owner to a former
+// one: whether the ownership under mEpoch, claimed by the process mProcess, has
+// ended. It also tells a former owner that still acts that it was superseded.
 struct PeerQuery
 {
   PeerQueryKind mKind = PeerQueryKind::kJobPhase;
   ShardNumber mShard = 0;
   JobId mJob;
   QueueId mQueue;
+  Epoch mEpoch;
+  Incarnation mProcess;
 };
 
 // PeerQueryResult is the response to a PeerQuery. mOwns tells whether the
 // responding instance owns the shard. mPhase is absent if it knows no such job.
+// mEndedFor tells for how long at least the ownership that kOwnershipEnd names
+// has sent nothing; it is absent while that ownership may still send.
 struct PeerQueryResult
 {
   bool mOwns = false;
   std::optional<JobPhase> mPhase;
   uint64_t mWaiting = 0;
+  std::optional<Milliseconds> mEndedFor{};
 };
 
 // PeerQueryClient sends queries to other instances. Thread-safe; blocks up to
-// aTimeout. Errors: kPeerUnreachable, kMalformed.
+// aTimeout. Errors: kPeerUnreachable, kPeerNotListening (the peer's machine
+// answered that no process listens there), kMalformed.
 class PeerQueryClient
 {
 public:
