A task is not lost while its worker may hold ends that it has not listed

Cause: a worker lists 500 ends at a time. A task that was in neither list of a report was taken for lost and started again, though its end was only not listed yet. A successor took the first such list for all that a worker knows.

Change: a reply tells whether the worker may hold later ends. While it may, nothing is concluded from a task that is missing, and the worker does not count as known to a new owner; the wait for it is prolonged while it answers like that, so that it does not end before the ends are listed.

--- a/mulberryvalve/core/jobs/inherited_workers.cc
+++ b/mulberryvalve/core/jobs/inherited_workers.cc
@@ -42,6 +42,26 @@
   inherited.mPossibleTasks.emplace();
 }
 
+void InheritedWorkers::Postpone(const WorkerId& aWorker, MonotonicTime aUntil)
+{
+  if (!MayRunTasks(aWorker)) {
+    return;
+  }
+  InheritedWorker& inherited = mWorkers.at(aWorker);
+  SetWait(aWorker, inherited, std::max(inherited.mWaitUntil, aUntil));
+  inherited.mIsAssumed = false;
+}
+
+// Precondition: the wait has not ended.
+void InheritedWorkers::SetWait(const WorkerId& aWorker,
+                               InheritedWorker& aInherited,
+                               MonotonicTime aUntil)
+{
+  mPendingWaits.erase({ aInherited.mWaitUntil, aWorker });
+  aInherited.mWaitUntil = aUntil;
+  mPendingWaits.emplace(aUntil, aWorker);
+}
+
 void InheritedWorkers::ShortenAssumedWaits(MonotonicTime aUntil)
 {
   for (auto& [worker, inherited] : mWorkers) {
@@ -50,10 +70,8 @@
     if (!isPending || !inherited.mIsAssumed) {
       continue;
     }
-    mPendingWaits.erase({ inherited.mWaitUntil, worker });
-    inherited.mWaitUntil = std::min(inherited.mWaitUntil, aUntil);
+    SetWait(worker, inherited, std::min(inherited.mWaitUntil, aUntil));
     inherited.mIsAssumed = false;
-    mPendingWaits.emplace(inherited.mWaitUntil, worker);
   }
 }
 
--- a/mulberryvalve/core/jobs/inherited_workers.h
+++ b/mulberryvalve/core/jobs/inherited_workers.h
@@ -39,6 +39,10 @@
   // Does nothing if the worker is unknown.
   void Remove(const WorkerId& aWorker);
 
+  // Waits for a worker until aUntil at least, though it was to be waited for
+  // less long. Does nothing if the worker is unknown or its wait has ended.
+  void Postpone(const WorkerId& aWorker, MonotonicTime aUntil);
+
   // Records that nothing runs on the worker any more. Does nothing if the
   // worker is unknown.
   void MarkIdle(const WorkerId& aWorker, MonotonicTime aNow);
@@ -88,6 +92,9 @@
   const std::map<WorkerId, InheritedWorker>& All() const { return mWorkers; }
 
 private:
+  void SetWait(const WorkerId& aWorker,
+               InheritedWorker& aInherited,
+               MonotonicTime aUntil);
   void Unblock(const InheritedWorker& aInherited);
 
   std::map<WorkerId, InheritedWorker> mWorkers;
--- a/mulberryvalve/core/jobs/shard_scheduler_reports.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_reports.cc
@@ -74,6 +74,12 @@
   }
   mWorkers.OnClockReading(*workerState, aReply.mReading, aNow);
   ProcessReport(*workerState, aReply, aSentAt, aNow);
+  if (aReply.mMayOmitEnds) {
+    // The ends that are not listed yet may be of any inherited task.
+    mInheritedWorkers.Postpone(aOrder.mWorker,
+                               mWorkers.EndOfLeaseRequestedBy(aNow));
+    return;
+  }
   if (!workerState->mHasReportedRuns) {
     workerState->mHasReportedRuns = true;
     mWorkers.InheritLease(*workerState, aNow);
@@ -123,7 +129,9 @@
        mUnreadJobs.KeepRuns(id, std::move(unknown), aNow)) {
     StopUnwantedRun(aWorker, row, aNow);
   }
-  ReleaseMissingTasks(aWorker, running, aSentAt);
+  if (!aReply.mMayOmitEnds) {
+    ReleaseMissingTasks(aWorker, running, aSentAt);
+  }
   UpdatePacing(aWorker, running, aSentAt, aNow);
   if (aWorker.mNoteLimitsWait && !aWorker.HasNoRuns()) {
     RevokeHandoverNote(aWorker);
--- a/mulberryvalve/core/jobs/shard_simulation_fake.cc
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.cc
@@ -429,7 +429,10 @@
                                       }),
                        aWorker.mEnded.end());
   reply.mOutcome = OrderOutcome::kAccepted;
-  reply.mEnded = aWorker.mEnded;
+  const size_t listed = std::min(aWorker.mEnded.size(), mMaxListedEnds);
+  reply.mEnded.assign(aWorker.mEnded.begin(),
+                      aWorker.mEnded.begin() + static_cast<long>(listed));
+  reply.mMayOmitEnds = listed == mMaxListedEnds;
   for (const auto& [task, run] : aWorker.mRuns) {
     RunReport row;
     row.mTask = task;
@@ -477,7 +480,8 @@
 
 void ShardSimulation::Persist(SimulatedOwner& aOwner)
 {
-  if (!aOwner.mCanAppend || !aOwner.mShard->NeedsAppend()) {
+  const bool canAppend = aOwner.mCanAppend && !aOwner.mAppendsFail;
+  if (!canAppend || !aOwner.mShard->NeedsAppend()) {
     return;
   }
   const ProgressBatch batch = aOwner.mShard->TakeProgress(mNow);
--- a/mulberryvalve/core/jobs/shard_simulation_fake.h
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.h
@@ -113,6 +113,8 @@
   bool mIsActive = true;
   // If false, none of its decisions becomes durable.
   bool mCanAppend = true;
+  // Its appends fail, though its ownership is proved.
+  bool mAppendsFail = false;
   // It still reads submissions, though its claim is superseded.
   bool mReadsSubmissions = false;
   // While this is false, submissions reach it only once it is true again.
@@ -208,6 +210,8 @@
   // If set and it returns a time, the order gets no reply and is applied that
   // much later, unless its worker has restarted or exited by then.
   std::function<std::optional<Milliseconds>(const TaskOrder&)> mDelayOf;
+  // The most ends that a report lists, the oldest first.
+  size_t mMaxListedEnds = 500;
   // Whether the answers to orders tell the worker's incarnation.
   bool mOrderRepliesTellIncarnation = true;
   // Whether the end of one member of a gang ends the others.
--- a/mulberryvalve/core/jobs/worker_messages.h
+++ b/mulberryvalve/core/jobs/worker_messages.h
@@ -153,6 +153,8 @@
   ClockReading mReading;
   std::vector<RunReport> mRunning;
   std::vector<RunEndReport> mEnded;
+  // The worker may hold later ends that mEnded does not list.
+  bool mMayOmitEnds = false;
 };
 
 } // namespace mulberryvalve
