Progress of a job is in parts that fit into a record each

Cause: all progress of a job was one record. Above the store's limit it was left out of the append, and its ends were acknowledged as if it had been written.

Change: a record covers 256 tasks of a job, counted over its occurrences and steps, so a task is always in the same part, and parts that become durable one by one lose nothing. Only parts that changed are written. The key of the first part is the former one. An instance of an earlier version does not read the others: it must not take over a job of over 256 tasks from this one.

--- a/mulberryvalve/adapters/json/job_log_json.cc
+++ b/mulberryvalve/adapters/json/job_log_json.cc
@@ -21,6 +21,7 @@
 
 constexpr std::string_view kCancelPrefix = "cancel/";
 constexpr std::string_view kJobPrefix = "job/";
+constexpr std::string_view kPartPrefix = "part/";
 constexpr std::string_view kWorkerPrefix = "worker/";
 constexpr std::string_view kOwnerPrefix = "owner/";
 constexpr std::string_view kNewestOwnerKey = "owner";
@@ -47,6 +48,13 @@
   return KeyWithPrefix(kOwnerPrefix, std::to_string(aEpoch.Value()));
 }
 
+std::string ProgressKey(const JobId& aJob, uint32_t aPart)
+{
+  return aPart == 0 ? KeyWithPrefix(kJobPrefix, aJob.Text())
+                    : KeyWithPrefix(kPartPrefix,
+                                    std::to_string(aPart) + "/" + aJob.Text());
+}
+
 // Replaces invalid UTF-8, for which dump() would otherwise throw: input from
 // outside must not crash the owner.
 std::string DumpReplacingInvalidUtf8(const json& aValue)
@@ -197,6 +205,23 @@
   return record;
 }
 
+// aPartAndId is the rest of the key, "PART/ID".
+Result<JobRecord> PartFromJson(std::string_view aPartAndId, const json& aObject)
+{
+  uint32_t part = 0;
+  const char* end = aPartAndId.data() + aPartAndId.size();
+  const auto read = std::from_chars(aPartAndId.data(), end, part);
+  if (read.ec != std::errc() || read.ptr == end || *read.ptr != '/') {
+    return Fail(FailureKind::kMalformed, "key", std::string(aPartAndId));
+  }
+  Result<JobRecord> record =
+    RecordFromJson(std::string(read.ptr + 1, end), aObject);
+  if (record) {
+    record.value().mPart = part;
+  }
+  return record;
+}
+
 // The tasks of a step share a row: job, occurrence, step, array of task
 // indexes.
 constexpr size_t kStepColumns = 4;
@@ -352,8 +377,7 @@
     separator = ",";
   }
   text += "]}";
-  return KeyedEntry{ KeyWithPrefix(kJobPrefix, aRecord.mId.Text()),
-                     std::move(text) };
+  return KeyedEntry{ ProgressKey(aRecord.mId, aRecord.mPart), std::move(text) };
 }
 
 KeyedEntry JobLogJson::Encode(const UsedWorkerRecord& aWorker) const
@@ -399,9 +423,15 @@
                        std::nullopt } };
 }
 
-KeyedEntry JobLogJson::EncodeProgressTombstone(const JobId& aJob) const
+std::vector<KeyedEntry> JobLogJson::EncodeProgressTombstones(
+  const RetiredJob& aJob) const
 {
-  return KeyedEntry{ KeyWithPrefix(kJobPrefix, aJob.Text()), std::nullopt };
+  std::vector<KeyedEntry> tombstones;
+  for (uint32_t part = aJob.mParts; part > 0; part--) {
+    tombstones.push_back(
+      KeyedEntry{ ProgressKey(aJob.mId, part - 1), std::nullopt });
+  }
+  return tombstones;
 }
 
 KeyedEntry JobLogJson::EncodeWorkerTombstone(const WorkerId& aWorker) const
@@ -410,9 +440,13 @@
                      std::nullopt };
 }
 
-KeyedEntry JobLogJson::EncodeOwnershipTombstone(Epoch aEpoch) const
+// Includes the key of earlier versions, under which the record may have been
+// written.
+std::vector<KeyedEntry> JobLogJson::EncodeOwnershipTombstones(
+  Epoch aEpoch) const
 {
-  return KeyedEntry{ OwnerKey(aEpoch), std::nullopt };
+  return { KeyedEntry{ OwnerKey(aEpoch), std::nullopt },
+           KeyedEntry{ std::string(kNewestOwnerKey), std::nullopt } };
 }
 
 std::optional<JobId> JobLogJson::SubmittedJobId(const KeyedEntry& aEntry) const
@@ -457,6 +491,9 @@
     return ToVariant<ProgressItem>(
       RecordFromJson(std::string(id), object.value()));
   }
+  if (ConsumePrefix(id, kPartPrefix)) {
+    return ToVariant<ProgressItem>(PartFromJson(id, object.value()));
+  }
   if (ConsumePrefix(id, kWorkerPrefix)) {
     return ToVariant<ProgressItem>(
       WorkerFromJson(std::string(id), object.value()));
--- a/mulberryvalve/adapters/json/job_log_json.h
+++ b/mulberryvalve/adapters/json/job_log_json.h
@@ -15,7 +15,8 @@
 bool FitsJobTaskLimit(const JobGraph& aJob);
 
 // JobLogJson implements JobLogCodec. Keys: a job has its id, its cancellation
-// "cancel/ID", its progress "job/ID", a used worker "worker/ID", the claim of
+// "cancel/ID", its progress "job/ID" and, for further
+// parts, "part/PART/ID", a used worker "worker/ID", the claim of
 // an epoch "owner/EPOCH" (formerly "owner", the newest claim). Fields with
 // default values are omitted. Thread-safe.
 class JobLogJson : public JobLogCodec
@@ -29,9 +30,11 @@
   KeyedEntry Encode(const LearnedRecord& aLearned) const override;
   std::vector<KeyedEntry> EncodeIntakeTombstones(
     const JobId& aJob) const override;
-  KeyedEntry EncodeProgressTombstone(const JobId& aJob) const override;
+  std::vector<KeyedEntry> EncodeProgressTombstones(
+    const RetiredJob& aJob) const override;
   KeyedEntry EncodeWorkerTombstone(const WorkerId& aWorker) const override;
-  KeyedEntry EncodeOwnershipTombstone(Epoch aEpoch) const override;
+  std::vector<KeyedEntry> EncodeOwnershipTombstones(
+    Epoch aEpoch) const override;
   std::optional<JobId> SubmittedJobId(const KeyedEntry& aEntry) const override;
   Result<IntakeItem> DecodeIntake(const KeyedEntry& aEntry) const override;
   Result<ProgressItem> DecodeProgress(const KeyedEntry& aEntry) const override;
--- a/mulberryvalve/adapters/json/job_log_json_test.cc
+++ b/mulberryvalve/adapters/json/job_log_json_test.cc
@@ -244,6 +244,40 @@
   CHECK(codec.DecodeProgress(codec.Encode(learned)).has_value());
 }
 
+// Progress of a large job is in several records, each of which is removed.
+TEST(JobLogJsonTest, PartsOfAJobHaveRecordsOfTheirOwn)
+{
+  const JobLogJson codec;
+  JobRecord record{ JobId("a/b"), JobPhase::kRunning, {} };
+  record.mTasks.resize(1);
+  std::string keys;
+  for (const uint32_t part : { 0, 1, 12 }) {
+    record.mPart = part;
+    const KeyedEntry entry = codec.Encode(record);
+    keys += entry.mKey + " ";
+    const auto item = codec.DecodeProgress(entry);
+    const auto& decoded = std::get<JobRecord>(item.value());
+    CHECK_EQUAL(part, decoded.mPart);
+    CHECK(record.mId == decoded.mId);
+    CHECK_EQUAL(1U, decoded.mTasks.size());
+  }
+  STRCMP_EQUAL("job/a/b part/1/a/b part/12/a/b ", keys.c_str());
+  keys.clear();
+  for (const KeyedEntry& entry :
+       codec.EncodeProgressTombstones(RetiredJob{ JobId("a/b"), 3 })) {
+    CHECK_FALSE(entry.mValue.has_value());
+    keys += entry.mKey + " ";
+  }
+  STRCMP_EQUAL("part/2/a/b part/1/a/b job/a/b ", keys.c_str());
+  for (const char* key :
+       { "part/", "part/x/a", "part/1", "part/99999999999/a" }) {
+    CHECK_FALSE(
+      codec
+        .DecodeProgress(KeyedEntry{ key, R"({"phase":"queued","tasks":[]})" })
+        .has_value());
+  }
+}
+
 // Each claim keeps a record of its own until it is removed. Records of earlier
 // versions, one for the newest claim, are readable.
 TEST(JobLogJsonTest, ClaimsHaveARecordForEachEpoch)
@@ -260,9 +294,11 @@
   CHECK(claim.mProcess == decoded.mProcess);
   STRCMP_EQUAL("10.0.0.7", decoded.mPeer.mAddress.c_str());
   CHECK_EQUAL(7380, decoded.mPeer.mPort);
-  const KeyedEntry tombstone = codec.EncodeOwnershipTombstone(Epoch(640));
-  STRCMP_EQUAL("owner/640", tombstone.mKey.c_str());
-  CHECK_FALSE(tombstone.mValue.has_value());
+  const auto tombstones = codec.EncodeOwnershipTombstones(Epoch(640));
+  CHECK_EQUAL(2U, tombstones.size());
+  STRCMP_EQUAL("owner/640", tombstones[0].mKey.c_str());
+  STRCMP_EQUAL("owner", tombstones[1].mKey.c_str());
+  CHECK_FALSE(tombstones[0].mValue || tombstones[1].mValue);
   const auto former = codec.DecodeProgress(
     KeyedEntry{ "owner", R"({"epoch":64,"instance":"entry-2"})" });
   CHECK(std::get<OwnershipRecord>(former.value()).mPeer.mAddress.empty());
--- a/mulberryvalve/app/jobs/append_splitting.cc
+++ b/mulberryvalve/app/jobs/append_splitting.cc
@@ -79,8 +79,11 @@
   for (const JobRecord& record : aBatch.mJobs) {
     builder.Add(aCodec.Encode(record)).mJobs.push_back(record);
   }
-  for (const JobId& job : aBatch.mRetired) {
-    builder.Add(aCodec.EncodeProgressTombstone(job)).mRetired.push_back(job);
+  for (const RetiredJob& job : aBatch.mRetired) {
+    for (KeyedEntry& tombstone : aCodec.EncodeProgressTombstones(job)) {
+      builder.Add(std::move(tombstone));
+    }
+    builder.Last().mBatch.mRetired.push_back(job);
   }
   for (const UsedWorkerRecord& worker : aBatch.mWorkers) {
     builder.Add(aCodec.Encode(worker)).mWorkers.push_back(worker);
@@ -90,8 +93,10 @@
       .mRemovedWorkers.push_back(worker);
   }
   for (const Epoch epoch : aBatch.mEndedClaims) {
-    builder.Add(aCodec.EncodeOwnershipTombstone(epoch))
-      .mEndedClaims.push_back(epoch);
+    for (KeyedEntry& tombstone : aCodec.EncodeOwnershipTombstones(epoch)) {
+      builder.Add(std::move(tombstone));
+    }
+    builder.Last().mBatch.mEndedClaims.push_back(epoch);
   }
   if (aBatch.mLearned) {
     builder.Add(aCodec.Encode(*aBatch.mLearned)).mLearned = aBatch.mLearned;
--- a/mulberryvalve/app/jobs/append_splitting_test.cc
+++ b/mulberryvalve/app/jobs/append_splitting_test.cc
@@ -34,7 +34,7 @@
     record.mTasks.resize(10);
     batch.mJobs.push_back(record);
   }
-  batch.mRetired = { JobId("old") };
+  batch.mRetired = { RetiredJob{ JobId("old") } };
   batch.mAckedEnds = { { WorkerId("w"), WorkerIncarnation(1), EndNumber(9) } };
   return batch;
 }
--- a/mulberryvalve/app/jobs/jobs_fake.h
+++ b/mulberryvalve/app/jobs/jobs_fake.h
@@ -284,8 +284,12 @@
 class InstantWorker : public ThreadedWorker
 {
 public:
-  // Returns how often a task was started.
+  // Returns how often a task was started, or all tasks.
   size_t Starts(const TaskRef& aTask) const;
+  size_t Starts() const;
+
+  // Returns the number of ends that no owner has acknowledged.
+  size_t PendingEnds() const;
 
 private:
   OrderReply HandleOrder(const TaskOrder& aOrder) override;
--- a/mulberryvalve/app/jobs/shard_runtime_readers.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_readers.cc
@@ -35,22 +35,6 @@
   return isFinished ? &found->second : nullptr;
 }
 
-// Returns the jobs with progress that are not on the intake: a former owner
-// removed them from it and ended before it removed their progress. Former
-// owners can add no progress after the claim, so none of them is a job of which
-// only the progress was read.
-std::vector<JobId> JobsOffIntake(const std::map<JobId, JobRecord>& aRecords,
-                                 const std::set<JobId>& aOnIntake)
-{
-  std::vector<JobId> jobs;
-  for (const auto& [id, record] : aRecords) {
-    if (aOnIntake.count(id) == 0) {
-      jobs.push_back(id);
-    }
-  }
-  return jobs;
-}
-
 } // namespace
 
 // The log holds a higher epoch than the group assigned if the group's
@@ -117,7 +101,7 @@
     if (!item) {
       LogFailure("progress_record", item.error());
     } else if (auto* record = std::get_if<JobRecord>(&item.value())) {
-      records[record->mId] = std::move(*record);
+      MergePart(records[record->mId], std::move(*record));
     } else if (auto* worker = std::get_if<UsedWorkerRecord>(&item.value())) {
       shard->RestoreWorker(*worker);
     } else if (auto* learned = std::get_if<LearnedRecord>(&item.value())) {
@@ -160,7 +144,13 @@
   for (const JobId& job : cancelled) {
     shard->OnJobCancelled(job, claimedAt);
   }
-  shard->OnRemovedFromIntake(JobsOffIntake(records, onIntake));
+  for (const auto& [id, record] : records) {
+    // The former owner ended before it removed the progress too. Former owners
+    // can add none after the claim, so the job is not one that was missed.
+    if (onIntake.count(id) == 0) {
+      shard->RestoreProgressOffIntake(record);
+    }
+  }
   mIntakeOffset = intake.value().mNext;
   LogEvent(EventLevel::kInfo,
            "shard_loaded",
--- a/mulberryvalve/core/jobs/job_state.h
+++ b/mulberryvalve/core/jobs/job_state.h
@@ -7,6 +7,8 @@
 #include "mulberryvalve/core/jobs/job_graph.h"
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 #include <vector>
 
 namespace mulberryvalve {
@@ -140,12 +142,41 @@
   CheckpointId mCheckpoint;
 };
 
-// JobRecord is the durable progress of one job.
+// The tasks of a job in one record, which keeps the record far below the
+// largest that the log accepts.
+inline constexpr uint64_t kTasksPerRecord = 256;
+
+// JobRecord is a part of the durable progress of one job. Part N covers the
+// tasks N * kTasksPerRecord and on, counted over all occurrences and steps, so
+// that a task is always in the same part. The phase of the job is that of part
+// 0; the other parts are void once it is final.
 struct JobRecord
 {
   JobId mId;
   JobPhase mPhase = JobPhase::kQueued;
   std::vector<TaskRecord> mTasks;
+  uint32_t mPart = 0;
+};
+
+// MergePart adds another part of the same job to aRecord, whose mPart becomes
+// the highest one.
+inline void MergePart(JobRecord& aRecord, JobRecord aPart)
+{
+  if (aPart.mPart == 0) {
+    aRecord.mPhase = aPart.mPhase;
+  }
+  aRecord.mId = aPart.mId;
+  aRecord.mPart = std::max(aRecord.mPart, aPart.mPart);
+  std::move(aPart.mTasks.begin(),
+            aPart.mTasks.end(),
+            std::back_inserter(aRecord.mTasks));
+}
+
+// RetiredJob is a job whose progress is to be removed, and its number of parts.
+struct RetiredJob
+{
+  JobId mId;
+  uint32_t mParts = 1;
 };
 
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/job_table.cc
+++ b/mulberryvalve/core/jobs/job_table.cc
@@ -1,5 +1,7 @@
 #include "mulberryvalve/core/jobs/job_table.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace mulberryvalve {
@@ -10,6 +12,21 @@
   return ReadyStepKey{ aJob.mArrivalNumber, aStep.mOccurrence, aStep.mStep };
 }
 
+bool HasProgress(const TaskProgress& aTask)
+{
+  return !aTask.mProcessedEnds.empty() || aTask.mDone;
+}
+
+TaskRecord ToTaskRecord(const TaskProgress& aTask,
+                        uint32_t aOccurrence,
+                        uint32_t aStep,
+                        uint32_t aIndex)
+{
+  return TaskRecord{ aOccurrence,      aStep,           aIndex,
+                     aTask.mDone,      aTask.mFailures, aTask.mProcessedEnds,
+                     aTask.mCheckpoint };
+}
+
 } // namespace
 
 JobEntry* JobTable::Add(JobGraph aGraph)
@@ -51,6 +68,7 @@
 {
   aJob.mPhase = aRecord.mPhase;
   aJob.mDurablePhase = aRecord.mPhase;
+  aJob.mPartCount = aRecord.mPart + 1;
   for (const TaskRecord& record : aRecord.mTasks) {
     const TaskRef ref{ { aJob.mGraph.mId, record.mOccurrence, record.mStep },
                        record.mIndex };
@@ -218,33 +236,55 @@
   mJobs.erase(aId);
 }
 
-JobRecord JobTable::ToRecord(const JobEntry& aJob) const
+void JobTable::MarkDirty(const TaskRef& aTask)
 {
-  JobRecord record{ aJob.mGraph.mId, aJob.mPhase, {} };
+  JobEntry& job = mJobs.at(aTask.mStep.mJob);
+  uint64_t tasksBefore = aTask.mIndex;
+  for (uint32_t step = 0; step < job.mGraph.mSteps.size(); step++) {
+    const uint64_t count = job.mGraph.mSteps[step].mCount;
+    tasksBefore += count * aTask.mStep.mOccurrence;
+    tasksBefore += step < aTask.mStep.mStep ? count : 0;
+  }
+  const auto part = static_cast<uint32_t>(tasksBefore / kTasksPerRecord);
+  job.mDirtyParts.insert(part);
+  job.mPartCount = std::max(job.mPartCount, part + 1);
+}
+
+void JobTable::MarkPhaseDirty(JobEntry& aJob)
+{
+  aJob.mDirtyParts.insert(0);
+}
+
+std::vector<JobRecord> JobTable::TakeDirtyParts(JobEntry& aJob) const
+{
+  std::vector<JobRecord> records;
+  const std::set<uint32_t> dirtyParts = std::exchange(aJob.mDirtyParts, {});
   if (IsOver(aJob.mPhase)) {
-    return record;
+    records.push_back(JobRecord{ aJob.mGraph.mId, aJob.mPhase, {} });
+    return records;
+  }
+  for (const uint32_t part : dirtyParts) {
+    records.push_back(JobRecord{ aJob.mGraph.mId, aJob.mPhase, {}, part });
   }
+  uint64_t number = 0;
   for (uint32_t occurrence = 0; occurrence < aJob.mOccurrences.size();
        occurrence++) {
     const auto& steps = aJob.mOccurrences[occurrence];
     for (uint32_t step = 0; step < steps.size(); step++) {
       const auto& tasks = steps[step].mTasks;
       for (uint32_t index = 0; index < tasks.size(); index++) {
-        const TaskProgress& task = tasks[index];
-        if (task.mProcessedEnds.empty() && !task.mDone) {
+        const auto part = static_cast<uint32_t>(number++ / kTasksPerRecord);
+        const auto dirty = dirtyParts.find(part);
+        if (dirty == dirtyParts.end() || !HasProgress(tasks[index])) {
           continue;
         }
-        record.mTasks.push_back(TaskRecord{ occurrence,
-                                            step,
-                                            index,
-                                            task.mDone,
-                                            task.mFailures,
-                                            task.mProcessedEnds,
-                                            task.mCheckpoint });
+        records[static_cast<size_t>(std::distance(dirtyParts.begin(), dirty))]
+          .mTasks.push_back(
+            ToTaskRecord(tasks[index], occurrence, step, index));
       }
     }
   }
-  return record;
+  return records;
 }
 
 bool JobTable::AllDone(const JobEntry& aJob)
--- a/mulberryvalve/core/jobs/job_table.h
+++ b/mulberryvalve/core/jobs/job_table.h
@@ -83,6 +83,10 @@
   // The highest run number assigned in the current epoch.
   RunNumber mLastRun;
   MonotonicTime mFinishedAt;
+  // The parts of the job's progress that have changed since they were last
+  // written, and the number of parts that may be on the log.
+  std::set<uint32_t> mDirtyParts;
+  uint32_t mPartCount = 1;
   // The job is no longer on the intake, from which it is removed some time
   // after it finished.
   bool mIsOffIntake = false;
@@ -145,9 +149,14 @@
   // Forget removes a finished job.
   void Forget(const JobId& aId);
 
-  // ToRecord returns the durable progress of a job. For a finished job that is
-  // its phase alone.
-  JobRecord ToRecord(const JobEntry& aJob) const;
+  // MarkDirty records that the progress of a task has changed, and
+  // MarkPhaseDirty that the phase of a job has.
+  void MarkDirty(const TaskRef& aTask);
+  void MarkPhaseDirty(JobEntry& aJob);
+
+  // TakeDirtyParts returns the parts of a job's durable progress that have
+  // changed since the last call. For a finished job that is its phase alone.
+  std::vector<JobRecord> TakeDirtyParts(JobEntry& aJob) const;
 
   // AllDone returns whether every task of the job has completed.
   static bool AllDone(const JobEntry& aJob);
--- a/mulberryvalve/core/jobs/restarted_worker_test.cc
+++ b/mulberryvalve/core/jobs/restarted_worker_test.cc
@@ -135,6 +135,26 @@
   }
 }
 
+// Guards against another worker that answers at the address being taken for a
+// new life of this one.
+TEST(RestartedWorkerTest, AnotherWorkerAtTheAddressTellsOfNoRestart)
+{
+  TakeoverSimulation sim(2);
+  sim->Submit(LongRunningJob("lasting", 2, 9000));
+  sim->RunFor(kNoticeLimit);
+  ShardScheduler& owner = *sim->Owner(0).mShard;
+  TaskOrder stop;
+  stop.mKind = OrderKind::kStop;
+  stop.mWorker = sim.IdOf(0);
+  OrderReply reply;
+  reply.mOutcome = OrderOutcome::kGone;
+  reply.mReading.mWorkerIncarnation = WorkerIncarnation(99);
+  owner.OnOrder(stop, reply, sim->Now());
+  CHECK(WorkerIncarnation(1) ==
+        owner.Workers().Find(stop.mWorker)->mWorkerIncarnation);
+  CHECK_EQUAL(1U, owner.Workers().Find(stop.mWorker)->mTasks.size());
+}
+
 // A start carries a lease by the clock of the life that it was decided for.
 TEST(RestartedWorkerTest, StartsForTheFormerLifeAreNotSentToAKnownNewOne)
 {
--- a/mulberryvalve/core/jobs/shard_scheduler.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler.cc
@@ -1,6 +1,7 @@
 #include "mulberryvalve/core/jobs/shard_scheduler.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace mulberryvalve {
@@ -240,27 +241,33 @@
 
 void ShardScheduler::OnRemovedFromIntake(const std::vector<JobId>& aJobs)
 {
-  mJobsOffIntake.insert(aJobs.begin(), aJobs.end());
   for (const JobId& id : aJobs) {
     if (JobEntry* job = mJobTable.Find(id)) {
       job->mIsOffIntake = true;
+      mJobsOffIntake.push_back(RetiredJob{ id, job->mPartCount });
     }
   }
 }
 
+void ShardScheduler::RestoreProgressOffIntake(const JobRecord& aRecord)
+{
+  mJobsOffIntake.push_back(RetiredJob{ aRecord.mId, aRecord.mPart + 1 });
+}
+
 ProgressBatch ShardScheduler::TakeProgress(MonotonicTime aNow)
 {
   ProgressBatch batch;
   while (!mDirtyJobs.empty() && batch.mJobs.size() < kMaxJobsPerBatch) {
-    const JobEntry* job = mJobTable.Find(*mDirtyJobs.begin());
+    JobEntry* job = mJobTable.Find(*mDirtyJobs.begin());
     mDirtyJobs.erase(mDirtyJobs.begin());
     if (job != nullptr) {
-      batch.mJobs.push_back(mJobTable.ToRecord(*job));
+      std::vector<JobRecord> parts = mJobTable.TakeDirtyParts(*job);
+      std::move(parts.begin(), parts.end(), std::back_inserter(batch.mJobs));
     }
   }
   while (!mJobsOffIntake.empty() && batch.mRetired.size() < kMaxJobsPerBatch) {
-    batch.mRetired.push_back(*mJobsOffIntake.begin());
-    mJobsOffIntake.erase(mJobsOffIntake.begin());
+    batch.mRetired.push_back(std::move(mJobsOffIntake.back()));
+    mJobsOffIntake.pop_back();
   }
   for (const WorkerId& id : mDirtyWorkers) {
     WorkerEntry* workerState = mWorkers.Find(id);
@@ -295,12 +302,12 @@
 {
   for (const JobRecord& record : aBatch.mJobs) {
     JobEntry* job = mJobTable.Find(record.mId);
-    if (job != nullptr) {
+    if (job != nullptr && record.mPart == 0) {
       job->mDurablePhase = record.mPhase;
     }
   }
-  for (const JobId& id : aBatch.mRetired) {
-    mJobTable.Forget(id);
+  for (const RetiredJob& job : aBatch.mRetired) {
+    mJobTable.Forget(job.mId);
   }
   for (const UsedWorkerRecord& worker : aBatch.mWorkers) {
     OnWorkerRecordDurable(worker);
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -75,7 +75,7 @@
   };
 
   std::vector<JobRecord> mJobs;
-  std::vector<JobId> mRetired;
+  std::vector<RetiredJob> mRetired;
   std::vector<UsedWorkerRecord> mWorkers;
   std::vector<WorkerId> mRemovedWorkers;
   // Former owners whose runs have all ended, so their claims are not needed.
@@ -194,6 +194,9 @@
   std::vector<JobId> TakeRetirableJobs(MonotonicTime aNow);
   void OnRemovedFromIntake(const std::vector<JobId>& aJobs);
 
+  // Restores the progress of a job that a former owner removed from the intake.
+  void RestoreProgressOffIntake(const JobRecord& aRecord);
+
   // TakeProgress returns what changed since the last call. Call OnDurable once
   // the batch is on the log.
   ProgressBatch TakeProgress(MonotonicTime aNow);
@@ -498,7 +501,7 @@
   MonotonicTime mSaveLearnedAt;
   MonotonicTime mRetireJobsAt;
   // Jobs that are no longer on the intake and whose progress is to be removed.
-  std::set<JobId> mJobsOffIntake;
+  std::vector<RetiredJob> mJobsOffIntake;
   // Cancellations that were read before their jobs.
   std::set<JobId> mCancelledUnknownJobs;
   std::set<JobId> mDirtyJobs;
--- a/mulberryvalve/core/jobs/shard_scheduler_replies.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_replies.cc
@@ -24,7 +24,8 @@
     LogWorkerDecision(DecisionKind::kWorkerFenced, aOrder.mWorker, "order");
     return;
   }
-  if (worker != nullptr) {
+  // Otherwise the reading is of another worker, which answers at the address.
+  if (worker != nullptr && aReply.mOutcome != OrderOutcome::kGone) {
     LearnIncarnation(*worker, aReply.mReading.mWorkerIncarnation, aNow);
     if (aReply.mReading.mWorkerIncarnation == worker->mWorkerIncarnation) {
       mWorkers.OnClockReading(*worker, aReply.mReading, aNow);
--- a/mulberryvalve/core/jobs/shard_scheduler_reports.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_reports.cc
@@ -178,6 +178,7 @@
     }
     RecordEnd(place, aRow, aWorker.mInfo.mId);
     mDirtyJobs.insert(id);
+    mJobTable.MarkDirty(aRow.mTask);
     TrackWorkerFailures(aWorker, aRow, aNow);
   }
   if (isCurrentRun) {
@@ -255,8 +256,10 @@
   if (aPlace.mSpec->mGang) {
     // A gang's checkpoint covers all members, which must restart from the same
     // one.
-    for (TaskProgress& member : mJobTable.StepOf(step).mTasks) {
-      member.mCheckpoint = aRow.mCheckpoint;
+    std::vector<TaskProgress>& members = mJobTable.StepOf(step).mTasks;
+    for (uint32_t index = 0; index < members.size(); index++) {
+      members[index].mCheckpoint = aRow.mCheckpoint;
+      mJobTable.MarkDirty(TaskRef{ step, index });
     }
   }
 }
@@ -307,6 +310,8 @@
     return;
   }
   mJobTable.Finish(aTask);
+  mDirtyJobs.insert(aTask.mStep.mJob);
+  mJobTable.MarkDirty(aTask);
   mNeedsPlacement = true;
   if (IsPlaced(task->mPhase) && task->mPhase != TaskPhase::kStopping) {
     OrderStop(aTask, "another run completed");
@@ -322,6 +327,7 @@
   for (uint32_t index = 0; index < members; index++) {
     const TaskRef member{ aTask.mStep, index };
     mJobTable.Finish(member);
+    mJobTable.MarkDirty(member);
     // The members of a gang end together. A stop is sent if one is still
     // reported after this interval.
     mResendStopAt.emplace(member, aNow + kUnwantedStopInterval);
@@ -367,6 +373,7 @@
   aJob.mFinishedAt = aNow;
   mJobTable.RemoveReadySteps(aJob);
   mDirtyJobs.insert(id);
+  mJobTable.MarkPhaseDirty(aJob);
   LogJobDecision(
     DecisionKind::kJobOver, id, std::string(kJobPhaseNames.Name(aPhase)));
   for (uint32_t number = 0; number < aJob.mOccurrences.size(); number++) {
--- a/mulberryvalve/core/jobs/shard_simulation_fake.cc
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.cc
@@ -92,14 +92,19 @@
   for (const JobGraph& job : mJobs) {
     const auto record = mJobRecords.find(job.mId);
     const bool hasRecord = record != mJobRecords.end();
+    JobRecord merged;
+    if (hasRecord) {
+      for (const auto& [number, part] : record->second) {
+        MergePart(merged, part);
+      }
+    }
     JobGraph graph = job;
-    if (hasRecord && IsOver(record->second.mPhase)) {
+    if (IsOver(merged.mPhase)) {
       // Like ShardRuntime::Load, which doesn't decode finished jobs.
       graph = JobGraph();
       graph.mId = job.mId;
     }
-    owner->mShard->RestoreJob(std::move(graph),
-                              hasRecord ? &record->second : nullptr);
+    owner->mShard->RestoreJob(std::move(graph), hasRecord ? &merged : nullptr);
   }
   for (const JobId& job : mCancelled) {
     owner->mShard->OnJobCancelled(job, mNow);
@@ -486,7 +491,7 @@
   }
   const ProgressBatch batch = aOwner.mShard->TakeProgress(mNow);
   for (const JobRecord& record : batch.mJobs) {
-    mJobRecords[record.mId] = record;
+    mJobRecords[record.mId][record.mPart] = record;
   }
   for (const UsedWorkerRecord& worker : batch.mWorkers) {
     mWorkerRecords[worker.mId] = worker;
--- a/mulberryvalve/core/jobs/shard_simulation_fake.h
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.h
@@ -252,7 +252,7 @@
   std::vector<std::unique_ptr<SimulatedOwner>> mOwners;
   std::vector<JobGraph> mJobs;
   std::set<JobId> mCancelled;
-  std::map<JobId, JobRecord> mJobRecords;
+  std::map<JobId, std::map<uint32_t, JobRecord>> mJobRecords;
   std::map<WorkerId, UsedWorkerRecord> mWorkerRecords;
   LearnedRecord mLearned;
   std::set<Epoch> mRemovedClaims;
--- a/mulberryvalve/ports/out/job_log_codec.h
+++ b/mulberryvalve/ports/out/job_log_codec.h
@@ -62,9 +62,11 @@
   // The tombstones that delete the records of a job or a worker.
   virtual std::vector<KeyedEntry> EncodeIntakeTombstones(
     const JobId& aJob) const = 0;
-  virtual KeyedEntry EncodeProgressTombstone(const JobId& aJob) const = 0;
+  virtual std::vector<KeyedEntry> EncodeProgressTombstones(
+    const RetiredJob& aJob) const = 0;
   virtual KeyedEntry EncodeWorkerTombstone(const WorkerId& aWorker) const = 0;
-  virtual KeyedEntry EncodeOwnershipTombstone(Epoch aEpoch) const = 0;
+  virtual std::vector<KeyedEntry> EncodeOwnershipTombstones(
+    Epoch aEpoch) const = 0;
 
   // SubmittedJobId returns the id of the job that an intake entry submits,
   // without decoding its value; nullopt for other entries.
