--- a/mulberryvalve/adapters/json/job_log_json.cc
+++ b/mulberryvalve/adapters/json/job_log_json.cc
@@ -4,6 +4,7 @@
 #include "mulberryvalve/adapters/json/json_fields.h"
 #include "mulberryvalve/adapters/json/json_reader.h"
 #include "mulberryvalve/adapters/json/learned_json.h"
+#include "mulberryvalve/adapters/json/ownership_json.h"
 #include "mulberryvalve/adapters/json/text_validation.h"
 
 #include <algorithm>
@@ -301,23 +302,6 @@
   return worker;
 }
 
-Result<OwnershipRecord> OwnershipFromJson(const json& aObject)
-{
-  JsonReader reader(aObject);
-  OwnershipRecord ownership;
-  ownership.mEpoch = Epoch(static_cast<uint64_t>(reader.Number("epoch")));
-  ownership.mInstance = reader.Text("instance");
-  ownership.mPeer.mAddress = reader.TextOr("address", "");
-  ownership.mPeer.mPort =
-    static_cast<uint16_t>(reader.NumberOr("port", 0, 0, UINT16_MAX));
-  ownership.mProcess =
-    Incarnation(static_cast<uint64_t>(reader.NumberOr("process", 0)));
-  if (reader.Fault()) {
-    return *reader.Fault();
-  }
-  return ownership;
-}
-
 // Converts a decoded item to the variant Item; passes an error on.
 template<typename Item, typename T>
 Result<Item> ToVariant(Result<T> aResult)
@@ -399,14 +383,8 @@
 
 KeyedEntry JobLogJson::Encode(const OwnershipRecord& aOwnership) const
 {
-  json object{ { "epoch", aOwnership.mEpoch.Value() },
-               { "instance", aOwnership.mInstance } };
-  PutText(object, "address", aOwnership.mPeer.mAddress);
-  PutNumber(object, "port", aOwnership.mPeer.mPort);
-  PutNumber(
-    object, "process", static_cast<int64_t>(aOwnership.mProcess.Value()));
   return KeyedEntry{ OwnerKey(aOwnership.mEpoch),
-                     DumpReplacingInvalidUtf8(object) };
+                     DumpReplacingInvalidUtf8(OwnershipToJson(aOwnership)) };
 }
 
 KeyedEntry JobLogJson::Encode(const LearnedRecord& aLearned) const
--- a/mulberryvalve/app/jobs/jobs_fake.h
+++ b/mulberryvalve/app/jobs/jobs_fake.h
@@ -286,10 +286,22 @@
 public:
   // Returns how often a task was started, or all tasks.
   size_t Starts(const TaskRef& aTask) const;
-  size_t Starts() const;
+  size_t Starts() const
+  {
+    MutexLock lock(mMutex);
+    size_t count = 0;
+    for (const auto& [task, starts] : mStarts) {
+      count += starts;
+    }
+    return count;
+  }
 
   // Returns the number of ends that no owner has acknowledged.
-  size_t PendingEnds() const;
+  size_t PendingEnds() const
+  {
+    MutexLock lock(mMutex);
+    return mEnded.size();
+  }
 
 private:
   OrderReply HandleOrder(const TaskOrder& aOrder) override;
--- /dev/null
+++ b/mulberryvalve/core/jobs/progress_batch.h
@@ -0,0 +1,47 @@
+// ProgressBatch: what an owner appends to the log at a time.
+#ifndef MULBERRYVALVE_CORE_JOBS_PROGRESS_BATCH_H_
+#define MULBERRYVALVE_CORE_JOBS_PROGRESS_BATCH_H_
+
+#include "mulberryvalve/core/jobs/job_state.h"
+#include "mulberryvalve/core/jobs/learned_record.h"
+#include "mulberryvalve/core/jobs/used_worker_record.h"
+
+#include <optional>
+#include <vector>
+
+namespace mulberryvalve {
+
+// ProgressBatch is what to append to the log next. Pass it to OnDurable once it
+// is durable.
+struct ProgressBatch
+{
+  // AckedEnds is the number of the last task end of a worker that the batch
+  // covers.
+  struct AckedEnds
+  {
+    WorkerId mWorker;
+    WorkerIncarnation mWorkerIncarnation;
+    EndNumber mNumber;
+  };
+
+  std::vector<JobRecord> mJobs;
+  std::vector<RetiredJob> mRetired;
+  std::vector<UsedWorkerRecord> mWorkers;
+  std::vector<WorkerId> mRemovedWorkers;
+  // Former owners whose runs have all ended, so their claims are not needed.
+  std::vector<Epoch> mEndedClaims;
+  std::vector<AckedEnds> mAckedEnds;
+  // Set at intervals, and only if the batch holds something else to append.
+  std::optional<LearnedRecord> mLearned;
+
+  // Returns whether there is nothing that needs an append.
+  bool Empty() const
+  {
+    return mJobs.empty() && mRetired.empty() && mWorkers.empty() &&
+           mRemovedWorkers.empty() && mEndedClaims.empty();
+  }
+};
+
+} // namespace mulberryvalve
+
+#endif // MULBERRYVALVE_CORE_JOBS_PROGRESS_BATCH_H_
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -12,8 +12,10 @@
 #include "mulberryvalve/core/jobs/job_placement_policy.h"
 #include "mulberryvalve/core/jobs/job_table.h"
 #include "mulberryvalve/core/jobs/placement_pass.h"
+#include "mulberryvalve/core/jobs/progress_batch.h"
 #include "mulberryvalve/core/jobs/queueing_policy.h"
 #include "mulberryvalve/core/jobs/run_time_estimator.h"
+#include "mulberryvalve/core/jobs/shard_scheduler_options.h"
 #include "mulberryvalve/core/jobs/start_window.h"
 #include "mulberryvalve/core/jobs/unread_jobs.h"
 #include "mulberryvalve/core/jobs/used_worker_record.h"
@@ -27,71 +29,6 @@
 
 namespace mulberryvalve {
 
-// ShardSchedulerOptions are the settings of one owner.
-struct ShardSchedulerOptions
-{
-  Epoch mEpoch;
-  LeaseTerms mLease;
-  // An owner stops acting this long after its last proof of ownership.
-  Milliseconds mProofLimit{ 6000 };
-  // A job that was read after the last proof of ownership may be started only
-  // within this time after the proof. Covers several renewals of the shard's
-  // membership.
-  Milliseconds mNewJobProofLimit{ 1500 };
-  // How long callers can query a job after it has finished.
-  Milliseconds mKeepOver{ 150000 };
-};
-
-// SchedulingPolicies are the replaceable parts of the decisions. They must
-// outlive the ShardScheduler.
-struct SchedulingPolicies
-{
-  const JobPlacementPolicy& mPlacement;
-  const QueueingPolicy& mOrder;
-};
-
-// OwnershipProof tells how recently it was proved that the shard is still
-// owned.
-struct OwnershipProof
-{
-  // When the last request was sent whose answer showed that nobody else had
-  // claimed the shard.
-  MonotonicTime mProvedAt;
-  // Whether the proof is recent enough to start tasks.
-  bool mMayStart = false;
-};
-
-// ProgressBatch is what to append to the log next. Pass it to OnDurable once it
-// is durable.
-struct ProgressBatch
-{
-  // AckedEnds is the number of the last task end of a worker that the batch
-  // covers.
-  struct AckedEnds
-  {
-    WorkerId mWorker;
-    WorkerIncarnation mWorkerIncarnation;
-    EndNumber mNumber;
-  };
-
-  std::vector<JobRecord> mJobs;
-  std::vector<RetiredJob> mRetired;
-  std::vector<UsedWorkerRecord> mWorkers;
-  std::vector<WorkerId> mRemovedWorkers;
-  // Former owners whose runs have all ended, so their claims are not needed.
-  std::vector<Epoch> mEndedClaims;
-  std::vector<AckedEnds> mAckedEnds;
-  // Set at intervals, and only if the batch holds something else to append.
-  std::optional<LearnedRecord> mLearned;
-
-  // Returns whether there is nothing that needs an append.
-  bool Empty() const
-  {
-    return mJobs.empty() && mRetired.empty() && mWorkers.empty() &&
-           mRemovedWorkers.empty() && mEndedClaims.empty();
-  }
-};
-
 // Not thread-safe: the owner holds the shard's lock. ShardScheduler does no
 // I/O: it returns the orders to send, and the replies are passed to OnOrder and
 // OnRenewalReply.
--- a/mulberryvalve/core/jobs/shard_scheduler_replies.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_replies.cc
@@ -48,21 +48,6 @@
   }
 }
 
-// An answer of a worker whose restart is not known yet shows its new life.
-void ShardScheduler::LearnIncarnation(WorkerEntry& aWorker,
-                                      WorkerIncarnation aIncarnation,
-                                      MonotonicTime aNow)
-{
-  if (!(aWorker.mWorkerIncarnation < aIncarnation)) {
-    return;
-  }
-  if (aWorker.mWorkerIncarnation == WorkerIncarnation()) {
-    aWorker.mWorkerIncarnation = aIncarnation;
-  } else {
-    ResetIncarnation(aWorker, aIncarnation, aNow);
-  }
-}
-
 // Starts on a worker that stopped answering were already taken out of the
 // window, and a worker is removed only after that.
 void ShardScheduler::OnStartAnswered(WorkerEntry& aWorker,
--- a/mulberryvalve/core/jobs/shard_simulation_fake.h
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.h
@@ -16,6 +16,9 @@
 
 namespace mulberryvalve {
 
+// The longest lease that a simulated worker grants.
+inline constexpr int64_t kMaxSimulatedLeaseMs = 6000;
+
 // SimulatedRun is a run on a simulated worker.
 struct SimulatedRun
 {
