--- a/mulberryvalve/app/jobs/retired_jobs_test.cc
+++ b/mulberryvalve/app/jobs/retired_jobs_test.cc
@@ -35,7 +35,7 @@
   MemoryLog mMemory;
   FaultyLog mLog{ mMemory };
   InstantWorker mWorkers;
-  const JobLogJson mCodec;
+  JobLogJson mCodec;
 
   bool IsOnLog(KeyedTopic aTopic, const std::string& aKey) const
   {
