--- a/mulberryvalve/core/jobs/restarted_worker_test.cc
+++ b/mulberryvalve/core/jobs/restarted_worker_test.cc
@@ -8,9 +8,9 @@
 
 constexpr uint32_t kTasks = 6;
 constexpr size_t kWorkers = 4;
-// An owner learns of a worker's new life within this.
+// An owner learns of a worker's new incarnation within this.
 constexpr Milliseconds kNoticeLimit{ 500 };
-// How long a renewal hangs that was sent to a former life.
+// How long a renewal hangs that was sent to a former incarnation.
 constexpr Milliseconds kHangingRenewal{ 1500 };
 // Longer than every lease.
 constexpr Milliseconds kSettleTime{ 10000 };
@@ -89,10 +89,10 @@
   }
 }
 
-// Guards against tasks being started elsewhere though the worker's new life has
-// accepted their starts, which were sent before its restart was known
-// (review/4).
-TEST(RestartedWorkerTest, StartsThatTheNewLifeAcceptedAreNotRepeated)
+// Guards against tasks being started elsewhere though the worker's new
+// incarnation has accepted their starts, which were sent before its restart was
+// known (review/4).
+TEST(RestartedWorkerTest, StartsThatTheNewIncarnationAcceptedAreNotRepeated)
 {
   for (const bool repliesTell : { true, false }) {
     QueuedStarts starts;
@@ -105,7 +105,7 @@
   }
 }
 
-// The same, and the new life is known before the answers arrive.
+// The same, and the new incarnation is known before the answers arrive.
 TEST(RestartedWorkerTest, StartsInFlightDuringARestartAreNotRepeated)
 {
   for (const bool repliesTell : { true, false }) {
@@ -121,7 +121,7 @@
 
 // Starts that were accepted before the restart have ended with it, also if
 // their answers arrive late.
-TEST(RestartedWorkerTest, StartsThatTheFormerLifeAcceptedAreRepeated)
+TEST(RestartedWorkerTest, StartsThatTheFormerIncarnationAcceptedAreRepeated)
 {
   for (const bool repliesTell : { true, false }) {
     QueuedStarts starts;
@@ -136,7 +136,7 @@
 }
 
 // Guards against another worker that answers at the address being taken for a
-// new life of this one.
+// new incarnation of this one.
 TEST(RestartedWorkerTest, AnotherWorkerAtTheAddressTellsOfNoRestart)
 {
   TakeoverSimulation sim(2);
@@ -155,8 +155,9 @@
   CHECK_EQUAL(1U, owner.Workers().Find(stop.mWorker)->mTasks.size());
 }
 
-// A start carries a lease by the clock of the life that it was decided for.
-TEST(RestartedWorkerTest, StartsForTheFormerLifeAreNotSentToAKnownNewOne)
+// A start carries a lease by the clock of the incarnation that it was decided
+// for.
+TEST(RestartedWorkerTest, StartsForTheFormerIncarnationAreNotSentToAKnownNewOne)
 {
   QueuedStarts starts;
   starts.Restart();
@@ -167,9 +168,10 @@
   starts.CheckOneRunEach();
 }
 
-// The new life accepted the starts under a lease of the former life's clock,
-// which lasts as long as the worker permits, and becomes unreachable.
-TEST(RestartedWorkerTest, LeaseOfAStartThatTheNewLifeAcceptedIsWaitedFor)
+// The new incarnation accepted the starts under a lease of the former
+// incarnation's clock, which lasts as long as the worker permits, and becomes
+// unreachable.
+TEST(RestartedWorkerTest, LeaseOfAStartThatTheNewIncarnationAcceptedIsWaitedFor)
 {
   QueuedStarts starts;
   starts.mSim->RunFor(Milliseconds(3000));
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -293,7 +293,8 @@
   void ResetIncarnation(WorkerEntry& aWorker,
                         WorkerIncarnation aBirth,
                         MonotonicTime aNow);
-  void ReleaseTasksOfFormerLife(WorkerEntry& aWorker, MonotonicTime aNow);
+  void ReleaseTasksOfFormerIncarnation(WorkerEntry& aWorker,
+                                       MonotonicTime aNow);
   void ReleaseLostTask(const TaskRef& aTask,
                        const char* aWhy,
                        MonotonicTime aEndedBy);
--- a/mulberryvalve/core/jobs/shard_scheduler_losses.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_losses.cc
@@ -7,7 +7,8 @@
 
 namespace mulberryvalve {
 
-// An answer of a worker whose restart is not known yet shows its new life.
+// An answer of a worker whose restart is not known yet shows its new
+// incarnation.
 void ShardScheduler::LearnIncarnation(WorkerEntry& aWorker,
                                       WorkerIncarnation aIncarnation,
                                       MonotonicTime aNow)
@@ -43,7 +44,7 @@
                     aWorker.mInfo.mId,
                     "its incarnation changed");
   aWorker.mWorkerIncarnation = aBirth;
-  ReleaseTasksOfFormerLife(aWorker, aNow);
+  ReleaseTasksOfFormerIncarnation(aWorker, aNow);
   aWorker.mLastProcessedEnd = EndNumber();
   aWorker.mLastDurableEnd = EndNumber();
   aWorker.mClock.reset();
@@ -65,15 +66,15 @@
 // accepted starts that were sent before the restart was known: a task that is
 // not known to run in either stays charged until an answer or the first report
 // of the new one shows where it runs.
-void ShardScheduler::ReleaseTasksOfFormerLife(WorkerEntry& aWorker,
-                                              MonotonicTime aNow)
+void ShardScheduler::ReleaseTasksOfFormerIncarnation(WorkerEntry& aWorker,
+                                                     MonotonicTime aNow)
 {
   const std::vector<TaskRef> charged(aWorker.mTasks.begin(),
                                      aWorker.mTasks.end());
   for (const TaskRef& ref : charged) {
     const WorkerIncarnation runsIn = mJobTable.FindTask(ref)->mRunsIn;
     if (runsIn == WorkerIncarnation()) {
-      mWorkers.OnStartOfFormerLife(aWorker, aNow);
+      mWorkers.OnStartOfFormerIncarnation(aWorker, aNow);
     } else if (runsIn < aWorker.mWorkerIncarnation) {
       ReleaseLostTask(ref, "its worker was born anew", aNow);
     }
--- a/mulberryvalve/core/jobs/shard_scheduler_replies.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_replies.cc
@@ -76,7 +76,7 @@
     outcome == OrderOutcome::kAccepted || outcome == OrderOutcome::kUnknown;
   if (mayHaveStarted && worker != nullptr &&
       aOrder.mWorkerIncarnation < worker->mWorkerIncarnation) {
-    mWorkers.OnStartOfFormerLife(*worker, aNow);
+    mWorkers.OnStartOfFormerIncarnation(*worker, aNow);
   }
   if (outcome == OrderOutcome::kAccepted) {
     OnStartAccepted(aOrder, aReply.mReading.mWorkerIncarnation, aNow);
--- a/mulberryvalve/core/jobs/worker_table.cc
+++ b/mulberryvalve/core/jobs/worker_table.cc
@@ -241,8 +241,8 @@
          kClockEstimateError + mTerms.mMargin;
 }
 
-void WorkerTable::OnStartOfFormerLife(WorkerEntry& aWorker,
-                                      MonotonicTime aNow) const
+void WorkerTable::OnStartOfFormerIncarnation(WorkerEntry& aWorker,
+                                             MonotonicTime aNow) const
 {
   AssumeLease(aWorker, mTerms.mMaxGranted, aNow);
 }
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -224,10 +224,11 @@
   // certainly expired that was requested by aRequestedBy.
   MonotonicTime EndOfLeaseRequestedBy(MonotonicTime aRequestedBy) const;
 
-  // OnStartOfFormerLife accounts for a start that carries a lease by the clock
-  // of a worker's former incarnation, and that the present one may accept by
-  // aNow.
-  void OnStartOfFormerLife(WorkerEntry& aWorker, MonotonicTime aNow) const;
+  // OnStartOfFormerIncarnation accounts for a start that carries a lease by the
+  // clock of a worker's former incarnation, and that the present one may accept
+  // by aNow.
+  void OnStartOfFormerIncarnation(WorkerEntry& aWorker,
+                                  MonotonicTime aNow) const;
 
   // OnClockReading stores a reading of the worker's clock that arrived at aNow.
   void OnClockReading(WorkerEntry& aWorker,
