Taking over a shard is read, restored and started in functions of their own

No change of behaviour: ShardRuntime::Load had grown past a hundred lines. jobs, retired_jobs, large_job, shard_runtime, stuck_owner and membership tests passed after it.

--- a/mulberryvalve/app/jobs/shard_runtime.h
+++ b/mulberryvalve/app/jobs/shard_runtime.h
@@ -23,7 +23,9 @@
 #include "mulberryvalve/ports/out/shard_group.h"
 
 #include <atomic>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -149,6 +151,13 @@
     std::vector<JobDecision> mDecisions;
   };
 
+  // What the log holds of the shard when it is taken over.
+  struct ShardRecords
+  {
+    KeyedPage mProgress;
+    KeyedPage mIntake;
+  };
+
   std::optional<RenewalRequest> NextRenewal(const WorkerId& aWorker) override;
   bool OnRenewalReply(const RenewalRequest& aOrder,
                       const RenewalReply& aReply,
@@ -162,6 +171,14 @@
   bool Claim();
   void FindCompetingEpoch();
   bool Load();
+  std::optional<ShardRecords> ReadRecords();
+  std::map<JobId, JobRecord> RestoreProgress(
+    const std::vector<KeyedEntry>& aEntries,
+    ShardScheduler& aShard);
+  size_t RestoreIntake(const std::vector<KeyedEntry>& aEntries,
+                       const std::map<JobId, JobRecord>& aRecords,
+                       MonotonicTime aClaimedAt,
+                       ShardScheduler& aShard);
   void RunDecisionPasses();
   bool WaitForDecisionPass(std::chrono::steady_clock::time_point aEarliest,
                            std::chrono::steady_clock::time_point aDecisionDue);
--- a/mulberryvalve/app/jobs/shard_runtime_readers.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_readers.cc
@@ -59,9 +59,51 @@
 bool ShardRuntime::Load()
 {
   const MonotonicTime claimedAt = mPorts.mClock.Now();
+  mWatchdog.Begin(OwnerActivity::kLoading, claimedAt);
+  const std::optional<ShardRecords> read = ReadRecords();
+  if (!read) {
+    return false;
+  }
+  LogCallSize size = SizeOf(read->mProgress.mEntries);
+  size += SizeOf(read->mIntake.mEntries);
+  mWatchdog.RecordLoad(size);
+  ShardSchedulerOptions options;
+  options.mEpoch = mOptions.mEpoch;
+  options.mLease = mOptions.mLease;
+  options.mProofLimit = mOptions.mProofLimit;
+  options.mKeepOver = mOptions.mKeepOver;
+  auto shard =
+    std::make_unique<ShardScheduler>(options, mPorts.mPolicies, claimedAt);
+  const std::map<JobId, JobRecord> records =
+    RestoreProgress(read->mProgress.mEntries, *shard);
+  const size_t jobs =
+    RestoreIntake(read->mIntake.mEntries, records, claimedAt, *shard);
+  mIntakeOffset = read->mIntake.mNext;
+  LogEvent(EventLevel::kInfo,
+           "shard_loaded",
+           { { "jobs", std::to_string(jobs) },
+             { "records", std::to_string(records.size()) },
+             { "read_records", std::to_string(size.mRecords) },
+             { "read_bytes", std::to_string(size.mBytes) },
+             { "intake_next", std::to_string(mIntakeOffset) } });
+  mPorts.mMetrics.Add(Counter::kTakeovers, 1);
+  mPorts.mMetrics.Record(Timing::kTakeoverUs, mPorts.mClock.Now() - claimedAt);
+  mWatchdog.End(OwnerActivity::kLoading, mPorts.mClock.Now());
+  MutexLock lock(mMutex);
+  mShard = std::move(shard);
+  mIntakeReadAt = claimedAt;
+  mConfig = mPorts.mConfig.Current();
+  mShard->OnConfig(*mConfig);
+  StartRenewals();
+  RequestDecisionPass();
+  return true;
+}
+
+// Returns nothing if the ownership is over.
+std::optional<ShardRuntime::ShardRecords> ShardRuntime::ReadRecords()
+{
   Result<KeyedPage> progress = Fail(FailureKind::kNotReady);
   Result<KeyedPage> intake = Fail(FailureKind::kNotReady);
-  mWatchdog.Begin(OwnerActivity::kLoading, claimedAt);
   while (true) {
     std::thread intakeReader([&] {
       if (!intake) {
@@ -73,103 +115,95 @@
     }
     intakeReader.join();
     if (progress && intake) {
-      break;
+      return ShardRecords{ std::move(progress.value()),
+                           std::move(intake.value()) };
     }
     const Failure failure = progress ? intake.error() : progress.error();
     LogActivityFailure(OwnerActivity::kLoading, failure);
     if (!IsRetryable(failure.mKind)) {
       GiveUpAndLeaveGroup("the records can't be read");
-      return false;
+      return std::nullopt;
     }
     if (!SleepUntil(Steady::now() + kLoadRetryDelay)) {
-      return false;
+      return std::nullopt;
     }
   }
-  LogCallSize size = SizeOf(progress.value().mEntries);
-  size += SizeOf(intake.value().mEntries);
-  mWatchdog.RecordLoad(size);
-  ShardSchedulerOptions options;
-  options.mEpoch = mOptions.mEpoch;
-  options.mLease = mOptions.mLease;
-  options.mProofLimit = mOptions.mProofLimit;
-  options.mKeepOver = mOptions.mKeepOver;
-  auto shard =
-    std::make_unique<ShardScheduler>(options, mPorts.mPolicies, claimedAt);
+}
+
+// Passes on what former owners recorded, except for the progress of jobs, which
+// is returned.
+std::map<JobId, JobRecord> ShardRuntime::RestoreProgress(
+  const std::vector<KeyedEntry>& aEntries,
+  ShardScheduler& aShard)
+{
   std::map<JobId, JobRecord> records;
-  for (const KeyedEntry& entry : progress.value().mEntries) {
+  for (const KeyedEntry& entry : aEntries) {
     Result<ProgressItem> item = mPorts.mCodec.DecodeProgress(entry);
     if (!item) {
       LogFailure("progress_record", item.error());
     } else if (auto* record = std::get_if<JobRecord>(&item.value())) {
       MergePart(records[record->mId], std::move(*record));
     } else if (auto* worker = std::get_if<UsedWorkerRecord>(&item.value())) {
-      shard->RestoreWorker(*worker);
+      aShard.RestoreWorker(*worker);
     } else if (auto* learned = std::get_if<LearnedRecord>(&item.value())) {
-      shard->RestoreLearned(*learned);
+      aShard.RestoreLearned(*learned);
     } else if (auto* claim = std::get_if<OwnershipRecord>(&item.value())) {
       if (claim->mEpoch < mOptions.mEpoch) {
-        shard->RestoreFormerOwner(
+        aShard.RestoreFormerOwner(
           FormerOwner{ claim->mEpoch, claim->mPeer, claim->mProcess });
       }
     }
   }
+  return records;
+}
+
+// Passes on the jobs and cancellations. Returns the number of jobs that are not
+// over.
+size_t ShardRuntime::RestoreIntake(const std::vector<KeyedEntry>& aEntries,
+                                   const std::map<JobId, JobRecord>& aRecords,
+                                   MonotonicTime aClaimedAt,
+                                   ShardScheduler& aShard)
+{
   std::vector<JobId> cancelled;
   std::set<JobId> onIntake;
   size_t jobs = 0;
-  for (const KeyedEntry& entry : intake.value().mEntries) {
+  for (const KeyedEntry& entry : aEntries) {
     if (const auto submitted = mPorts.mCodec.SubmittedJobId(entry)) {
       onIntake.insert(*submitted);
     }
-    const JobRecord* finished = RecordOfEndedJob(mPorts.mCodec, entry, records);
+    const JobRecord* finished =
+      RecordOfEndedJob(mPorts.mCodec, entry, aRecords);
     if (finished != nullptr) {
       // Only the phase of a finished job is still queried, so its specification
       // is not decoded.
       JobGraph graph;
       graph.mId = finished->mId;
-      shard->RestoreJob(std::move(graph), finished);
+      aShard.RestoreJob(std::move(graph), finished);
       continue;
     }
     Result<IntakeItem> item = mPorts.mCodec.DecodeIntake(entry);
     if (!item) {
       LogFailure("intake_record", item.error());
     } else if (auto* job = std::get_if<JobGraph>(&item.value())) {
-      const auto record = records.find(job->mId);
-      shard->RestoreJob(std::move(*job),
-                        record == records.end() ? nullptr : &record->second);
+      const auto record = aRecords.find(job->mId);
+      aShard.RestoreJob(std::move(*job),
+                        record == aRecords.end() ? nullptr : &record->second);
       jobs++;
     } else if (auto* cancel = std::get_if<JobCancellation>(&item.value())) {
       cancelled.push_back(cancel->mJob);
     }
   }
   for (const JobId& job : cancelled) {
-    shard->OnJobCancelled(job, claimedAt);
+    aShard.OnJobCancelled(job, aClaimedAt);
   }
-  for (const auto& [id, record] : records) {
+  for (const auto& [id, record] : aRecords) {
     // The former owner ended before it removed the progress too. Former owners
     // can add none after the claim, so the job is not one that was missed.
     if (onIntake.count(id) == 0) {
-      shard->RestoreProgressOffIntake(record);
+      aShard.RestoreProgressOffIntake(record);
     }
   }
-  mIntakeOffset = intake.value().mNext;
-  LogEvent(EventLevel::kInfo,
-           "shard_loaded",
-           { { "jobs", std::to_string(jobs) },
-             { "records", std::to_string(records.size()) },
-             { "read_records", std::to_string(size.mRecords) },
-             { "read_bytes", std::to_string(size.mBytes) },
-             { "intake_next", std::to_string(mIntakeOffset) } });
-  mPorts.mMetrics.Add(Counter::kTakeovers, 1);
-  mPorts.mMetrics.Record(Timing::kTakeoverUs, mPorts.mClock.Now() - claimedAt);
-  mWatchdog.End(OwnerActivity::kLoading, mPorts.mClock.Now());
-  MutexLock lock(mMutex);
-  mShard = std::move(shard);
-  mIntakeReadAt = claimedAt;
-  mConfig = mPorts.mConfig.Current();
-  mShard->OnConfig(*mConfig);
-  StartRenewals();
-  RequestDecisionPass();
-  return true;
+  return jobs;
 }
 
 // Removes jobs that have been over for long from the intake. Jobs that are not
