--- a/mulberryvalve/core/jobs/shard_scheduler_losses.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_losses.cc
@@ -106,6 +106,7 @@
     ReleaseLostTask(ref, aWhy, aEndedBy);
   }
   aWorker.mForeignRuns.clear();
+  // Nor is a run of an unread job left there.
   mUnreadJobs.KeepRuns(aWorker.mInfo.mId, {}, aEndedBy);
 }
 
