Read-through: one question for former owners, one way to add several entries

MayNeedFormerOwners asked again what FormerOwnersToAsk answers: both only shrink, so an empty answer ends the thread that asks. Three loops that add entries to an append are AppendSplitter::AddAll. Two includes that nothing used are gone, and a ragged comment is wrapped. No change of behaviour; former_owners, shard_runtime, append_splitting, job_log_json, large_job, retired_jobs and unread_jobs tests passed after it.

--- a/mulberryvalve/adapters/json/job_log_json.h
+++ b/mulberryvalve/adapters/json/job_log_json.h
@@ -15,10 +15,10 @@
 bool FitsJobTaskLimit(const JobGraph& aJob);
 
 // JobLogJson implements JobLogCodec. Keys: a job has its id, its cancellation
-// "cancel/ID", its progress "job/ID" and, for further
-// parts, "part/PART/ID", a used worker "worker/ID", the claim of
-// an epoch "owner/EPOCH" (formerly "owner", the newest claim). Fields with
-// default values are omitted. Thread-safe.
+// "cancel/ID", its progress "job/ID" and, for further parts, "part/PART/ID", a
+// used worker "worker/ID", the claim of an epoch "owner/EPOCH" (formerly
+// "owner", the newest claim). Fields with default values are omitted.
+// Thread-safe.
 class JobLogJson : public JobLogCodec
 {
 public:
--- a/mulberryvalve/app/jobs/append_splitting.cc
+++ b/mulberryvalve/app/jobs/append_splitting.cc
@@ -41,6 +41,15 @@
     return Last().mBatch;
   }
 
+  // Adds all of aEntries and returns the batch of the last append.
+  ProgressBatch& AddAll(std::vector<KeyedEntry> aEntries)
+  {
+    for (KeyedEntry& entry : aEntries) {
+      Add(std::move(entry));
+    }
+    return Last().mBatch;
+  }
+
   ProgressAppend& Last() { return mAppends.mAppends.back(); }
 
   // Returns the appends. Call once.
@@ -59,9 +68,7 @@
   const KeyedLogLimits& aLimits)
 {
   AppendSplitter builder(aLimits);
-  for (KeyedEntry& entry : aEntries) {
-    builder.Add(std::move(entry));
-  }
+  builder.AddAll(std::move(aEntries));
   std::vector<std::vector<KeyedEntry>> appends;
   for (ProgressAppend& append : builder.Take().mAppends) {
     if (!append.mEntries.empty()) {
@@ -80,10 +87,8 @@
     builder.Add(aCodec.Encode(record)).mJobs.push_back(record);
   }
   for (const RetiredJob& job : aBatch.mRetired) {
-    for (KeyedEntry& tombstone : aCodec.EncodeProgressTombstones(job)) {
-      builder.Add(std::move(tombstone));
-    }
-    builder.Last().mBatch.mRetired.push_back(job);
+    builder.AddAll(aCodec.EncodeProgressTombstones(job))
+      .mRetired.push_back(job);
   }
   for (const UsedWorkerRecord& worker : aBatch.mWorkers) {
     builder.Add(aCodec.Encode(worker)).mWorkers.push_back(worker);
@@ -93,10 +98,8 @@
       .mRemovedWorkers.push_back(worker);
   }
   for (const Epoch epoch : aBatch.mEndedClaims) {
-    for (KeyedEntry& tombstone : aCodec.EncodeOwnershipTombstones(epoch)) {
-      builder.Add(std::move(tombstone));
-    }
-    builder.Last().mBatch.mEndedClaims.push_back(epoch);
+    builder.AddAll(aCodec.EncodeOwnershipTombstones(epoch))
+      .mEndedClaims.push_back(epoch);
   }
   if (aBatch.mLearned) {
     builder.Add(aCodec.Encode(*aBatch.mLearned)).mLearned = aBatch.mLearned;
--- a/mulberryvalve/app/jobs/shard_runtime_readers.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_readers.cc
@@ -343,11 +343,11 @@
     std::vector<FormerOwner> owners;
     {
       MutexLock lock(mMutex);
-      if (!mShard->MayNeedFormerOwners(mPorts.mClock.Now())) {
-        return;
-      }
       owners = mShard->FormerOwnersToAsk();
     }
+    if (owners.empty()) {
+      return;
+    }
     for (const FormerOwner& owner : owners) {
       if (const auto endedBy = AskForEnd(owner)) {
         MutexLock lock(mMutex);
--- a/mulberryvalve/core/jobs/job_state.h
+++ b/mulberryvalve/core/jobs/job_state.h
@@ -8,7 +8,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <set>
 #include <vector>
 
 namespace mulberryvalve {
--- a/mulberryvalve/core/jobs/shard_scheduler.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler.cc
@@ -82,13 +82,6 @@
                                              : std::vector<FormerOwner>();
 }
 
-bool ShardScheduler::MayNeedFormerOwners(MonotonicTime aNow) const
-{
-  return aNow < mClaimedAt + MaxFormerRuns() &&
-         !mFormerOwners.Unsettled().empty() &&
-         mInheritedWorkers.HasAssumedWaits();
-}
-
 void ShardScheduler::OnFormerOwnerEnded(Epoch aEpoch, MonotonicTime aEndedBy)
 {
   mFormerOwners.OnEnded(aEpoch, aEndedBy);
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -49,12 +49,9 @@
   // Restores a claim of an owner before this one.
   void RestoreFormerOwner(FormerOwner aOwner);
 
-  // Returns whether runs of former owners may be left whose ends are not known,
-  // so that FormerOwnersToAsk may return an owner now or later.
-  bool MayNeedFormerOwners(MonotonicTime aNow) const;
-
   // Returns the former owners whose ends would shorten a wait, if they were
-  // known. Ask them, and call OnFormerOwnerEnded.
+  // known. Ask them, and call OnFormerOwnerEnded. Once there are none, there
+  // will be none later.
   std::vector<FormerOwner> FormerOwnersToAsk() const;
 
   // Records that a former owner had ended by aEndedBy: it sent nothing after
--- a/mulberryvalve/core/jobs/unread_jobs.h
+++ b/mulberryvalve/core/jobs/unread_jobs.h
@@ -8,7 +8,6 @@
 
 #include <map>
 #include <optional>
-#include <set>
 #include <vector>
 
 namespace mulberryvalve {
