tasks_held says why its workers are waited for, worker_released how that ended

After a change of owner one line said how many tasks wait for how many workers. It did not say what is known of these workers, so four causes of a long wait looked alike: no note, a wait of an assumed length, a worker that the list lacks, and runs that lapsed before they could be adopted.

tasks_held now has counts of the workers by evidence (no_note, tasks_noted, limit_noted, both_noted, ends_omitted), of those with an assumed wait and of those that the list lacks, and of the held tasks of which a worker that answered listed an end (ended_tasks, lapsed_tasks). worker_released tells of the last 8 workers of a take-over how the wait ended, after what time and by what evidence; the last are those that held tasks back for longest. As a change of the new counts is logged too, at most once a second, the counter tasks_held_back may grow faster.

HeldTaskReport does the counting and replaces ReportBlockedTasks and CountBlockedTasks of ShardScheduler; the text of tasks_held is unchanged. It only reads the tables, and ShardScheduler tells it of answers, ended processes, ends and former owners. Nothing that is decided depends on it: callers saw no change.

held_task_report_test (13 tests), 3 new tests of shard_scheduler_handover_test and 2 of decision_events_test show each count, reason and release.

--- a/mulberryvalve/app/jobs/decision_events.cc
+++ b/mulberryvalve/app/jobs/decision_events.cc
@@ -15,6 +15,36 @@
          aFirst.mTask->mStep == aNext.mTask->mStep;
 }
 
+void AddCount(DecisionEvent& aEvent, std::string_view aKey, size_t aCount)
+{
+  aEvent.mFields.push_back({ std::string(aKey), std::to_string(aCount) });
+}
+
+void AddHeldCounts(DecisionEvent& aEvent, const HeldTaskCounts& aCounts)
+{
+  for (const auto& row : kWaitEvidenceNames.mRows) {
+    const size_t index = static_cast<size_t>(row.mValue);
+    AddCount(aEvent, row.mName, aCounts.mByEvidence[index]);
+  }
+  AddCount(aEvent, "assumed", aCounts.mAssumed);
+  AddCount(aEvent, "unlisted", aCounts.mUnlisted);
+  AddCount(aEvent, "ended_tasks", aCounts.mEndedTasks);
+  AddCount(aEvent, "lapsed_tasks", aCounts.mLapsedTasks);
+}
+
+void AddEndedWait(DecisionEvent& aEvent, const EndedWait& aWait)
+{
+  const WaitReason& reason = aWait.mReason;
+  aEvent.mFields.push_back(
+    { "evidence", std::string(kWaitEvidenceNames.Name(reason.mEvidence)) });
+  aEvent.mFields.push_back(
+    { "listing", std::string(kWorkerListingNames.Name(reason.mListing)) });
+  aEvent.mFields.push_back(
+    { "held_ms", std::to_string(aWait.mHeldFor.count()) });
+  aEvent.mFields.push_back(
+    { "limit_ms", std::to_string(aWait.mLimit.count()) });
+}
+
 DecisionEvent EventOf(const JobDecision& aDecision)
 {
   DecisionEvent event{ kDecisionKindNames.Name(aDecision.mKind), {} };
@@ -29,6 +59,12 @@
     event.mFields.push_back({ "worker", aDecision.mWorker.Text() });
   }
   event.mFields.push_back({ "why", aDecision.mReason });
+  if (aDecision.mHeldCounts) {
+    AddHeldCounts(event, *aDecision.mHeldCounts);
+  }
+  if (aDecision.mEndedWait) {
+    AddEndedWait(event, *aDecision.mEndedWait);
+  }
   return event;
 }
 
--- a/mulberryvalve/app/jobs/decision_events_test.cc
+++ b/mulberryvalve/app/jobs/decision_events_test.cc
@@ -65,6 +65,39 @@
   STRCMP_EQUAL("tasks_held why=2 tasks", TextOf(events[0]).c_str());
 }
 
+TEST(DecisionEventsTest, AnEventTellsWhyWorkersAreWaitedFor)
+{
+  JobDecision held;
+  held.mKind = DecisionKind::kTasksHeld;
+  held.mReason = "9 tasks";
+  held.mHeldCounts.emplace();
+  held.mHeldCounts->mByEvidence = { 1, 2, 3, 4, 5 };
+  held.mHeldCounts->mAssumed = 6;
+  held.mHeldCounts->mUnlisted = 7;
+  held.mHeldCounts->mEndedTasks = 9;
+  held.mHeldCounts->mLapsedTasks = 8;
+  STRCMP_EQUAL("tasks_held why=9 tasks no_note=1 tasks_noted=2 limit_noted=3 "
+               "both_noted=4 ends_omitted=5 assumed=6 unlisted=7 "
+               "ended_tasks=9 lapsed_tasks=8",
+               TextOf(EventsOf({ held })[0]).c_str());
+}
+
+TEST(DecisionEventsTest, AnEventTellsHowAWaitForAWorkerEnded)
+{
+  JobDecision released;
+  released.mKind = DecisionKind::kWorkerReleased;
+  released.mWorker = WorkerId("w");
+  released.mReason = "wait_expired";
+  EndedWait wait;
+  wait.mReason = { WaitEvidence::kNoNote, WorkerListing::kUnlisted };
+  wait.mHeldFor = Milliseconds(13373);
+  wait.mLimit = Milliseconds(13150);
+  released.mEndedWait = wait;
+  STRCMP_EQUAL("worker_released worker=w why=wait_expired evidence=no_note "
+               "listing=unlisted held_ms=13373 limit_ms=13150",
+               TextOf(EventsOf({ released })[0]).c_str());
+}
+
 TEST(DecisionEventsTest, AnEventNamesALimitedNumberOfRuns)
 {
   std::vector<JobDecision> decisions;
--- a/mulberryvalve/core/jobs/job_decision.h
+++ b/mulberryvalve/core/jobs/job_decision.h
@@ -3,6 +3,7 @@
 #define MULBERRYVALVE_CORE_JOBS_JOB_DECISION_H_
 
 #include "mulberryvalve/core/base/enum_table.h"
+#include "mulberryvalve/core/jobs/inherited_wait.h"
 #include "mulberryvalve/core/jobs/job_state.h"
 
 #include <optional>
@@ -31,9 +32,10 @@
   kWorkerFenced,    // it follows a newer owner
   kWorkerPaced,     // the pace of its best-effort tasks changed
   kTasksHeld, // tasks wait for a former owner's workers, or stopped waiting
+  kWorkerReleased, // the wait for a former owner's worker has ended
 };
 
-inline constexpr EnumTable<DecisionKind, 19> kDecisionKindNames{ { {
+inline constexpr EnumTable<DecisionKind, 20> kDecisionKindNames{ { {
   { DecisionKind::kJobKnown, "job_known" },
   { DecisionKind::kJobCancelled, "job_cancelled" },
   { DecisionKind::kJobOver, "job_over" },
@@ -53,6 +55,7 @@
   { DecisionKind::kWorkerFenced, "worker_fenced" },
   { DecisionKind::kWorkerPaced, "worker_paced" },
   { DecisionKind::kTasksHeld, "tasks_held" },
+  { DecisionKind::kWorkerReleased, "worker_released" },
 } } };
 
 // WaitCause is the most frequent reason why workers are ruled out for a waiting
@@ -92,6 +95,10 @@
   // the shard the last of them stopped waiting.
   size_t mHeldTasks = 0;
   std::optional<Milliseconds> mHeldFor;
+  // For kTasksHeld while tasks wait.
+  std::optional<HeldTaskCounts> mHeldCounts;
+  // For kWorkerReleased.
+  std::optional<EndedWait> mEndedWait;
   // For the first start of a job that this owner read from the log itself: the
   // time since it read the job.
   std::optional<Milliseconds> mWaited;
--- a/mulberryvalve/core/jobs/shard_scheduler.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler.cc
@@ -30,6 +30,7 @@
   , mClaimedAt(aClaimedAt)
   , mWorkers(aOptions.mLease)
   , mSearch(aPolicies.mPlacement, mWorkers)
+  , mHeldTasks(mJobTable, mWorkers, mInheritedWorkers, aClaimedAt)
   , mRefreshNotesAt(aClaimedAt + kFirstNoteRefresh)
   , mSaveLearnedAt(aClaimedAt + kSaveLearnedInterval)
 {
@@ -69,6 +70,7 @@
   mInheritedWorkers.Add(
     aWorker.mId,
     InheritedWorker{ until, aWorker.mPossibleTasks, !aWorker.mRemainingLease });
+  mHeldTasks.OnInherited(aWorker.mId);
 }
 
 void ShardScheduler::RestoreFormerOwner(FormerOwner aOwner)
@@ -86,8 +88,9 @@
 {
   mFormerOwners.OnEnded(aEpoch, aEndedBy);
   if (const auto allEndedBy = mFormerOwners.AllEndedBy()) {
-    mInheritedWorkers.ShortenAssumedWaits(
-      mWorkers.EndOfLeaseRequestedBy(*allEndedBy));
+    const MonotonicTime until = mWorkers.EndOfLeaseRequestedBy(*allEndedBy);
+    mHeldTasks.OnAssumedWaitsLimited(until);
+    mInheritedWorkers.ShortenAssumedWaits(until);
   }
 }
 
@@ -212,6 +215,7 @@
     }
   }
   mHasWorkerList = true;
+  mHeldTasks.OnWorkerList();
 }
 
 std::vector<JobId> ShardScheduler::TakeRetirableJobs(MonotonicTime aNow)
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -7,6 +7,7 @@
 #include "mulberryvalve/core/jobs/cluster_config.h"
 #include "mulberryvalve/core/jobs/cluster_usage.h"
 #include "mulberryvalve/core/jobs/former_owners.h"
+#include "mulberryvalve/core/jobs/held_task_report.h"
 #include "mulberryvalve/core/jobs/inherited_workers.h"
 #include "mulberryvalve/core/jobs/job_decision.h"
 #include "mulberryvalve/core/jobs/job_placement_policy.h"
@@ -121,6 +122,13 @@
   // Returns the size and the use of the window of unanswered starts.
   StartWindowStats TakeWindowStats() { return mWindow.TakeStats(); }
 
+  // Returns the tasks that are held back for workers of former owners, and how
+  // waits for these workers ended since the last call.
+  HeldTaskStats TakeHeldTaskStats(MonotonicTime aNow)
+  {
+    return mHeldTasks.TakeStats(aNow);
+  }
+
   // TakeRetirableJobs returns jobs that have been over for long, at most some
   // at a time and not on every call. Remove them from the intake, and call
   // OnRemovedFromIntake once that is durable: only then is their progress
@@ -188,21 +196,6 @@
     }
   };
 
-  // BlockedTaskCounts counts the tasks that wait for inherited workers.
-  struct BlockedTaskCounts
-  {
-    size_t mJobs = 0;
-    size_t mTasks = 0;
-    size_t mWorkers = 0;
-
-    friend bool operator==(const BlockedTaskCounts& aLeft,
-                           const BlockedTaskCounts& aRight)
-    {
-      return std::tie(aLeft.mJobs, aLeft.mTasks, aLeft.mWorkers) ==
-             std::tie(aRight.mJobs, aRight.mTasks, aRight.mWorkers);
-    }
-  };
-
   // ReportedRun is a run that a worker reported, with the task that it belongs
   // to.
   struct ReportedRun
@@ -231,8 +224,7 @@
   bool IsStepBlocked(const JobEntry& aJob,
                      const StepRef& aStep,
                      MonotonicTime aNow) const;
-  BlockedTaskCounts CountBlockedTasks() const;
-  void ReportBlockedTasks(MonotonicTime aNow);
+  void ReportHeldTasks(MonotonicTime aNow);
 
   // Worker reports (shard_scheduler_reports.cc).
   void ProcessReport(WorkerEntry& aWorker,
@@ -424,13 +416,9 @@
   FormerOwners mFormerOwners;
   std::vector<Epoch> mEndedClaims;
   InheritedWorkers mInheritedWorkers;
+  HeldTaskReport mHeldTasks;
   UnreadJobs mUnreadJobs;
   MonotonicTime mRefreshNotesAt;
-  // The counts of blocked tasks that were last logged, and when to log them
-  // again.
-  BlockedTaskCounts mLastReportedCounts;
-  MonotonicTime mReportBlockedAt;
-  bool mReportedAllBlocked = false;
   // A list of workers was received.
   bool mHasWorkerList = false;
   MonotonicTime mSaveLearnedAt;
--- a/mulberryvalve/core/jobs/shard_scheduler_handover.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_handover.cc
@@ -1,5 +1,6 @@
 // Handover: what ShardScheduler records of its workers for a successor, and
 // which tasks it blocks because of the former owner's workers.
+#include "mulberryvalve/core/jobs/remaining_time.h"
 #include "mulberryvalve/core/jobs/shard_scheduler.h"
 
 #include <algorithm>
@@ -16,10 +17,6 @@
 // Workers that are able to answer a new owner do so within this after the
 // claim.
 constexpr Milliseconds kFirstNoteAfterClaim{ 2000 };
-// Blocked tasks are logged at most this often, with at most this many workers
-// named.
-constexpr Milliseconds kBlockedReportInterval{ 1000 };
-constexpr size_t kMaxNamedWorkers = 8;
 
 std::optional<std::vector<TaskRef>> TasksForNote(const WorkerEntry& aWorker)
 {
@@ -30,24 +27,6 @@
   return std::vector<TaskRef>(tasks.begin(), tasks.end());
 }
 
-Milliseconds RemainingUntil(MonotonicTime aUntil, MonotonicTime aNow)
-{
-  return std::max(Milliseconds(0),
-                  std::chrono::ceil<Milliseconds>(aUntil - aNow));
-}
-
-// Returns the last of aWorkers, for which the wait is longest, at most
-// kMaxNamedWorkers.
-std::string FormatWorkerNames(const std::vector<WorkerId>& aWorkers)
-{
-  std::string names;
-  const size_t named = std::min(aWorkers.size(), kMaxNamedWorkers);
-  for (size_t number = 0; number < named; number++) {
-    names += " " + aWorkers[aWorkers.size() - 1 - number].Text();
-  }
-  return names;
-}
-
 } // namespace
 
 // An unresponsive or leaving worker gets no start until its note is durably
@@ -209,75 +188,11 @@
   return IsJobBlocked(aJob, aNow) || mInheritedWorkers.BlocksStep(aStep);
 }
 
-ShardScheduler::BlockedTaskCounts ShardScheduler::CountBlockedTasks() const
-{
-  BlockedTaskCounts counts;
-  std::set<const JobEntry*> jobs;
-  for (const auto& [openStep, job] : mJobTable.ReadySteps()) {
-    const StepRef stepRef = StepRefOf(*job, openStep);
-    const StepState& step =
-      job->mOccurrences[openStep.mOccurrence][openStep.mStep];
-    size_t tasks = 0;
-    if (job->mMayHaveFormerRuns && mInheritedWorkers.BlocksAllTasks()) {
-      tasks = step.mWaiting;
-    } else if (mInheritedWorkers.BlocksStep(stepRef)) {
-      for (uint32_t index = 0; index < step.mTasks.size(); index++) {
-        const bool isWaiting = step.mTasks[index].mPhase == TaskPhase::kWaiting;
-        tasks +=
-          isWaiting && mInheritedWorkers.BlocksTask(TaskRef{ stepRef, index })
-            ? 1
-            : 0;
-      }
-    }
-    if (tasks > 0) {
-      jobs.insert(job);
-      counts.mTasks += tasks;
-    }
-  }
-  counts.mJobs = jobs.size();
-  counts.mWorkers = counts.mTasks > 0 ? mInheritedWorkers.PendingCount() : 0;
-  return counts;
-}
-
-// Logs how many tasks are blocked by inherited workers: initially, whenever the
-// counts change, at once when the last worker with unknown tasks is resolved,
-// and when nothing is blocked any more.
-void ShardScheduler::ReportBlockedTasks(MonotonicTime aNow)
+void ShardScheduler::ReportHeldTasks(MonotonicTime aNow)
 {
-  const bool allResolved = mInheritedWorkers.PendingCount() == 0;
-  const bool due = aNow >= mReportBlockedAt ||
-                   mReportedAllBlocked != mInheritedWorkers.BlocksAllTasks();
-  if (allResolved ? mLastReportedCounts == BlockedTaskCounts() : !due) {
-    return;
-  }
-  mReportedAllBlocked = mInheritedWorkers.BlocksAllTasks();
-  mReportBlockedAt = aNow + kBlockedReportInterval;
-  const BlockedTaskCounts counts =
-    allResolved ? BlockedTaskCounts() : CountBlockedTasks();
-  if (counts == mLastReportedCounts) {
-    return;
-  }
-  mLastReportedCounts = counts;
-  JobDecision decision;
-  decision.mKind = DecisionKind::kTasksHeld;
-  decision.mHeldTasks = counts.mTasks;
-  if (counts.mTasks == 0) {
-    decision.mHeldFor =
-      std::chrono::duration_cast<Milliseconds>(aNow - mClaimedAt);
-    decision.mReason = "none left, " +
-                       std::to_string(decision.mHeldFor->count()) +
-                       " ms after the claim";
-  } else {
-    const Milliseconds left =
-      RemainingUntil(mInheritedWorkers.LatestWaitEnd(), aNow);
-    decision.mReason =
-      std::to_string(counts.mTasks) + " tasks of " +
-      std::to_string(counts.mJobs) + " jobs for " +
-      std::to_string(counts.mWorkers) + " workers of the former owner, for " +
-      std::to_string(left.count()) +
-      " ms at most:" + FormatWorkerNames(mInheritedWorkers.PendingWorkers());
+  for (JobDecision& decision : mHeldTasks.Update(aNow)) {
+    LogDecision(std::move(decision));
   }
-  LogDecision(std::move(decision));
 }
 
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/shard_scheduler_handover_test.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_handover_test.cc
@@ -427,4 +427,96 @@
   CHECK_EQUAL(3400, blocked[1].mHeldFor.value().count());
 }
 
+// The owner passes what it learns of inherited workers on to HeldTaskReport.
+TEST(HandoverNotesTest, ReleasesOfInheritedWorkersAreLogged)
+{
+  UsedWorkerRecord dark;
+  dark.mId = WorkerId("dark");
+  dark.mEndpoint = Endpoint{ "c", 3 };
+  UsedWorkerRecord used;
+  used.mId = kWorker;
+  used.mEndpoint = mOwner.mInfo.mEndpoint;
+  mOwner.mShard.RestoreWorker(dark);
+  mOwner.mShard.RestoreWorker(used);
+  mOwner.mShard.RestoreFormerOwner(
+    FormerOwner{ Epoch(1), Endpoint{ "o", 1 }, Incarnation(1) });
+  JobGraph job = OneStepJob("j", 1, 1000);
+  job.mRules.mService = kService;
+  mOwner.mShard.RestoreJob(job, nullptr);
+  mOwner.mReply.mEnded.push_back(RunEndReport{
+    EndNumber(1), kTask, RunNumber(7), EndKind::kLapsed, CheckpointId() });
+  StartUsingWorker();
+  CHECK_EQUAL(0U, mOwner.CountStarts());
+  CHECK_EQUAL(1U, mOwner.mShard.TakeHeldTaskStats(mOwner.mNow).mTasks);
+  mOwner.mShard.OnFormerOwnerEnded(Epoch(1), mOwner.mNow);
+  mOwner.mNow += Milliseconds(7000);
+  CHECK_EQUAL(1U, mOwner.CountStarts());
+  CHECK_EQUAL(0U, mOwner.mShard.TakeHeldTaskStats(mOwner.mNow).mTasks);
+  std::vector<JobDecision> released;
+  std::vector<JobDecision> held;
+  for (const JobDecision& decision : mOwner.mShard.TakeDecisions()) {
+    if (decision.mKind == DecisionKind::kWorkerReleased) {
+      released.push_back(decision);
+    } else if (decision.mKind == DecisionKind::kTasksHeld) {
+      held.push_back(decision);
+    }
+  }
+  CHECK_EQUAL(2U, released.size());
+  CHECK(kWorker == released[0].mWorker);
+  STRCMP_EQUAL("answered", released[0].mReason.c_str());
+  CHECK(WorkerListing::kListed == released[0].mEndedWait->mReason.mListing);
+  CHECK(WorkerId("dark") == released[1].mWorker);
+  STRCMP_EQUAL("former_owner_ended", released[1].mReason.c_str());
+  CHECK(WorkerListing::kUnlisted == released[1].mEndedWait->mReason.mListing);
+  CHECK_EQUAL(1U, held.at(0).mHeldCounts.value().mLapsedTasks);
+  CHECK_EQUAL(1U, held[0].mHeldCounts->mUnlisted);
+}
+
+// Such a worker was started anew by then, and nothing of before runs there.
+TEST(HandoverNotesTest, AnInheritedWorkerThatIsGoneIsLogged)
+{
+  UsedWorkerRecord used;
+  used.mId = kWorker;
+  used.mEndpoint = mOwner.mInfo.mEndpoint;
+  mOwner.mShard.RestoreWorker(used);
+  mOwner.ReadWorkerList();
+  RenewalRequest hold;
+  hold.mWorker = kWorker;
+  hold.mEndpoint = mOwner.mInfo.mEndpoint;
+  RenewalReply gone;
+  gone.mOutcome = OrderOutcome::kGone;
+  mOwner.mShard.OnRenewalReply(hold, gone, mOwner.mNow, mOwner.mNow);
+  mOwner.CountStarts();
+  std::string released;
+  for (const JobDecision& decision : mOwner.mShard.TakeDecisions()) {
+    if (decision.mKind == DecisionKind::kWorkerReleased) {
+      released += decision.mReason;
+    }
+  }
+  STRCMP_EQUAL("gone", released.c_str());
+}
+
+// An answer that omits ends makes the owner wait on.
+TEST(HandoverNotesTest, AnInheritedWorkerThatOmitsEndsIsCounted)
+{
+  UsedWorkerRecord used;
+  used.mId = kWorker;
+  used.mEndpoint = mOwner.mInfo.mEndpoint;
+  mOwner.mShard.RestoreWorker(used);
+  JobGraph job = OneStepJob("j", 1, 1000);
+  job.mRules.mService = kService;
+  mOwner.mShard.RestoreJob(job, nullptr);
+  mOwner.mReply.mMayOmitEnds = true;
+  StartUsingWorker();
+  CHECK_EQUAL(0U, mOwner.CountStarts());
+  for (const JobDecision& decision : mOwner.mShard.TakeDecisions()) {
+    if (decision.mKind == DecisionKind::kTasksHeld) {
+      const size_t index = static_cast<size_t>(WaitEvidence::kEndsOmitted);
+      CHECK_EQUAL(1U, decision.mHeldCounts.value().mByEvidence[index]);
+      return;
+    }
+  }
+  FAIL("no held task is logged");
+}
+
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/shard_scheduler_placement.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_placement.cc
@@ -52,7 +52,7 @@
     mRetryPlacementAt = aNow + kPlacementRetryInterval;
     RunPlacement(aNow);
   }
-  ReportBlockedTasks(aNow);
+  ReportHeldTasks(aNow);
   for (TaskOrder& order : mPendingOrders) {
     order.mDecidedAt = aNow;
   }
--- a/mulberryvalve/core/jobs/shard_scheduler_reports.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_reports.cc
@@ -57,6 +57,7 @@
       ReleaseAllTasks(
         *workerState, "another worker answers at its address", aNow);
       mInheritedWorkers.MarkIdle(aOrder.mWorker, aNow);
+      mHeldTasks.OnGone(aOrder.mWorker, aNow);
       mNeedsPlacement = true;
     }
     return;
@@ -77,6 +78,7 @@
     // The ends that are not listed yet may be of any inherited task.
     mInheritedWorkers.Postpone(aOrder.mWorker,
                                mWorkers.EndOfLeaseRequestedBy(aNow));
+    mHeldTasks.OnEndsOmitted(aOrder.mWorker);
     return;
   }
   if (!workerState->mHasReportedRuns) {
@@ -86,6 +88,7 @@
     RevokeHandoverNote(*workerState);
     mNeedsPlacement = true;
     mInheritedWorkers.Remove(aOrder.mWorker);
+    mHeldTasks.OnAnswered(aOrder.mWorker, aNow);
     LogWorkerDecision(DecisionKind::kWorkerKnown,
                       aOrder.mWorker,
                       std::to_string(aReply.mRunning.size()) + " running");
@@ -164,6 +167,7 @@
   if (place.mTask == nullptr) {
     return;
   }
+  mHeldTasks.OnRunEnded(aRow);
   TaskProgress* task = place.mTask;
   const JobId& id = aRow.mTask.mStep.mJob;
   const bool isCurrentRun = IsPlaced(task->mPhase) &&
