Gauges of the tasks held back now, and counters of how the waits ended

tasks_held_back and held_back_us are written at changes and at the end: while a take-over held all tasks back, no metric said so, and no alert could be set on it.

tasks_held_now, former_workers_awaited and held_for_at_most_ms say it at each decision pass, and former_workers_answered, _expired, _gone and _shortened count how waits ended. HeldTaskMetrics adds up the shards of an instance, so that one that holds nothing does not hide another, and forgets an ownership when its last pass is over; its epoch keeps a late end from hiding the next ownership.

Callers saw no change.

--- a/mulberryvalve/app/jobs/jobs_instance_fake.h
+++ b/mulberryvalve/app/jobs/jobs_instance_fake.h
@@ -75,6 +75,7 @@
                                       SchedulingPolicies{ aPlacement, mOrder },
                                       mClock,
                                       mMetrics,
+                                      mHeldTasks,
                                       mEvents })
     , mJobs(aOptions.mOwner.mShards,
             JobGraphServicePorts{ aLog,
@@ -141,6 +142,7 @@
 private:
   RealClock mClock;
   NoMetrics mMetrics;
+  HeldTaskMetrics mHeldTasks{ mMetrics };
   SilentEvents mEvents;
   NoPeers mPeers;
   JobLogJson mCodec;
--- a/mulberryvalve/app/jobs/shard_runtime.cc
+++ b/mulberryvalve/app/jobs/shard_runtime.cc
@@ -199,6 +199,7 @@
     mWatchdog.End(OwnerActivity::kDeciding, mPorts.mClock.Now());
     ReportStall();
   }
+  mPorts.mHeldTasks.OnOwnershipOver(mOptions.mShard, mOptions.mEpoch);
 }
 
 // Waits until aEarliest if a pass is requested, otherwise until aDecisionDue.
--- a/mulberryvalve/app/jobs/shard_runtime.h
+++ b/mulberryvalve/app/jobs/shard_runtime.h
@@ -7,6 +7,7 @@
 #include "mulberryvalve/app/jobs/append_splitting.h"
 #include "mulberryvalve/app/jobs/config_view.h"
 #include "mulberryvalve/app/jobs/failure_log_limiter.h"
+#include "mulberryvalve/app/jobs/held_task_metrics.h"
 #include "mulberryvalve/app/jobs/last_proof_time.h"
 #include "mulberryvalve/app/jobs/owner_delay_metrics.h"
 #include "mulberryvalve/app/jobs/owner_watchdog.h"
@@ -79,6 +80,7 @@
   SchedulingPolicies mPolicies;
   const Clock& mClock;
   Metrics& mMetrics;
+  HeldTaskMetrics& mHeldTasks;
   EventLog& mEvents;
 };
 
--- a/mulberryvalve/app/jobs/shard_runtime_reporting.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_reporting.cc
@@ -30,6 +30,8 @@
   mPorts.mMetrics.Set(Gauge::kStartWindow, size);
   mPorts.mMetrics.Set(Gauge::kStartsUnderWay, underWay);
   mPorts.mMetrics.Add(Counter::kStartsHeldBack, window.mDeferrals);
+  mPorts.mHeldTasks.Observe(
+    mOptions.mShard, mOptions.mEpoch, mShard->TakeHeldTaskStats(now));
   auto fields = mDelays.Report(now);
   if (fields) {
     fields->push_back(
--- a/mulberryvalve/app/jobs/shard_runtime_test.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_test.cc
@@ -4,6 +4,7 @@
 #include "mulberryvalve/app/jobs/jobs_fake.h"
 
 #include <atomic>
+#include <map>
 
 #include "CppUTest/TestHarness.h"
 
@@ -28,6 +29,27 @@
   mutable std::atomic<size_t> mDecoded{ 0 };
 };
 
+// Keeps the last value of each gauge. Thread-safe.
+class GaugeRecorder : public NoMetrics
+{
+public:
+  void Set(Gauge aGauge, int64_t aValue) override
+  {
+    MutexLock lock(mMutex);
+    mValues[aGauge] = aValue;
+  }
+
+  int64_t Value(Gauge aGauge)
+  {
+    MutexLock lock(mMutex);
+    return mValues[aGauge];
+  }
+
+private:
+  Mutex mMutex;
+  std::map<Gauge, int64_t> mValues MV_GUARDED_BY(mMutex);
+};
+
 // Waits for events by name. Thread-safe.
 class EventWaiter : public EventLog
 {
@@ -240,6 +262,7 @@
                                   SchedulingPolicies{ kPlacement, kOrder },
                                   mClock,
                                   mMetrics,
+                                  mHeldTasks,
                                   mEvents })
   {
     ClusterConfig config;
@@ -266,6 +289,8 @@
 
   const CountingCodec& Codec() const { return mCodec; }
   EventWaiter& Events() { return mEvents; }
+  GaugeRecorder& Gauges() { return mMetrics; }
+  void BeginStop() { mRuntime.BeginStop(); }
   const EndedPeers& Peers() const { return mPeers; }
 
 private:
@@ -277,7 +302,8 @@
   }
 
   RealClock mClock;
-  NoMetrics mMetrics;
+  GaugeRecorder mMetrics;
+  HeldTaskMetrics mHeldTasks{ mMetrics };
   EventWaiter mEvents;
   CountingCodec mCodec;
   SingleWorkerFeedFactory mFeeds;
@@ -393,4 +419,29 @@
   CHECK_EQUAL(7380, owner.Peers().LastPeer().mPort);
 }
 
+// An alert on these gauges must end with the ownership.
+TEST(ShardRuntimeTest, GaugesOfHeldTasksAreZeroAfterTheOwnership)
+{
+  MemoryLog log;
+  SilentWorker worker;
+  const JobLogJson codec;
+  SubmitJob(log, "a", 3);
+  UsedWorkerRecord used;
+  used.mId = WorkerId("w1");
+  const AppendFence proof{ TopicPartition{ KeyedTopic::kProgress, 0 },
+                           Epoch(3),
+                           1 };
+  CHECK(log.AppendFenced(proof, { codec.Encode(used) }).has_value());
+  Owner owner(log, worker, 64);
+  owner.Events().Await("tasks_held");
+  CHECK_EQUAL(3, owner.Gauges().Value(Gauge::kTasksHeldNow));
+  CHECK_EQUAL(1, owner.Gauges().Value(Gauge::kFormerWorkersAwaited));
+  CHECK(owner.Gauges().Value(Gauge::kHeldForAtMostMs) > 0);
+  owner.BeginStop();
+  owner.Events().Await("shard_ended");
+  CHECK_EQUAL(0, owner.Gauges().Value(Gauge::kTasksHeldNow));
+  CHECK_EQUAL(0, owner.Gauges().Value(Gauge::kFormerWorkersAwaited));
+  CHECK_EQUAL(0, owner.Gauges().Value(Gauge::kHeldForAtMostMs));
+}
+
 } // namespace mulberryvalve
--- a/mulberryvalve/ports/out/metrics.h
+++ b/mulberryvalve/ports/out/metrics.h
@@ -81,9 +81,13 @@
   kRenewalBytesReceived,
   kTasksHeldBack,
   kStartsHeldBack,
+  kFormerWorkersAnswered,
+  kFormerWorkersExpired,
+  kFormerWorkersGone,
+  kFormerWorkersShortened,
 };
 
-inline constexpr MetricTable<Counter, 40> kCounterNames{ { {
+inline constexpr MetricTable<Counter, 44> kCounterNames{ { {
   { Counter::kRequestsAnswered,
     "requests_answered",
     "Requests whose answer was given to the caller" },
@@ -186,6 +190,19 @@
   { Counter::kStartsHeldBack,
     "starts_held_back",
     "Times that starts waited since as many as may be were under way" },
+  { Counter::kFormerWorkersAnswered,
+    "former_workers_answered",
+    "Waits for a worker of former owners that its answer ended" },
+  { Counter::kFormerWorkersExpired,
+    "former_workers_expired",
+    "Waits for a worker of former owners that lasted as long as they could" },
+  { Counter::kFormerWorkersGone,
+    "former_workers_gone",
+    "Waits for a worker of former owners that the end of its process ended" },
+  { Counter::kFormerWorkersShortened,
+    "former_workers_shortened",
+    "Waits for a worker of former owners that lasted less long since these had "
+    "ended" },
 } } };
 static_assert(kCounterNames.InOrder());
 
@@ -205,9 +222,12 @@
   kLargestAppendBytes,
   kStartWindow,
   kStartsUnderWay,
+  kTasksHeldNow,
+  kFormerWorkersAwaited,
+  kHeldForAtMostMs,
 };
 
-inline constexpr MetricTable<Gauge, 14> kGaugeNames{ { {
+inline constexpr MetricTable<Gauge, 17> kGaugeNames{ { {
   { Gauge::kShardsOwned, "shards_owned", "Shards that this instance owns" },
   { Gauge::kRequestsInFlight, "requests_in_flight", "Requests in flight" },
   { Gauge::kTasksWaiting, "tasks_waiting", "Tasks waiting for a worker" },
@@ -238,6 +258,15 @@
   { Gauge::kStartsUnderWay,
     "starts_under_way",
     "Starts that an owner has ordered and that have no answer" },
+  { Gauge::kTasksHeldNow,
+    "tasks_held_now",
+    "Tasks that take-overs hold back now for workers of former owners" },
+  { Gauge::kFormerWorkersAwaited,
+    "former_workers_awaited",
+    "Workers of former owners for which tasks are held back now" },
+  { Gauge::kHeldForAtMostMs,
+    "held_for_at_most_ms",
+    "Milliseconds until the last task that is held back now is released" },
 } } };
 static_assert(kGaugeNames.InOrder());
 
