Records and answers can tell how long an owner was active

The owner's record has active_for_ms, and a peer's answer has owner_epoch and active_for_ms. Records and answers without the fields decode as before. Nobody writes the fields yet.

--- a/mulberryvalve/adapters/json/job_log_json_test.cc
+++ b/mulberryvalve/adapters/json/job_log_json_test.cc
@@ -304,6 +304,31 @@
   CHECK(std::get<OwnershipRecord>(former.value()).mPeer.mAddress.empty());
 }
 
+TEST(JobLogJsonTest, ClaimsTellHowLongTheirOwnerWasActive)
+{
+  const JobLogJson codec;
+  OwnershipRecord claim{ Epoch(640), "entry-1" };
+  const auto decode = [&](const std::string& aValue) {
+    return codec.DecodeProgress(KeyedEntry{ "owner/640", aValue });
+  };
+  // Records of earlier versions don't tell.
+  const auto former = decode(R"({"epoch":640,"instance":"entry-1"})");
+  CHECK_FALSE(std::get<OwnershipRecord>(former.value()).mActiveFor.has_value());
+  const int64_t year = int64_t{ 365 } * 24 * 3600 * 1000;
+  for (const int64_t activeMs : { int64_t{ 0 }, int64_t{ 9500 }, year }) {
+    claim.mActiveFor = Milliseconds(activeMs);
+    const auto item = codec.DecodeProgress(codec.Encode(claim));
+    CHECK(claim.mActiveFor ==
+          std::get<OwnershipRecord>(item.value()).mActiveFor);
+  }
+  for (const char* malformed :
+       { "-1", "1.5", "\"9\"", "null", "[]", "9223372036854775807" }) {
+    CHECK_FALSE(decode(R"({"epoch":640,"instance":"e","active_for_ms":)" +
+                       std::string(malformed) + "}")
+                  .has_value());
+  }
+}
+
 // Guards against progress lost at a change of owner: the largest record that
 // can be written, with the shortest rows, must be readable.
 TEST(JobLogJsonTest, LargestProgressRecordDecodes)
--- a/mulberryvalve/adapters/json/ownership_json.cc
+++ b/mulberryvalve/adapters/json/ownership_json.cc
@@ -7,6 +7,13 @@
 
 using nlohmann::json;
 
+namespace {
+
+// A century. Sums of such times stay within the range of every time type.
+constexpr int64_t kMaxActiveMs = 3'155'760'000'000;
+
+} // namespace
+
 json OwnershipToJson(const OwnershipRecord& aOwnership)
 {
   json object{ { "epoch", aOwnership.mEpoch.Value() },
@@ -15,6 +22,9 @@
   PutNumber(object, "port", aOwnership.mPeer.mPort);
   PutNumber(
     object, "process", static_cast<int64_t>(aOwnership.mProcess.Value()));
+  if (aOwnership.mActiveFor) {
+    object["active_for_ms"] = aOwnership.mActiveFor->count();
+  }
   return object;
 }
 
@@ -29,6 +39,10 @@
     static_cast<uint16_t>(reader.NumberOr("port", 0, 0, UINT16_MAX));
   ownership.mProcess =
     Incarnation(static_cast<uint64_t>(reader.NumberOr("process", 0)));
+  if (reader.Has("active_for_ms")) {
+    ownership.mActiveFor =
+      Milliseconds(reader.Number("active_for_ms", 0, kMaxActiveMs));
+  }
   if (reader.Fault()) {
     return *reader.Fault();
   }
--- a/mulberryvalve/adapters/ws_call/peer_query_codec.cc
+++ b/mulberryvalve/adapters/ws_call/peer_query_codec.cc
@@ -13,6 +13,8 @@
 
 constexpr size_t kMaxNestingDepth = 2;
 constexpr size_t kMaxQueueBytes = 2048;
+// A century. Sums of such times stay within the range of every time type.
+constexpr int64_t kMaxActiveMs = 3'155'760'000'000;
 
 std::string EncodeCbor(const json& aObject)
 {
@@ -61,6 +63,10 @@
   if (aFrame.mResult.mEndedFor) {
     object["ended_for_ms"] = aFrame.mResult.mEndedFor->count();
   }
+  if (aFrame.mResult.mOwner) {
+    object["owner_epoch"] = aFrame.mResult.mOwner->mEpoch.Value();
+    object["active_for_ms"] = aFrame.mResult.mOwner->mActiveFor.count();
+  }
   return EncodeCbor(object);
 }
 
@@ -105,6 +111,13 @@
   if (reader.Has("ended_for_ms")) {
     frame.mResult.mEndedFor = Milliseconds(reader.Number("ended_for_ms", 0));
   }
+  if (reader.Has("owner_epoch")) {
+    OwnerAge owner;
+    owner.mEpoch = Epoch(static_cast<uint64_t>(reader.Number("owner_epoch")));
+    owner.mActiveFor =
+      Milliseconds(reader.Number("active_for_ms", 0, kMaxActiveMs));
+    frame.mResult.mOwner = owner;
+  }
   if (reader.Fault()) {
     return *reader.Fault();
   }
--- a/mulberryvalve/adapters/ws_call/ws_call_test.cc
+++ b/mulberryvalve/adapters/ws_call/ws_call_test.cc
@@ -144,6 +144,18 @@
   answer.mResult.mEndedFor = Milliseconds(700);
   CHECK(DecodeResult(EncodeResult(answer)).value().mResult.mEndedFor ==
         Milliseconds(700));
+  CHECK_FALSE(decoded.value().mResult.mOwner.has_value());
+  answer.mResult.mOwner = OwnerAge{ Epoch(640), Milliseconds(123456789) };
+  const auto observed = DecodeResult(EncodeResult(answer));
+  CHECK(Epoch(640) == observed.value().mResult.mOwner.value().mEpoch);
+  CHECK(Milliseconds(123456789) ==
+        observed.value().mResult.mOwner.value().mActiveFor);
+  for (const Milliseconds impossible :
+       { Milliseconds(-1), Milliseconds::max() }) {
+    ResultFrame malformed = answer;
+    malformed.mResult.mOwner->mActiveFor = impossible;
+    CHECK_FALSE(DecodeResult(EncodeResult(malformed)).has_value());
+  }
   answer.mResult.mPhase.reset();
   CHECK_FALSE(
     DecodeResult(EncodeResult(answer)).value().mResult.mPhase.has_value());
--- a/mulberryvalve/ports/out/job_log_codec.h
+++ b/mulberryvalve/ports/out/job_log_codec.h
@@ -19,14 +19,18 @@
 };
 
 // OwnershipRecord records which process of which instance has claimed the shard
-// and under which epoch. Each claim has a record of its own. The peer endpoint
-// and the process may be unset.
+// and under which epoch. Each claim has a record of its own, which later
+// appends renew. The peer endpoint and the process may be unset. mActiveFor is
+// the time from before the claim was sent until before the append with this
+// record was first sent, by the owner's clock, rounded up; unset in records of
+// owners whose leases it does not bound.
 struct OwnershipRecord
 {
   Epoch mEpoch;
   std::string mInstance;
   Endpoint mPeer{};
   Incarnation mProcess{};
+  std::optional<Milliseconds> mActiveFor{};
 };
 
 // Tombstone marks a key whose record was deleted.
--- a/mulberryvalve/ports/out/peer_query.h
+++ b/mulberryvalve/ports/out/peer_query.h
@@ -5,6 +5,7 @@
 
 #include "mulberryvalve/core/base/failure.h"
 #include "mulberryvalve/core/jobs/job_state.h"
+#include "mulberryvalve/core/jobs/owner_observations.h"
 #include "mulberryvalve/core/model/worker.h"
 #include "mulberryvalve/ports/out/shard_group.h"
 
@@ -42,13 +43,15 @@
 // PeerQueryResult is the response to a PeerQuery. mOwns tells whether the
 // responding instance owns the shard. mPhase is absent if it knows no such job.
 // mEndedFor tells for how long at least the ownership that kOwnershipEnd names
-// has sent nothing; it is absent while that ownership may still send.
+// has sent nothing; it is absent while that ownership may still send. mOwner
+// tells how long the queried ownership has been active, if it is known here.
 struct PeerQueryResult
 {
   bool mOwns = false;
   std::optional<JobPhase> mPhase;
   uint64_t mWaiting = 0;
   std::optional<Milliseconds> mEndedFor{};
+  std::optional<OwnerAge> mOwner{};
 };
 
 // PeerQueryClient sends queries to other instances. Thread-safe; blocks up to
