Leases end within 9.5 s of their owner's newest append

Each append carries the owner's record with the time since before its claim, as of its first sending; a repetition is the same bytes, so its success proves no more. Every lease end that an owner requests is bounded by 9.5 s on the slowest worker's clock after the newest record that is on the log. Joins still allow starts for 6 s, but no start is sent whose lease would be shorter than 2.5 s. An owner that appended nothing for 300 ms appends its record alone. A part of a batch keeps room for the record; one that has none all the same proves nothing.

Callers see nothing of it while the store answers. In an outage runs lapse after 9.5 s instead of 11.7 s; an outage of 9 s is survived as before.

It works because the end is computed from the reading of the worker's clock by the slowest permitted rate, so neither the age of the reading nor the rate moves it; the header of WorkerTable has the whole argument. Tests: runs of workers at 980, 1000 and 1020 per mille last through 9 s without store and end by 9.7 s, with and without joins; old readings; no proof; a repeated append, an idle owner, a split batch. Tests that pass a proof to Decide now pass a recorded one beside it; no assertion changed. The writing part of ShardRuntime has a file of its own.

--- a/bench/jobs/shard_load_simulation.cc
+++ b/bench/jobs/shard_load_simulation.cc
@@ -301,7 +301,7 @@
 
 void ShardLoadSimulation::Decide()
 {
-  const OwnershipProof proof{ mNow, true };
+  const OwnershipProof proof{ mNow, true, mNow };
   std::vector<TaskOrder> orders;
   const double before =
     mCosts.mMicroseconds[static_cast<size_t>(CostCategory::kDecide)];
--- a/mulberryvalve/app/jobs/append_splitting.cc
+++ b/mulberryvalve/app/jobs/append_splitting.cc
@@ -1,5 +1,6 @@
 #include "mulberryvalve/app/jobs/append_splitting.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -78,6 +79,23 @@
   return appends;
 }
 
+bool FitsRequest(const std::vector<KeyedEntry>& aEntries,
+                 const KeyedLogLimits& aLimits)
+{
+  size_t bytes = 0;
+  for (const KeyedEntry& entry : aEntries) {
+    bytes += RecordBytes(entry) + kRecordOverhead;
+  }
+  return bytes <= aLimits.mRequestBytes;
+}
+
+KeyedLogLimits WithRoomFor(size_t aBytes, const KeyedLogLimits& aLimits)
+{
+  KeyedLogLimits limits = aLimits;
+  limits.mRequestBytes -= std::min(aBytes, limits.mRequestBytes);
+  return limits;
+}
+
 ProgressAppends SplitBatch(const ProgressBatch& aBatch,
                            const JobLogCodec& aCodec,
                            const KeyedLogLimits& aLimits)
--- a/mulberryvalve/app/jobs/append_splitting.h
+++ b/mulberryvalve/app/jobs/append_splitting.h
@@ -38,6 +38,12 @@
                            const JobLogCodec& aCodec,
                            const KeyedLogLimits& aLimits);
 
+// FitsRequest returns whether aEntries fit into one call. WithRoomFor returns
+// the limits of calls to each of which aBytes are added later.
+bool FitsRequest(const std::vector<KeyedEntry>& aEntries,
+                 const KeyedLogLimits& aLimits);
+KeyedLogLimits WithRoomFor(size_t aBytes, const KeyedLogLimits& aLimits);
+
 } // namespace mulberryvalve
 
 #endif // MULBERRYVALVE_APP_JOBS_APPEND_SPLITTING_H_
--- a/mulberryvalve/app/jobs/shard_runtime.cc
+++ b/mulberryvalve/app/jobs/shard_runtime.cc
@@ -14,10 +14,6 @@
 constexpr Milliseconds kDecisionInterval{ 100 };
 // Upper limit of the pause between two passes while a pass is requested.
 constexpr Milliseconds kMaxPassDelay{ 100 };
-// Minimum time between two appends. Changes made in the meantime are written by
-// one append.
-constexpr Milliseconds kAppendInterval{ 25 };
-constexpr Milliseconds kAppendRetryDelay{ 150 };
 // If the intake was last read longer ago, the owner does not report a job as
 // unknown. Longer than one read with its timeout and a retry.
 constexpr Milliseconds kMaxIntakeAge{ 2000 };
@@ -44,6 +40,11 @@
                            ShardRuntimePorts aPorts)
   : mOptions(std::move(aOptions))
   , mPorts(aPorts)
+  , mStamp(OwnershipRecord{ mOptions.mEpoch,
+                            mOptions.mInstance,
+                            mOptions.mPeer,
+                            mOptions.mProcess },
+           aPorts.mClock.Now())
   , mDelays(aPorts.mMetrics, aPorts.mClock.Now())
   , mWatchdog(aPorts.mMetrics, aPorts.mClock.Now())
   , mConfig(aPorts.mConfig.Current())
@@ -98,6 +99,7 @@
   MutexLock lock(mMutex);
   PeerQueryResult answer;
   const MonotonicTime now = mPorts.mClock.Now();
+  answer.mOwner = mStamp.AgeAt(now);
   if (mShard == nullptr || mIsOwnershipOver || !IsProofValidAt(now)) {
     return answer;
   }
@@ -137,44 +139,6 @@
   mHasEnded = true;
 }
 
-bool ShardRuntime::Claim()
-{
-  const OwnershipRecord note{
-    mOptions.mEpoch, mOptions.mInstance, mOptions.mPeer, mOptions.mProcess
-  };
-  mWatchdog.Begin(OwnerActivity::kClaiming, mPorts.mClock.Now());
-  while (true) {
-    const MonotonicTime sentAt = mPorts.mClock.Now();
-    mSequence = 1;
-    const Result<void> claimed = AppendOnce({ mPorts.mCodec.Encode(note) });
-    if (claimed) {
-      mWatchdog.End(OwnerActivity::kClaiming, mPorts.mClock.Now());
-      mLastProof.AdvanceTo(sentAt);
-      mSequence++;
-      LogEvent(EventLevel::kInfo, "shard_claimed", {});
-      return true;
-    }
-    LogActivityFailure(OwnerActivity::kClaiming, claimed.error());
-    if (claimed.error().mKind == FailureKind::kNotOwner) {
-      FindCompetingEpoch();
-      GiveUp("the log holds a higher epoch");
-      return false;
-    }
-    if (claimed.error().mKind == FailureKind::kConflict) {
-      FindCompetingEpoch();
-      GiveUp("the log holds another append of this epoch");
-      return false;
-    }
-    if (!IsRetryable(claimed.error().mKind)) {
-      GiveUpAndLeaveGroup("the claim can't be written");
-      return false;
-    }
-    if (!SleepUntil(Steady::now() + kLoadRetryDelay)) {
-      return false;
-    }
-  }
-}
-
 // Each pass handles everything that happened since the previous one. After a
 // pass, mMutex stays free for at least the duration of that pass, up to
 // kMaxPassDelay, so that replies and new jobs can be processed.
@@ -223,110 +187,6 @@
   mDecideCond.NotifyOne();
 }
 
-void ShardRuntime::RunProgressWriter()
-{
-  while (true) {
-    RetireJobs();
-    const Steady::time_point next = Steady::now() + kDecisionInterval;
-    ProgressBatch batch;
-    {
-      MutexLock lock(mMutex);
-      while (!mStopping && !mShard->NeedsAppend() && Steady::now() < next) {
-        mWriteCond.WaitUntil(mMutex, next);
-      }
-      if (mStopping) {
-        return;
-      }
-      batch = mShard->TakeProgress(mPorts.mClock.Now());
-    }
-    if (batch.Empty()) {
-      // End reports that change no job record need no append: the log already
-      // holds all they depend on.
-      if (!batch.mAckedEnds.empty()) {
-        OnAppended(batch);
-      }
-      continue;
-    }
-    AppendProgress(batch);
-    if (mIsOwnershipOver || !SleepUntil(Steady::now() + kAppendInterval)) {
-      return;
-    }
-  }
-}
-
-void ShardRuntime::AppendProgress(const ProgressBatch& aBatch)
-{
-  const ProgressAppends appends =
-    SplitBatch(aBatch, mPorts.mCodec, mPorts.mLog.Limits());
-  for (const Failure& failure : appends.mTooLarge) {
-    LogFailure("record_too_large", failure);
-  }
-  for (const ProgressAppend& append : appends.mAppends) {
-    if (!AppendWithRetries(append)) {
-      return;
-    }
-    OnAppended(append.mBatch);
-  }
-}
-
-// Returns false if the ownership is over.
-bool ShardRuntime::AppendWithRetries(const ProgressAppend& aAppend)
-{
-  if (aAppend.mEntries.empty()) {
-    return true;
-  }
-  mWatchdog.Begin(OwnerActivity::kAppending, mPorts.mClock.Now());
-  while (true) {
-    const MonotonicTime sentAt = mPorts.mClock.Now();
-    const Result<void> done = AppendOnce(aAppend.mEntries);
-    if (done) {
-      mWatchdog.End(OwnerActivity::kAppending, mPorts.mClock.Now());
-      mLastProof.AdvanceTo(sentAt);
-      break;
-    }
-    LogActivityFailure(OwnerActivity::kAppending, done.error());
-    if (done.error().mKind == FailureKind::kNotOwner) {
-      GiveUp("the log holds a higher epoch");
-      return false;
-    }
-    if (done.error().mKind == FailureKind::kConflict) {
-      GiveUp("the log expects another sequence number");
-      return false;
-    }
-    if (!IsRetryable(done.error().mKind)) {
-      GiveUpAndLeaveGroup("the progress can't be written");
-      return false;
-    }
-    // Retries with the same sequence number, so the append takes effect only
-    // once even if an earlier try succeeded.
-    if (!SleepUntil(Steady::now() + kAppendRetryDelay)) {
-      return false;
-    }
-  }
-  mSequence++;
-  return true;
-}
-
-void ShardRuntime::OnAppended(const ProgressBatch& aBatch)
-{
-  MutexLock lock(mMutex);
-  mShard->OnDurable(aBatch);
-  for (const ProgressBatch::AckedEnds& ends : aBatch.mAckedEnds) {
-    mSender.OnEndsDurable(ends.mWorker);
-  }
-  RequestDecisionPass();
-}
-
-Result<void> ShardRuntime::AppendOnce(const std::vector<KeyedEntry>& aEntries)
-{
-  mPorts.mMetrics.Add(Counter::kLogAppends, 1);
-  mPorts.mMetrics.Add(Counter::kLogAppendRecords, aEntries.size());
-  mWatchdog.RecordAppend(SizeOf(aEntries));
-  return mPorts.mLog.AppendFenced(
-    AppendFence{ Place(KeyedTopic::kProgress), mOptions.mEpoch, mSequence },
-    aEntries);
-}
-
 void ShardRuntime::StartRenewals()
 {
   if (mStopping) {
@@ -347,6 +207,7 @@
   const MonotonicTime now = mPorts.mClock.Now();
   OwnershipProof proof;
   proof.mProvedAt = mLastProof.ProvedAt();
+  proof.mRecordedAt = mLastRecord.ProvedAt();
   proof.mMayStart = IsProofValidAt(now) && !mStopping && config->mVersion > 0;
   PassResult result;
   result.mOrders = mShard->Decide(proof, now, mPorts.mClock.WallNow());
--- a/mulberryvalve/app/jobs/shard_runtime.h
+++ b/mulberryvalve/app/jobs/shard_runtime.h
@@ -10,6 +10,7 @@
 #include "mulberryvalve/app/jobs/last_proof_time.h"
 #include "mulberryvalve/app/jobs/owner_delay_metrics.h"
 #include "mulberryvalve/app/jobs/owner_watchdog.h"
+#include "mulberryvalve/app/jobs/ownership_stamp.h"
 #include "mulberryvalve/app/jobs/worker_sender.h"
 #include "mulberryvalve/core/base/mutex.h"
 #include "mulberryvalve/core/jobs/shard_scheduler.h"
@@ -141,8 +142,13 @@
   PeerQueryResult Answer(const PeerQuery& aQuestion) const;
 
 private:
-  // Delay before a failed claim or load is retried.
-  static constexpr Milliseconds kLoadRetryDelay{ 200 };
+  // The entries of an append, and the time in the owner's record among them;
+  // unset if the record does not fit.
+  struct StampedAppend
+  {
+    std::vector<KeyedEntry> mEntries;
+    std::optional<MonotonicTime> mRecordedAt{};
+  };
 
   // Output of a decision pass that is processed without holding mMutex.
   struct PassResult
@@ -185,7 +191,10 @@
   void RequestDecisionPass() MV_REQUIRES(mMutex);
   void RunProgressWriter();
   void AppendProgress(const ProgressBatch& aBatch);
-  bool AppendWithRetries(const ProgressAppend& aAppend);
+  KeyedLogLimits LimitsBesideRecord() const;
+  StampedAppend Stamp(std::vector<KeyedEntry> aEntries) const;
+  bool RenewRecord(Milliseconds aMaxAge);
+  bool AppendWithRetries(std::vector<KeyedEntry> aEntries);
   void OnAppended(const ProgressBatch& aBatch);
   Result<void> AppendOnce(const std::vector<KeyedEntry>& aEntries);
   void RetireJobs();
@@ -224,7 +233,10 @@
 
   const ShardRuntimeOptions mOptions;
   ShardRuntimePorts mPorts;
+  const OwnershipStamp mStamp;
   LastProofTime mLastProof;
+  // The time in the owner's newest record that is on the log.
+  LastProofTime mLastRecord;
   OwnerDelayMetrics mDelays;
   OwnerWatchdog mWatchdog;
   FailureLogLimiter mFailureLog;
--- a/mulberryvalve/app/jobs/shard_runtime_readers.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_readers.cc
@@ -11,6 +11,7 @@
 
 using Steady = std::chrono::steady_clock;
 
+constexpr Milliseconds kLoadRetryDelay{ 200 };
 constexpr Milliseconds kIntakeReadTimeout{ 1000 };
 constexpr Milliseconds kIntakeRetryDelay{ 200 };
 constexpr Milliseconds kWorkerListInterval{ 400 };
--- /dev/null
+++ b/mulberryvalve/core/jobs/bounded_runs_test.cc
@@ -0,0 +1,136 @@
+// Tests that runs end within a bound after their owner's last recorded proof.
+#include "mulberryvalve/core/jobs/takeover_simulation_fake.h"
+
+#include "CppUTest/TestHarness.h"
+
+namespace mulberryvalve {
+namespace {
+
+constexpr size_t kWorkers = 4;
+constexpr Milliseconds kStoreOutage{ 9000 };
+// The bound by the slowest clock: 9.5 s of 980 per mille.
+constexpr Milliseconds kLongestRuns{ 9693 };
+constexpr Milliseconds kTick{ 20 };
+// Longer than every lease and wait.
+constexpr Milliseconds kSettleTime{ 30000 };
+
+// An owner of long-running tasks that loses the store.
+class OwnerWithoutStore
+{
+public:
+  explicit OwnerWithoutStore(int64_t aClockRatePerMille = 980)
+    : mSim(kWorkers)
+  {
+    for (size_t index = 0; index < kWorkers; index++) {
+      mSim->Worker(index).mClockRatePerMille = aClockRatePerMille;
+    }
+    mSim->Submit(LongRunningJob("lasting", kWorkers, 5000));
+    mSim->RunFor(Milliseconds(3000));
+    mLostAt = mSim->Now();
+    Former().mCanAppend = false;
+  }
+
+  SimulatedOwner& Former() { return mSim->Owner(0); }
+
+  size_t Running() const { return mSim->RunningOf(JobId("lasting")); }
+
+  // Runs until all tasks have lapsed. Returns how long after the loss that is.
+  Milliseconds UntilLapsed()
+  {
+    while (Running() > 0 && mSim->Now() < mLostAt + kSettleTime) {
+      mSim->Step();
+    }
+    return std::chrono::duration_cast<Milliseconds>(mSim->Now() - mLostAt);
+  }
+
+  mutable TakeoverSimulation mSim;
+  MonotonicTime mLostAt;
+};
+
+} // namespace
+
+TEST_GROUP(BoundedRunsTest){};
+
+// Leases that are renewed until the last proof of ownership expires lasted
+// longer than a successor can know.
+TEST(BoundedRunsTest, RunsOfAnOwnerWithoutStoreSurviveAnOutageAndThenEnd)
+{
+  for (const int64_t rate : { 980, 1000, 1020 }) {
+    OwnerWithoutStore owner(rate);
+    owner.mSim->RunFor(kStoreOutage);
+    CHECK_EQUAL(kWorkers, owner.Running());
+    const Milliseconds lapsed = owner.UntilLapsed();
+    CHECK(lapsed <= kLongestRuns + kTick);
+  }
+}
+
+// The group proves the ownership all the time, but not until when runs last.
+TEST(BoundedRunsTest, ProofsThatAreNotRecordedExtendNoLease)
+{
+  OwnerWithoutStore owner;
+  owner.Former().mCanAppend = true;
+  owner.Former().mAppendsFail = true;
+  owner.mSim->RunFor(kStoreOutage);
+  CHECK_EQUAL(kWorkers, owner.Running());
+  CHECK(owner.UntilLapsed() <= kLongestRuns + kTick);
+}
+
+TEST(BoundedRunsTest, RunsGoOnAfterAnOutage)
+{
+  OwnerWithoutStore owner;
+  owner.mSim->RunFor(kStoreOutage);
+  owner.Former().mCanAppend = true;
+  owner.mSim->RunFor(kSettleTime);
+  CHECK_EQUAL(kWorkers, owner.Running());
+  STRCMP_EQUAL("", owner.mSim.AllViolations().c_str());
+}
+
+// A reading of the worker's clock that is seconds old makes no lease longer.
+TEST(BoundedRunsTest, OldClockReadingsMakeNoLeaseLonger)
+{
+  const LeaseTerms terms;
+  const MonotonicTime readAt{ std::chrono::seconds(1000) };
+  for (const int staleMs : { 0, 2000, 8000 }) {
+    WorkerTable workers(terms);
+    WorkerEntry& worker = workers.Add(WorkerId("w"));
+    worker.mRecorded = true;
+    worker.mClock = WorkerTime{ 50000 };
+    worker.mClockReceivedAt = readAt;
+    const MonotonicTime provedAt = readAt + Milliseconds(staleMs);
+    workers.OnOwnershipRecorded(provedAt);
+    const MonotonicTime now = provedAt + Milliseconds(6000);
+    const RenewalRequest renewal =
+      workers.NextRenewal(worker, Epoch(1), true, now);
+    const int64_t left = renewal.mUntil.value().mMilliseconds - 50000;
+    const Milliseconds slowest(left * 1000 / 980);
+    CHECK(readAt + slowest <= provedAt + kLongestRuns);
+    CHECK(readAt + slowest > provedAt + Milliseconds(9600));
+  }
+}
+
+TEST(BoundedRunsTest, NoLeaseIsRequestedWithoutARecordedProofOrAfterItsBound)
+{
+  const MonotonicTime provedAt{ std::chrono::seconds(1000) };
+  WorkerTable workers{ LeaseTerms() };
+  WorkerEntry& worker = workers.Add(WorkerId("w"));
+  worker.mRecorded = true;
+  worker.mClock = WorkerTime{ 50000 };
+  worker.mClockReceivedAt = provedAt;
+  const auto leaseAt = [&](int aMs) {
+    const MonotonicTime now = provedAt + Milliseconds(aMs);
+    return workers.NextRenewal(worker, Epoch(1), true, now).mUntil.has_value();
+  };
+  CHECK_FALSE(leaseAt(0));
+  CHECK_FALSE(workers.MayStart(provedAt));
+  CHECK_FALSE(workers.LeaseForStart(worker, provedAt).has_value());
+  workers.OnOwnershipRecorded(provedAt);
+  CHECK(leaseAt(0));
+  CHECK(leaseAt(9400));
+  CHECK_FALSE(leaseAt(9600));
+  const MonotonicTime late = provedAt + Milliseconds(7200);
+  CHECK_FALSE(workers.MayStart(late));
+  CHECK_FALSE(workers.LeaseForStart(worker, late).has_value());
+  CHECK(workers.MayStart(provedAt + Milliseconds(7100)));
+}
+
+} // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/limited_send_rate_test.cc
+++ b/mulberryvalve/core/jobs/limited_send_rate_test.cc
@@ -150,8 +150,8 @@
     }
     HandleDueReplies();
     do {
-      for (TaskOrder& order :
-           mShard.Decide(OwnershipProof{ mNow, true }, mNow, WallTime{ 0 })) {
+      for (TaskOrder& order : mShard.Decide(
+             OwnershipProof{ mNow, true, mNow }, mNow, WallTime{ 0 })) {
         mQueuedOrders.push_back(std::move(order));
       }
     } while (mShard.HasMoreToPlace());
--- a/mulberryvalve/core/jobs/shard_scheduler_handover_test.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_handover_test.cc
@@ -65,7 +65,8 @@
   {
     mNow += Milliseconds(200);
     size_t starts = 0;
-    const OwnershipProof proof{ aProvedAt.value_or(mNow), true };
+    const MonotonicTime provedAt = aProvedAt.value_or(mNow);
+    const OwnershipProof proof{ provedAt, true, provedAt };
     for (const TaskOrder& order : mShard.Decide(proof, mNow, WallTime())) {
       starts += order.mKind == OrderKind::kStart ? 1 : 0;
     }
--- a/mulberryvalve/core/jobs/shard_scheduler_options.h
+++ b/mulberryvalve/core/jobs/shard_scheduler_options.h
@@ -41,6 +41,9 @@
   MonotonicTime mProvedAt;
   // Whether the proof is recent enough to start tasks.
   bool mMayStart = false;
+  // When the last append of this epoch that took effect was first sent, by the
+  // time in the owner's record in it. Leases end within a bound of it.
+  MonotonicTime mRecordedAt;
 };
 
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/shard_scheduler_placement.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_placement.cc
@@ -30,6 +30,7 @@
   mWallTime = aWallTime;
   ReleaseExpiredWorkers(aProof, aNow);
   mProvedAt = std::max(mProvedAt, aProof.mProvedAt);
+  mWorkers.OnOwnershipRecorded(aProof.mRecordedAt);
   ResendStops(aNow);
   // Inherited waits end only with proof of ownership, since a successor may
   // have renewed the leases of the worker.
@@ -39,7 +40,7 @@
   RefreshHandoverNotes(aNow);
   EvacuateLeavingWorkers(aNow);
   mJobTable.AddDueSteps(aWallTime);
-  if (!aProof.mMayStart) {
+  if (!aProof.mMayStart || !mWorkers.MayStart(aNow)) {
     AbortPass();
   } else if (mWindow.IsFull()) {
     mWindow.OnStartDeferred();
--- a/mulberryvalve/core/jobs/shard_simulation_fake.cc
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.cc
@@ -79,6 +79,7 @@
   mLastEpoch = mLastEpoch.Next();
   owner->mEpoch = mLastEpoch;
   owner->mProvedAt = mNow;
+  owner->mRecordedAt = mNow;
   ShardSchedulerOptions options;
   options.mEpoch = owner->mEpoch;
   owner->mShard = std::make_unique<ShardScheduler>(
@@ -253,7 +254,7 @@
     aOwner.mShard->OnRenewalReply(*order, reply, mNow - kTick / 2, mNow);
     next = mNow + Milliseconds(100);
   }
-  OwnershipProof proof{ aOwner.mProvedAt, isProved };
+  const OwnershipProof proof{ aOwner.mProvedAt, isProved, aOwner.mRecordedAt };
   do {
     const std::vector<TaskOrder> orders =
       aOwner.mShard->Decide(proof, mNow, WallTime{ 0 });
@@ -435,8 +436,12 @@
 
 void ShardSimulation::Persist(SimulatedOwner& aOwner)
 {
-  const bool canAppend = aOwner.mCanAppend && !aOwner.mAppendsFail;
-  if (!canAppend || !aOwner.mShard->NeedsAppend()) {
+  if (!aOwner.mCanAppend || aOwner.mAppendsFail) {
+    return;
+  }
+  // With nothing else to append, an owner appends its own record only.
+  aOwner.mRecordedAt = mNow;
+  if (!aOwner.mShard->NeedsAppend()) {
     return;
   }
   const ProgressBatch batch = aOwner.mShard->TakeProgress(mNow);
--- a/mulberryvalve/core/jobs/shard_simulation_fake.h
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.h
@@ -113,6 +113,8 @@
   // What the held orders were answered, until AnswerHeldOrders.
   std::vector<std::pair<TaskOrder, OrderReply>> mHeldReplies;
   MonotonicTime mProvedAt;
+  // When its last append was sent.
+  MonotonicTime mRecordedAt;
   bool mIsActive = true;
   // If false, none of its decisions becomes durable.
   bool mCanAppend = true;
--- a/mulberryvalve/core/jobs/worker_table.cc
+++ b/mulberryvalve/core/jobs/worker_table.cc
@@ -8,7 +8,7 @@
 
 constexpr int64_t kPerMille = 1000;
 // A start carries the current lease while at least this much of it remains, so
-// that starts rarely extend a lease.
+// that starts rarely extend a lease. No start carries less.
 constexpr Milliseconds kMinLeaseForStart{ 2500 };
 
 // An owner reads the clock of a worker that it renews every few seconds.
@@ -201,6 +201,33 @@
                      MillisecondsBetween(aWorker.mClockReceivedAt, aNow) };
 }
 
+void WorkerTable::OnOwnershipRecorded(MonotonicTime aRecordedAt)
+{
+  mLeasesEndBy =
+    std::max(mLeasesEndBy,
+             aRecordedAt + MaxRealDuration(mTerms.mMaxRunsAfterProof.count()));
+}
+
+bool WorkerTable::MayStart(MonotonicTime aNow) const
+{
+  return aNow + MaxRealDuration(kMinLeaseForStart.count()) <= mLeasesEndBy;
+}
+
+// Returns the end of a lease of the usual length, or the last time on the
+// worker's clock that even the slowest clock reaches by mLeasesEndBy.
+WorkerTime WorkerTable::NextLeaseEnd(const WorkerEntry& aWorker,
+                                     MonotonicTime aNow) const
+{
+  const int64_t usualEnd =
+    EstimatedClock(aWorker, aNow).mMilliseconds + mTerms.mLength.count();
+  const int64_t realLeft =
+    MillisecondsBetween(aWorker.mClockReceivedAt, mLeasesEndBy);
+  const int64_t slowestLeft =
+    realLeft * (kPerMille - mTerms.mClockDriftPerMille) / kPerMille;
+  return WorkerTime{ std::min(usualEnd,
+                              aWorker.mClock->mMilliseconds + slowestLeft) };
+}
+
 void WorkerTable::ExtendLease(WorkerEntry& aWorker,
                               WorkerTime aUntil,
                               MonotonicTime aNow)
@@ -241,6 +268,13 @@
          kClockEstimateError + mTerms.mMargin;
 }
 
+// Covers a deviation of the owner's clock too, as long as the estimate's.
+MonotonicTime WorkerTable::EndOfRunsProvedAt(MonotonicTime aRecordedAt) const
+{
+  return aRecordedAt + MaxRealDuration(mTerms.mMaxRunsAfterProof.count()) +
+         kClockEstimateError + mTerms.mMargin;
+}
+
 void WorkerTable::OnStartOfFormerIncarnation(WorkerEntry& aWorker,
                                              MonotonicTime aNow) const
 {
@@ -272,10 +306,11 @@
   if (!aWorker.mClock || !mayRenew) {
     return order;
   }
-  const WorkerTime until{ EstimatedClock(aWorker, aNow).mMilliseconds +
-                          mTerms.mLength.count() };
-  ExtendLease(aWorker, until, aNow);
-  order.mUntil = until;
+  const WorkerTime until = NextLeaseEnd(aWorker, aNow);
+  if (EstimatedClock(aWorker, aNow).mMilliseconds < until.mMilliseconds) {
+    ExtendLease(aWorker, until, aNow);
+    order.mUntil = until;
+  }
   // A worker answers at once while it has ends that were not acknowledged.
   const bool allAcknowledged =
     aWorker.mLastDurableEnd == aWorker.mLastProcessedEnd;
@@ -296,9 +331,11 @@
   const int64_t remaining =
     aWorker.mLeaseUntil.mMilliseconds - clock.mMilliseconds;
   if (remaining < kMinLeaseForStart.count()) {
-    ExtendLease(aWorker,
-                WorkerTime{ clock.mMilliseconds + mTerms.mLength.count() },
-                aNow);
+    const WorkerTime until = NextLeaseEnd(aWorker, aNow);
+    if (until.mMilliseconds - clock.mMilliseconds < kMinLeaseForStart.count()) {
+      return std::nullopt;
+    }
+    ExtendLease(aWorker, until, aNow);
   }
   return aWorker.mLeaseUntil;
 }
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -34,6 +34,9 @@
   int64_t mClockDriftPerMille = 20;
   // Added to the end of a lease before it is considered expired.
   Milliseconds mMargin{ 150 };
+  // Every lease ends by this time on the worker's clock after the owner's last
+  // recorded proof. Longer than a store outage of 9 s.
+  Milliseconds mMaxRunsAfterProof{ 9500 };
 };
 
 // WorkerEntry is the owner's state of one worker.
@@ -153,6 +156,29 @@
   }
 };
 
+// Why no run outlasts its owner's last recorded proof by more than
+// EndOfRunsProvedAt tells: the proof is an append under the owner's epoch, and
+// its time the reading of the owner's clock before the append was first sent.
+// Every lease end that is requested is an absolute time on the worker's clock,
+// which that clock reaches by the proof's time plus the longest real time of
+// mMaxRunsAfterProof:
+// - A reading of the clock was taken before it arrived, and the clock advances
+//   by at least 980 of 1000 from there. The end is computed with that slowest
+//   rate, so it holds for each permitted rate and however old the reading is.
+// - A message that is delayed, because the owner's process was paused or its
+//   call was executed late, extends nothing beyond the end that it names; a
+//   start whose end has passed is refused.
+// - An append that was applied without an answer, or is answered late, proves
+//   no more than its first sending, as its repetitions carry the same record.
+// - An owner that lost the shard gets no further proof: the log refuses its
+//   appends from the next claim on.
+// - An owner without a record on the log claimed before one that removed the
+//   record, which it does only once all runs of the former have ended.
+// It does not hold for a worker that restarts: its clock is new, so a start
+// that was sent before its owner knew that may last for mMaxGranted from its
+// arrival. An owner requests no lease of a worker that left a renewal
+// unanswered, and none of a new incarnation before that is recorded.
+//
 // WorkerTable is not synchronised.
 class WorkerTable
 {
@@ -204,15 +230,23 @@
                const TaskRef& aTask,
                const StepSpec& aStep);
 
+  // OnOwnershipRecorded allows leases up to the bound of a proof that was
+  // recorded at aRecordedAt. Without any, no lease is requested. MayStart
+  // returns whether a lease that is long enough for starts is allowed.
+  void OnOwnershipRecorded(MonotonicTime aRecordedAt);
+  bool MayStart(MonotonicTime aNow) const;
+
   // NextRenewal returns the renewal to send at aNow and counts its lease as
-  // granted. For a silent worker it requests the run lists only.
+  // granted. For a silent worker it requests the run lists only, and so it does
+  // if the proof allows no lease beyond aNow.
   RenewalRequest NextRenewal(WorkerEntry& aWorker,
                              Epoch aEpoch,
                              bool aMayRenew,
                              MonotonicTime aNow);
 
   // LeaseForStart returns the lease for a start sent at aNow and counts it as
-  // granted; nothing while the worker's clock is unknown.
+  // granted; nothing while the worker's clock is unknown or if the lease would
+  // be too short.
   std::optional<WorkerTime> LeaseForStart(WorkerEntry& aWorker,
                                           MonotonicTime aNow);
 
@@ -224,6 +258,10 @@
   // certainly expired that was requested by aRequestedBy.
   MonotonicTime EndOfLeaseRequestedBy(MonotonicTime aRequestedBy) const;
 
+  // EndOfRunsProvedAt returns when all runs have certainly ended of an owner
+  // whose last recorded proof was at aRecordedAt or before.
+  MonotonicTime EndOfRunsProvedAt(MonotonicTime aRecordedAt) const;
+
   // OnStartOfFormerIncarnation accounts for a start that carries a lease by the
   // clock of a worker's former incarnation, and that the present one may accept
   // by aNow.
@@ -238,6 +276,7 @@
 private:
   WorkerTime EstimatedClock(const WorkerEntry& aWorker,
                             MonotonicTime aNow) const;
+  WorkerTime NextLeaseEnd(const WorkerEntry& aWorker, MonotonicTime aNow) const;
   Milliseconds MaxRealDuration(int64_t aMilliseconds) const;
   void AssumeLease(WorkerEntry& aWorker,
                    Milliseconds aLength,
@@ -245,6 +284,8 @@
   void ExtendLease(WorkerEntry& aWorker, WorkerTime aUntil, MonotonicTime aNow);
 
   const LeaseTerms mTerms;
+  // Until when the leases may last that the recorded proof allows.
+  MonotonicTime mLeasesEndBy;
   std::map<WorkerId, WorkerEntry> mWorkers;
   std::set<WorkerId> mSilent;
   std::set<WorkerId> mLeaving;
