A successor waits from the former owner's newest append

A successor now waits 10.1 s from the newest append that each former owner can have sent. That was before its own claim; and where this instance heard from that owner how long it had been active, it was when the age in the owner's newest record was reached. Instances take the age from every answer of an owner, ask one that they did not hear from for 5 s with the next look (at most 200 ms), and a successor takes it from former owners that it asks. The end of an owner counts as before if that is earlier. The longest of all former owners counts; one whose record tells no age, of an earlier version, is waited for as long as before. shard_loaded names the bounds and their evidence in former_runs.

It works because leases end by 9.5 s after the newest append on the log, and none of a former owner's comes after the claim. Simulated on workers 2% slow whose owner is cut off from the store and the successor: 10.1 s after the claim without an observation, 10.1 s after the loss of the store with one, no task run twice; with a chain of owners the longest of both.

--- a/mulberryvalve/app/jobs/job_graph_service.cc
+++ b/mulberryvalve/app/jobs/job_graph_service.cc
@@ -174,6 +174,9 @@
         mPorts.mPeers.Ask(*owner,
                           aQuestion,
                           std::clamp(remaining, Milliseconds(1), kPeerTimeout));
+      if (answer) {
+        mPorts.mMemberships.OnPeerAnswer(aQuestion.mShard, answer.value());
+      }
       if (answer && answer.value().mOwns) {
         return answer;
       }
--- a/mulberryvalve/app/jobs/shard_membership.cc
+++ b/mulberryvalve/app/jobs/shard_membership.cc
@@ -163,6 +163,7 @@
     return;
   }
   ApplyView(view.value(), sentAt);
+  ObserveOwner();
 }
 
 void ShardMembership::ApplyView(const GroupView& aView, MonotonicTime aSentAt)
@@ -415,6 +416,7 @@
   ShardRuntimeOptions options = mOptions.mOwner;
   options.mShard = mShard;
   options.mEpoch = std::max(assignedEpoch, mMinEpoch);
+  options.mObservations = Observations();
   mMinEpoch = options.mEpoch.Next();
   mRuntime = std::make_shared<ShardRuntime>(options, mPorts);
   LogEvent("shard_given",
--- a/mulberryvalve/app/jobs/shard_membership.h
+++ b/mulberryvalve/app/jobs/shard_membership.h
@@ -70,9 +70,16 @@
   // Answers the question if this instance owns the shard.
   PeerQueryResult OnQuery(const PeerQuery& aQuestion);
 
+  // Records what the answer of a peer, which arrived just now, tells of an
+  // owner.
+  void OnPeerAnswer(const PeerQueryResult& aAnswer);
+
 private:
   PeerQueryResult AnswerOwnershipEnd(const PeerQuery& aQuestion);
   std::shared_ptr<ShardRuntime> FindRuntime(Epoch aEpoch);
+  void ObserveOwner();
+  std::optional<Endpoint> OwnerToObserve(MonotonicTime aNow);
+  OwnerObservations Observations() const;
   void RunPolls();
   void DelayFirstPoll();
   bool WaitForNextPoll();
@@ -135,6 +142,11 @@
   MonotonicTime mLastCheckAt MV_GUARDED_BY(mMutex);
   // How long a member without the shard waits for the owner to hand it over.
   MonotonicTime mAssignmentDeadline MV_GUARDED_BY(mMutex);
+  // When the owner was last asked only to observe it.
+  std::optional<MonotonicTime> mObservedAt MV_GUARDED_BY(mMutex);
+  // Acquired after mMutex, if both are.
+  mutable Mutex mObservationsMutex;
+  OwnerObservations mObservations MV_GUARDED_BY(mObservationsMutex);
   std::thread mPollThread;
   std::thread mJoinThread;
 };
--- a/mulberryvalve/app/jobs/shard_membership_manager.cc
+++ b/mulberryvalve/app/jobs/shard_membership_manager.cc
@@ -63,6 +63,14 @@
   return mMemberships[aShard]->Owner();
 }
 
+void ShardMembershipManager::OnPeerAnswer(ShardNumber aShard,
+                                          const PeerQueryResult& aAnswer)
+{
+  if (aShard < mMemberships.size()) {
+    mMemberships[aShard]->OnPeerAnswer(aAnswer);
+  }
+}
+
 void ShardMembershipManager::InvalidateOwner(ShardNumber aShard)
 {
   if (aShard < mMemberships.size()) {
--- a/mulberryvalve/app/jobs/shard_membership_manager.h
+++ b/mulberryvalve/app/jobs/shard_membership_manager.h
@@ -46,6 +46,10 @@
   // owner. The group is polled again soon.
   void InvalidateOwner(ShardNumber aShard);
 
+  // Records what the answer of a peer about a shard, which arrived just now,
+  // tells of an owner.
+  void OnPeerAnswer(ShardNumber aShard, const PeerQueryResult& aAnswer);
+
   // Answers questions about the shards that this instance owns.
   PeerQueryResult OnQuery(const PeerQuery& aQuestion) override;
 
--- a/mulberryvalve/app/jobs/shard_runtime.h
+++ b/mulberryvalve/app/jobs/shard_runtime.h
@@ -66,6 +66,8 @@
   Milliseconds mStallTimeout{ 6000 };
   // How long the phase of a finished job can still be queried.
   Milliseconds mKeepOver{ 150000 };
+  // What this instance observed of the owners before this one.
+  OwnerObservations mObservations{};
 };
 
 // Ports that a shard owner uses. All references must outlive it.
@@ -136,6 +138,9 @@
   // if there was none.
   Epoch CompetingEpoch() const { return Epoch(mCompetingEpoch); }
 
+  // Returns how long this ownership has been active.
+  OwnerAge Age() const { return mStamp.AgeAt(mPorts.mClock.Now()); }
+
   // Returns what the owner knows. The answer says that the shard is not owned
   // here before the shard's records are loaded, without a valid proof of
   // ownership, or if the requested data may be on the log but not read yet.
@@ -181,6 +186,8 @@
   std::map<JobId, JobRecord> RestoreProgress(
     const std::vector<KeyedEntry>& aEntries,
     ShardScheduler& aShard);
+  void ApplyObservation(const OwnershipRecord& aFormer,
+                        ShardScheduler& aShard) const;
   size_t RestoreIntake(const std::vector<KeyedEntry>& aEntries,
                        const std::map<JobId, JobRecord>& aRecords,
                        MonotonicTime aClaimedAt,
@@ -206,7 +213,8 @@
   void OnIntakeRead(MonotonicTime aReadUpTo);
   void FollowWorkers();
   void FollowFormerOwners();
-  std::optional<MonotonicTime> AskForEnd(const FormerOwner& aOwner);
+  void AskFormerOwner(const FormerOwner& aOwner);
+  void LogFormerOwnerEnded(Epoch aEpoch, Microseconds aAgo);
   void StartRenewals() MV_REQUIRES(mMutex);
   PassResult RunDecisionPass() MV_REQUIRES(mMutex);
   void DispatchDecisions(PassResult aResult);
--- a/mulberryvalve/app/jobs/shard_runtime_readers.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_readers.cc
@@ -22,6 +22,8 @@
 // of former owners.
 constexpr Milliseconds kFormerOwnerInterval{ 250 };
 constexpr Milliseconds kPeerTimeout{ 500 };
+// Former owners that a line names.
+constexpr size_t kMaxNamedOwners = 4;
 
 // Returns the progress record of the job that aEntry submitted if that job is
 // finished, otherwise nullptr.
@@ -36,6 +38,59 @@
   return isFinished ? &found->second : nullptr;
 }
 
+// Returns by when a former owner had ended, or nothing if it may still act. A
+// process listens for its peers from before it owns a shard until after that,
+// so where none listens, none acts.
+std::optional<MonotonicTime> EndFromAnswer(
+  const Result<PeerQueryResult>& aAnswer,
+  MonotonicTime aNow)
+{
+  if (aAnswer && aAnswer.value().mEndedFor) {
+    return aNow - *aAnswer.value().mEndedFor;
+  }
+  if (!aAnswer && aAnswer.error().mKind == FailureKind::kPeerNotListening) {
+    return aNow;
+  }
+  return std::nullopt;
+}
+
+// Returns by when a former owner had recorded its newest proof, by the age that
+// it tells, or nothing if that is not known.
+std::optional<MonotonicTime> LastRecordFromAnswer(
+  const FormerOwner& aOwner,
+  const Result<PeerQueryResult>& aAnswer,
+  MonotonicTime aNow)
+{
+  if (!aAnswer || !aAnswer.value().mOwner || !aOwner.mActiveFor) {
+    return std::nullopt;
+  }
+  OwnerObservations observed;
+  observed.Add(*aAnswer.value().mOwner, aNow);
+  return observed.WasActiveFor(aOwner.mEpoch, *aOwner.mActiveFor);
+}
+
+// Returns until how many milliseconds after aClaimedAt runs of each former
+// owner may last and by which evidence, for the newest kMaxNamedOwners.
+std::string FormatRunsEnds(const ShardScheduler& aShard,
+                           MonotonicTime aClaimedAt)
+{
+  const std::vector<RunsEnd> ends = aShard.EndsOfFormerRuns();
+  const size_t named = std::min(ends.size(), kMaxNamedOwners);
+  std::string text;
+  for (auto end = ends.end() - static_cast<long>(named); end != ends.end();
+       ++end) {
+    text += text.empty() ? "" : " ";
+    text += std::to_string(end->mEpoch.Value()) + ":" +
+            std::string(kRunsEndEvidenceNames.Name(end->mEvidence));
+    if (end->mBy) {
+      const auto left =
+        std::chrono::duration_cast<Milliseconds>(*end->mBy - aClaimedAt);
+      text += ":" + std::to_string(left.count());
+    }
+  }
+  return text;
+}
+
 } // namespace
 
 // The log holds a higher epoch than the group assigned if the group's
@@ -86,7 +141,8 @@
              { "records", std::to_string(records.size()) },
              { "read_records", std::to_string(size.mRecords) },
              { "read_bytes", std::to_string(size.mBytes) },
-             { "intake_next", std::to_string(mIntakeOffset) } });
+             { "intake_next", std::to_string(mIntakeOffset) },
+             { "former_runs", FormatRunsEnds(*shard, claimedAt) } });
   mPorts.mMetrics.Add(Counter::kTakeovers, 1);
   mPorts.mMetrics.Record(Timing::kTakeoverUs, mPorts.mClock.Now() - claimedAt);
   mWatchdog.End(OwnerActivity::kLoading, mPorts.mClock.Now());
@@ -150,14 +206,31 @@
       aShard.RestoreLearned(*learned);
     } else if (auto* claim = std::get_if<OwnershipRecord>(&item.value())) {
       if (claim->mEpoch < mOptions.mEpoch) {
-        aShard.RestoreFormerOwner(
-          FormerOwner{ claim->mEpoch, claim->mPeer, claim->mProcess });
+        aShard.RestoreFormerOwner(FormerOwner{
+          claim->mEpoch, claim->mPeer, claim->mProcess, claim->mActiveFor });
+        ApplyObservation(*claim, aShard);
       }
     }
   }
   return records;
 }
 
+// An owner that told its age is known to have recorded its newest proof by a
+// time, which may be long before its successor's claim.
+void ShardRuntime::ApplyObservation(const OwnershipRecord& aFormer,
+                                    ShardScheduler& aShard) const
+{
+  if (!aFormer.mActiveFor) {
+    return;
+  }
+  const std::optional<MonotonicTime> provedBy =
+    mOptions.mObservations.WasActiveFor(aFormer.mEpoch, *aFormer.mActiveFor);
+  if (provedBy) {
+    aShard.OnFormerOwnerProof(
+      aFormer.mEpoch, *provedBy, RunsEndEvidence::kObserved);
+  }
+}
+
 // Passes on the jobs and cancellations. Returns the number of jobs that are not
 // over.
 size_t ShardRuntime::RestoreIntake(const std::vector<KeyedEntry>& aEntries,
@@ -350,19 +423,14 @@
       return;
     }
     for (const FormerOwner& owner : owners) {
-      if (const auto endedBy = AskForEnd(owner)) {
-        MutexLock lock(mMutex);
-        mShard->OnFormerOwnerEnded(owner.mEpoch, *endedBy);
-        RequestDecisionPass();
-      }
+      AskFormerOwner(owner);
     }
   }
 }
 
-// Returns by when a former owner had ended, or nothing if it may still act. A
-// process listens for its peers from before it owns a shard until after that,
-// so where none listens, none acts.
-std::optional<MonotonicTime> ShardRuntime::AskForEnd(const FormerOwner& aOwner)
+// Learns from a former owner's answer whether it has ended, or how long it has
+// been active.
+void ShardRuntime::AskFormerOwner(const FormerOwner& aOwner)
 {
   PeerQuery query;
   query.mKind = PeerQueryKind::kOwnershipEnd;
@@ -372,21 +440,33 @@
   const Result<PeerQueryResult> result =
     mPorts.mPeers.Ask(aOwner.mPeer, query, kPeerTimeout);
   const MonotonicTime now = mPorts.mClock.Now();
-  std::optional<MonotonicTime> endedBy;
-  if (result && result.value().mEndedFor) {
-    endedBy = now - *result.value().mEndedFor;
-  } else if (!result &&
-             result.error().mKind == FailureKind::kPeerNotListening) {
-    endedBy = now;
+  const std::optional<MonotonicTime> endedBy = EndFromAnswer(result, now);
+  const std::optional<MonotonicTime> provedBy =
+    LastRecordFromAnswer(aOwner, result, now);
+  if (endedBy) {
+    LogFormerOwnerEnded(aOwner.mEpoch, now - *endedBy);
   }
+  if (!endedBy && !provedBy) {
+    return;
+  }
+  MutexLock lock(mMutex);
   if (endedBy) {
-    const auto ago = std::chrono::duration_cast<Milliseconds>(now - *endedBy);
-    LogEvent(EventLevel::kInfo,
-             "former_owner_ended",
-             { { "former_epoch", std::to_string(aOwner.mEpoch.Value()) },
-               { "ended_for_ms", std::to_string(ago.count()) } });
+    mShard->OnFormerOwnerEnded(aOwner.mEpoch, *endedBy);
   }
-  return endedBy;
+  if (provedBy) {
+    mShard->OnFormerOwnerProof(
+      aOwner.mEpoch, *provedBy, RunsEndEvidence::kObserved);
+  }
+  RequestDecisionPass();
+}
+
+void ShardRuntime::LogFormerOwnerEnded(Epoch aEpoch, Microseconds aAgo)
+{
+  const auto ago = std::chrono::duration_cast<Milliseconds>(aAgo);
+  LogEvent(EventLevel::kInfo,
+           "former_owner_ended",
+           { { "former_epoch", std::to_string(aEpoch.Value()) },
+             { "ended_for_ms", std::to_string(ago.count()) } });
 }
 
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/bounded_runs_test.cc
+++ b/mulberryvalve/core/jobs/bounded_runs_test.cc
@@ -1,4 +1,5 @@
-// Tests that runs end within a bound after their owner's last recorded proof.
+// Tests that runs end within a bound after their owner's last recorded proof,
+// and that a successor waits no longer than that.
 #include "mulberryvalve/core/jobs/takeover_simulation_fake.h"
 
 #include "CppUTest/TestHarness.h"
@@ -10,6 +11,9 @@
 constexpr Milliseconds kStoreOutage{ 9000 };
 // The bound by the slowest clock: 9.5 s of 980 per mille.
 constexpr Milliseconds kLongestRuns{ 9693 };
+// What a successor waits for after the last proof: the longest runs, 200 ms for
+// the owner's clock, the margin of a lease, and until it decides.
+constexpr Milliseconds kLongestWait{ 10043 };
 constexpr Milliseconds kTick{ 20 };
 // Longer than every lease and wait.
 constexpr Milliseconds kSettleTime{ 30000 };
@@ -47,6 +51,55 @@
   MonotonicTime mLostAt;
 };
 
+// An owner that is cut off from the store and, with one worker, from its
+// successor.
+class OwnerCutOff : public OwnerWithoutStore
+{
+public:
+  OwnerCutOff()
+    : mTask(TaskOf("lasting", 0))
+    , mWorker(mSim.WorkerOf(mTask))
+  {
+  }
+
+  // The successor claims and loads aAfter the loss of the store.
+  void Replace(Milliseconds aAfter)
+  {
+    mSim->RunFor(aAfter);
+    mSim.PartitionOff(mWorker);
+    mNewest = 1;
+  }
+
+  // Replaces the successor at once by another that can't reach the worker.
+  void ReplaceSuccessor()
+  {
+    mSim.KillOwner();
+    mSim.LoadOwner().mLinks[mWorker] = LinkState::kDisconnected;
+    mNewest++;
+  }
+
+  ShardScheduler& Newest() { return *mSim->Owner(mNewest).mShard; }
+
+  // Returns how long after aSince the task runs on another worker.
+  Milliseconds UntilRestarted(MonotonicTime aSince)
+  {
+    CHECK(mSim.RunsElsewhereBy(mTask, mWorker, aSince + kSettleTime));
+    return std::chrono::duration_cast<Milliseconds>(mSim->Now() - aSince);
+  }
+
+  void CheckOneRun()
+  {
+    mSim->RunFor(kSettleTime);
+    STRCMP_EQUAL("", mSim.AllViolations().c_str());
+    CHECK_EQUAL(kWorkers, Running());
+  }
+
+private:
+  const TaskRef mTask;
+  const WorkerId mWorker;
+  size_t mNewest = 0;
+};
+
 } // namespace
 
 TEST_GROUP(BoundedRunsTest){};
@@ -133,4 +186,85 @@
   CHECK(workers.MayStart(provedAt + Milliseconds(7100)));
 }
 
+// Nothing is known of the former owner but that it recorded nothing after the
+// claim.
+TEST(BoundedRunsTest, ASuccessorWaitsFromItsClaimAtMost)
+{
+  OwnerCutOff owner;
+  owner.Replace(Milliseconds(5500));
+  const MonotonicTime claimedAt = owner.mSim->Now();
+  const Milliseconds waited = owner.UntilRestarted(claimedAt);
+  CHECK(waited <= kLongestWait + kTick + TakeoverSimulation::kPlacementLimit);
+  owner.CheckOneRun();
+}
+
+// The wait counts from the last record, not from a claim 5.5 s after it.
+TEST(BoundedRunsTest, ASuccessorThatKnowsTheLastProofWaitsFromThere)
+{
+  OwnerCutOff owner;
+  owner.Replace(Milliseconds(5500));
+  owner.Newest().OnFormerOwnerProof(
+    Epoch(1), owner.mLostAt, RunsEndEvidence::kObserved);
+  const std::vector<RunsEnd> ends = owner.Newest().EndsOfFormerRuns();
+  CHECK_EQUAL(1U, ends.size());
+  CHECK(RunsEndEvidence::kObserved == ends[0].mEvidence);
+  CHECK(owner.mLostAt + kLongestWait == ends[0].mBy);
+  const Milliseconds waited = owner.UntilRestarted(owner.mLostAt);
+  CHECK(waited <= kLongestWait + kTick + TakeoverSimulation::kPlacementLimit);
+  owner.CheckOneRun();
+}
+
+// The one between them wrote nothing but its claim.
+TEST(BoundedRunsTest, ChainsOfOwnersWaitForTheLastProofOfAll)
+{
+  OwnerCutOff owner;
+  owner.Replace(Milliseconds(5500));
+  owner.mSim->RunFor(Milliseconds(500));
+  owner.ReplaceSuccessor();
+  const MonotonicTime claimedAt = owner.mSim->Now();
+  owner.Newest().OnFormerOwnerProof(
+    Epoch(1), owner.mLostAt, RunsEndEvidence::kObserved);
+  const std::vector<RunsEnd> ends = owner.Newest().EndsOfFormerRuns();
+  CHECK_EQUAL(2U, ends.size());
+  CHECK(RunsEndEvidence::kClaimed == ends[1].mEvidence);
+  CHECK(claimedAt + kLongestWait == ends[1].mBy);
+  const Milliseconds waited = owner.UntilRestarted(claimedAt);
+  CHECK(waited <= kLongestWait + kTick + TakeoverSimulation::kPlacementLimit);
+  owner.CheckOneRun();
+}
+
+// No proof bounds the leases of an owner whose record does not tell its age.
+TEST(BoundedRunsTest, AnOwnerOfAnEarlierVersionIsWaitedForAsLongAsItsLeases)
+{
+  const WorkerTable workers{ LeaseTerms() };
+  const MonotonicTime provedAt{ std::chrono::seconds(1000) };
+  FormerOwners owners;
+  owners.Add(FormerOwner{ Epoch(1) });
+  owners.OnLastProof(Epoch(1), provedAt, RunsEndEvidence::kClaimed);
+  CHECK_FALSE(owners.AllRunsEndBy(workers).has_value());
+  owners.OnEnded(Epoch(1), provedAt);
+  CHECK(workers.EndOfLeaseRequestedBy(provedAt) ==
+        owners.AllRunsEndBy(workers));
+}
+
+TEST(BoundedRunsTest, TheEarlierBoundOfAFormerOwnerCounts)
+{
+  const WorkerTable workers{ LeaseTerms() };
+  const MonotonicTime provedAt{ std::chrono::seconds(1000) };
+  FormerOwner former{ Epoch(1) };
+  former.mActiveFor = Milliseconds(0);
+  FormerOwners owners;
+  owners.Add(former);
+  owners.OnLastProof(
+    Epoch(1), provedAt + Milliseconds(100), RunsEndEvidence::kClaimed);
+  owners.OnLastProof(Epoch(1), provedAt, RunsEndEvidence::kObserved);
+  owners.OnLastProof(
+    Epoch(1), provedAt + Milliseconds(50), RunsEndEvidence::kObserved);
+  CHECK(workers.EndOfRunsProvedAt(provedAt) == owners.AllRunsEndBy(workers));
+  owners.OnEnded(Epoch(1), provedAt + Milliseconds(9000));
+  CHECK(RunsEndEvidence::kObserved == owners.EndsOfRuns(workers)[0].mEvidence);
+  owners.OnEnded(Epoch(1), provedAt + Milliseconds(1000));
+  CHECK(RunsEndEvidence::kEnded == owners.EndsOfRuns(workers)[0].mEvidence);
+}
+
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/former_owners.cc
+++ b/mulberryvalve/core/jobs/former_owners.cc
@@ -8,7 +8,7 @@
 void FormerOwners::Add(FormerOwner aOwner)
 {
   const Epoch epoch = aOwner.mEpoch;
-  mOwners.emplace(epoch, Entry{ std::move(aOwner), std::nullopt });
+  mOwners.emplace(epoch, Entry{ std::move(aOwner) });
 }
 
 void FormerOwners::OnEnded(Epoch aEpoch, MonotonicTime aEndedBy)
@@ -21,6 +21,21 @@
   endedBy = std::min(endedBy.value_or(aEndedBy), aEndedBy);
 }
 
+void FormerOwners::OnLastProof(Epoch aEpoch,
+                               MonotonicTime aProvedBy,
+                               RunsEndEvidence aEvidence)
+{
+  const auto found = mOwners.find(aEpoch);
+  if (found == mOwners.end() || !found->second.mOwner.mActiveFor) {
+    return;
+  }
+  Entry& entry = found->second;
+  if (!entry.mProvedBy || aProvedBy < *entry.mProvedBy) {
+    entry.mProvedBy = aProvedBy;
+    entry.mProofEvidence = aEvidence;
+  }
+}
+
 std::vector<FormerOwner> FormerOwners::Unsettled() const
 {
   std::vector<FormerOwner> owners;
@@ -32,14 +47,44 @@
   return owners;
 }
 
-std::optional<MonotonicTime> FormerOwners::AllEndedBy() const
+// Either bound holds, so the earlier one is used.
+RunsEnd FormerOwners::EndOfRuns(const Entry& aEntry,
+                                const WorkerTable& aWorkers)
 {
-  std::optional<MonotonicTime> last;
+  RunsEnd end;
+  end.mEpoch = aEntry.mOwner.mEpoch;
+  if (aEntry.mProvedBy) {
+    end.mBy = aWorkers.EndOfRunsProvedAt(*aEntry.mProvedBy);
+    end.mEvidence = aEntry.mProofEvidence;
+  }
+  if (aEntry.mEndedBy) {
+    const MonotonicTime by = aWorkers.EndOfLeaseRequestedBy(*aEntry.mEndedBy);
+    if (!end.mBy || by < *end.mBy) {
+      end.mBy = by;
+      end.mEvidence = RunsEndEvidence::kEnded;
+    }
+  }
+  return end;
+}
+
+std::vector<RunsEnd> FormerOwners::EndsOfRuns(const WorkerTable& aWorkers) const
+{
+  std::vector<RunsEnd> ends;
   for (const auto& [epoch, entry] : mOwners) {
-    if (!entry.mEndedBy) {
+    ends.push_back(EndOfRuns(entry, aWorkers));
+  }
+  return ends;
+}
+
+std::optional<MonotonicTime> FormerOwners::AllRunsEndBy(
+  const WorkerTable& aWorkers) const
+{
+  std::optional<MonotonicTime> last;
+  for (const RunsEnd& end : EndsOfRuns(aWorkers)) {
+    if (!end.mBy) {
       return std::nullopt;
     }
-    last = std::max(last.value_or(*entry.mEndedBy), *entry.mEndedBy);
+    last = std::max(last.value_or(*end.mBy), *end.mBy);
   }
   return last;
 }
--- a/mulberryvalve/core/jobs/former_owners.h
+++ b/mulberryvalve/core/jobs/former_owners.h
@@ -3,7 +3,9 @@
 #ifndef MULBERRYVALVE_CORE_JOBS_FORMER_OWNERS_H_
 #define MULBERRYVALVE_CORE_JOBS_FORMER_OWNERS_H_
 
+#include "mulberryvalve/core/base/enum_table.h"
 #include "mulberryvalve/core/base/time.h"
+#include "mulberryvalve/core/jobs/worker_table.h"
 #include "mulberryvalve/core/model/ids.h"
 #include "mulberryvalve/core/model/worker.h"
 
@@ -19,8 +21,36 @@
   Epoch mEpoch;
   // The process that claimed the shard, and where it answers its peers. Empty
   // and zero if the claim does not tell.
-  Endpoint mPeer;
-  Incarnation mProcess;
+  Endpoint mPeer{};
+  Incarnation mProcess{};
+  // How long it had been active when its last append was first sent, by its own
+  // clock. Unset in a record of an owner whose leases no proof bounds.
+  std::optional<Milliseconds> mActiveFor{};
+};
+
+// RunsEndEvidence is what shows when the runs of a former owner have ended.
+enum class RunsEndEvidence
+{
+  kNone,
+  kClaimed,  // a later claim, after which it could record no proof
+  kObserved, // how long it was active, told by itself, and its last record
+  kEnded,    // the end of its ownership or its process
+};
+
+inline constexpr EnumTable<RunsEndEvidence, 4> kRunsEndEvidenceNames{ { {
+  { RunsEndEvidence::kNone, "none" },
+  { RunsEndEvidence::kClaimed, "claim" },
+  { RunsEndEvidence::kObserved, "observed" },
+  { RunsEndEvidence::kEnded, "ended" },
+} } };
+
+// RunsEnd is when the runs of a former owner have certainly ended. mBy is unset
+// if there is no evidence.
+struct RunsEnd
+{
+  Epoch mEpoch;
+  RunsEndEvidence mEvidence = RunsEndEvidence::kNone;
+  std::optional<MonotonicTime> mBy{};
 };
 
 // A former owner that is not known to have ended may renew leases and start
@@ -35,12 +65,22 @@
   // epoch is unknown or an earlier time is known.
   void OnEnded(Epoch aEpoch, MonotonicTime aEndedBy);
 
+  // Records that the last proof that bounds the leases of the owner of aEpoch
+  // was recorded by aProvedBy. Does nothing if the epoch is unknown, an earlier
+  // time is known, or no proof bounds the leases of that owner.
+  void OnLastProof(Epoch aEpoch,
+                   MonotonicTime aProvedBy,
+                   RunsEndEvidence aEvidence);
+
   // Returns the owners that are not known to have ended, and can be asked.
   std::vector<FormerOwner> Unsettled() const;
 
-  // Returns when the last of the owners had ended, or nothing if one of them is
-  // not known to have ended or if there is none.
-  std::optional<MonotonicTime> AllEndedBy() const;
+  // Returns when the runs of each owner end, by the bounds of aWorkers.
+  std::vector<RunsEnd> EndsOfRuns(const WorkerTable& aWorkers) const;
+
+  // Returns when the runs of all owners have ended, or nothing if that is not
+  // known of one of them or if there is none.
+  std::optional<MonotonicTime> AllRunsEndBy(const WorkerTable& aWorkers) const;
 
   // Returns the epochs of all owners, and forgets them.
   std::vector<Epoch> TakeAll();
@@ -49,9 +89,13 @@
   struct Entry
   {
     FormerOwner mOwner;
-    std::optional<MonotonicTime> mEndedBy;
+    std::optional<MonotonicTime> mEndedBy{};
+    std::optional<MonotonicTime> mProvedBy{};
+    RunsEndEvidence mProofEvidence = RunsEndEvidence::kNone;
   };
 
+  static RunsEnd EndOfRuns(const Entry& aEntry, const WorkerTable& aWorkers);
+
   std::map<Epoch, Entry> mOwners;
 };
 
--- a/mulberryvalve/core/jobs/inherited_workers.cc
+++ b/mulberryvalve/core/jobs/inherited_workers.cc
@@ -71,7 +71,6 @@
       continue;
     }
     SetWait(worker, inherited, std::min(inherited.mWaitUntil, aUntil));
-    inherited.mIsAssumed = false;
   }
 }
 
--- a/mulberryvalve/core/jobs/inherited_workers.h
+++ b/mulberryvalve/core/jobs/inherited_workers.h
@@ -49,7 +49,7 @@
 
   // Ends the waits that no note limits by aUntil at the latest, as no former
   // owner can have renewed a lease that lasts longer. HasAssumedWaits returns
-  // whether there is such a wait that ends later.
+  // whether a wait that no note limits has not ended.
   void ShortenAssumedWaits(MonotonicTime aUntil);
   bool HasAssumedWaits() const;
 
--- a/mulberryvalve/core/jobs/shard_scheduler.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler.cc
@@ -73,7 +73,17 @@
 
 void ShardScheduler::RestoreFormerOwner(FormerOwner aOwner)
 {
+  const Epoch epoch = aOwner.mEpoch;
   mFormerOwners.Add(std::move(aOwner));
+  OnFormerOwnerProof(epoch, mClaimedAt, RunsEndEvidence::kClaimed);
+}
+
+void ShardScheduler::OnFormerOwnerProof(Epoch aEpoch,
+                                        MonotonicTime aProvedBy,
+                                        RunsEndEvidence aEvidence)
+{
+  mFormerOwners.OnLastProof(aEpoch, aProvedBy, aEvidence);
+  mFormerOwnersChanged = true;
 }
 
 std::vector<FormerOwner> ShardScheduler::FormerOwnersToAsk() const
@@ -85,14 +95,23 @@
 void ShardScheduler::OnFormerOwnerEnded(Epoch aEpoch, MonotonicTime aEndedBy)
 {
   mFormerOwners.OnEnded(aEpoch, aEndedBy);
-  if (const auto allEndedBy = mFormerOwners.AllEndedBy()) {
-    mInheritedWorkers.ShortenAssumedWaits(
-      mWorkers.EndOfLeaseRequestedBy(*allEndedBy));
+  mFormerOwnersChanged = true;
+}
+
+// Applies what became known of the former owners, once all of them are
+// restored.
+void ShardScheduler::ShortenAssumedWaits()
+{
+  if (!std::exchange(mFormerOwnersChanged, false)) {
+    return;
+  }
+  if (const auto end = mFormerOwners.AllRunsEndBy(mWorkers)) {
+    mInheritedWorkers.ShortenAssumedWaits(*end);
   }
 }
 
 // Returns how long runs of the former owners may go on after the claim, if no
-// more is known of them.
+// proof of theirs bounds their leases.
 Milliseconds ShardScheduler::MaxFormerRuns() const
 {
   return mOptions.mProofLimit + mOptions.mLease.mLength +
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -46,8 +46,19 @@
   void RestoreJob(JobGraph aGraph, const JobRecord* aRecord);
   void RestoreWorker(const UsedWorkerRecord& aWorker);
 
-  // Restores a claim of an owner before this one.
+  // Restores a claim of an owner before this one. Call before the first
+  // Decide. OnFormerOwnerProof records that the proofs that bound the leases of
+  // a former owner were recorded by aProvedBy.
   void RestoreFormerOwner(FormerOwner aOwner);
+  void OnFormerOwnerProof(Epoch aEpoch,
+                          MonotonicTime aProvedBy,
+                          RunsEndEvidence aEvidence);
+
+  // Returns when the runs of each former owner end.
+  std::vector<RunsEnd> EndsOfFormerRuns() const
+  {
+    return mFormerOwners.EndsOfRuns(mWorkers);
+  }
 
   // Returns the former owners whose ends would shorten a wait, if they were
   // known. Ask them, and call OnFormerOwnerEnded. Once there are none, there
@@ -224,6 +235,7 @@
   void RefreshInheritedNotes(MonotonicTime aNow);
   void RefreshNoteOf(const WorkerEntry& aWorker, bool aRefreshDue);
   Milliseconds MaxFormerRuns() const;
+  void ShortenAssumedWaits();
   void RemoveEndedClaims(MonotonicTime aNow);
   void RemoveGoneWorkers(MonotonicTime aNow);
   bool IsGone(const WorkerEntry& aWorker, MonotonicTime aNow) const;
@@ -422,6 +434,8 @@
   // The loads of the serving tasks of each step, by task index.
   std::map<StepRef, std::map<uint32_t, ServiceLoad>> mServiceLoads;
   FormerOwners mFormerOwners;
+  // More is known of them than the waits reflect.
+  bool mFormerOwnersChanged = false;
   std::vector<Epoch> mEndedClaims;
   InheritedWorkers mInheritedWorkers;
   UnreadJobs mUnreadJobs;
--- a/mulberryvalve/core/jobs/shard_simulation_fake.cc
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.cc
@@ -79,6 +79,7 @@
   mLastEpoch = mLastEpoch.Next();
   owner->mEpoch = mLastEpoch;
   owner->mProvedAt = mNow;
+  owner->mClaimedAt = mNow;
   owner->mRecordedAt = mNow;
   ShardSchedulerOptions options;
   options.mEpoch = owner->mEpoch;
@@ -111,13 +112,21 @@
   }
   for (auto& other : mOwners) {
     other->mCanAppend = false;
-    owner->mShard->RestoreFormerOwner(
-      FormerOwner{ other->mEpoch, Endpoint{ "peer", 1 }, Incarnation(1) });
+    owner->mShard->RestoreFormerOwner(RecordOf(*other));
   }
   mOwners.push_back(std::move(owner));
   return *mOwners.back();
 }
 
+// Returns what the owner's newest record on the log tells of it.
+FormerOwner ShardSimulation::RecordOf(const SimulatedOwner& aOwner)
+{
+  FormerOwner former{ aOwner.mEpoch, Endpoint{ "peer", 1 }, Incarnation(1) };
+  former.mActiveFor =
+    std::chrono::ceil<Milliseconds>(aOwner.mRecordedAt - aOwner.mClaimedAt);
+  return former;
+}
+
 void ShardSimulation::Submit(JobGraph aJob)
 {
   aJob.mRules.mService = kService;
--- a/mulberryvalve/core/jobs/shard_simulation_fake.h
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.h
@@ -113,7 +113,8 @@
   // What the held orders were answered, until AnswerHeldOrders.
   std::vector<std::pair<TaskOrder, OrderReply>> mHeldReplies;
   MonotonicTime mProvedAt;
-  // When its last append was sent.
+  // When it claimed the shard, and when its last append was sent.
+  MonotonicTime mClaimedAt;
   MonotonicTime mRecordedAt;
   bool mIsActive = true;
   // If false, none of its decisions becomes durable.
@@ -234,6 +235,7 @@
   void StepWorker(SimulatedWorker& aWorker);
   void StepOwner(SimulatedOwner& aOwner);
   void ReadIntake(SimulatedOwner& aOwner);
+  static FormerOwner RecordOf(const SimulatedOwner& aOwner);
   void Deliver(SimulatedOwner& aOwner, const TaskOrder& aOrder);
   bool DelayOrder(const TaskOrder& aOrder);
   void DeliverDelayed();
