Random takeovers also follow outages of the store

The random schedules replace owners that append until their end, so a successor's wait from a former owner's newest append was never shorter than from the claim.

A second test plays the same schedules with up to 7 s without store before each new owner, which knows when the former one's newest append was sent.

--- a/mulberryvalve/core/jobs/shard_simulation_fake.cc
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.cc
@@ -113,6 +113,10 @@
   for (auto& other : mOwners) {
     other->mCanAppend = false;
     owner->mShard->RestoreFormerOwner(RecordOf(*other));
+    if (mObservesOwners) {
+      owner->mShard->OnFormerOwnerProof(
+        other->mEpoch, other->mRecordedAt, RunsEndEvidence::kObserved);
+    }
   }
   mOwners.push_back(std::move(owner));
   return *mOwners.back();
--- a/mulberryvalve/core/jobs/shard_simulation_fake.h
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.h
@@ -220,6 +220,8 @@
   size_t mMaxListedEnds = 500;
   // Whether the answers to orders tell the worker's incarnation.
   bool mOrderRepliesTellIncarnation = true;
+  // Whether new owners know when the last append of each former one was sent.
+  bool mObservesOwners = false;
   // Whether the end of one member of a gang ends the others.
   bool mGangsFailTogether = false;
 
--- a/mulberryvalve/core/jobs/takeover_random_test.cc
+++ b/mulberryvalve/core/jobs/takeover_random_test.cc
@@ -47,10 +47,14 @@
 class RandomSchedule
 {
 public:
-  explicit RandomSchedule(uint32_t aSeed)
+  // If aLosesStore, an owner loses the store for some time before it is
+  // replaced, and its successor knows since when.
+  explicit RandomSchedule(uint32_t aSeed, bool aLosesStore = false)
     : mRandom(aSeed)
     , mSimulation(kWorkers)
+    , mLosesStore(aLosesStore)
   {
+    mSimulation.mObservesOwners = aLosesStore;
     mSimulation.mGangsFailTogether = true;
     mSimulation.mDurationOf = [](const TaskRef& aTask) {
       return DurationOf(aTask);
@@ -177,6 +181,10 @@
 
   void AddOwner()
   {
+    if (mLosesStore) {
+      Owner().mCanAppend = false;
+      RunFor(Milliseconds(Pick(7000)));
+    }
     mSimulation.AddOwner();
     mOwnerCount++;
   }
@@ -343,6 +351,7 @@
 
   std::mt19937 mRandom;
   ShardSimulation mSimulation;
+  const bool mLosesStore;
   size_t mOwnerCount = 1;
   int mRound = 0;
   int mEndpointChanges = 0;
@@ -371,6 +380,21 @@
   STRCMP_EQUAL("", violations.c_str());
 }
 
+// The same, after outages of the store. A successor that knows how long the
+// former owner recorded nothing waits for less long.
+TEST(TakeoverRandomTest, KeepsInvariantsAfterOutagesOfTheStore)
+{
+  std::string violations;
+  for (uint32_t seed = 1; seed <= kSeeds; seed++) {
+    RandomSchedule schedule(seed, true);
+    schedule.Run();
+    for (const std::string& finding : schedule.Violations()) {
+      violations += "seed " + std::to_string(seed) + ": " + finding + "\n";
+    }
+  }
+  STRCMP_EQUAL("", violations.c_str());
+}
+
 // Guards against combinations of faults that leave tasks waiting for ever once
 // the faults are over.
 TEST(TakeoverRandomTest, EverythingEndsAfterRandomTakeovers)
