--- a/mulberryvalve/app/jobs/shard_runtime.h
+++ b/mulberryvalve/app/jobs/shard_runtime.h
@@ -11,6 +11,7 @@
 #include "mulberryvalve/app/jobs/last_proof_time.h"
 #include "mulberryvalve/app/jobs/owner_delay_metrics.h"
 #include "mulberryvalve/app/jobs/owner_watchdog.h"
+#include "mulberryvalve/app/jobs/ownership_stamp.h"
 #include "mulberryvalve/app/jobs/worker_sender.h"
 #include "mulberryvalve/core/base/mutex.h"
 #include "mulberryvalve/core/jobs/shard_scheduler.h"
@@ -66,6 +67,8 @@
   Milliseconds mStallTimeout{ 6000 };
   // How long the phase of a finished job can still be queried.
   Milliseconds mKeepOver{ 150000 };
+  // What this instance observed of the owners before this one.
+  OwnerObservations mObservations{};
 };
 
 // Ports that a shard owner uses. All references must outlive it.
@@ -137,14 +140,22 @@
   // if there was none.
   Epoch CompetingEpoch() const { return Epoch(mCompetingEpoch); }
 
+  // Returns how long this ownership has been active.
+  OwnerAge Age() const { return mStamp.AgeAt(mPorts.mClock.Now()); }
+
   // Returns what the owner knows. The answer says that the shard is not owned
   // here before the shard's records are loaded, without a valid proof of
   // ownership, or if the requested data may be on the log but not read yet.
   PeerQueryResult Answer(const PeerQuery& aQuestion) const;
 
 private:
-  // Delay before a failed claim or load is retried.
-  static constexpr Milliseconds kLoadRetryDelay{ 200 };
+  // The entries of an append, and the time in the owner's record among them;
+  // unset if the record does not fit.
+  struct StampedAppend
+  {
+    std::vector<KeyedEntry> mEntries;
+    std::optional<MonotonicTime> mRecordedAt{};
+  };
 
   // Output of a decision pass that is processed without holding mMutex.
   struct PassResult
@@ -177,6 +188,8 @@
   std::map<JobId, JobRecord> RestoreProgress(
     const std::vector<KeyedEntry>& aEntries,
     ShardScheduler& aShard);
+  void ApplyObservation(const OwnershipRecord& aFormer,
+                        ShardScheduler& aShard) const;
   size_t RestoreIntake(const std::vector<KeyedEntry>& aEntries,
                        const std::map<JobId, JobRecord>& aRecords,
                        MonotonicTime aClaimedAt,
@@ -187,7 +200,10 @@
   void RequestDecisionPass() MV_REQUIRES(mMutex);
   void RunProgressWriter();
   void AppendProgress(const ProgressBatch& aBatch);
-  bool AppendWithRetries(const ProgressAppend& aAppend);
+  KeyedLogLimits LimitsBesideRecord() const;
+  StampedAppend Stamp(std::vector<KeyedEntry> aEntries) const;
+  bool RenewRecord(Milliseconds aMaxAge);
+  bool AppendWithRetries(std::vector<KeyedEntry> aEntries);
   void OnAppended(const ProgressBatch& aBatch);
   Result<void> AppendOnce(const std::vector<KeyedEntry>& aEntries);
   void RetireJobs();
@@ -199,7 +215,8 @@
   void OnIntakeRead(MonotonicTime aReadUpTo);
   void FollowWorkers();
   void FollowFormerOwners();
-  std::optional<MonotonicTime> AskForEnd(const FormerOwner& aOwner);
+  void AskFormerOwner(const FormerOwner& aOwner);
+  void LogFormerOwnerEnded(Epoch aEpoch, Microseconds aAgo);
   void StartRenewals() MV_REQUIRES(mMutex);
   PassResult RunDecisionPass() MV_REQUIRES(mMutex);
   void DispatchDecisions(PassResult aResult);
@@ -226,7 +243,10 @@
 
   const ShardRuntimeOptions mOptions;
   ShardRuntimePorts mPorts;
+  const OwnershipStamp mStamp;
   LastProofTime mLastProof;
+  // The time in the owner's newest record that is on the log.
+  LastProofTime mLastRecord;
   OwnerDelayMetrics mDelays;
   OwnerWatchdog mWatchdog;
   FailureLogLimiter mFailureLog;
--- a/mulberryvalve/core/jobs/held_task_report.cc
+++ b/mulberryvalve/core/jobs/held_task_report.cc
@@ -155,7 +155,7 @@
   for (const auto& [worker, wait] : mWaits) {
     if (!mInherited.MayRunTasks(worker)) {
       expired.emplace_back(worker,
-                           wait.mIsShortened ? WaitRelease::kFormerOwnerEnded
+                           wait.mIsShortened ? WaitRelease::kRunsBounded
                                              : WaitRelease::kWaitExpired);
     }
   }
@@ -287,7 +287,8 @@
   aCounts.mWorkers = mInherited.PendingCount();
   for (const auto& [worker, wait] : mWaits) {
     const InheritedWorker* inherited = mInherited.Find(worker);
-    const bool isAssumed = inherited != nullptr && inherited->mIsAssumed;
+    const bool isAssumed =
+      inherited != nullptr && inherited->mIsAssumed && !wait.mIsShortened;
     const bool isUnlisted = ListingOf(worker) == WorkerListing::kUnlisted;
     aCounts.mByEvidence[static_cast<size_t>(wait.mEvidence)]++;
     aCounts.mAssumed += isAssumed ? 1 : 0;
--- a/mulberryvalve/core/jobs/held_task_report.h
+++ b/mulberryvalve/core/jobs/held_task_report.h
@@ -76,7 +76,7 @@
   {
     WaitEvidence mEvidence = WaitEvidence::kNoNote;
     MonotonicTime mLimit;
-    // The former owners are known to have ended, which shortened the wait.
+    // The ends or proofs of the former owners shortened the wait.
     bool mIsShortened = false;
   };
 
--- a/mulberryvalve/core/jobs/inherited_wait.h
+++ b/mulberryvalve/core/jobs/inherited_wait.h
@@ -48,17 +48,17 @@
 // WaitRelease is how the wait for an inherited worker ended.
 enum class WaitRelease
 {
-  kAnswered,         // it sent its run lists
-  kWaitExpired,      // nothing that former owners started can run there
-  kGone,             // another process answers at its address
-  kFormerOwnerEnded, // as kWaitExpired, earlier as the former owners had ended
+  kAnswered,    // it sent its run lists
+  kWaitExpired, // nothing that former owners started can run there
+  kGone,        // another process answers at its address
+  kRunsBounded, // as kWaitExpired, earlier by what is known of former owners
 };
 
 inline constexpr EnumTable<WaitRelease, 4> kWaitReleaseNames{ { {
   { WaitRelease::kAnswered, "answered" },
   { WaitRelease::kWaitExpired, "wait_expired" },
   { WaitRelease::kGone, "gone" },
-  { WaitRelease::kFormerOwnerEnded, "former_owner_ended" },
+  { WaitRelease::kRunsBounded, "runs_bounded" },
 } } };
 
 // WaitReason is why an inherited worker is waited for.
--- a/mulberryvalve/core/jobs/shard_scheduler.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler.cc
@@ -75,7 +75,17 @@
 
 void ShardScheduler::RestoreFormerOwner(FormerOwner aOwner)
 {
+  const Epoch epoch = aOwner.mEpoch;
   mFormerOwners.Add(std::move(aOwner));
+  OnFormerOwnerProof(epoch, mClaimedAt, RunsEndEvidence::kClaimed);
+}
+
+void ShardScheduler::OnFormerOwnerProof(Epoch aEpoch,
+                                        MonotonicTime aProvedBy,
+                                        RunsEndEvidence aEvidence)
+{
+  mFormerOwners.OnLastProof(aEpoch, aProvedBy, aEvidence);
+  mFormerOwnersChanged = true;
 }
 
 std::vector<FormerOwner> ShardScheduler::FormerOwnersToAsk() const
@@ -87,15 +97,24 @@
 void ShardScheduler::OnFormerOwnerEnded(Epoch aEpoch, MonotonicTime aEndedBy)
 {
   mFormerOwners.OnEnded(aEpoch, aEndedBy);
-  if (const auto allEndedBy = mFormerOwners.AllEndedBy()) {
-    const MonotonicTime until = mWorkers.EndOfLeaseRequestedBy(*allEndedBy);
-    mHeldTasks.OnAssumedWaitsLimited(until);
-    mInheritedWorkers.ShortenAssumedWaits(until);
+  mFormerOwnersChanged = true;
+}
+
+// Applies what became known of the former owners, once all of them are
+// restored.
+void ShardScheduler::ShortenAssumedWaits()
+{
+  if (!std::exchange(mFormerOwnersChanged, false)) {
+    return;
+  }
+  if (const auto end = mFormerOwners.AllRunsEndBy(mWorkers)) {
+    mHeldTasks.OnAssumedWaitsLimited(*end);
+    mInheritedWorkers.ShortenAssumedWaits(*end);
   }
 }
 
 // Returns how long runs of the former owners may go on after the claim, if no
-// more is known of them.
+// proof of theirs bounds their leases.
 Milliseconds ShardScheduler::MaxFormerRuns() const
 {
   return mOptions.mProofLimit + mOptions.mLease.mLength +
--- a/mulberryvalve/core/jobs/shard_simulation_fake.h
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.h
@@ -113,6 +113,9 @@
   // What the held orders were answered, until AnswerHeldOrders.
   std::vector<std::pair<TaskOrder, OrderReply>> mHeldReplies;
   MonotonicTime mProvedAt;
+  // When it claimed the shard, and when its last append was sent.
+  MonotonicTime mClaimedAt;
+  MonotonicTime mRecordedAt;
   bool mIsActive = true;
   // If false, none of its decisions becomes durable.
   bool mCanAppend = true;
@@ -217,6 +220,8 @@
   size_t mMaxListedEnds = 500;
   // Whether the answers to orders tell the worker's incarnation.
   bool mOrderRepliesTellIncarnation = true;
+  // Whether new owners know when the last append of each former one was sent.
+  bool mObservesOwners = false;
   // Whether the end of one member of a gang ends the others.
   bool mGangsFailTogether = false;
 
@@ -232,6 +237,7 @@
   void StepWorker(SimulatedWorker& aWorker);
   void StepOwner(SimulatedOwner& aOwner);
   void ReadIntake(SimulatedOwner& aOwner);
+  static FormerOwner RecordOf(const SimulatedOwner& aOwner);
   void Deliver(SimulatedOwner& aOwner, const TaskOrder& aOrder);
   bool DelayOrder(const TaskOrder& aOrder);
   void DeliverDelayed();
