--- a/mulberryvalve/app/jobs/ownership_record_test.cc
+++ b/mulberryvalve/app/jobs/ownership_record_test.cc
@@ -5,6 +5,9 @@
 
 #include "CppUTest/TestHarness.h"
 
+#include <algorithm>
+#include <atomic>
+
 namespace mulberryvalve {
 namespace {
 
@@ -70,6 +73,140 @@
   std::vector<SeenAppend> mSeen MV_GUARDED_BY(mSeenMutex);
 };
 
+// Runs ahead of the real clock once it was advanced. Thread-safe.
+class AdvancedClock : public RealClock
+{
+public:
+  void Advance(Milliseconds aBy) { mAheadMs += aBy.count(); }
+
+  MonotonicTime Now() const override
+  {
+    return RealClock::Now() + Milliseconds(mAheadMs);
+  }
+
+private:
+  std::atomic<int64_t> mAheadMs{ 0 };
+};
+
+// Applies each fenced append, but loses the answers once LoseAnswers was
+// called, except for as many as AnswerOnce was called later. Thread-safe.
+class AnswerLosingLog : public SeenLog
+{
+public:
+  using SeenLog::SeenLog;
+
+  void LoseAnswers() { mIsLosing = true; }
+  void AnswerOnce() { mAnswers++; }
+  bool HasAnswered() const { return mAnswers == 0; }
+
+  Result<void> AppendFenced(const AppendFence& aProof,
+                            const std::vector<KeyedEntry>& aEntries) override
+  {
+    const Result<void> done = SeenLog::AppendFenced(aProof, aEntries);
+    if (!mIsLosing) {
+      return done;
+    }
+    if (mAnswers > 0) {
+      mAnswers--;
+      return done;
+    }
+    return Fail(FailureKind::kLogAnswerLost, "fake");
+  }
+
+private:
+  std::atomic<bool> mIsLosing{ false };
+  std::atomic<int> mAnswers{ 0 };
+};
+
+// Keeps the ends of the leases that it is asked for. Its clock stands still, so
+// that an end tells the length of the lease. Thread-safe.
+class LeaseRecorder : public ThreadedWorker
+{
+public:
+  static constexpr int64_t kClockMs = 1000;
+
+  // Blocks until aCount more leases have been asked for and returns the longest
+  // of them.
+  Milliseconds LongestOfNext(size_t aCount)
+  {
+    MutexLock lock(mMutex);
+    const size_t first = mLeases.size();
+    while (mLeases.size() < first + aCount) {
+      mCond.Wait(mMutex);
+    }
+    return *std::max_element(mLeases.begin() + static_cast<long>(first),
+                             mLeases.end());
+  }
+
+private:
+  OrderReply HandleOrder(const TaskOrder&) override { return OrderReply(); }
+
+  RenewalReply HandleRenewal(const RenewalRequest& aOrder) override
+  {
+    std::this_thread::sleep_for(Milliseconds(5));
+    MutexLock lock(mMutex);
+    if (aOrder.mUntil) {
+      mLeases.emplace_back(aOrder.mUntil->mMilliseconds - kClockMs);
+      mCond.NotifyAll();
+    }
+    RenewalReply reply;
+    reply.mOutcome = OrderOutcome::kAccepted;
+    reply.mReading =
+      ClockReading{ WorkerTime{ kClockMs }, WorkerIncarnation(1) };
+    return reply;
+  }
+
+  Mutex mMutex;
+  CondVar mCond;
+  std::vector<Milliseconds> mLeases MV_GUARDED_BY(mMutex);
+};
+
+// An owner of one worker, with a clock and a log that tests control.
+class OwnerOfRecorder
+{
+public:
+  explicit OwnerOfRecorder(MemoryLog& aMemory)
+    : mLog(aMemory)
+    , mRuntime(OptionsOf(),
+               ShardRuntimePorts{ mLog,
+                                  mCodec,
+                                  mWorker,
+                                  mFeeds,
+                                  mPeers,
+                                  mConfig,
+                                  SchedulingPolicies{ kLearned, mOrder },
+                                  mClock,
+                                  mMetrics,
+                                  mEvents })
+  {
+    ClusterConfig config;
+    config.mVersion = 1;
+    mConfig.Put(config);
+    mRuntime.Start();
+  }
+
+  AdvancedClock mClock;
+  AnswerLosingLog mLog;
+  LeaseRecorder mWorker;
+
+private:
+  static ShardRuntimeOptions OptionsOf()
+  {
+    ShardRuntimeOptions options;
+    options.mEpoch = Epoch(64);
+    return options;
+  }
+
+  NoMetrics mMetrics;
+  SilentEvents mEvents;
+  NoPeers mPeers;
+  JobLogJson mCodec;
+  SingleWorkerFeedFactory mFeeds;
+  LeastRemainingWorkPolicy mOrder;
+  ConfigView mConfig;
+  ShardRuntime mRuntime;
+};
+
 } // namespace
 
 TEST_GROUP(OwnershipRecordTest)
@@ -113,6 +250,32 @@
   instance.Complete("b");
 }
 
+// Guards against leases that outlast what a successor waits for: the answer to
+// a repetition proves the ownership only as of the first try.
+TEST(OwnershipRecordTest, ARepeatedAppendProvesNoMoreThanItsFirstTry)
+{
+  constexpr size_t kRenewals = 20;
+  constexpr Milliseconds kAway{ 5000 };
+  const LeaseTerms terms;
+  OwnerOfRecorder owner(mMemory);
+  CHECK(owner.mWorker.LongestOfNext(kRenewals) >= terms.mLength);
+  owner.mLog.LoseAnswers();
+  // The first of these may have been answered, the second was not.
+  owner.mLog.Await(owner.mLog.Count() + 2);
+  owner.mClock.Advance(kAway);
+  // A renewal that was decided before may arrive after.
+  owner.mWorker.LongestOfNext(2);
+  const Milliseconds longest = terms.mMaxRunsAfterProof - kAway * 98 / 100;
+  CHECK(owner.mWorker.LongestOfNext(kRenewals) <= longest);
+  owner.mLog.AnswerOnce();
+  Milliseconds after = owner.mWorker.LongestOfNext(kRenewals);
+  while (!owner.mLog.HasAnswered()) {
+    after = std::max(after, owner.mWorker.LongestOfNext(kRenewals));
+  }
+  after = std::max(after, owner.mWorker.LongestOfNext(2 * kRenewals));
+  CHECK(after <= longest);
+}
+
 TEST(OwnershipRecordTest, EveryAppendOfALargeBatchHasARecordAndFits)
 {
   // Two jobs' records don't fit into a call beside the owner's.
