Random outages of the log beside the loss of owners and workers

Cause: the random schedules of takeovers have a log that takes every append at once, so a worker that goes dark nearly always has a handover note. The loss of an owner, of workers and of the log within seconds was not played.

The simulation's owners can have appends in flight, and appends that take effect without an answer; without these settings it acts as before.

--- a/mulberryvalve/core/jobs/shard_simulation_fake.cc
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.cc
@@ -436,22 +436,38 @@
 void ShardSimulation::Persist(SimulatedOwner& aOwner)
 {
   const bool canAppend = aOwner.mCanAppend && !aOwner.mAppendsFail;
-  if (!canAppend || !aOwner.mShard->NeedsAppend()) {
+  const bool isInFlight = aOwner.mAppend.has_value();
+  if (!canAppend || !(isInFlight || aOwner.mShard->NeedsAppend())) {
     return;
   }
-  const ProgressBatch batch = aOwner.mShard->TakeProgress(mNow);
-  for (const JobRecord& record : batch.mJobs) {
+  if (!isInFlight) {
+    aOwner.mAppend = SimulatedAppend{ aOwner.mShard->TakeProgress(mNow),
+                                      mNow + aOwner.mAppendDelay };
+  }
+  if (mNow < aOwner.mAppend->mArrivesAt) {
+    return;
+  }
+  Store(aOwner.mAppend->mBatch);
+  if (aOwner.mAppendAnswersLost) {
+    return;
+  }
+  aOwner.mShard->OnDurable(aOwner.mAppend->mBatch);
+  aOwner.mAppend.reset();
+}
+
+void ShardSimulation::Store(const ProgressBatch& aBatch)
+{
+  for (const JobRecord& record : aBatch.mJobs) {
     mJobRecords[record.mId][record.mPart] = record;
   }
-  for (const UsedWorkerRecord& worker : batch.mWorkers) {
+  for (const UsedWorkerRecord& worker : aBatch.mWorkers) {
     mWorkerRecords[worker.mId] = worker;
   }
-  for (const WorkerId& worker : batch.mRemovedWorkers) {
+  for (const WorkerId& worker : aBatch.mRemovedWorkers) {
     mWorkerRecords.erase(worker);
   }
-  mRemovedClaims.insert(batch.mEndedClaims.begin(), batch.mEndedClaims.end());
-  mLearned = batch.mLearned.value_or(mLearned);
-  aOwner.mShard->OnDurable(batch);
+  mRemovedClaims.insert(aBatch.mEndedClaims.begin(), aBatch.mEndedClaims.end());
+  mLearned = aBatch.mLearned.value_or(mLearned);
 }
 
 JobGraph OneStepJob(const std::string& aId, uint32_t aCount, int64_t aCpu)
--- a/mulberryvalve/core/jobs/shard_simulation_fake.h
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.h
@@ -97,6 +97,13 @@
   MonotonicTime mSubmittedAt;
 };
 
+// SimulatedAppend is an append that the log has not taken yet.
+struct SimulatedAppend
+{
+  ProgressBatch mBatch;
+  MonotonicTime mArrivesAt;
+};
+
 // SimulatedOwner is an owner with its own links to the workers and its own
 // proof of ownership.
 struct SimulatedOwner
@@ -118,6 +125,12 @@
   bool mCanAppend = true;
   // Its appends fail, though its ownership is proved.
   bool mAppendsFail = false;
+  // How long an append takes, and the one in flight. The next one begins only
+  // when it has been answered.
+  Milliseconds mAppendDelay{ 0 };
+  std::optional<SimulatedAppend> mAppend;
+  // Its appends take effect, but while this is true it doesn't hear of it.
+  bool mAppendAnswersLost = false;
   // It still reads submissions, though its claim is superseded.
   bool mReadsSubmissions = false;
   // While this is false, submissions reach it only once it is true again.
@@ -245,6 +258,7 @@
   void CheckStart(const SimulatedWorker& aWorker, const TaskRef& aTask);
   const StepSpec& SpecOf(const TaskRef& aTask) const;
   void Persist(SimulatedOwner& aOwner);
+  void Store(const ProgressBatch& aBatch);
 
   const LearnedPlacementPolicy mLearnedPlacement;
   const LeastRemainingWorkPolicy mLeastWork;
