Starts queued before a pause of the owner have a test

Cause: an owner that is paused with orders in its send queue, beyond its proof of ownership, must not send the queued starts after it, since a successor may have claimed the shard. No test of the runtime covered that check: the tests of paused senders begin at the connection, and the simulation's send queue does not look at the proof.

Change: a test puts the owner's clock forward while one start is held at the worker and two more are queued, with a log that takes no appends. None of the two is sent after it, and both once the ownership is proved again.

--- a/mulberryvalve/app/jobs/shard_runtime_test.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_test.cc
@@ -1,6 +1,7 @@
 // Tests of one ownership of a shard: takeover, and the order in which a backlog
 // is sent.
 #include "mulberryvalve/adapters/json/job_log_json.h"
+#include "mulberryvalve/app/jobs/faulty_log_fake.h"
 #include "mulberryvalve/app/jobs/jobs_fake.h"
 
 #include <atomic>
@@ -12,6 +13,21 @@
 
 constexpr Milliseconds kTestTimeout{ 20000 };
 
+// A clock that can be put forward, as if the process had been paused.
+// Thread-safe.
+class PausableClock : public RealClock
+{
+public:
+  MonotonicTime Now() const override
+  {
+    return RealClock::Now() + Milliseconds(mPausedMs);
+  }
+  void Pause(Milliseconds aLength) { mPausedMs += aLength.count(); }
+
+private:
+  std::atomic<int64_t> mPausedMs{ 0 };
+};
+
 // Counts the intake records that are decoded.
 class CountingCodec : public JobLogJson
 {
@@ -229,8 +245,11 @@
 class Owner
 {
 public:
-  Owner(MemoryLog& aLog, TaskWorkerPort& aWorkers, uint64_t aEpoch)
-    : mRuntime(OptionsOf(aEpoch),
+  Owner(KeyedLog& aLog,
+        TaskWorkerPort& aWorkers,
+        uint64_t aEpoch,
+        Milliseconds aProofLimit = ShardRuntimeOptions().mProofLimit)
+    : mRuntime(OptionsOf(aEpoch, aProofLimit),
                ShardRuntimePorts{ aLog,
                                   mCodec,
                                   aWorkers,
@@ -264,19 +283,23 @@
     return false;
   }
 
+  PausableClock& ProcessClock() { return mClock; }
+  void ProveOwnership() { mRuntime.OnOwnershipProof(mClock.Now()); }
   const CountingCodec& Codec() const { return mCodec; }
   EventWaiter& Events() { return mEvents; }
   const EndedPeers& Peers() const { return mPeers; }
 
 private:
-  static ShardRuntimeOptions OptionsOf(uint64_t aEpoch)
+  static ShardRuntimeOptions OptionsOf(uint64_t aEpoch,
+                                       Milliseconds aProofLimit)
   {
     ShardRuntimeOptions options;
+    options.mProofLimit = aProofLimit;
     options.mEpoch = Epoch(aEpoch);
     return options;
   }
 
-  RealClock mClock;
+  PausableClock mClock;
   NoMetrics mMetrics;
   EventWaiter mEvents;
   CountingCodec mCodec;
@@ -329,6 +352,31 @@
   CHECK(JobId("a") == sent[2].mJob);
 }
 
+// Guards against starts that waited in the send queue while the process was
+// paused, and are sent though a successor may have claimed the shard meanwhile.
+TEST(ShardRuntimeTest, StartsQueuedBeforeAPauseAreNotSentAfterIt)
+{
+  constexpr Milliseconds kProofLimit{ 1500 };
+  constexpr Milliseconds kPause{ 2000 };
+  // Long enough for what is queued to be sent.
+  constexpr Milliseconds kSendTime{ 300 };
+  MemoryLog memory;
+  FaultyLog log(memory);
+  UntilStoppedWorker worker;
+  Owner owner(log, worker, 64, kProofLimit);
+  SubmitJob(memory, "held", 3);
+  worker.AwaitSent(1);
+  owner.Events().Await("task_placed");
+  log.FailCalls(LogCall::kAppendFenced, FailureKind::kLogUnavailable);
+  owner.ProcessClock().Pause(kPause);
+  worker.Release();
+  std::this_thread::sleep_for(kSendTime);
+  CHECK_EQUAL(1U, worker.AwaitSent(1).size());
+  log.ClearFailures();
+  owner.ProveOwnership();
+  worker.AwaitSent(3);
+}
+
 // Guards against a series of owners that each lose the shard while loading it.
 // Loading took too long because it decoded all jobs of the last minutes, most
 // of them finished.
