An older entry of the worker list in place of a newer one: a failing test

Cause: ShardScheduler::OnWorkerList applies an entry whatever incarnation it names. The store may carry out a worker's last write seconds after the worker has restarted at another address. The owner then asks at the former address, and if another worker answers there, it takes this one for ended, though it runs.

Change: a test of that sequence: restart at another address, the former entry in the list, another worker at the former address. No product code is changed.

--- a/mulberryvalve/core/jobs/restarted_worker_test.cc
+++ b/mulberryvalve/core/jobs/restarted_worker_test.cc
@@ -182,4 +182,36 @@
   starts.CheckOneRunEach();
 }
 
+// Guards against an entry of the worker list that was written before the worker
+// restarted elsewhere, and is read after the newer one: another worker answers
+// at the address that it names, and what runs on this one is started again.
+TEST(RestartedWorkerTest, AnEntryOfAFormerIncarnationDoesNotReplaceANewerOne)
+{
+  TakeoverSimulation sim(3);
+  sim->RunFor(kNoticeLimit);
+  const WorkerInfo former = sim->Worker(0).mInfo;
+  sim->RestartWorker(former.mId);
+  sim->ChangeEndpoint(former.mId, Endpoint{ "elsewhere", 7000 });
+  sim->Worker(0).mListed = true;
+  sim->RunFor(kNoticeLimit);
+  sim->Submit(LongRunningJob("lasting", 3, 5000));
+  sim->RunFor(kNoticeLimit);
+  CHECK(sim->Worker(0).mRuns.size() > 0);
+  ShardScheduler& owner = *sim->Owner(0).mShard;
+  owner.OnWorkerList({ former, sim->Worker(1).mInfo, sim->Worker(2).mInfo },
+                     sim->Now());
+  const auto renewal = owner.NextRenewal(former.mId, true, sim->Now());
+  RenewalReply reply;
+  reply.mOutcome = renewal->mEndpoint.mAddress == "elsewhere"
+                     ? OrderOutcome::kUnknown
+                     : OrderOutcome::kGone;
+  owner.OnRenewalReply(*renewal, reply, sim->Now(), sim->Now());
+  // The next entry is read only then.
+  sim->Owner(0).mCanAppend = false;
+  sim->RunFor(kNoticeLimit);
+  sim->Owner(0).mCanAppend = true;
+  STRCMP_EQUAL("", sim.AllViolations().c_str());
+  STRCMP_EQUAL("elsewhere", renewal->mEndpoint.mAddress.c_str());
+}
+
 } // namespace mulberryvalve
