A job that is submitted again after a lost answer has a test

Cause: the tests of lost answers have the log's answer lost within one submission. That the caller submits again later, once the job waits, is finished or has another owner, was not played.

It was not seen to fail.

--- a/mulberryvalve/app/jobs/jobs_test.cc
+++ b/mulberryvalve/app/jobs/jobs_test.cc
@@ -109,6 +109,46 @@
   CHECK_EQUAL(1U, workers.Starts(TaskRef{ { JobId("j"), 0, 0 }, 1 }));
 }
 
+// Guards against a job that was recorded, though the caller was not told so,
+// and runs again when the caller submits it again: while it waits, once it is
+// finished, and to the next owner.
+TEST(JobsTest, AJobThatIsSubmittedAgainAfterALostAnswerRunsOnce)
+{
+  const TaskRef task{ { JobId("j"), 0, 0 }, 0 };
+  MemoryLog log;
+  InstantWorker workers;
+  // The finished job is kept for longer than the test takes.
+  ShardMembershipOptions options = JobsInstance::OptionsAt(0, 1);
+  options.mOwner.mKeepOver = ShardRuntimeOptions().mKeepOver;
+  JobsInstance former(log,
+                      workers,
+                      std::make_unique<SoleMemberGroup>(1),
+                      options,
+                      std::make_unique<FixedRandom>());
+  log.FailNext({ AppendFault::kAnswerLost });
+  const auto unknown =
+    former.Jobs().Submit(SmallJob("j"), former.TimeAfter(Milliseconds(400)));
+  CHECK(FailureKind::kUnknownOutcome == unknown.error().mKind);
+  CHECK(log.Holds(KeyedTopic::kIntake, "j"));
+  CHECK(former.Jobs()
+          .Submit(SmallJob("j"), former.TimeAfter(kTestTimeout))
+          .has_value());
+  former.Start();
+  former.Complete("j");
+  former.Complete("j");
+  former.Complete("a");
+  CHECK_EQUAL(1U, workers.Starts(task));
+  JobsInstance next(log,
+                    workers,
+                    std::make_unique<SoleMemberGroup>(2),
+                    options,
+                    std::make_unique<FixedRandom>());
+  next.Start();
+  next.Complete("j");
+  next.Complete("b");
+  CHECK_EQUAL(1U, workers.Starts(task));
+}
+
 TEST(JobsTest, ExpiredRecordsLoseNoJob)
 {
   MemoryLog log;
