--- a/mulberryvalve/core/jobs/shard_simulation_fake.cc
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.cc
@@ -81,6 +81,7 @@
   owner->mProvedAt = mNow;
   owner->mClaimedAt = mNow;
   owner->mRecordedAt = mNow;
+  owner->mStoredAt = mNow;
   ShardSchedulerOptions options;
   options.mEpoch = owner->mEpoch;
   owner->mShard = std::make_unique<ShardScheduler>(
@@ -115,7 +116,7 @@
     owner->mShard->RestoreFormerOwner(RecordOf(*other));
     if (mObservesOwners) {
       owner->mShard->OnFormerOwnerProof(
-        other->mEpoch, other->mRecordedAt, RunsEndEvidence::kObserved);
+        other->mEpoch, other->mStoredAt, RunsEndEvidence::kObserved);
     }
   }
   mOwners.push_back(std::move(owner));
@@ -127,7 +128,7 @@
 {
   FormerOwner former{ aOwner.mEpoch, Endpoint{ "peer", 1 }, Incarnation(1) };
   former.mActiveFor =
-    std::chrono::ceil<Milliseconds>(aOwner.mRecordedAt - aOwner.mClaimedAt);
+    std::chrono::ceil<Milliseconds>(aOwner.mStoredAt - aOwner.mClaimedAt);
   return former;
 }
 
@@ -452,24 +453,45 @@
   if (!aOwner.mCanAppend || aOwner.mAppendsFail) {
     return;
   }
-  // With nothing else to append, an owner appends its own record only.
-  aOwner.mRecordedAt = mNow;
-  if (!aOwner.mShard->NeedsAppend()) {
+  if (!aOwner.mAppend) {
+    aOwner.mAppend = NextAppend(aOwner);
+  }
+  if (mNow < aOwner.mAppend->mArrivesAt) {
+    return;
+  }
+  Store(aOwner.mAppend->mBatch);
+  aOwner.mStoredAt = aOwner.mAppend->mSentAt;
+  if (aOwner.mAppendAnswersLost) {
     return;
   }
-  const ProgressBatch batch = aOwner.mShard->TakeProgress(mNow);
-  for (const JobRecord& record : batch.mJobs) {
+  aOwner.mShard->OnDurable(aOwner.mAppend->mBatch);
+  aOwner.mRecordedAt = aOwner.mAppend->mSentAt;
+  aOwner.mAppend.reset();
+}
+
+// With nothing else to append, an owner appends its own record only.
+SimulatedAppend ShardSimulation::NextAppend(SimulatedOwner& aOwner) const
+{
+  ProgressBatch batch;
+  if (aOwner.mShard->NeedsAppend()) {
+    batch = aOwner.mShard->TakeProgress(mNow);
+  }
+  return SimulatedAppend{ std::move(batch), mNow, mNow + aOwner.mAppendDelay };
+}
+
+void ShardSimulation::Store(const ProgressBatch& aBatch)
+{
+  for (const JobRecord& record : aBatch.mJobs) {
     mJobRecords[record.mId][record.mPart] = record;
   }
-  for (const UsedWorkerRecord& worker : batch.mWorkers) {
+  for (const UsedWorkerRecord& worker : aBatch.mWorkers) {
     mWorkerRecords[worker.mId] = worker;
   }
-  for (const WorkerId& worker : batch.mRemovedWorkers) {
+  for (const WorkerId& worker : aBatch.mRemovedWorkers) {
     mWorkerRecords.erase(worker);
   }
-  mRemovedClaims.insert(batch.mEndedClaims.begin(), batch.mEndedClaims.end());
-  mLearned = batch.mLearned.value_or(mLearned);
-  aOwner.mShard->OnDurable(batch);
+  mRemovedClaims.insert(aBatch.mEndedClaims.begin(), aBatch.mEndedClaims.end());
+  mLearned = aBatch.mLearned.value_or(mLearned);
 }
 
 JobGraph OneStepJob(const std::string& aId, uint32_t aCount, int64_t aCpu)
--- a/mulberryvalve/core/jobs/shard_simulation_fake.h
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.h
@@ -97,6 +97,14 @@
   MonotonicTime mSubmittedAt;
 };
 
+// SimulatedAppend is an append that the log has not taken yet.
+struct SimulatedAppend
+{
+  ProgressBatch mBatch;
+  MonotonicTime mSentAt;
+  MonotonicTime mArrivesAt;
+};
+
 // SimulatedOwner is an owner with its own links to the workers and its own
 // proof of ownership.
 struct SimulatedOwner
@@ -113,14 +121,22 @@
   // What the held orders were answered, until AnswerHeldOrders.
   std::vector<std::pair<TaskOrder, OrderReply>> mHeldReplies;
   MonotonicTime mProvedAt;
-  // When it claimed the shard, and when its last append was sent.
+  // When it claimed the shard, when its last append was sent that it knows to
+  // be on the log, and when the last one was sent that is.
   MonotonicTime mClaimedAt;
   MonotonicTime mRecordedAt;
+  MonotonicTime mStoredAt;
   bool mIsActive = true;
   // If false, none of its decisions becomes durable.
   bool mCanAppend = true;
   // Its appends fail, though its ownership is proved.
   bool mAppendsFail = false;
+  // How long an append takes, and the one in flight. The next one begins only
+  // when it has been answered.
+  Milliseconds mAppendDelay{ 0 };
+  std::optional<SimulatedAppend> mAppend;
+  // Its appends take effect, but while this is true it doesn't hear of it.
+  bool mAppendAnswersLost = false;
   // It still reads submissions, though its claim is superseded.
   bool mReadsSubmissions = false;
   // While this is false, submissions reach it only once it is true again.
@@ -238,6 +254,7 @@
   void StepOwner(SimulatedOwner& aOwner);
   void ReadIntake(SimulatedOwner& aOwner);
   static FormerOwner RecordOf(const SimulatedOwner& aOwner);
+  SimulatedAppend NextAppend(SimulatedOwner& aOwner) const;
   void Deliver(SimulatedOwner& aOwner, const TaskOrder& aOrder);
   bool DelayOrder(const TaskOrder& aOrder);
   void DeliverDelayed();
@@ -251,6 +268,7 @@
   void CheckStart(const SimulatedWorker& aWorker, const TaskRef& aTask);
   const StepSpec& SpecOf(const TaskRef& aTask) const;
   void Persist(SimulatedOwner& aOwner);
+  void Store(const ProgressBatch& aBatch);
 
   const LearnedPlacementPolicy mLearnedPlacement;
   const LeastRemainingWorkPolicy mLeastWork;
