Progress records can name the workers on which a task may run

A successor knows where tasks may be only from what the workers answer, so one worker that does not answer holds back every inherited task. A task's record gets the workers on which a run of it may be. Nothing writes them yet.

The encoding names each worker once for each step, before the indexes of its tasks; a task of which nothing else is known has no row. Records without the member decode as before, and malformed members fail like the others.

--- a/mulberryvalve/adapters/json/job_log_json.cc
+++ b/mulberryvalve/adapters/json/job_log_json.cc
@@ -5,10 +5,10 @@
 #include "mulberryvalve/adapters/json/json_reader.h"
 #include "mulberryvalve/adapters/json/learned_json.h"
 #include "mulberryvalve/adapters/json/ownership_json.h"
+#include "mulberryvalve/adapters/json/task_record_json.h"
 #include "mulberryvalve/adapters/json/text_validation.h"
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <limits>
 #include <nlohmann/json.hpp>
@@ -63,14 +63,6 @@
   return aValue.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-void AppendNumber(std::string& aText, uint64_t aNumber)
-{
-  std::array<char, std::numeric_limits<uint64_t>::digits10 + 1> digits{};
-  const auto end =
-    std::to_chars(digits.data(), digits.data() + digits.size(), aNumber).ptr;
-  aText.append(digits.data(), end);
-}
-
 json RulesToJson(const QueueRules& aRules)
 {
   return json{ { "service", aRules.mService.Text() },
@@ -130,63 +122,6 @@
   return job;
 }
 
-// Columns of a task's row: occurrence, step, index, done, failures, the runs
-// whose end was processed, checkpoint. The first five are numbers.
-constexpr size_t kTaskColumns = 7;
-constexpr size_t kNumberColumns = 5;
-
-// Appends a task's row. Formats the text directly instead of building a json
-// object, since an owner writes thousands of rows a second.
-void AppendTask(std::string& aText, const TaskRecord& aTask)
-{
-  aText += '[';
-  AppendNumber(aText, aTask.mOccurrence);
-  aText += ',';
-  AppendNumber(aText, aTask.mStep);
-  aText += ',';
-  AppendNumber(aText, aTask.mIndex);
-  aText += aTask.mDone ? ",1," : ",0,";
-  AppendNumber(aText, static_cast<uint64_t>(aTask.mFailures));
-  aText += ",[";
-  const char* separator = "";
-  for (const RunNumber run : aTask.mProcessedEnds) {
-    aText += separator;
-    AppendNumber(aText, run.Value());
-    separator = ",";
-  }
-  aText += "],";
-  aText += aTask.mCheckpoint.Empty()
-             ? "\"\""
-             : DumpReplacingInvalidUtf8(json(aTask.mCheckpoint.Text()));
-  aText += ']';
-}
-
-Result<TaskRecord> TaskFromJson(const json& aRow)
-{
-  bool valid = aRow.is_array() && aRow.size() == kTaskColumns;
-  for (size_t column = 0; valid && column < kNumberColumns; column++) {
-    valid = aRow[column].is_number_unsigned();
-  }
-  valid = valid && aRow[5].is_array() && aRow[6].is_string();
-  for (size_t run = 0; valid && run < aRow[5].size(); run++) {
-    valid = aRow[5][run].is_number_unsigned();
-  }
-  if (!valid) {
-    return Fail(FailureKind::kMalformed, "tasks", "a row is not readable");
-  }
-  TaskRecord task;
-  task.mOccurrence = aRow[0].get<uint32_t>();
-  task.mStep = aRow[1].get<uint32_t>();
-  task.mIndex = aRow[2].get<uint32_t>();
-  task.mDone = aRow[3].get<int>() != 0;
-  task.mFailures = aRow[4].get<int>();
-  for (const json& run : aRow[5]) {
-    task.mProcessedEnds.emplace_back(run.get<uint64_t>());
-  }
-  task.mCheckpoint = CheckpointId(aRow[6].get<std::string>());
-  return task;
-}
-
 Result<JobRecord> RecordFromJson(const std::string& aId, const json& aObject)
 {
   JsonReader reader(aObject);
@@ -200,6 +135,13 @@
     }
     record.mTasks.push_back(std::move(task.value()));
   }
+  if (reader.Has("on")) {
+    const Result<void> added =
+      AddPossibleWorkers(reader.Array("on", kMaxJobTasks), record.mTasks);
+    if (!added) {
+      return added.error();
+    }
+  }
   if (reader.Fault()) {
     return *reader.Fault();
   }
@@ -353,14 +295,9 @@
 {
   std::string text = "{\"phase\":\"";
   text += kJobPhaseNames.Name(aRecord.mPhase);
-  text += "\",\"tasks\":[";
-  const char* separator = "";
-  for (const TaskRecord& task : aRecord.mTasks) {
-    text += separator;
-    AppendTask(text, task);
-    separator = ",";
-  }
-  text += "]}";
+  text += "\"";
+  AppendTasks(text, aRecord.mTasks);
+  text += '}';
   return KeyedEntry{ ProgressKey(aRecord.mId, aRecord.mPart), std::move(text) };
 }
 
--- a/mulberryvalve/adapters/json/job_log_json_test.cc
+++ b/mulberryvalve/adapters/json/job_log_json_test.cc
@@ -97,6 +97,80 @@
                codec.Encode(record).mValue->c_str());
 }
 
+TEST(JobLogJsonTest, PossibleWorkersRoundTrip)
+{
+  const JobLogJson codec;
+  JobRecord record{ JobId("5c0e7a21d94b36f8"), JobPhase::kQueued, {} };
+  TaskRecord ended{ 0, 1, 2, false, 1, { RunNumber(5) }, CheckpointId("c") };
+  ended.mPossibleWorkers = { WorkerId("a\"b"), WorkerId("w-2") };
+  record.mTasks.push_back(ended);
+  for (const uint32_t index : { 3, 7 }) {
+    TaskRecord started;
+    started.mStep = 1;
+    started.mIndex = index;
+    started.mPossibleWorkers = { WorkerId("w-2") };
+    record.mTasks.push_back(started);
+  }
+  const KeyedEntry entry = codec.Encode(record);
+  STRCMP_EQUAL(R"({"phase":"queued","tasks":[[0,1,2,0,1,[5],"c"]],)"
+               R"("on":[[0,1,"a\"b",2,"w-2",2,3,7]]})",
+               entry.mValue->c_str());
+  const Result<ProgressItem> item = codec.DecodeProgress(entry);
+  const auto& decoded = std::get<JobRecord>(item.value());
+  CHECK_EQUAL(3U, decoded.mTasks.size());
+  for (size_t task = 0; task < decoded.mTasks.size(); task++) {
+    CHECK(record.mTasks[task].mPossibleWorkers ==
+          decoded.mTasks[task].mPossibleWorkers);
+    CHECK_EQUAL(record.mTasks[task].mStep, decoded.mTasks[task].mStep);
+    CHECK_EQUAL(record.mTasks[task].mIndex, decoded.mTasks[task].mIndex);
+  }
+  CHECK_EQUAL(1, decoded.mTasks[0].mFailures);
+  CHECK_EQUAL(0U, decoded.mTasks[1].mProcessedEnds.size());
+}
+
+// Owners of earlier versions did not record where tasks may run.
+TEST(JobLogJsonTest, RecordWithoutPossibleWorkersIsDecoded)
+{
+  const Result<ProgressItem> item = JobLogJson().DecodeProgress(
+    { "job/x", R"({"phase":"queued","tasks":[[0,0,1,0,0,[5],""]]})" });
+  const auto& decoded = std::get<JobRecord>(item.value());
+  CHECK_EQUAL(1U, decoded.mTasks.size());
+  CHECK(decoded.mTasks[0].mPossibleWorkers.empty());
+}
+
+TEST(JobLogJsonTest, MalformedPossibleWorkersAreRejected)
+{
+  for (const char* rows : { "[1]",
+                            "[[]]",
+                            "[[0,0]]",
+                            R"([[0,0,"w"]])",
+                            R"([[0,0,1,"w"]])",
+                            R"([[0,0,"",1]])",
+                            R"([[0,0,"w",1,"v"]])",
+                            R"([[0,0,"w","v",1]])",
+                            R"([[0,0,"w",-1]])",
+                            R"([[0,0,"w",4294967296]])",
+                            R"([[0,0,"w",1.5]])",
+                            R"([[0,0,"w",null]])",
+                            R"([["0",0,"w",1]])",
+                            R"([[0,-1,"w",1]])" }) {
+    const std::string text =
+      std::string(R"({"phase":"queued","tasks":[],"on":)") + rows + "}";
+    const Result<ProgressItem> item =
+      JobLogJson().DecodeProgress({ "job/x", text });
+    CHECK_FALSE(item.has_value());
+    if (!item) {
+      CHECK(item.error().mKind == FailureKind::kMalformed);
+    }
+  }
+  const Result<ProgressItem> noRows = JobLogJson().DecodeProgress(
+    { "job/x", R"({"phase":"queued","tasks":[],"on":1})" });
+  const Result<ProgressItem> noTasks =
+    JobLogJson().DecodeProgress({ "job/x", R"({"phase":"queued","tasks":1})" });
+  CHECK_FALSE(noRows.has_value());
+  CHECK(noRows.error().mKind == noTasks.error().mKind);
+}
+
 TEST(JobLogJsonTest, LearnedRecordRoundTrips)
 {
   const JobLogJson codec;
--- a/mulberryvalve/core/jobs/job_state.h
+++ b/mulberryvalve/core/jobs/job_state.h
@@ -139,6 +139,8 @@
   int mFailures = 0;
   std::vector<RunNumber> mProcessedEnds;
   CheckpointId mCheckpoint;
+  // The workers on which a run of the task may be.
+  std::vector<WorkerId> mPossibleWorkers{};
 };
 
 // The tasks of a job in one record, which keeps the record far below the
