Starts are sent once the log names their worker

Cause: starts were sent without a record. Callers saw lasting tasks without a run for seconds (LOST).

Change: an assignment makes its task's part of the progress dirty, with the workers on which a run may be: the present one, and those of former owners that are not settled. The start is held (HeldStarts) until a durable record names its worker, and sent by the next decision, with a lease from then. A cancellation, or a worker that is silent, restarted or leaving, takes a held task off its worker; nothing was sent. A gang is sent as a whole. A successor holds a task back while a worker of its record is unsettled, and goes on naming these workers. A note of a worker's tasks goes before records.

If no append is taken for 200 ms, plain batch tasks start without a record on workers of their bucket only; the others of them give their room back, and lasting tasks and gangs after 2 s, as they have nowhere else to go and a slow log still takes them. A worker without a note also blocks the inherited batch tasks of its bucket, by a count for each bucket.

Why it works: the durable set of a task's workers always contains the one to which a start was sent, or the start was in the task's bucket. It shrinks only with a later record, and records are appended in order.

--- a/mulberryvalve/core/jobs/inherited_workers.cc
+++ b/mulberryvalve/core/jobs/inherited_workers.cc
@@ -14,7 +14,8 @@
   const InheritedWorker& inherited = entry->second;
   mPendingWaits.emplace(inherited.mWaitUntil, aWorker);
   if (!inherited.mPossibleTasks) {
-    mBlockingAllCount++;
+    mUnnotedCount++;
+    mUnnotedByBucket[BucketOf(aWorker)]++;
     return;
   }
   for (const TaskRef& task : *inherited.mPossibleTasks) {
@@ -22,6 +23,23 @@
   }
 }
 
+bool InheritedWorkers::AddRecordedTask(const WorkerId& aWorker,
+                                       const TaskRef& aTask)
+{
+  if (!MayRunTasks(aWorker)) {
+    return false;
+  }
+  const auto& noted = mWorkers.at(aWorker).mPossibleTasks;
+  if (noted && std::find(noted->begin(), noted->end(), aTask) == noted->end()) {
+    return false;
+  }
+  mRecordedTasks[aWorker].push_back(aTask);
+  if (!noted) {
+    mBlockedTasks[aTask]++;
+  }
+  return true;
+}
+
 void InheritedWorkers::Remove(const WorkerId& aWorker)
 {
   MarkIdle(aWorker, MonotonicTime());
@@ -36,7 +54,7 @@
   }
   InheritedWorker& inherited = entry->second;
   if (mPendingWaits.erase({ inherited.mWaitUntil, aWorker }) != 0) {
-    Unblock(inherited);
+    Unblock(aWorker, inherited);
   }
   inherited.mWaitUntil = std::min(inherited.mWaitUntil, aNow);
   inherited.mPossibleTasks.emplace();
@@ -126,17 +144,39 @@
                                : mPendingWaits.rbegin()->first;
 }
 
-void InheritedWorkers::Unblock(const InheritedWorker& aInherited)
+std::vector<InheritedWorkers::RecordedTasks> InheritedWorkers::TakeSettled()
+{
+  return std::exchange(mSettled, {});
+}
+
+void InheritedWorkers::Unblock(const WorkerId& aWorker,
+                               const InheritedWorker& aInherited)
 {
+  const auto found = mRecordedTasks.find(aWorker);
+  std::vector<TaskRef> recorded;
+  if (found != mRecordedTasks.end()) {
+    recorded = std::move(found->second);
+    mRecordedTasks.erase(found);
+  }
   if (!aInherited.mPossibleTasks) {
-    mBlockingAllCount--;
-    return;
+    mUnnotedCount--;
+    mUnnotedByBucket[BucketOf(aWorker)]--;
   }
-  for (const TaskRef& task : *aInherited.mPossibleTasks) {
-    const auto blocked = mBlockedTasks.find(task);
-    if (--blocked->second == 0) {
-      mBlockedTasks.erase(blocked);
-    }
+  const std::vector<TaskRef>& blocked =
+    aInherited.mPossibleTasks ? *aInherited.mPossibleTasks : recorded;
+  for (const TaskRef& task : blocked) {
+    UnblockTask(task);
+  }
+  if (!recorded.empty()) {
+    mSettled.emplace_back(aWorker, std::move(recorded));
+  }
+}
+
+void InheritedWorkers::UnblockTask(const TaskRef& aTask)
+{
+  const auto blocked = mBlockedTasks.find(aTask);
+  if (--blocked->second == 0) {
+    mBlockedTasks.erase(blocked);
   }
 }
 
--- a/mulberryvalve/core/jobs/inherited_workers.h
+++ b/mulberryvalve/core/jobs/inherited_workers.h
@@ -5,8 +5,10 @@
 
 #include "mulberryvalve/core/base/time.h"
 #include "mulberryvalve/core/jobs/job_graph.h"
+#include "mulberryvalve/core/jobs/unrecorded_starts.h"
 #include "mulberryvalve/core/model/worker.h"
 
+#include <array>
 #include <cstddef>
 #include <map>
 #include <optional>
@@ -21,7 +23,9 @@
 {
   // Everything that former owners started on the worker has ended by then.
   MonotonicTime mWaitUntil;
-  // The tasks that may run there. Unset if unknown: any inherited task may.
+  // The tasks that may run there. Unset without a note of them: then these are
+  // the tasks whose records name the worker, and those that may have been
+  // started there without a record.
   std::optional<std::vector<TaskRef>> mPossibleTasks;
   // No note limits the wait, which covers the latest time at which a former
   // owner may have renewed a lease there.
@@ -35,6 +39,11 @@
   // Adds a worker. Does nothing if it was added before.
   void Add(const WorkerId& aWorker, InheritedWorker aInherited);
 
+  // Adds a task whose record names aWorker. Returns whether it may run there:
+  // not if the worker is unknown or its wait has ended, nor if a note of its
+  // tasks does not have this one. Call it once for each task and worker.
+  bool AddRecordedTask(const WorkerId& aWorker, const TaskRef& aTask);
+
   // Removes a worker that has answered or that can't run anything any more.
   // Does nothing if the worker is unknown.
   void Remove(const WorkerId& aWorker);
@@ -64,15 +73,20 @@
   // Returns whether tasks may still run on the worker.
   bool MayRunTasks(const WorkerId& aWorker) const;
 
-  // BlocksAllTasks returns whether some worker may run any inherited task,
-  // BlocksTask whether some worker may run this task, and BlocksStep whether
-  // some worker may run a task of this step. The latter two ignore the workers
-  // that block all tasks.
-  bool BlocksAllTasks() const { return mBlockingAllCount > 0; }
+  // BlocksTask returns whether some worker may run this task by its record or
+  // by a note, and BlocksStep whether some worker may run a task of this step.
+  // BlocksUnrecorded returns whether some worker may run the task without a
+  // record, if tasks of its step may start so; HasUnnotedWorkers returns
+  // whether there is such a task.
   bool BlocksTask(const TaskRef& aTask) const
   {
-    return mBlockedTasks.count(aTask) != 0;
+    return !mBlockedTasks.empty() && mBlockedTasks.count(aTask) != 0;
+  }
+  bool BlocksUnrecorded(const TaskRef& aTask) const
+  {
+    return HasUnnotedWorkers() && mUnnotedByBucket[BucketOf(aTask)] > 0;
   }
+  bool HasUnnotedWorkers() const { return mUnnotedCount > 0; }
   bool BlocksStep(const StepRef& aStep) const;
 
   // Returns the tasks for which BlocksTask is true.
@@ -81,6 +95,11 @@
     return mBlockedTasks;
   }
 
+  // Returns the workers that were settled since the last call, each with the
+  // tasks whose records name it: no run of them is left there.
+  using RecordedTasks = std::pair<WorkerId, std::vector<TaskRef>>;
+  std::vector<RecordedTasks> TakeSettled();
+
   // PendingWorkers returns the workers whose waits have not ended, shortest
   // wait first; PendingCount returns their number, and LatestWaitEnd the end of
   // the longest wait.
@@ -95,12 +114,18 @@
   void SetWait(const WorkerId& aWorker,
                InheritedWorker& aInherited,
                MonotonicTime aUntil);
-  void Unblock(const InheritedWorker& aInherited);
+  void Unblock(const WorkerId& aWorker, const InheritedWorker& aInherited);
+  void UnblockTask(const TaskRef& aTask);
 
   std::map<WorkerId, InheritedWorker> mWorkers;
   // The pending workers, ordered by the end of their waits.
   std::set<std::pair<MonotonicTime, WorkerId>> mPendingWaits;
-  size_t mBlockingAllCount = 0;
+  // The pending workers without a note of their tasks, in all and by bucket.
+  size_t mUnnotedCount = 0;
+  std::array<size_t, kStartBuckets> mUnnotedByBucket{};
+  // The tasks whose records name each pending worker.
+  std::map<WorkerId, std::vector<TaskRef>> mRecordedTasks;
+  std::vector<RecordedTasks> mSettled;
   // The number of workers on which each task may run.
   std::map<TaskRef, size_t> mBlockedTasks;
 };
--- a/mulberryvalve/core/jobs/job_placement_policy.h
+++ b/mulberryvalve/core/jobs/job_placement_policy.h
@@ -31,6 +31,8 @@
   // it disturbs, at a pace that they tolerate.
   bool mHasWaitedLong = false;
   MonotonicTime mNow;
+  // Set if only workers of this bucket are searched.
+  std::optional<size_t> mBucket{};
 };
 
 // PlacementRefusal is why a worker cannot take a task.
--- a/mulberryvalve/core/jobs/job_state.h
+++ b/mulberryvalve/core/jobs/job_state.h
@@ -100,6 +100,9 @@
   // know.
   WorkerId mLastFailedWorker;
   CheckpointId mCheckpoint;
+  // Workers that former owners recorded for the task and that have not been
+  // settled: a run of it may be left there.
+  std::vector<WorkerId> mFormerWorkers;
   // When the worker reported that the task started; zero if this owner did not
   // receive that report.
   MonotonicTime mStartedAt;
@@ -139,7 +142,8 @@
   int mFailures = 0;
   std::vector<RunNumber> mProcessedEnds;
   CheckpointId mCheckpoint;
-  // The workers on which a run of the task may be.
+  // The workers on which a run of the task may be. A start is sent only to a
+  // worker that is recorded here; unrecorded_starts.h has the one exception.
   std::vector<WorkerId> mPossibleWorkers{};
 };
 
--- a/mulberryvalve/core/jobs/job_table.cc
+++ b/mulberryvalve/core/jobs/job_table.cc
@@ -12,19 +12,50 @@
   return ReadyStepKey{ aJob.mArrivalNumber, aStep.mOccurrence, aStep.mStep };
 }
 
-bool HasProgress(const TaskProgress& aTask)
+bool HasEnds(const TaskProgress& aTask)
 {
   return !aTask.mProcessedEnds.empty() || aTask.mDone;
 }
 
+bool HasProgress(const TaskProgress& aTask)
+{
+  return HasEnds(aTask) || IsPlaced(aTask.mPhase) ||
+         !aTask.mFormerWorkers.empty();
+}
+
+// A completed task is never started again, so nobody needs to know where runs
+// of it are left.
+std::vector<WorkerId> PossibleWorkersOf(const TaskProgress& aTask)
+{
+  if (aTask.mDone) {
+    return {};
+  }
+  std::vector<WorkerId> workers = aTask.mFormerWorkers;
+  const bool isNamed =
+    std::find(workers.begin(), workers.end(), aTask.mWorker) != workers.end();
+  if (IsPlaced(aTask.mPhase) && !isNamed) {
+    workers.push_back(aTask.mWorker);
+  }
+  return workers;
+}
+
 TaskRecord ToTaskRecord(const TaskProgress& aTask,
                         uint32_t aOccurrence,
                         uint32_t aStep,
                         uint32_t aIndex)
 {
-  return TaskRecord{ aOccurrence,      aStep,           aIndex,
-                     aTask.mDone,      aTask.mFailures, aTask.mProcessedEnds,
-                     aTask.mCheckpoint };
+  TaskRecord record;
+  record.mOccurrence = aOccurrence;
+  record.mStep = aStep;
+  record.mIndex = aIndex;
+  record.mPossibleWorkers = PossibleWorkersOf(aTask);
+  if (HasEnds(aTask)) {
+    record.mDone = aTask.mDone;
+    record.mFailures = aTask.mFailures;
+    record.mProcessedEnds = aTask.mProcessedEnds;
+    record.mCheckpoint = aTask.mCheckpoint;
+  }
+  return record;
 }
 
 } // namespace
@@ -80,6 +111,7 @@
     aJob.mHasFailures = aJob.mHasFailures || record.mFailures > 0;
     task->mProcessedEnds = record.mProcessedEnds;
     task->mCheckpoint = record.mCheckpoint;
+    task->mFormerWorkers = record.mPossibleWorkers;
     aJob.mHasStarted = true;
     if (record.mDone) {
       Finish(ref);
@@ -134,12 +166,17 @@
   return mJobs.at(aStep.mJob).mOccurrences[aStep.mOccurrence][aStep.mStep];
 }
 
+const StepState& JobTable::StepOf(const StepRef& aStep) const
+{
+  return mJobs.at(aStep.mJob).mOccurrences[aStep.mOccurrence][aStep.mStep];
+}
+
 const StepSpec& JobTable::SpecOf(const StepRef& aStep) const
 {
   return mJobs.at(aStep.mJob).mGraph.mSteps[aStep.mStep];
 }
 
-void JobTable::Assign(const TaskRef& aTask,
+bool JobTable::Assign(const TaskRef& aTask,
                       const WorkerId& aWorker,
                       RunNumber aRun)
 {
@@ -162,6 +199,13 @@
     step.mWaitingSince = MonotonicTime();
     mReadySteps.erase(KeyOfStep(job, aTask.mStep));
   }
+  const bool isRecorded = std::find(task.mFormerWorkers.begin(),
+                                    task.mFormerWorkers.end(),
+                                    aWorker) != task.mFormerWorkers.end();
+  if (!isRecorded) {
+    MarkDirty(aTask);
+  }
+  return !isRecorded;
 }
 
 void JobTable::Unassign(const TaskRef& aTask)
@@ -236,16 +280,22 @@
   mJobs.erase(aId);
 }
 
-void JobTable::MarkDirty(const TaskRef& aTask)
+uint32_t JobTable::PartOf(const TaskRef& aTask) const
 {
-  JobEntry& job = mJobs.at(aTask.mStep.mJob);
+  const JobEntry& job = mJobs.at(aTask.mStep.mJob);
   uint64_t tasksBefore = aTask.mIndex;
   for (uint32_t step = 0; step < job.mGraph.mSteps.size(); step++) {
     const uint64_t count = job.mGraph.mSteps[step].mCount;
     tasksBefore += count * aTask.mStep.mOccurrence;
     tasksBefore += step < aTask.mStep.mStep ? count : 0;
   }
-  const auto part = static_cast<uint32_t>(tasksBefore / kTasksPerRecord);
+  return static_cast<uint32_t>(tasksBefore / kTasksPerRecord);
+}
+
+void JobTable::MarkDirty(const TaskRef& aTask)
+{
+  JobEntry& job = mJobs.at(aTask.mStep.mJob);
+  const uint32_t part = PartOf(aTask);
   job.mDirtyParts.insert(part);
   job.mPartCount = std::max(job.mPartCount, part + 1);
 }
--- a/mulberryvalve/core/jobs/job_table.h
+++ b/mulberryvalve/core/jobs/job_table.h
@@ -126,12 +126,15 @@
   // StepOf and SpecOf return the state and the specification of a step, which
   // must exist.
   StepState& StepOf(const StepRef& aStep);
+  const StepState& StepOf(const StepRef& aStep) const;
   const StepSpec& SpecOf(const StepRef& aStep) const;
 
   // Assign marks a waiting task as starting on a worker, Unassign takes a task
   // off its worker, and Finish marks a task as completed. All keep the counts
   // of the step. None of them changes the capacity accounting of WorkerTable.
-  void Assign(const TaskRef& aTask, const WorkerId& aWorker, RunNumber aRun);
+  // Assign returns whether it changed the durable part of the job's progress:
+  // the worker is to be recorded, unless a former owner has done so.
+  bool Assign(const TaskRef& aTask, const WorkerId& aWorker, RunNumber aRun);
   void Unassign(const TaskRef& aTask);
   void Finish(const TaskRef& aTask);
 
@@ -149,6 +152,10 @@
   // Forget removes a finished job.
   void Forget(const JobId& aId);
 
+  // PartOf returns the number of the part of its job's progress that has the
+  // task, which must exist.
+  uint32_t PartOf(const TaskRef& aTask) const;
+
   // MarkDirty records that the progress of a task has changed, and
   // MarkPhaseDirty that the phase of a job has.
   void MarkDirty(const TaskRef& aTask);
--- a/mulberryvalve/core/jobs/listed_ends_test.cc
+++ b/mulberryvalve/core/jobs/listed_ends_test.cc
@@ -11,6 +11,7 @@
 constexpr size_t kWorkers = 2;
 constexpr uint32_t kTasks = 60;
 constexpr size_t kListedEnds = 5;
+constexpr Milliseconds kStartTime{ 100 };
 // While appends fail, more ends wait on each worker than a report lists.
 constexpr Milliseconds kOutage{ 4000 };
 constexpr Milliseconds kSettleTime{ 20000 };
@@ -27,9 +28,14 @@
     mSim->mOnOrder = [this](const TaskOrder& aOrder) {
       mStarts[aOrder.mTask] += aOrder.mKind == OrderKind::kStart ? 1 : 0;
     };
+    for (size_t index = 0; index < kWorkers; index++) {
+      mSim->Worker(index).mInfo.mCapacity = Resources{ 64000, 64000, 0 };
+    }
     mSim->RunFor(Milliseconds(300));
-    mSim->Owner(0).mAppendsFail = true;
     mSim->Submit(OneStepJob("j", kTasks, 2000));
+    mSim->RunFor(kStartTime);
+    CHECK_EQUAL(kTasks, mSim->Running());
+    mSim->Owner(0).mAppendsFail = true;
     mSim->RunFor(kOutage);
     for (size_t index = 0; index < kWorkers; index++) {
       CHECK(mSim->Worker(index).mEnded.size() > kListedEnds);
--- a/mulberryvalve/core/jobs/placement_pass.h
+++ b/mulberryvalve/core/jobs/placement_pass.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -13,15 +14,18 @@
 namespace mulberryvalve {
 
 // RefusedDemands remembers, by image and class of task, the smallest demand
-// that no worker could take, so that steps with at least that demand are
-// skipped. Not synchronised.
+// that no worker could take, of all workers or of those of a bucket, so that
+// steps with at least that demand are skipped. Not synchronised.
 class RefusedDemands
 {
 public:
   // Covers returns whether a demand no larger than that of aStep was refused.
-  bool Covers(const StepSpec& aStep, bool aHasWaitedLong) const
+  bool Covers(const StepSpec& aStep,
+              bool aHasWaitedLong,
+              std::optional<size_t> aBucket) const
   {
-    const auto found = mMinimalDemands.find(KeyOf(aStep, aHasWaitedLong));
+    const auto found =
+      mMinimalDemands.find(KeyOf(aStep, aHasWaitedLong, aBucket));
     return found != mMinimalDemands.end() &&
            found->second.FitsIn(aStep.mDemand);
   }
@@ -29,28 +33,35 @@
   // Add records that no worker could take a task of aStep. Steps with a label,
   // rack or per-worker limit are not recorded, as their refusal says nothing
   // about other steps.
-  void Add(const StepSpec& aStep, bool aHasWaitedLong)
+  void Add(const StepSpec& aStep,
+           bool aHasWaitedLong,
+           std::optional<size_t> aBucket)
   {
     const bool isSpecial = !aStep.mRequiredLabel.Empty() ||
                            aStep.mMaxPerWorker > 0 || aStep.mSameRack;
     if (isSpecial) {
       return;
     }
-    const auto [found, isNew] =
-      mMinimalDemands.try_emplace(KeyOf(aStep, aHasWaitedLong), aStep.mDemand);
+    const auto [found, isNew] = mMinimalDemands.try_emplace(
+      KeyOf(aStep, aHasWaitedLong, aBucket), aStep.mDemand);
     if (!isNew && aStep.mDemand.FitsIn(found->second)) {
       found->second = aStep.mDemand;
     }
   }
 
 private:
-  using DemandClass = std::tuple<bool, bool, bool, ImageNumber>;
+  using DemandClass =
+    std::tuple<bool, bool, bool, ImageNumber, std::optional<size_t>>;
 
-  static DemandClass KeyOf(const StepSpec& aStep, bool aHasWaitedLong)
+  static DemandClass KeyOf(const StepSpec& aStep,
+                           bool aHasWaitedLong,
+                           std::optional<size_t> aBucket)
   {
-    return {
-      aHasWaitedLong, aStep.mBestEffort, aStep.mLongRunning, aStep.mImageNumber
-    };
+    return { aHasWaitedLong,
+             aStep.mBestEffort,
+             aStep.mLongRunning,
+             aStep.mImageNumber,
+             aBucket };
   }
 
   std::map<DemandClass, Resources> mMinimalDemands;
--- a/mulberryvalve/core/jobs/shard_scheduler.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler.cc
@@ -45,6 +45,9 @@
   job->mMayHaveFormerRuns = true;
   if (aRecord != nullptr) {
     mJobTable.Restore(*job, *aRecord);
+    for (const TaskRecord& task : aRecord->mTasks) {
+      RestorePossibleWorkers(*job, task);
+    }
   }
   if (IsOver(job->mPhase)) {
     job->mFinishedAt = mClaimedAt;
@@ -293,7 +296,11 @@
 
 void ShardScheduler::OnDurable(const ProgressBatch& aBatch)
 {
+  if (!aBatch.Empty()) {
+    mHeldStarts.OnAppended();
+  }
   for (const JobRecord& record : aBatch.mJobs) {
+    mHeldStarts.OnRecorded(record);
     JobEntry* job = mJobTable.Find(record.mId);
     if (job != nullptr && record.mPart == 0) {
       job->mDurablePhase = record.mPhase;
@@ -376,6 +383,9 @@
   if (workerState != nullptr) {
     mWorkers.Release(*workerState, aTask, mJobTable.SpecOf(aTask.mStep));
   }
+  if (mHeldStarts.Remove(aTask)) {
+    mWindow.WriteOff(1);
+  }
   mResendStopAt.erase(aTask);
   mJobTable.Unassign(aTask);
   mNeedsPlacement = true;
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -7,6 +7,7 @@
 #include "mulberryvalve/core/jobs/cluster_config.h"
 #include "mulberryvalve/core/jobs/cluster_usage.h"
 #include "mulberryvalve/core/jobs/former_owners.h"
+#include "mulberryvalve/core/jobs/held_starts.h"
 #include "mulberryvalve/core/jobs/inherited_workers.h"
 #include "mulberryvalve/core/jobs/job_decision.h"
 #include "mulberryvalve/core/jobs/job_placement_policy.h"
@@ -42,7 +43,7 @@
 
   // RestoreJob restores a job that was submitted before the claim, with its
   // durable progress or null. RestoreWorker restores a worker that former
-  // owners used.
+  // owners used. Restore all workers before the first job.
   void RestoreJob(JobGraph aGraph, const JobRecord* aRecord);
   void RestoreWorker(const UsedWorkerRecord& aWorker);
 
@@ -132,7 +133,8 @@
   void RestoreProgressOffIntake(const JobRecord& aRecord);
 
   // TakeProgress returns what changed since the last call. Call OnDurable once
-  // the batch is on the log.
+  // the batch is on the log, or for each part of it in order; the next batch
+  // may be appended only after that. Then call Decide soon: starts wait for it.
   ProgressBatch TakeProgress(MonotonicTime aNow);
   void OnDurable(const ProgressBatch& aBatch);
 
@@ -325,7 +327,13 @@
   void PlaceStep(JobEntry& aJob, ReadyStepKey aStep, MonotonicTime aNow);
   void AbortPass();
   void PausePass();
-  bool CanPlace(const TaskRef& aRef, const TaskProgress& aTask) const;
+  bool PlaceTasks(JobEntry& aJob,
+                  const StepRef& aStep,
+                  uint32_t aFirst,
+                  uint32_t aInterval,
+                  MonotonicTime aNow);
+  bool CanPlace(const JobEntry& aJob, const TaskRef& aTask) const;
+  bool IsTaskBlocked(const JobEntry& aJob, const TaskRef& aTask) const;
   bool PlaceTask(JobEntry& aJob, const TaskRef& aTask, MonotonicTime aNow);
   void PlaceGang(JobEntry& aJob, const StepRef& aStep, MonotonicTime aNow);
   PlacementQuery MakePlacementQuery(const JobEntry& aJob,
@@ -335,11 +343,6 @@
                              const StepRef& aStep,
                              MonotonicTime aNow);
   void StopBestEffortTasks(const WorkerEntry& aWorker, const std::string& aWhy);
-  void OrderStart(JobEntry& aJob,
-                  const TaskRef& aTask,
-                  WorkerEntry& aWorker,
-                  RunNumber aRun,
-                  MonotonicTime aNow);
   void OrderStop(const TaskRef& aTask, const std::string& aWhy);
   TaskOrder MakeOrder(OrderKind aKind,
                       const TaskRef& aTask,
@@ -373,6 +376,23 @@
                      OrderOutcome aOutcome,
                      MonotonicTime aNow);
 
+  // Starts (shard_scheduler_starts.cc).
+  void AssignTask(const TaskRef& aTask, WorkerEntry& aWorker, RunNumber aRun);
+  void OrderStart(JobEntry& aJob,
+                  const TaskRef& aTask,
+                  WorkerEntry& aWorker,
+                  RunNumber aRun,
+                  MonotonicTime aNow);
+  void HandleHeldStarts(bool aMayStart, MonotonicTime aNow);
+  void SendStarts(MonotonicTime aNow);
+  void SendStart(TaskOrder aOrder, MonotonicTime aNow);
+  bool MaySend(const HeldStart& aStart) const;
+  bool IsStartPossible(const TaskOrder& aOrder, MonotonicTime aNow) const;
+  void DropHeldStart(const TaskRef& aTask, const char* aWhy);
+  void DropHeldStartsOn(const WorkerEntry& aWorker, const char* aWhy);
+  void ForgetSettledWorkers();
+  void RestorePossibleWorkers(const JobEntry& aJob, const TaskRecord& aRecord);
+
   void ReleaseTask(const TaskRef& aTask);
   void AvoidWorker(WorkerEntry& aWorker,
                    MonotonicTime aUntil,
@@ -424,13 +444,14 @@
   FormerOwners mFormerOwners;
   std::vector<Epoch> mEndedClaims;
   InheritedWorkers mInheritedWorkers;
+  HeldStarts mHeldStarts;
   UnreadJobs mUnreadJobs;
   MonotonicTime mRefreshNotesAt;
   // The counts of blocked tasks that were last logged, and when to log them
   // again.
   BlockedTaskCounts mLastReportedCounts;
   MonotonicTime mReportBlockedAt;
-  bool mReportedAllBlocked = false;
+  bool mReportedUnnoted = false;
   // A list of workers was received.
   bool mHasWorkerList = false;
   MonotonicTime mSaveLearnedAt;
@@ -446,6 +467,8 @@
   std::map<TaskRef, MonotonicTime> mResendStopAt;
   // When to send the stop of an unwanted run again.
   std::map<UnwantedRun, MonotonicTime> mUnwantedStopAt;
+  // The workers to free for lasting tasks after the present pass.
+  std::vector<WorkerId> mPreempted;
   std::vector<TaskOrder> mPendingOrders;
   std::vector<JobDecision> mDecisions;
   // Most of the workers' processors were unused when the pass began.
--- a/mulberryvalve/core/jobs/shard_scheduler_handover.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_handover.cc
@@ -198,15 +198,33 @@
 bool ShardScheduler::IsJobBlocked(const JobEntry& aJob,
                                   MonotonicTime aNow) const
 {
-  return !IsOwnershipProvedFor(aJob, aNow) ||
-         (aJob.mMayHaveFormerRuns && mInheritedWorkers.BlocksAllTasks());
+  return !IsOwnershipProvedFor(aJob, aNow);
+}
+
+// Returns whether a run that a former owner started may be left of a task: on a
+// worker that its record or a note names, or on one to which the start may have
+// been sent without a record.
+bool ShardScheduler::IsTaskBlocked(const JobEntry& aJob,
+                                   const TaskRef& aTask) const
+{
+  return mInheritedWorkers.BlocksTask(aTask) ||
+         (aJob.mMayHaveFormerRuns &&
+          MayStartUnrecorded(aJob.mGraph.mSteps[aTask.mStep.mStep]) &&
+          mInheritedWorkers.BlocksUnrecorded(aTask));
 }
 
 bool ShardScheduler::IsStepBlocked(const JobEntry& aJob,
                                    const StepRef& aStep,
                                    MonotonicTime aNow) const
 {
-  return IsJobBlocked(aJob, aNow) || mInheritedWorkers.BlocksStep(aStep);
+  const StepState& step = mJobTable.StepOf(aStep);
+  for (uint32_t index = 0; index < step.mTasks.size(); index++) {
+    if (step.mTasks[index].mPhase == TaskPhase::kWaiting &&
+        IsTaskBlocked(aJob, TaskRef{ aStep, index })) {
+      return true;
+    }
+  }
+  return IsJobBlocked(aJob, aNow);
 }
 
 ShardScheduler::BlockedTaskCounts ShardScheduler::CountBlockedTasks() const
@@ -215,19 +233,17 @@
   std::set<const JobEntry*> jobs;
   for (const auto& [openStep, job] : mJobTable.ReadySteps()) {
     const StepRef stepRef = StepRefOf(*job, openStep);
+    if (!mInheritedWorkers.HasUnnotedWorkers() &&
+        !mInheritedWorkers.BlocksStep(stepRef)) {
+      continue;
+    }
     const StepState& step =
       job->mOccurrences[openStep.mOccurrence][openStep.mStep];
     size_t tasks = 0;
-    if (job->mMayHaveFormerRuns && mInheritedWorkers.BlocksAllTasks()) {
-      tasks = step.mWaiting;
-    } else if (mInheritedWorkers.BlocksStep(stepRef)) {
-      for (uint32_t index = 0; index < step.mTasks.size(); index++) {
-        const bool isWaiting = step.mTasks[index].mPhase == TaskPhase::kWaiting;
-        tasks +=
-          isWaiting && mInheritedWorkers.BlocksTask(TaskRef{ stepRef, index })
-            ? 1
-            : 0;
-      }
+    for (uint32_t index = 0; index < step.mTasks.size(); index++) {
+      const bool isWaiting = step.mTasks[index].mPhase == TaskPhase::kWaiting;
+      tasks +=
+        isWaiting && IsTaskBlocked(*job, TaskRef{ stepRef, index }) ? 1 : 0;
     }
     if (tasks > 0) {
       jobs.insert(job);
@@ -240,17 +256,17 @@
 }
 
 // Logs how many tasks are blocked by inherited workers: initially, whenever the
-// counts change, at once when the last worker with unknown tasks is resolved,
+// counts change, at once when the last worker without a note is resolved,
 // and when nothing is blocked any more.
 void ShardScheduler::ReportBlockedTasks(MonotonicTime aNow)
 {
   const bool allResolved = mInheritedWorkers.PendingCount() == 0;
   const bool due = aNow >= mReportBlockedAt ||
-                   mReportedAllBlocked != mInheritedWorkers.BlocksAllTasks();
+                   mReportedUnnoted != mInheritedWorkers.HasUnnotedWorkers();
   if (allResolved ? mLastReportedCounts == BlockedTaskCounts() : !due) {
     return;
   }
-  mReportedAllBlocked = mInheritedWorkers.BlocksAllTasks();
+  mReportedUnnoted = mInheritedWorkers.HasUnnotedWorkers();
   mReportBlockedAt = aNow + kBlockedReportInterval;
   const BlockedTaskCounts counts =
     allResolved ? BlockedTaskCounts() : CountBlockedTasks();
--- a/mulberryvalve/core/jobs/shard_scheduler_losses.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_losses.cc
@@ -29,6 +29,7 @@
     return;
   }
   mWorkers.SetSilent(aWorker, true);
+  DropHeldStartsOn(aWorker, "its worker does not answer");
   mWindow.WriteOff(aWorker.mStartsInFlight - aWorker.mStartsWrittenOff);
   aWorker.mStartsWrittenOff = aWorker.mStartsInFlight;
   LogWorkerDecision(DecisionKind::kWorkerSilent,
@@ -44,6 +45,7 @@
                     aWorker.mInfo.mId,
                     "its incarnation changed");
   aWorker.mWorkerIncarnation = aBirth;
+  DropHeldStartsOn(aWorker, "its worker has restarted");
   ReleaseTasksOfFormerIncarnation(aWorker, aNow);
   aWorker.mLastProcessedEnd = EndNumber();
   aWorker.mLastDurableEnd = EndNumber();
--- a/mulberryvalve/core/jobs/shard_scheduler_placement.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_placement.cc
@@ -34,10 +34,12 @@
   // Inherited waits end only with proof of ownership, since a successor may
   // have renewed the leases of the worker.
   mInheritedWorkers.ExpireWaits(mProvedAt);
+  ForgetSettledWorkers();
   RemoveEndedClaims(aNow);
   RemoveGoneWorkers(aNow);
   RefreshHandoverNotes(aNow);
   EvacuateLeavingWorkers(aNow);
+  HandleHeldStarts(aProof.mMayStart, aNow);
   mJobTable.AddDueSteps(aWallTime);
   if (!aProof.mMayStart) {
     AbortPass();
@@ -51,6 +53,9 @@
     }
     mRetryPlacementAt = aNow + kPlacementRetryInterval;
     RunPlacement(aNow);
+    if (mHeldStarts.AreRecordsOverdue()) {
+      SendStarts(aNow);
+    }
   }
   ReportBlockedTasks(aNow);
   for (TaskOrder& order : mPendingOrders) {
@@ -111,6 +116,9 @@
       PlaceStep(*open->second, open->first, aNow);
     }
   }
+  for (const WorkerId& id : std::exchange(mPreempted, {})) {
+    StopBestEffortTasks(*mWorkers.Find(id), "preempted by a lasting task");
+  }
 }
 
 void ShardScheduler::BeginPass(MonotonicTime aNow)
@@ -143,7 +151,9 @@
   if (aNow >= NextWaitLogAt(step)) {
     LogWaitReason(aJob, StepRefOf(aJob, aStep), aNow);
   }
-  if (IsJobBlocked(aJob, aNow) || mPass.Refused().Covers(spec, hasWaited)) {
+  const bool isOverdue = mHeldStarts.AreRecordsOverdue();
+  if (IsJobBlocked(aJob, aNow) || (isOverdue && !MayStartUnrecorded(spec)) ||
+      mPass.Refused().Covers(spec, hasWaited, std::nullopt)) {
     return;
   }
   if (mWindow.IsFull()) {
@@ -155,27 +165,56 @@
     PlaceGang(aJob, stepRef, aNow);
     return;
   }
-  for (uint32_t index = 0; index < spec.mCount; index++) {
-    const TaskRef ref{ stepRef, index };
-    const bool mayPlace = CanPlace(ref, step.mTasks[index]);
+  // Without records, the tasks of a bucket share their search for workers.
+  const uint32_t groups = isOverdue ? kStartBuckets : 1;
+  for (uint32_t first = 0; first < groups; first++) {
+    if (!PlaceTasks(aJob, stepRef, first, groups, aNow)) {
+      return;
+    }
+  }
+}
+
+// Places the tasks of a step whose indexes are aFirst and then every aInterval.
+// Returns false if the pass is paused.
+bool ShardScheduler::PlaceTasks(JobEntry& aJob,
+                                const StepRef& aStep,
+                                uint32_t aFirst,
+                                uint32_t aInterval,
+                                MonotonicTime aNow)
+{
+  const StepSpec& spec = mJobTable.SpecOf(aStep);
+  const bool hasWaited = HasWaitedTooLong(aJob, mJobTable.StepOf(aStep), aNow);
+  std::optional<size_t> bucket;
+  if (mHeldStarts.AreRecordsOverdue()) {
+    bucket = BucketOf(TaskRef{ aStep, aFirst });
+    if (mPass.Refused().Covers(spec, hasWaited, bucket)) {
+      return true;
+    }
+  }
+  for (uint32_t index = aFirst; index < spec.mCount; index += aInterval) {
+    const TaskRef ref{ aStep, index };
+    const bool mayPlace = CanPlace(aJob, ref);
     if (mayPlace && mWindow.IsFull()) {
       PausePass();
-      return;
+      return false;
     }
     if (mayPlace && !PlaceTask(aJob, ref, aNow)) {
-      mPass.Refused().Add(spec, hasWaited);
-      return;
+      mPass.Refused().Add(spec, hasWaited, bucket);
+      return true;
     }
   }
+  return true;
 }
 
 // Returns whether a task is waiting and certainly runs nowhere.
-bool ShardScheduler::CanPlace(const TaskRef& aRef,
-                              const TaskProgress& aTask) const
+bool ShardScheduler::CanPlace(const JobEntry& aJob, const TaskRef& aTask) const
 {
-  return aTask.mPhase == TaskPhase::kWaiting &&
-         !mInheritedWorkers.BlocksTask(aRef) &&
-         aTask.mMinOwnershipProofTime <= mProvedAt;
+  const TaskProgress& task =
+    aJob.mOccurrences[aTask.mStep.mOccurrence][aTask.mStep.mStep]
+      .mTasks[aTask.mIndex];
+  return task.mPhase == TaskPhase::kWaiting &&
+         task.mMinOwnershipProofTime <= mProvedAt &&
+         !IsTaskBlocked(aJob, aTask);
 }
 
 bool ShardScheduler::PlaceTask(JobEntry& aJob,
@@ -186,9 +225,14 @@
   if (!query.mStep.mLongRunning) {
     query.mLastFailedWorker = mJobTable.FindTask(aTask)->mLastFailedWorker;
   }
+  if (mHeldStarts.AreRecordsOverdue()) {
+    query.mBucket = BucketOf(aTask);
+  }
   WorkerEntry* worker = mSearch.Choose(query, aTask.mStep);
   if (worker == nullptr) {
-    mSearch.RememberRefusal(query, aTask.mStep);
+    if (!query.mBucket) {
+      mSearch.RememberRefusal(query, aTask.mStep);
+    }
     if (mJobTable.SpecOf(aTask.mStep).mLongRunning) {
       PreemptForLongRunning(aJob, aTask.mStep, aNow);
     }
@@ -207,7 +251,7 @@
   const StepSpec& spec = mJobTable.SpecOf(aStep);
   StepState& step = mJobTable.StepOf(aStep);
   for (uint32_t index = 0; index < spec.mCount; index++) {
-    if (!CanPlace(TaskRef{ aStep, index }, step.mTasks[index])) {
+    if (!CanPlace(aJob, TaskRef{ aStep, index })) {
       return;
     }
   }
@@ -262,8 +306,9 @@
                          aNow };
 }
 
-// Stops the best-effort tasks on the worker that has fewest of them, among the
-// workers that would have room for a long-running task without them.
+// Chooses the worker whose best-effort tasks are stopped after this pass: the
+// one that has fewest of them, among the workers that would have room for a
+// long-running task without them. Within a pass no room may be freed.
 void ShardScheduler::PreemptForLongRunning(const JobEntry& aJob,
                                            const StepRef& aStep,
                                            MonotonicTime aNow)
@@ -283,7 +328,7 @@
   if (best != nullptr) {
     best->mReservedForLongRunningUntil = aNow + kLongRunningReservation;
     mWorkers.MarkChanged(*best);
-    StopBestEffortTasks(*best, "preempted by a lasting task");
+    mPreempted.push_back(best->mInfo.mId);
   }
 }
 
@@ -299,55 +344,16 @@
   }
 }
 
-void ShardScheduler::OrderStart(JobEntry& aJob,
-                                const TaskRef& aTask,
-                                WorkerEntry& aWorker,
-                                RunNumber aRun,
-                                MonotonicTime aNow)
-{
-  const StepSpec& spec = mJobTable.SpecOf(aTask.mStep);
-  const std::optional<WorkerTime> leaseEnd =
-    mWorkers.LeaseForStart(aWorker, aNow);
-  if (!leaseEnd) {
-    return;
-  }
-  const bool first = !aJob.mHasStarted && !aJob.mMayHaveFormerRuns;
-  const bool isTolerated =
-    HasWaitedTooLong(aJob, mJobTable.StepOf(aTask.mStep), aNow);
-  mJobTable.Assign(aTask, aWorker.mInfo.mId, aRun);
-  mJobTable.FindTask(aTask)->mIgnoresPressureLimit = isTolerated;
-  mWorkers.Charge(aWorker, aTask, spec);
-  if (spec.mBestEffort) {
-    aWorker.mBestEffortChangedAt = aNow;
-  }
-  TaskOrder order = MakeOrder(OrderKind::kStart, aTask, aRun, aWorker);
-  order.mUntil = *leaseEnd;
-  order.mSpecification = aJob.mGraph.mSpecification;
-  order.mCheckpoint = mJobTable.FindTask(aTask)->mCheckpoint;
-  mPendingOrders.push_back(std::move(order));
-  mWindow.OnOrdered();
-  aWorker.mStartsInFlight++;
-  JobDecision decision = MakeTaskDecision(
-    DecisionKind::kTaskPlaced,
-    aTask,
-    aWorker.mInfo.mId,
-    aRun,
-    "free cpu " + std::to_string(aWorker.FreeCapacity().mCpuMillis) +
-      ", filling " + std::to_string(aWorker.mBestEffortTasks) + ", lasting " +
-      std::to_string(aWorker.mLongRunning));
-  if (first) {
-    decision.mWaited =
-      std::chrono::duration_cast<Milliseconds>(aNow - aJob.mReadAt);
-  }
-  LogDecision(std::move(decision));
-}
-
 void ShardScheduler::OrderStop(const TaskRef& aTask, const std::string& aWhy)
 {
   TaskProgress* task = mJobTable.FindTask(aTask);
   if (!IsPlaced(task->mPhase) || task->mPhase == TaskPhase::kStopping) {
     return;
   }
+  if (mHeldStarts.Find(aTask) != nullptr) {
+    DropHeldStart(aTask, aWhy.c_str());
+    return;
+  }
   LogDecision(
     DecisionKind::kTaskStopped, aTask, task->mWorker, task->mRun, aWhy);
   task->mPhase = TaskPhase::kStopping;
@@ -404,7 +410,9 @@
     }
     const bool isLeavingSoon =
       worker.mLeavesAt && *worker.mLeavesAt - kEvacuateBeforeLeaving <= aNow;
-    for (const TaskRef& ref : worker.mTasks) {
+    const std::vector<TaskRef> tasks(worker.mTasks.begin(),
+                                     worker.mTasks.end());
+    for (const TaskRef& ref : tasks) {
       const StepSpec& spec = mJobTable.SpecOf(ref.mStep);
       if (spec.mLongRunning || (isLeavingSoon && spec.mCheckpointing)) {
         OrderStop(ref, "its worker is leaving");
--- a/mulberryvalve/core/jobs/shard_scheduler_reports.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_reports.cc
@@ -412,11 +412,10 @@
                          !task->HasProcessedEnd(row.mRun);
   if (adoptable) {
     LogDecision(DecisionKind::kTaskAdopted, row.mTask, id, row.mRun, "listed");
-    mJobTable.Assign(row.mTask, id, row.mRun);
+    AssignTask(row.mTask, aWorker, row.mRun);
     task->mPhase = TaskPhase::kRunning;
     task->mRunsIn = aWorker.mWorkerIncarnation;
     task->mAnsweredAt = aNow;
-    mWorkers.Charge(aWorker, row.mTask, *aRun.mPlace.mSpec);
     return;
   }
   // A run that is being stopped uses resources until it is no longer reported.
--- a/mulberryvalve/core/jobs/shard_simulation_fake.h
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.h
@@ -231,6 +231,7 @@
 
   void StepWorker(SimulatedWorker& aWorker);
   void StepOwner(SimulatedOwner& aOwner);
+  void DecideAndDeliver(SimulatedOwner& aOwner, const OwnershipProof& aProof);
   void ReadIntake(SimulatedOwner& aOwner);
   void Deliver(SimulatedOwner& aOwner, const TaskOrder& aOrder);
   bool DelayOrder(const TaskOrder& aOrder);
@@ -244,7 +245,7 @@
   bool IsListeningAt(const WorkerId& aWorker, const Endpoint& aEndpoint) const;
   void CheckStart(const SimulatedWorker& aWorker, const TaskRef& aTask);
   const StepSpec& SpecOf(const TaskRef& aTask) const;
-  void Persist(SimulatedOwner& aOwner);
+  bool Persist(SimulatedOwner& aOwner);
 
   const LearnedPlacementPolicy mLearnedPlacement;
   const LeastRemainingWorkPolicy mLeastWork;
--- a/mulberryvalve/core/jobs/worker_search.cc
+++ b/mulberryvalve/core/jobs/worker_search.cc
@@ -62,7 +62,8 @@
   const bool isSame = mHasCandidates && mStep == aStep &&
                       mHasWaitedLong == aQuery.mHasWaitedLong &&
                       mRequiredRack == aQuery.mRequiredRack &&
-                      mLastFailedWorker == aQuery.mLastFailedWorker;
+                      mLastFailedWorker == aQuery.mLastFailedWorker &&
+                      mBucket == aQuery.mBucket;
   if (isSame) {
     ReevaluateChosen(aQuery);
   } else {
@@ -170,6 +171,7 @@
   mHasWaitedLong = aQuery.mHasWaitedLong;
   mRequiredRack = aQuery.mRequiredRack;
   mLastFailedWorker = aQuery.mLastFailedWorker;
+  mBucket = aQuery.mBucket;
   mScoredWorkers.clear();
   const auto group = mRefusalGroups.find(KeyOf(aQuery, aStep));
   Refusal* covering = nullptr;
@@ -204,6 +206,9 @@
 void WorkerSearch::AddIfPlaceable(const PlacementQuery& aQuery,
                                   WorkerEntry& aWorker)
 {
+  if (aQuery.mBucket && *aQuery.mBucket != aWorker.mBucket) {
+    return;
+  }
   const std::optional<int64_t> cost = Evaluate(aQuery, aWorker);
   if (cost) {
     mScoredWorkers.push_back(ScoredWorker{ *cost, &aWorker });
--- a/mulberryvalve/core/jobs/worker_search.h
+++ b/mulberryvalve/core/jobs/worker_search.h
@@ -5,6 +5,7 @@
 #include "mulberryvalve/core/jobs/job_placement_policy.h"
 
 #include <map>
+#include <optional>
 #include <tuple>
 #include <vector>
 
@@ -135,6 +136,7 @@
   bool mHasWaitedLong = false;
   RackId mRequiredRack;
   WorkerId mLastFailedWorker;
+  std::optional<size_t> mBucket;
   std::vector<ScoredWorker> mScoredWorkers;
   WorkerEntry* mLastChosen = nullptr;
   size_t mEvaluations = 0;
--- a/mulberryvalve/core/jobs/worker_table.cc
+++ b/mulberryvalve/core/jobs/worker_table.cc
@@ -1,5 +1,7 @@
 #include "mulberryvalve/core/jobs/worker_table.h"
 
+#include "mulberryvalve/core/jobs/unrecorded_starts.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -81,6 +83,7 @@
 {
   const auto [found, isNew] = mWorkers.try_emplace(aId);
   if (isNew) {
+    found->second.mBucket = BucketOf(aId);
     MarkChanged(found->second);
   }
   return found->second;
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -40,6 +40,8 @@
 struct WorkerEntry
 {
   WorkerInfo mInfo;
+  // Its bucket for starts without a record.
+  size_t mBucket = 0;
   // False if the worker has disappeared from the list of workers.
   bool mListed = true;
   // The current incarnation of the worker has sent its run lists to this owner.
