Random takeovers while the log takes no appends

The seeded schedules of takeover_faults_test had no failing appends, late orders or superseded owners that read submissions, which is where starts without a record matter. A second test has them, with 7 workers and with 40 (most buckets have one), 120 seeds each. The first test and its seeds are as before.

--- a/mulberryvalve/core/jobs/held_starts_test.cc
+++ b/mulberryvalve/core/jobs/held_starts_test.cc
@@ -199,10 +199,12 @@
 {
   mSim.SetAppendsFail(true);
   mWorld->Submit(LongRunningJob("lasting", 1, 4000));
-  mWorld->RunFor(Milliseconds(100));
+  mWorld->RunFor(kTick);
   const WorkerId silent = mSim.ChargedWorker();
   mWorld->MakeUnreachable(silent);
-  mWorld->RunFor(Milliseconds(200));
+  // Long enough for a renewal, and less than kMaxRecordWait.
+  mWorld->RunFor(Milliseconds(120));
+  CHECK_FALSE(mSim.ChargedWorker().Empty());
   CHECK(mSim.ChargedWorker() != silent);
   mSim.SetAppendsFail(false);
   mWorld->RunFor(Milliseconds(500));
@@ -231,9 +233,11 @@
 {
   mSim.SetAppendsFail(true);
   mWorld->Submit(LongRunningJob("lasting", 1, 4000));
-  mWorld->RunFor(Milliseconds(100));
+  mWorld->RunFor(kTick);
   const WorkerId restarted = mSim.ChargedWorker();
   mWorld->RestartWorker(restarted);
+  mWorld->RunFor(kTick);
+  CHECK(mSim.ChargedWorker() != restarted);
   mWorld->RunFor(Milliseconds(200));
   mSim.SetAppendsFail(false);
   mWorld->RunFor(kSettleTime);
--- a/mulberryvalve/core/jobs/takeover_faults_test.cc
+++ b/mulberryvalve/core/jobs/takeover_faults_test.cc
@@ -1,5 +1,6 @@
 // Random takeovers while workers drain, exit, restart, move, disconnect and
-// reconnect, and while former owners keep acting.
+// reconnect, while former owners keep acting, and while the log takes no
+// appends for a while.
 #include "mulberryvalve/core/jobs/shard_simulation_fake.h"
 
 #include "CppUTest/TestHarness.h"
@@ -9,23 +10,37 @@
 
 constexpr uint32_t kSeeds = 120;
 constexpr size_t kWorkers = 7;
+// So many that most buckets of starts without a record have a worker.
+constexpr size_t kWorkersOfAllBuckets = 40;
 constexpr int kRounds = 40;
 // Longer than all leases, waits and tasks.
 constexpr Milliseconds kSettleTime{ 45000 };
 
+struct FaultScheduleOptions
+{
+  size_t mWorkers = kWorkers;
+  // The owners' appends fail now and then, superseded owners go on reading
+  // submissions, and some orders are late.
+  bool mLogFails = false;
+};
+
 // FaultSchedule runs the schedule of one seed.
 class FaultSchedule
 {
 public:
-  explicit FaultSchedule(uint32_t aSeed)
-    : mRandom(aSeed)
-    , mSimulation(kWorkers)
+  FaultSchedule(uint32_t aSeed, const FaultScheduleOptions& aOptions)
+    : mOptions(aOptions)
+    , mRandom(aSeed)
+    , mSimulation(aOptions.mWorkers)
   {
     mSimulation.mGangsFailTogether = true;
     mSimulation.mDurationOf = [](const TaskRef& aTask) {
       return Milliseconds(300 + 400 * (aTask.mIndex % 6));
     };
-    for (size_t index = 0; index < kWorkers; index++) {
+    if (aOptions.mLogFails) {
+      mSimulation.mDelayOf = [this](const TaskOrder&) { return PickDelay(); };
+    }
+    for (size_t index = 0; index < mOptions.mWorkers; index++) {
       mSimulation.Worker(index).mClockRatePerMille = 980 + 10 * Pick(4);
     }
     mSimulation.AddOwner();
@@ -36,12 +51,16 @@
     for (int round = 0; round < kRounds; round++) {
       mSimulation.Submit(NextJob(round));
       InjectFault();
+      if (mOptions.mLogFails) {
+        InjectLogFault();
+      }
       mSimulation.RunFor(Milliseconds(40 * (1 + Pick(25))));
     }
     for (size_t number = 0; number < mOwnerCount; number++) {
       mSimulation.Owner(number).mLinks.clear();
+      mSimulation.Owner(number).mAppendsFail = false;
     }
-    for (size_t index = 0; index < kWorkers; index++) {
+    for (size_t index = 0; index < mOptions.mWorkers; index++) {
       Restore(index);
     }
     mSimulation.RunFor(kSettleTime);
@@ -66,7 +85,7 @@
 
   void InjectFault()
   {
-    const size_t index = Pick(kWorkers);
+    const size_t index = Pick(static_cast<uint32_t>(mOptions.mWorkers));
     const WorkerId id = mSimulation.Worker(index).mInfo.mId;
     SimulatedOwner& owner = mSimulation.Owner(mOwnerCount - 1);
     switch (Pick(12)) {
@@ -92,6 +111,21 @@
     }
   }
 
+  void InjectLogFault()
+  {
+    SimulatedOwner& owner = mSimulation.Owner(mOwnerCount - 1);
+    owner.mReadsSubmissions = true;
+    owner.mAppendsFail = Pick(3) == 0;
+  }
+
+  std::optional<Milliseconds> PickDelay()
+  {
+    if (Pick(20) != 0) {
+      return std::nullopt;
+    }
+    return Milliseconds(20 * (1 + Pick(40)));
+  }
+
   // Adds an owner that knows which former owners have ended.
   void AddOwner()
   {
@@ -149,6 +183,7 @@
     worker.mLeavesAt.reset();
   }
 
+  const FaultScheduleOptions mOptions;
   std::mt19937 mRandom;
   ShardSimulation mSimulation;
   size_t mOwnerCount = 1;
@@ -157,21 +192,37 @@
 
 } // namespace
 
-TEST_GROUP(TakeoverFaultsTest){};
+TEST_GROUP(TakeoverFaultsTest){
+  void CheckSchedules(const FaultScheduleOptions& aOptions){
+    for (uint32_t seed = 1; seed <= kSeeds;
+         seed++){ FaultSchedule schedule(seed, aOptions);
+schedule.Run();
+const std::string label = "seed " + std::to_string(seed);
+for (const std::string& finding : schedule.World().Violations()) {
+  STRCMP_EQUAL_TEXT("", finding.c_str(), label.c_str());
+}
+CHECK_EQUAL_TEXT(0U, schedule.World().Running(), label.c_str());
+}
+}
+}
+;
 
 // Guards against a handover note that names fewer tasks than may still run,
 // which the successor would then start a second time.
 TEST(TakeoverFaultsTest, NoTaskRunsTwiceAndAllEnd)
 {
-  for (uint32_t seed = 1; seed <= kSeeds; seed++) {
-    FaultSchedule schedule(seed);
-    schedule.Run();
-    const std::string label = "seed " + std::to_string(seed);
-    for (const std::string& finding : schedule.World().Violations()) {
-      STRCMP_EQUAL_TEXT("", finding.c_str(), label.c_str());
-    }
-    CHECK_EQUAL_TEXT(0U, schedule.World().Running(), label.c_str());
-  }
+  CheckSchedules(FaultScheduleOptions());
+}
+
+// Guards against a task that a successor starts a second time, because it was
+// started without a record.
+TEST(TakeoverFaultsTest, NoTaskRunsTwiceWhileTheLogFails)
+{
+  FaultScheduleOptions options;
+  options.mLogFails = true;
+  CheckSchedules(options);
+  options.mWorkers = kWorkersOfAllBuckets;
+  CheckSchedules(options);
 }
 
 } // namespace mulberryvalve
