--- a/mulberryvalve/app/jobs/owner_observation_test.cc
+++ b/mulberryvalve/app/jobs/owner_observation_test.cc
@@ -128,6 +128,7 @@
                                       SchedulingPolicies{ kLearned, mOrder },
                                       mClock,
                                       mMetrics,
+                                      mHeldTasks,
                                       mEvents })
   {
     ClusterConfig config;
@@ -138,6 +139,7 @@
 
   RealClock mClock;
   NoMetrics mMetrics;
+  HeldTaskMetrics mHeldTasks{ mMetrics };
   FormerRunsEvents mEvents;
   FormerOwnerPeer mPeers;
   JobLogJson mCodec;
--- a/mulberryvalve/app/jobs/ownership_record_test.cc
+++ b/mulberryvalve/app/jobs/ownership_record_test.cc
@@ -177,6 +177,7 @@
                                   SchedulingPolicies{ kLearned, mOrder },
                                   mClock,
                                   mMetrics,
+                                  mHeldTasks,
                                   mEvents })
   {
     ClusterConfig config;
@@ -198,6 +199,7 @@
   }
 
   NoMetrics mMetrics;
+  HeldTaskMetrics mHeldTasks{ mMetrics };
   SilentEvents mEvents;
   NoPeers mPeers;
   JobLogJson mCodec;
--- a/mulberryvalve/core/jobs/held_task_report.cc
+++ b/mulberryvalve/core/jobs/held_task_report.cc
@@ -179,11 +179,11 @@
 {
   const bool allResolved = mInherited.PendingCount() == 0;
   const bool due =
-    aNow >= mReportAt || mReportedAllBlocked != mInherited.BlocksAllTasks();
+    aNow >= mReportAt || mReportedUnnoted != mInherited.HasUnnotedWorkers();
   if (allResolved ? mReported == HeldTaskCounts() : !due) {
     return;
   }
-  mReportedAllBlocked = mInherited.BlocksAllTasks();
+  mReportedUnnoted = mInherited.HasUnnotedWorkers();
   mReportAt = aNow + kReportInterval;
   const HeldTaskCounts counts = allResolved ? HeldTaskCounts() : Count();
   if (counts == mReported) {
@@ -244,17 +244,14 @@
                                       const ReadyStepKey& aStep) const
 {
   const StepState& step = aJob.mOccurrences[aStep.mOccurrence][aStep.mStep];
-  if (aJob.mMayHaveFormerRuns && mInherited.BlocksAllTasks()) {
-    return step.mWaiting;
-  }
   const StepRef ref{ aJob.mGraph.mId, aStep.mOccurrence, aStep.mStep };
-  if (!mInherited.BlocksStep(ref)) {
+  if (!mInherited.HasUnnotedWorkers() && !mInherited.BlocksStep(ref)) {
     return 0;
   }
   size_t tasks = 0;
   for (uint32_t index = 0; index < step.mTasks.size(); index++) {
     const bool isWaiting = step.mTasks[index].mPhase == TaskPhase::kWaiting;
-    tasks += isWaiting && mInherited.BlocksTask(TaskRef{ ref, index }) ? 1 : 0;
+    tasks += isWaiting && MayRun(aJob, TaskRef{ ref, index }) ? 1 : 0;
   }
   return tasks;
 }
@@ -278,8 +275,13 @@
       task->mPhase != TaskPhase::kWaiting) {
     return false;
   }
-  return (job->mMayHaveFormerRuns && mInherited.BlocksAllTasks()) ||
-         mInherited.BlocksTask(aTask);
+  return MayRun(*job, aTask);
+}
+
+bool HeldTaskReport::MayRun(const JobEntry& aJob, const TaskRef& aTask) const
+{
+  return mInherited.MayRun(
+    aTask, aJob.mGraph.mSteps[aTask.mStep.mStep], aJob.mMayHaveFormerRuns);
 }
 
 void HeldTaskReport::CountWorkers(HeldTaskCounts& aCounts) const
--- a/mulberryvalve/core/jobs/held_task_report.h
+++ b/mulberryvalve/core/jobs/held_task_report.h
@@ -61,7 +61,7 @@
 
   // Call Update after the inherited waits that are due have ended. Returns what
   // is to be logged: the held tasks initially, at most once a second when their
-  // counts change, at once when the last worker with unknown tasks is released
+  // counts change, at once when the last worker without a note is released
   // and when nothing is held any more; and the ends of waits, of the workers
   // that were waited for longest.
   std::vector<JobDecision> Update(MonotonicTime aNow);
@@ -97,6 +97,7 @@
   void CountEndedTasks(HeldTaskCounts& aCounts) const;
   void CountWorkers(HeldTaskCounts& aCounts) const;
   bool IsHeld(const TaskRef& aTask) const;
+  bool MayRun(const JobEntry& aJob, const TaskRef& aTask) const;
 
   const JobTable& mJobs;
   const WorkerTable& mWorkers;
@@ -113,7 +114,7 @@
   // The counts that were last logged, and when to count again.
   HeldTaskCounts mReported;
   MonotonicTime mReportAt;
-  bool mReportedAllBlocked = false;
+  bool mReportedUnnoted = false;
 };
 
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/held_task_report_test.cc
+++ b/mulberryvalve/core/jobs/held_task_report_test.cc
@@ -44,12 +44,17 @@
     mJobs.Add(graph)->mMayHaveFormerRuns = true;
   }
 
+  // Without a note of its tasks, the records of all tasks name the worker.
   void Inherit(const std::string& aWorker, InheritedWorker aInherited)
   {
     const WorkerId id(aWorker);
+    const bool hasTasksNoted = aInherited.mPossibleTasks.has_value();
     mWorkers.Add(id).mListed = false;
     mInherited.Add(id, std::move(aInherited));
     mReport.OnInherited(id);
+    for (uint32_t index = 0; !hasTasksNoted && index < kTasks; index++) {
+      mInherited.AddRecordedTask(id, Task(index));
+    }
   }
 
   void Answer(const std::string& aWorker, int aMilliseconds)
@@ -141,8 +146,8 @@
         EvidenceOfNote(InheritedWorker{ At(9), tasks, false }));
 }
 
-// Which workers hold all tasks back for lack of a note, and whose wait has an
-// assumed length.
+// Which workers hold back what their records name for lack of a note, and whose
+// wait has an assumed length.
 TEST(HeldTaskReportTest, WorkersAreCountedByWhatIsKnownOfThem)
 {
   mTakeover.Inherit("a", InheritedWorker{ At(9000), std::nullopt, true });
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -7,6 +7,7 @@
 #include "mulberryvalve/core/jobs/cluster_config.h"
 #include "mulberryvalve/core/jobs/cluster_usage.h"
 #include "mulberryvalve/core/jobs/former_owners.h"
+#include "mulberryvalve/core/jobs/held_starts.h"
 #include "mulberryvalve/core/jobs/held_task_report.h"
 #include "mulberryvalve/core/jobs/inherited_workers.h"
 #include "mulberryvalve/core/jobs/job_decision.h"
@@ -43,7 +44,7 @@
 
   // RestoreJob restores a job that was submitted before the claim, with its
   // durable progress or null. RestoreWorker restores a worker that former
-  // owners used.
+  // owners used. Restore all workers before the first job.
   void RestoreJob(JobGraph aGraph, const JobRecord* aRecord);
   void RestoreWorker(const UsedWorkerRecord& aWorker);
 
@@ -151,7 +152,8 @@
   void RestoreProgressOffIntake(const JobRecord& aRecord);
 
   // TakeProgress returns what changed since the last call. Call OnDurable once
-  // the batch is on the log.
+  // the batch is on the log, or for each part of it in order; the next batch
+  // may be appended only after that. Then call Decide soon: starts wait for it.
   ProgressBatch TakeProgress(MonotonicTime aNow);
   void OnDurable(const ProgressBatch& aBatch);
 
@@ -329,7 +331,13 @@
   void PlaceStep(JobEntry& aJob, ReadyStepKey aStep, MonotonicTime aNow);
   void AbortPass();
   void PausePass();
-  bool CanPlace(const TaskRef& aRef, const TaskProgress& aTask) const;
+  bool PlaceTasks(JobEntry& aJob,
+                  const StepRef& aStep,
+                  uint32_t aFirst,
+                  uint32_t aInterval,
+                  MonotonicTime aNow);
+  bool CanPlace(const JobEntry& aJob, const TaskRef& aTask) const;
+  bool IsTaskBlocked(const JobEntry& aJob, const TaskRef& aTask) const;
   bool PlaceTask(JobEntry& aJob, const TaskRef& aTask, MonotonicTime aNow);
   void PlaceGang(JobEntry& aJob, const StepRef& aStep, MonotonicTime aNow);
   PlacementQuery MakePlacementQuery(const JobEntry& aJob,
@@ -339,11 +347,6 @@
                              const StepRef& aStep,
                              MonotonicTime aNow);
   void StopBestEffortTasks(const WorkerEntry& aWorker, const std::string& aWhy);
-  void OrderStart(JobEntry& aJob,
-                  const TaskRef& aTask,
-                  WorkerEntry& aWorker,
-                  RunNumber aRun,
-                  MonotonicTime aNow);
   void OrderStop(const TaskRef& aTask, const std::string& aWhy);
   TaskOrder MakeOrder(OrderKind aKind,
                       const TaskRef& aTask,
@@ -377,6 +380,23 @@
                      OrderOutcome aOutcome,
                      MonotonicTime aNow);
 
+  // Starts (shard_scheduler_starts.cc).
+  void AssignTask(const TaskRef& aTask, WorkerEntry& aWorker, RunNumber aRun);
+  void OrderStart(JobEntry& aJob,
+                  const TaskRef& aTask,
+                  WorkerEntry& aWorker,
+                  RunNumber aRun,
+                  MonotonicTime aNow);
+  void HandleHeldStarts(bool aMayStart, MonotonicTime aNow);
+  void SendStarts(MonotonicTime aNow);
+  void SendStart(TaskOrder aOrder, MonotonicTime aNow);
+  bool MaySend(const HeldStart& aStart) const;
+  bool IsStartPossible(const TaskOrder& aOrder, MonotonicTime aNow) const;
+  void DropHeldStart(const TaskRef& aTask, const char* aWhy);
+  void DropHeldStartsOn(const WorkerEntry& aWorker, const char* aWhy);
+  void ForgetSettledWorkers();
+  void RestorePossibleWorkers(const JobEntry& aJob, const TaskRecord& aRecord);
+
   void ReleaseTask(const TaskRef& aTask);
   void AvoidWorker(WorkerEntry& aWorker,
                    MonotonicTime aUntil,
@@ -431,6 +451,7 @@
   std::vector<Epoch> mEndedClaims;
   InheritedWorkers mInheritedWorkers;
   HeldTaskReport mHeldTasks;
+  HeldStarts mHeldStarts;
   UnreadJobs mUnreadJobs;
   MonotonicTime mRefreshNotesAt;
   // A list of workers was received.
@@ -448,6 +469,8 @@
   std::map<TaskRef, MonotonicTime> mResendStopAt;
   // When to send the stop of an unwanted run again.
   std::map<UnwantedRun, MonotonicTime> mUnwantedStopAt;
+  // The workers to free for lasting tasks after the present pass.
+  std::vector<WorkerId> mPreempted;
   std::vector<TaskOrder> mPendingOrders;
   std::vector<JobDecision> mDecisions;
   // Most of the workers' processors were unused when the pass began.
--- a/mulberryvalve/core/jobs/shard_scheduler_handover.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_handover.cc
@@ -177,15 +177,31 @@
 bool ShardScheduler::IsJobBlocked(const JobEntry& aJob,
                                   MonotonicTime aNow) const
 {
-  return !IsOwnershipProvedFor(aJob, aNow) ||
-         (aJob.mMayHaveFormerRuns && mInheritedWorkers.BlocksAllTasks());
+  return !IsOwnershipProvedFor(aJob, aNow);
+}
+
+// Returns whether a run that a former owner started may be left of a task: on a
+// worker that its record or a note names, or on one to which the start may have
+// been sent without a record.
+bool ShardScheduler::IsTaskBlocked(const JobEntry& aJob,
+                                   const TaskRef& aTask) const
+{
+  return mInheritedWorkers.MayRun(
+    aTask, aJob.mGraph.mSteps[aTask.mStep.mStep], aJob.mMayHaveFormerRuns);
 }
 
 bool ShardScheduler::IsStepBlocked(const JobEntry& aJob,
                                    const StepRef& aStep,
                                    MonotonicTime aNow) const
 {
-  return IsJobBlocked(aJob, aNow) || mInheritedWorkers.BlocksStep(aStep);
+  const StepState& step = mJobTable.StepOf(aStep);
+  for (uint32_t index = 0; index < step.mTasks.size(); index++) {
+    if (step.mTasks[index].mPhase == TaskPhase::kWaiting &&
+        IsTaskBlocked(aJob, TaskRef{ aStep, index })) {
+      return true;
+    }
+  }
+  return IsJobBlocked(aJob, aNow);
 }
 
 void ShardScheduler::ReportHeldTasks(MonotonicTime aNow)
--- a/mulberryvalve/core/jobs/shard_simulation_fake.h
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.h
@@ -252,6 +252,7 @@
 
   void StepWorker(SimulatedWorker& aWorker);
   void StepOwner(SimulatedOwner& aOwner);
+  void DecideAndDeliver(SimulatedOwner& aOwner, const OwnershipProof& aProof);
   void ReadIntake(SimulatedOwner& aOwner);
   static FormerOwner RecordOf(const SimulatedOwner& aOwner);
   SimulatedAppend NextAppend(SimulatedOwner& aOwner) const;
@@ -267,7 +268,7 @@
   bool IsListeningAt(const WorkerId& aWorker, const Endpoint& aEndpoint) const;
   void CheckStart(const SimulatedWorker& aWorker, const TaskRef& aTask);
   const StepSpec& SpecOf(const TaskRef& aTask) const;
-  void Persist(SimulatedOwner& aOwner);
+  bool Persist(SimulatedOwner& aOwner);
   void Store(const ProgressBatch& aBatch);
 
   const LearnedPlacementPolicy mLearnedPlacement;
