--- a/mulberryvalve/core/jobs/held_starts_test.cc
+++ b/mulberryvalve/core/jobs/held_starts_test.cc
@@ -217,16 +217,20 @@
 
 TEST(RecordedStartsTest, LeavingWorkerGetsNoHeldStart)
 {
-  mSim.SetAppendsFail(true);
-  mWorld->Submit(LongRunningJob("lasting", 1, 4000));
-  mWorld->RunFor(Milliseconds(100));
-  const WorkerId leaving = mSim.ChargedWorker();
-  mWorld->Drain(leaving, Milliseconds(20000));
-  mWorld->RunFor(Milliseconds(40));
-  mSim.SetAppendsFail(false);
-  mWorld->RunFor(kSettleTime);
-  CHECK_EQUAL(1U, mSim.mStarts.size());
-  CHECK(mSim.mStarts[0].mWorker != leaving);
+  for (const JobGraph& job :
+       { LongRunningJob("lasting", 1, 4000), OneStepJob("batch", 1, 4000) }) {
+    CountedSimulation sim{ 4 };
+    sim.SetAppendsFail(true);
+    sim.mSim->Submit(job);
+    sim.mSim->RunFor(Milliseconds(100));
+    const WorkerId leaving = sim.ChargedWorker();
+    sim.mSim->Drain(leaving, Milliseconds(20000));
+    sim.mSim->RunFor(Milliseconds(40));
+    sim.SetAppendsFail(false);
+    sim.mSim->RunFor(kSettleTime);
+    CHECK_EQUAL(1U, sim.mStarts.size());
+    CHECK(sim.mStarts[0].mWorker != leaving);
+  }
 }
 
 TEST(RecordedStartsTest, RestartedWorkerGetsNoHeldStartOfItsFormerIncarnation)
@@ -273,6 +277,67 @@
   CHECK_EQUAL(4U, mWorld->Running());
 }
 
+// A batch is appended in several parts if it is large.
+TEST_GROUP(SplitProgressTest)
+{
+  CountedSimulation mSim{ 4 };
+  MonotonicTime mNow;
+  ProgressBatch mBatch;
+
+  // Submits a job with ten startable tasks, the first six in part 0 of its
+  // progress and the others in part 1, and decides on them.
+  void Submit(bool aGang)
+  {
+    mSim.SetAppendsFail(true);
+    mNow = mSim.mSim->Now();
+    ShardScheduler& shard = *mSim.Owner().mShard;
+    JobGraph job = LongRunningJob("j", 250, 99000);
+    StepSpec step = job.mSteps[0];
+    step.mCount = 10;
+    step.mDemand = Resources{ 100, 100, 0 };
+    step.mLongRunning = !aGang;
+    step.mGang = aGang;
+    job.mSteps.push_back(step);
+    job.mRules.mService = mSim.mSim->Worker(0).mInfo.mService;
+    shard.OnJobSubmitted(job, mNow, mNow);
+    CHECK_EQUAL(0U, Decide().size());
+    mBatch = shard.TakeProgress(mNow);
+    CHECK_EQUAL(2U, mBatch.mJobs.size());
+  }
+
+  std::vector<TaskOrder> Decide()
+  {
+    const OwnershipProof proof{ mNow, true };
+    return mSim.Owner().mShard->Decide(proof, mNow, WallTime{ 0 });
+  }
+
+  std::vector<TaskOrder> DecideAfterPart(size_t aPart)
+  {
+    ProgressBatch written;
+    written.mJobs.push_back(mBatch.mJobs[aPart]);
+    mSim.Owner().mShard->OnDurable(written);
+    return Decide();
+  }
+};
+
+TEST(SplitProgressTest, StartWaitsForThePartThatHasItsTask)
+{
+  Submit(false);
+  const std::vector<TaskOrder> ofLast = DecideAfterPart(1);
+  CHECK_EQUAL(4U, ofLast.size());
+  for (const TaskOrder& order : ofLast) {
+    CHECK(order.mTask.mIndex >= 6);
+  }
+  CHECK_EQUAL(6U, DecideAfterPart(0).size());
+}
+
+TEST(SplitProgressTest, GangWaitsForAllItsParts)
+{
+  Submit(true);
+  CHECK_EQUAL(0U, DecideAfterPart(1).size());
+  CHECK_EQUAL(10U, DecideAfterPart(0).size());
+}
+
 TEST_GROUP(UnrecordedStartsOfOwnerTest)
 {
   CountedSimulation mSim{ 48 };
