--- a/mulberryvalve/app/jobs/recorded_starts_test.cc
+++ b/mulberryvalve/app/jobs/recorded_starts_test.cc
@@ -22,7 +22,7 @@
 {
   int number = 0;
   while (true) {
-    const std::string id = "job" + std::to_string(number++);
+    std::string id = "job" + std::to_string(number++);
     const TaskRef task{ { JobId(id), 0, 0 }, aIndex };
     if (MayStartUnrecorded(task, kWorker) == aMayStart) {
       return id;
