--- a/mulberryvalve/core/jobs/shard_simulation_fake.cc
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.cc
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr Milliseconds kTick{ 20 };
-constexpr Milliseconds kStopDuration{ 200 };
 // Enough for a burst of starts, which a window lets out in several appends.
 constexpr int kAppendsPerTick = 10;
 const ServiceId kService("service");
@@ -208,29 +207,6 @@
   return std::next(mWorkers.begin(), static_cast<long>(aIndex))->second;
 }
 
-void ShardSimulation::StepWorker(SimulatedWorker& aWorker)
-{
-  std::vector<std::pair<TaskRef, EndKind>> ends;
-  const bool leaseExpired =
-    aWorker.mLeaseEnd.mMilliseconds <= aWorker.ClockAt(mNow).mMilliseconds;
-  for (const auto& [task, run] : aWorker.mRuns) {
-    if (run.mEndsAt <= mNow) {
-      ends.emplace_back(task, run.mStopping ? EndKind::kStopped : run.mEnd);
-    } else if (leaseExpired) {
-      ends.emplace_back(task, EndKind::kLapsed);
-    }
-  }
-  for (const auto& [task, endKind] : ends) {
-    // The end of another gang member may have ended it already.
-    if (aWorker.mRuns.count(task) != 0) {
-      End(aWorker, task, endKind);
-    }
-  }
-  if (leaseExpired) {
-    aWorker.mExpiredUpTo = aWorker.mLastEnd;
-  }
-}
-
 void ShardSimulation::StepOwner(SimulatedOwner& aOwner)
 {
   ReadIntake(aOwner);
@@ -366,68 +342,6 @@
   }
 }
 
-OrderReply ShardSimulation::Apply(SimulatedWorker& aWorker,
-                                  const TaskOrder& aOrder)
-{
-  OrderReply reply;
-  reply.mReading.mClock = aWorker.ClockAt(mNow);
-  if (mOrderRepliesTellIncarnation) {
-    reply.mReading.mWorkerIncarnation = aWorker.mWorkerIncarnation;
-  }
-  if (aOrder.mEpoch < aWorker.mFencingEpoch) {
-    reply.mOutcome = OrderOutcome::kFenced;
-    return reply;
-  }
-  aWorker.mFencingEpoch = aOrder.mEpoch;
-  reply.mOutcome = OrderOutcome::kAccepted;
-  const auto run = aWorker.mRuns.find(aOrder.mTask);
-  switch (aOrder.mKind) {
-    case OrderKind::kStart:
-      reply.mOutcome = Start(aWorker, aOrder);
-      break;
-    case OrderKind::kStop:
-      if (run != aWorker.mRuns.end() && run->second.mRun <= aOrder.mRun) {
-        run->second.mStopping = true;
-        run->second.mEndsAt =
-          std::min(run->second.mEndsAt, mNow + kStopDuration);
-      }
-      aWorker.mLastClosedRun[aOrder.mTask] =
-        std::max(aWorker.mLastClosedRun[aOrder.mTask], aOrder.mRun);
-      break;
-    case OrderKind::kPace:
-      if (run != aWorker.mRuns.end() && run->second.mRun == aOrder.mRun) {
-        run->second.mPacePercent = aOrder.mPercent;
-      }
-      break;
-  }
-  return reply;
-}
-
-OrderOutcome ShardSimulation::Start(SimulatedWorker& aWorker,
-                                    const TaskOrder& aOrder)
-{
-  const int64_t clockMs = aWorker.ClockAt(mNow).mMilliseconds;
-  if (aOrder.mUntil.mMilliseconds <= clockMs) {
-    return OrderOutcome::kTooLate;
-  }
-  if (aOrder.mRun <= aWorker.mLastClosedRun[aOrder.mTask]) {
-    return OrderOutcome::kOutdated;
-  }
-  aWorker.mLeaseEnd.mMilliseconds = std::max(
-    aWorker.mLeaseEnd.mMilliseconds,
-    std::min(aOrder.mUntil.mMilliseconds, clockMs + kMaxSimulatedLeaseMs));
-  CheckStart(aWorker, aOrder.mTask);
-  SimulatedRun run;
-  run.mRun = aOrder.mRun;
-  run.mStartedAt = mNow;
-  run.mEndsAt = mNow + mDurationOf(aOrder.mTask);
-  run.mEnd = mFailingWorkers.count(aOrder.mWorker) != 0
-               ? EndKind::kFailed
-               : mEndKindOf(aOrder.mTask, aOrder.mRun);
-  aWorker.mRuns[aOrder.mTask] = run;
-  return OrderOutcome::kAccepted;
-}
-
 void ShardSimulation::CheckStart(const SimulatedWorker& aWorker,
                                  const TaskRef& aTask)
 {
--- a/mulberryvalve/core/jobs/shard_simulation_workers.cc
+++ b/mulberryvalve/core/jobs/shard_simulation_workers.cc
@@ -1,11 +1,16 @@
 // The life cycle of ShardSimulation's workers: draining, exits, restarts, lost
-// connections and address changes, and the ends of their runs.
+// connections and address changes, and what they do with orders and runs.
 #include "mulberryvalve/core/jobs/shard_simulation_fake.h"
 
 #include <algorithm>
 #include <utility>
 
 namespace mulberryvalve {
+namespace {
+
+constexpr Milliseconds kStopDuration{ 200 };
+
+} // namespace
 
 WorkerTime SimulatedWorker::ClockAt(MonotonicTime aNow) const
 {
@@ -221,4 +226,89 @@
   }
 }
 
+void ShardSimulation::StepWorker(SimulatedWorker& aWorker)
+{
+  std::vector<std::pair<TaskRef, EndKind>> ends;
+  const bool leaseExpired =
+    aWorker.mLeaseEnd.mMilliseconds <= aWorker.ClockAt(mNow).mMilliseconds;
+  for (const auto& [task, run] : aWorker.mRuns) {
+    if (run.mEndsAt <= mNow) {
+      ends.emplace_back(task, run.mStopping ? EndKind::kStopped : run.mEnd);
+    } else if (leaseExpired) {
+      ends.emplace_back(task, EndKind::kLapsed);
+    }
+  }
+  for (const auto& [task, endKind] : ends) {
+    // The end of another gang member may have ended it already.
+    if (aWorker.mRuns.count(task) != 0) {
+      End(aWorker, task, endKind);
+    }
+  }
+  if (leaseExpired) {
+    aWorker.mExpiredUpTo = aWorker.mLastEnd;
+  }
+}
+
+OrderReply ShardSimulation::Apply(SimulatedWorker& aWorker,
+                                  const TaskOrder& aOrder)
+{
+  OrderReply reply;
+  reply.mReading.mClock = aWorker.ClockAt(mNow);
+  if (mOrderRepliesTellIncarnation) {
+    reply.mReading.mWorkerIncarnation = aWorker.mWorkerIncarnation;
+  }
+  if (aOrder.mEpoch < aWorker.mFencingEpoch) {
+    reply.mOutcome = OrderOutcome::kFenced;
+    return reply;
+  }
+  aWorker.mFencingEpoch = aOrder.mEpoch;
+  reply.mOutcome = OrderOutcome::kAccepted;
+  const auto run = aWorker.mRuns.find(aOrder.mTask);
+  switch (aOrder.mKind) {
+    case OrderKind::kStart:
+      reply.mOutcome = Start(aWorker, aOrder);
+      break;
+    case OrderKind::kStop:
+      if (run != aWorker.mRuns.end() && run->second.mRun <= aOrder.mRun) {
+        run->second.mStopping = true;
+        run->second.mEndsAt =
+          std::min(run->second.mEndsAt, mNow + kStopDuration);
+      }
+      aWorker.mLastClosedRun[aOrder.mTask] =
+        std::max(aWorker.mLastClosedRun[aOrder.mTask], aOrder.mRun);
+      break;
+    case OrderKind::kPace:
+      if (run != aWorker.mRuns.end() && run->second.mRun == aOrder.mRun) {
+        run->second.mPacePercent = aOrder.mPercent;
+      }
+      break;
+  }
+  return reply;
+}
+
+OrderOutcome ShardSimulation::Start(SimulatedWorker& aWorker,
+                                    const TaskOrder& aOrder)
+{
+  const int64_t clockMs = aWorker.ClockAt(mNow).mMilliseconds;
+  if (aOrder.mUntil.mMilliseconds <= clockMs) {
+    return OrderOutcome::kTooLate;
+  }
+  if (aOrder.mRun <= aWorker.mLastClosedRun[aOrder.mTask]) {
+    return OrderOutcome::kOutdated;
+  }
+  aWorker.mLeaseEnd.mMilliseconds = std::max(
+    aWorker.mLeaseEnd.mMilliseconds,
+    std::min(aOrder.mUntil.mMilliseconds, clockMs + kMaxSimulatedLeaseMs));
+  CheckStart(aWorker, aOrder.mTask);
+  SimulatedRun run;
+  run.mRun = aOrder.mRun;
+  run.mStartedAt = mNow;
+  run.mEndsAt = mNow + mDurationOf(aOrder.mTask);
+  run.mEnd = mFailingWorkers.count(aOrder.mWorker) != 0
+               ? EndKind::kFailed
+               : mEndKindOf(aOrder.mTask, aOrder.mRun);
+  aWorker.mRuns[aOrder.mTask] = run;
+  return OrderOutcome::kAccepted;
+}
+
 } // namespace mulberryvalve
