Starts end early enough for a restarted worker to be waited for

Starts went on for 7.1 s after the newest append, and a successor waits for 10.04 s: tasks ran twice for over a second (both tests of late_starts_test that restart a worker failed with "two runs"). Starts now go on while the longest lease from now on still ends within the bound: 3.2 s after the newest append where leases last for 6 s at most, checked again when a start is sent.

--- a/mulberryvalve/core/jobs/shard_scheduler_placement.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_placement.cc
@@ -41,9 +41,10 @@
   RemoveGoneWorkers(aNow);
   RefreshHandoverNotes(aNow);
   EvacuateLeavingWorkers(aNow);
-  HandleHeldStarts(aProof.mMayStart, aNow);
+  const bool mayStart = aProof.mMayStart && mWorkers.MayStart(aNow);
+  HandleHeldStarts(mayStart, aNow);
   mJobTable.AddDueSteps(aWallTime);
-  if (!aProof.mMayStart || !mWorkers.MayStart(aNow)) {
+  if (!mayStart) {
     AbortPass();
   } else if (mWindow.IsFull()) {
     mWindow.OnStartDeferred();
@@ -81,7 +82,7 @@
     return true;
   }
   const WorkerEntry* worker = mWorkers.Find(aOrder.mWorker);
-  if (worker == nullptr || worker->mSilent ||
+  if (worker == nullptr || worker->mSilent || !mWorkers.MayStart(aNow) ||
       aOrder.mWorkerIncarnation != worker->mWorkerIncarnation) {
     return false;
   }
--- a/mulberryvalve/core/jobs/worker_table.cc
+++ b/mulberryvalve/core/jobs/worker_table.cc
@@ -13,6 +13,9 @@
 // that starts rarely extend a lease. No start carries less.
 constexpr Milliseconds kMinLeaseForStart{ 2500 };
 
+// From the check of a start until it arrives.
+constexpr Milliseconds kMaxStartDelay{ 300 };
+
 // An owner reads the clock of a worker that it renews every few seconds.
 constexpr Milliseconds kClockEstimateError{ 200 };
 
@@ -208,12 +211,14 @@
 {
   mLeasesEndBy =
     std::max(mLeasesEndBy,
-             aRecordedAt + MaxRealDuration(mTerms.mMaxRunsAfterProof.count()));
+             aRecordedAt + MaxRealDuration(mTerms.MaxRunsAfterProof().count()));
 }
 
 bool WorkerTable::MayStart(MonotonicTime aNow) const
 {
-  return aNow + MaxRealDuration(kMinLeaseForStart.count()) <= mLeasesEndBy;
+  const Milliseconds longest = std::max(kMinLeaseForStart, mTerms.mMaxGranted);
+  return aNow + MaxRealDuration(longest.count()) + kMaxStartDelay <=
+         mLeasesEndBy;
 }
 
 // Returns the end of a lease of the usual length, or the last time on the
@@ -274,7 +279,7 @@
 // Covers a deviation of the owner's clock too, as long as the estimate's.
 MonotonicTime WorkerTable::EndOfRunsProvedAt(MonotonicTime aRecordedAt) const
 {
-  return aRecordedAt + MaxRealDuration(mTerms.mMaxRunsAfterProof.count()) +
+  return aRecordedAt + MaxRealDuration(mTerms.MaxRunsAfterProof().count()) +
          kClockEstimateError + mTerms.mMargin;
 }
 
