A job counts as started once a start of it is sent

MarkStarted is called when a start is sent or a run is adopted, and a record that only names workers is no progress.

--- a/mulberryvalve/app/jobs/jobs_instance_fake.h
+++ b/mulberryvalve/app/jobs/jobs_instance_fake.h
@@ -118,6 +118,18 @@
     return false;
   }
 
+  // Returns whether the owner tells a phase of a job in time.
+  bool AwaitKnown(const char* aJob)
+  {
+    const MonotonicTime until = TimeAfter(kTestTimeout);
+    while (mClock.Now() < until) {
+      if (mJobs.Phase(JobId(aJob), TimeAfter(Milliseconds(300)))) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   // Checks that a small job is accepted and completes.
   void Complete(const char* aJob)
   {
--- a/mulberryvalve/core/jobs/held_starts.cc
+++ b/mulberryvalve/core/jobs/held_starts.cc
@@ -69,6 +69,12 @@
   return found == mStarts.end() ? nullptr : &found->second;
 }
 
+bool HeldStarts::HasAnyOf(const JobId& aJob) const
+{
+  const auto entry = mStarts.lower_bound(TaskRef{ StepRef{ aJob, 0, 0 }, 0 });
+  return entry != mStarts.end() && entry->first.mStep.mJob == aJob;
+}
+
 void HeldStarts::OnRecorded(const JobRecord& aRecord)
 {
   const TaskRef first{ StepRef{ aRecord.mId, 0, 0 }, 0 };
--- a/mulberryvalve/core/jobs/held_starts.h
+++ b/mulberryvalve/core/jobs/held_starts.h
@@ -37,6 +37,9 @@
   // Forgets the start of a task. Returns whether there was one.
   bool Remove(const TaskRef& aTask);
 
+  // Returns whether a start of a task of aJob is held.
+  bool HasAnyOf(const JobId& aJob) const;
+
   // Returns the start of a task, or null.
   const HeldStart* Find(const TaskRef& aTask) const;
 
--- a/mulberryvalve/core/jobs/job_table.cc
+++ b/mulberryvalve/core/jobs/job_table.cc
@@ -58,6 +58,14 @@
   return record;
 }
 
+// Returns whether a run of the task has ended. A record that only names workers
+// may be of a start that was not sent.
+bool HasEnds(const TaskRecord& aRecord)
+{
+  return aRecord.mDone || aRecord.mFailures > 0 ||
+         !aRecord.mProcessedEnds.empty() || !aRecord.mCheckpoint.Empty();
+}
+
 } // namespace
 
 JobEntry* JobTable::Add(JobGraph aGraph)
@@ -112,7 +120,7 @@
     task->mProcessedEnds = record.mProcessedEnds;
     task->mCheckpoint = record.mCheckpoint;
     task->mFormerWorkers = record.mPossibleWorkers;
-    aJob.mHasStarted = true;
+    aJob.mHasStarted = aJob.mHasStarted || HasEnds(record);
     if (record.mDone) {
       Finish(ref);
     }
@@ -193,8 +201,6 @@
   task.mRunsIn = WorkerIncarnation();
   task.mAnsweredAt = MonotonicTime();
   task.mStartedAt = MonotonicTime();
-  job.mHasStarted = true;
-  UpdateWaitingCount(job);
   if (step.mWaiting == 0) {
     step.mWaitingSince = MonotonicTime();
     mReadySteps.erase(KeyOfStep(job, aTask.mStep));
@@ -208,6 +214,13 @@
   return !isRecorded;
 }
 
+void JobTable::MarkStarted(const JobId& aJob)
+{
+  JobEntry& job = mJobs.at(aJob);
+  job.mHasStarted = true;
+  UpdateWaitingCount(job);
+}
+
 void JobTable::Unassign(const TaskRef& aTask)
 {
   JobEntry& job = mJobs.at(aTask.mStep.mJob);
--- a/mulberryvalve/core/jobs/job_table.h
+++ b/mulberryvalve/core/jobs/job_table.h
@@ -138,6 +138,10 @@
   void Unassign(const TaskRef& aTask);
   void Finish(const TaskRef& aTask);
 
+  // MarkStarted records that a start of a task of a job, which must exist, was
+  // sent or that a run of it was found.
+  void MarkStarted(const JobId& aJob);
+
   // ReadySteps returns the steps with waiting tasks that are ready, with their
   // jobs. AddDueSteps adds those of occurrences that are due at aNow.
   const std::map<ReadyStepKey, JobEntry*>& ReadySteps() const
--- a/mulberryvalve/core/jobs/job_table_test.cc
+++ b/mulberryvalve/core/jobs/job_table_test.cc
@@ -43,7 +43,10 @@
   mJobTable.Add(MakeJob("b"));
   mJobTable.Add(MakeJob("b"));
   CHECK_EQUAL(2U, Waiting());
+  // A task that is given to a worker has not been sent there yet.
   mJobTable.Assign(FirstTask("a"), WorkerId("w"), RunNumber(1));
+  CHECK_EQUAL(2U, Waiting());
+  mJobTable.MarkStarted(JobId("a"));
   CHECK_EQUAL(1U, Waiting());
   // A job whose only task waits again still counts as started.
   mJobTable.Unassign(FirstTask("a"));
@@ -59,6 +62,7 @@
   JobEntry& started = *mJobTable.Add(MakeJob("b"));
   mJobTable.Add(MakeJob("c"));
   mJobTable.Assign(FirstTask("b"), WorkerId("w"), RunNumber(1));
+  mJobTable.MarkStarted(JobId("b"));
   CHECK_EQUAL(2U, Waiting());
   cancelled.mPhase = JobPhase::kCancelled;
   mJobTable.RemoveReadySteps(cancelled);
@@ -78,6 +82,7 @@
   JobRecord begun;
   begun.mId = JobId("b");
   begun.mTasks.resize(1);
+  begun.mTasks[0].mProcessedEnds = { RunNumber(1) };
   mJobTable.Restore(*mJobTable.Add(MakeJob("b")), begun);
   CHECK_EQUAL(1U, Waiting());
   JobRecord over;
@@ -85,6 +90,13 @@
   over.mPhase = JobPhase::kFailed;
   mJobTable.Restore(*mJobTable.Add(MakeJob("c")), over);
   CHECK_EQUAL(1U, Waiting());
+  // The start that was to go to the worker may never have been sent.
+  JobRecord assigned;
+  assigned.mId = JobId("d");
+  assigned.mTasks.resize(1);
+  assigned.mTasks[0].mPossibleWorkers = { WorkerId("w") };
+  mJobTable.Restore(*mJobTable.Add(MakeJob("d")), assigned);
+  CHECK_EQUAL(2U, Waiting());
 }
 
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/shard_scheduler_reports.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_reports.cc
@@ -417,6 +417,7 @@
   if (adoptable) {
     LogDecision(DecisionKind::kTaskAdopted, row.mTask, id, row.mRun, "listed");
     AssignTask(row.mTask, aWorker, row.mRun);
+    mJobTable.MarkStarted(row.mTask.mStep.mJob);
     task->mPhase = TaskPhase::kRunning;
     task->mRunsIn = aWorker.mWorkerIncarnation;
     task->mAnsweredAt = aNow;
--- a/mulberryvalve/core/jobs/shard_scheduler_starts.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_starts.cc
@@ -37,7 +37,8 @@
   if (!aWorker.mClock) {
     return;
   }
-  const bool first = !aJob.mHasStarted && !aJob.mMayHaveFormerRuns;
+  const bool first = !aJob.mHasStarted && !aJob.mMayHaveFormerRuns &&
+                     !mHeldStarts.HasAnyOf(aJob.mGraph.mId);
   const bool isTolerated =
     HasWaitedTooLong(aJob, mJobTable.StepOf(aTask.mStep), aNow);
   AssignTask(aTask, aWorker, aRun);
@@ -125,6 +126,7 @@
     return;
   }
   mHeldStarts.Remove(aOrder.mTask);
+  mJobTable.MarkStarted(aOrder.mTask.mStep.mJob);
   aOrder.mUntil = *leaseEnd;
   worker.mStartsInFlight++;
   mPendingOrders.push_back(std::move(aOrder));
