--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -391,6 +391,7 @@
   void SendStarts(MonotonicTime aNow);
   void SendStart(TaskOrder aOrder, MonotonicTime aNow);
   bool MaySend(const HeldStart& aStart) const;
+  bool IsPermitted(const TaskOrder& aOrder, const WorkerInfo& aWorker) const;
   bool IsStartPossible(const TaskOrder& aOrder, MonotonicTime aNow) const;
   void DropHeldStart(const TaskRef& aTask, const char* aWhy);
   void DropHeldStartsOn(const WorkerEntry& aWorker, const char* aWhy);
--- a/mulberryvalve/core/jobs/shard_scheduler_starts.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_starts.cc
@@ -154,7 +154,17 @@
   const WorkerEntry& worker = *mWorkers.Find(aOrder.mWorker);
   return worker.mListed && worker.mInfo.mState == WorkerState::kLive &&
          worker.mHasReportedRuns && worker.mRecorded &&
-         !worker.mHasHandoverNote;
+         !worker.mHasHandoverNote && IsPermitted(aOrder, worker.mInfo);
+}
+
+// Returns whether the configuration allows a start where it was decided, which
+// may have changed since.
+bool ShardScheduler::IsPermitted(const TaskOrder& aOrder,
+                                 const WorkerInfo& aWorker) const
+{
+  const JobEntry& job = *mJobTable.Find(aOrder.mTask.mStep.mJob);
+  return mConfig.mExcludedDomains.count(aWorker.mDomain) == 0 &&
+         RulesOf(job).mService == aWorker.mService;
 }
 
 // Takes a task whose start was not sent off its worker, and with it the other
