--- a/mulberryvalve/app/jobs/shard_runtime_writer.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_writer.cc
@@ -16,7 +16,7 @@
 constexpr Milliseconds kWriterInterval{ 100 };
 // Minimum time between two appends. Changes made in the meantime are written by
 // one append.
-constexpr Milliseconds kAppendInterval{ 25 };
+constexpr Milliseconds kAppendInterval{ 10 };
 constexpr Milliseconds kAppendRetryDelay{ 150 };
 // An owner whose newest record is older appends it though nothing else changed,
 // so that its leases can be renewed for their full length.
