The first renewal of a schedule wakes its sender, whatever the compiler

Cause: SetRenewal compared set.insert(..).first with set.begin() in one expression. The order of the two calls is unspecified; g++ on x86-64 reads begin() first, which is end() of the empty set then. So the sending thread was never woken and no worker was ever asked. Seen with lines in a scratch copy: renewals were requested for 48 workers, the thread's loop ran at the start only.

The test fails on this machine without the change (SetRenewal returns false).

--- a/mulberryvalve/app/jobs/worker_send_schedule.cc
+++ b/mulberryvalve/app/jobs/worker_send_schedule.cc
@@ -18,7 +18,8 @@
     return false;
   }
   key.emplace(*aDueAt, aWorker);
-  return mRenewals.insert(*key).first == mRenewals.begin();
+  const auto renewal = mRenewals.insert(*key).first;
+  return renewal == mRenewals.begin();
 }
 
 bool WorkerSendSchedule::SetOrder(Place& aPlace,
--- a/mulberryvalve/app/jobs/worker_send_schedule_test.cc
+++ b/mulberryvalve/app/jobs/worker_send_schedule_test.cc
@@ -200,6 +200,21 @@
 
 TEST_GROUP(WorkerSendSchedule){};
 
+// Guards against a sender that sleeps on and never asks a worker: whether the
+// first renewal is due before all others was left to the order in which the
+// compiler evaluates two calls, and was false on x86-64.
+TEST(WorkerSendSchedule, TheFirstRenewalWakesTheSender)
+{
+  const WorkerId worker("w");
+  const WorkerId other("x");
+  WorkerSendSchedule schedule;
+  WorkerSendSchedule::Place place;
+  WorkerSendSchedule::Place otherPlace;
+  CHECK(schedule.SetRenewal(place, worker, At(Milliseconds(20))));
+  CHECK_FALSE(schedule.SetRenewal(otherPlace, other, At(Milliseconds(30))));
+  CHECK(schedule.SetRenewal(otherPlace, other, At(Milliseconds(10))));
+}
+
 // Guards against an owner that falls behind and stays behind: each renewal that
 // was answered was due again at once and went before all starts, which waited
 // for seconds while the ends came one a reply.
