A successor restores each job's progress under its own id, whatever the compiler

Cause: MergePart(records[record->mId], std::move(*record)) takes the part by value. The order in which arguments are evaluated is unspecified; g++ on x86-64 builds the last one first, so the id was read from a record that had been moved away, and the progress of all jobs was merged under one empty id. On arm64 the first argument is evaluated first.

Five test programs failed on x86-64 and are the guard: shard_runtime_test, jobs_test, large_job_test, retired_jobs_test, stuck_owner_test (late_starts_test too, as known). A search of all statements that move from an object and name it again found no other.

--- a/mulberryvalve/app/jobs/shard_runtime_readers.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_readers.cc
@@ -199,7 +199,8 @@
     if (!item) {
       LogFailure("progress_record", item.error());
     } else if (auto* record = std::get_if<JobRecord>(&item.value())) {
-      MergePart(records[record->mId], std::move(*record));
+      JobRecord& merged = records[record->mId];
+      MergePart(merged, std::move(*record));
     } else if (auto* worker = std::get_if<UsedWorkerRecord>(&item.value())) {
       aShard.RestoreWorker(*worker);
     } else if (auto* learned = std::get_if<LearnedRecord>(&item.value())) {
