--- a/mulberryvalve/app/jobs/decision_metrics.cc
+++ b/mulberryvalve/app/jobs/decision_metrics.cc
@@ -26,6 +26,9 @@
     case DecisionKind::kWorkerSilent:
       mMetrics.Add(Counter::kWorkersSilent, 1);
       break;
+    case DecisionKind::kStartUnrecorded:
+      mMetrics.Add(Counter::kStartsUnrecorded, 1);
+      break;
     case DecisionKind::kTasksHeld:
       mMetrics.Add(Counter::kTasksHeldBack, aDecision.mHeldTasks);
       break;
--- a/mulberryvalve/app/jobs/shard_membership.cc
+++ b/mulberryvalve/app/jobs/shard_membership.cc
@@ -175,6 +175,7 @@
   if (mIsStopping || aSentAt < mStateChangedAt) {
     return;
   }
+  LogViewIfChanged(aView);
   mIsOwnerStale = false;
   mOwner.reset();
   if (aView.mOwner) {
@@ -319,6 +320,7 @@
     LogEvent("group_reached",
              { { "generation", std::to_string(aShare.mGeneration.Value()) } });
   }
+  LogDealIfChanged(aShare);
   mGeneration = aShare.mGeneration;
   if (mIsStopping || mState != MemberState::kMember) {
     return;
--- a/mulberryvalve/app/jobs/shard_membership.h
+++ b/mulberryvalve/app/jobs/shard_membership.h
@@ -106,6 +106,8 @@
   void StopRuntime() MV_REQUIRES(mMutex);
   void RemoveEndedRuntimes();
   void UpdateOwnedGauge();
+  void LogViewIfChanged(const GroupView& aView) MV_REQUIRES(mMutex);
+  void LogDealIfChanged(const GroupAssignment& aShare) MV_REQUIRES(mMutex);
   void OnCallFailed(const char* aCall, const Failure& aFailure);
   void LogFailure(const char* aCall, const Failure& aFailure);
   void LogEvent(std::string_view aName, std::vector<EventField> aFields);
@@ -142,6 +144,8 @@
   MonotonicTime mLastCheckAt MV_GUARDED_BY(mMutex);
   // How long a member without the shard waits for the owner to hand it over.
   MonotonicTime mAssignmentDeadline MV_GUARDED_BY(mMutex);
+  // The members that were last logged.
+  std::string mLoggedMembers MV_GUARDED_BY(mMutex);
   // When the owner was last asked only to observe it.
   std::optional<MonotonicTime> mObservedAt MV_GUARDED_BY(mMutex);
   // Acquired after mMutex, if both are.
--- a/mulberryvalve/app/jobs/shard_membership_reporting.cc
+++ b/mulberryvalve/app/jobs/shard_membership_reporting.cc
@@ -4,6 +4,14 @@
 #include <utility>
 
 namespace mulberryvalve {
+namespace {
+
+std::string TextOf(const Endpoint& aPeer)
+{
+  return aPeer.mAddress + ":" + std::to_string(aPeer.mPort);
+}
+
+} // namespace
 
 void ShardMembership::UpdateOwnedGauge()
 {
@@ -11,6 +19,33 @@
                       static_cast<int64_t>(mBalancer.CountHeld()));
 }
 
+void ShardMembership::LogViewIfChanged(const GroupView& aView)
+{
+  const std::string owner =
+    aView.mOwner ? TextOf(aView.mOwner->mPeer) : std::string("none");
+  std::string others;
+  for (const GroupMember& member : aView.mOthers) {
+    others += (others.empty() ? "" : " ") + TextOf(member.mPeer);
+  }
+  std::string members = owner + " " + others;
+  if (mLoggedMembers != members) {
+    mLoggedMembers = std::move(members);
+    LogEvent("group_members", { { "owner", owner }, { "others", others } });
+  }
+}
+
+void ShardMembership::LogDealIfChanged(const GroupAssignment& aShare)
+{
+  if (aShare.mGeneration == mGeneration) {
+    return;
+  }
+  LogEvent("group_dealt",
+           { { "generation", std::to_string(aShare.mGeneration.Value()) },
+             { "before", std::to_string(mGeneration.Value()) },
+             { "holds", aShare.mHoldsShard ? "yes" : "no" },
+             { "only_member", aShare.mIsOnlyMember ? "yes" : "no" } });
+}
+
 // Logs only the first of several consecutive failures.
 void ShardMembership::OnCallFailed(const char* aCall, const Failure& aFailure)
 {
--- a/mulberryvalve/core/jobs/held_starts_test.cc
+++ b/mulberryvalve/core/jobs/held_starts_test.cc
@@ -380,6 +380,19 @@
   STRCMP_EQUAL("", mWorld.AllViolations().c_str());
 }
 
+// Guards against not knowing whether the buckets of a take-over hold anything.
+TEST(UnrecordedStartsOfOwnerTest, EachStartWithoutARecordIsTold)
+{
+  SubmitWithoutLog(96);
+  mWorld->RunFor(Milliseconds(980));
+  size_t told = 0;
+  for (const JobDecision& decision : mSim.Owner().mShard->TakeDecisions()) {
+    told += decision.mKind == DecisionKind::kStartUnrecorded ? 1 : 0;
+  }
+  CHECK(told > 0);
+  CHECK_EQUAL(mSim.mStarts.size(), told);
+}
+
 // Nothing of these starts is on the log. A successor still repeats none of
 // them, and holds back no more than their buckets.
 TEST(UnrecordedStartsOfOwnerTest, SuccessorHoldsBackTheBucketsOfDarkWorkers)
--- a/mulberryvalve/core/jobs/job_decision.h
+++ b/mulberryvalve/core/jobs/job_decision.h
@@ -32,10 +32,11 @@
   kWorkerFenced,    // it follows a newer owner
   kWorkerPaced,     // the pace of its best-effort tasks changed
   kTasksHeld, // tasks wait for a former owner's workers, or stopped waiting
-  kWorkerReleased, // the wait for a former owner's worker has ended
+  kWorkerReleased,  // the wait for a former owner's worker has ended
+  kStartUnrecorded, // a start was sent before the log named its worker
 };
 
-inline constexpr EnumTable<DecisionKind, 20> kDecisionKindNames{ { {
+inline constexpr EnumTable<DecisionKind, 21> kDecisionKindNames{ { {
   { DecisionKind::kJobKnown, "job_known" },
   { DecisionKind::kJobCancelled, "job_cancelled" },
   { DecisionKind::kJobOver, "job_over" },
@@ -56,6 +57,7 @@
   { DecisionKind::kWorkerPaced, "worker_paced" },
   { DecisionKind::kTasksHeld, "tasks_held" },
   { DecisionKind::kWorkerReleased, "worker_released" },
+  { DecisionKind::kStartUnrecorded, "start_unrecorded" },
 } } };
 
 // WaitCause is the most frequent reason why workers are ruled out for a waiting
--- a/mulberryvalve/core/jobs/shard_scheduler_starts.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_starts.cc
@@ -115,9 +115,11 @@
 // Sends a start unless it was dropped. Its lease begins when it is sent.
 void ShardScheduler::SendStart(TaskOrder aOrder, MonotonicTime aNow)
 {
-  if (mHeldStarts.Find(aOrder.mTask) == nullptr) {
+  const HeldStart* held = mHeldStarts.Find(aOrder.mTask);
+  if (held == nullptr) {
     return;
   }
+  const bool isRecorded = held->mIsRecorded;
   WorkerEntry& worker = *mWorkers.Find(aOrder.mWorker);
   const std::optional<WorkerTime> leaseEnd =
     mWorkers.LeaseForStart(worker, aNow);
@@ -126,6 +128,13 @@
     return;
   }
   mHeldStarts.Remove(aOrder.mTask);
+  if (!isRecorded) {
+    LogDecision(DecisionKind::kStartUnrecorded,
+                aOrder.mTask,
+                aOrder.mWorker,
+                aOrder.mRun,
+                "the log takes no records");
+  }
   mJobTable.MarkStarted(aOrder.mTask.mStep.mJob);
   aOrder.mUntil = *leaseEnd;
   worker.mStartsInFlight++;
--- a/mulberryvalve/ports/out/metrics.h
+++ b/mulberryvalve/ports/out/metrics.h
@@ -85,9 +85,10 @@
   kFormerWorkersExpired,
   kFormerWorkersGone,
   kFormerWorkersShortened,
+  kStartsUnrecorded,
 };
 
-inline constexpr MetricTable<Counter, 44> kCounterNames{ { {
+inline constexpr MetricTable<Counter, 45> kCounterNames{ { {
   { Counter::kRequestsAnswered,
     "requests_answered",
     "Requests whose answer was given to the caller" },
@@ -203,6 +204,9 @@
     "former_workers_shortened",
     "Waits for a worker of former owners that lasted less long since these had "
     "ended" },
+  { Counter::kStartsUnrecorded,
+    "starts_unrecorded",
+    "Starts that were sent before the log named their worker" },
 } } };
 static_assert(kCounterNames.InOrder());
 
