A worker's record names its last user, and only such owners are waited for

Cause: a successor took every former owner for one that may have renewed leases on every worker, until that owner's newest append and 9.5 s. The second owner had never heard from the workers that were gone. The record of a worker did not say who had used it, so nothing ruled the second out.

Change: an owner names itself in a worker's record, durably, before it renews a lease or starts anything there (DeclareUse, MayBeUsed). A successor waits for a worker until the runs of those owners have ended that are not newer than the named one, or that don't name themselves (earlier versions; the claim tells, records_use). This bounds noted waits too, which were counted from the note's reading. A note about an unheard worker keeps its last user.

Why it works: an owner that is newer than the named one has no durable record there and so has sent no lease there; its appends are fenced once a successor has claimed.

Tests that set up a usable worker by hand set the new flag too.

--- a/mulberryvalve/adapters/json/job_log_json.cc
+++ b/mulberryvalve/adapters/json/job_log_json.cc
@@ -227,6 +227,9 @@
   worker.mService = ServiceId(reader.Text("service"));
   worker.mWorkerIncarnation =
     WorkerIncarnation(static_cast<uint64_t>(reader.NumberOr("birth", 0)));
+  if (reader.Has("last_user")) {
+    worker.mLastUser = Epoch(static_cast<uint64_t>(reader.Number("last_user")));
+  }
   if (reader.Has("wait_left_ms")) {
     worker.mRemainingLease = Milliseconds(reader.Number("wait_left_ms"));
   }
@@ -308,6 +311,9 @@
                { "service", aWorker.mService.Text() } };
   PutNumber(
     object, "birth", static_cast<int64_t>(aWorker.mWorkerIncarnation.Value()));
+  if (aWorker.mLastUser) {
+    object["last_user"] = aWorker.mLastUser->Value();
+  }
   if (aWorker.mRemainingLease) {
     object["wait_left_ms"] = aWorker.mRemainingLease->count();
   }
--- a/mulberryvalve/adapters/json/job_log_json_test.cc
+++ b/mulberryvalve/adapters/json/job_log_json_test.cc
@@ -237,6 +237,31 @@
 
 } // namespace
 
+// Guards against a successor that waits for owners that never used a worker, or
+// not for one that has: the record must say who used it last.
+TEST(JobLogJsonTest, LastUserOfAWorkerRoundTrips)
+{
+  UsedWorkerRecord worker = WorkerWith(std::nullopt);
+  CHECK_FALSE(RoundTrip(worker).mLastUser.has_value());
+  worker.mLastUser = Epoch(320);
+  CHECK(Epoch(320) == RoundTrip(worker).mLastUser.value());
+}
+
+// Guards against an owner of an earlier version that is taken for one that
+// names itself in each worker's record.
+TEST(JobLogJsonTest, AClaimTellsWhetherItsOwnerRecordsUse)
+{
+  const JobLogJson codec;
+  OwnershipRecord claim;
+  claim.mEpoch = Epoch(64);
+  for (const bool recordsUse : { false, true }) {
+    claim.mRecordsUse = recordsUse;
+    const auto item = codec.DecodeProgress(codec.Encode(claim));
+    CHECK_EQUAL(recordsUse,
+                std::get<OwnershipRecord>(item.value()).mRecordsUse);
+  }
+}
+
 // Guards against a duplicate start: a task missing from the worker record would
 // be started again.
 TEST(JobLogJsonTest, WorkerPossibleTasksRoundTrip)
--- a/mulberryvalve/adapters/json/ownership_json.cc
+++ b/mulberryvalve/adapters/json/ownership_json.cc
@@ -25,6 +25,9 @@
   if (aOwnership.mActiveFor) {
     object["active_for_ms"] = aOwnership.mActiveFor->count();
   }
+  if (aOwnership.mRecordsUse) {
+    object["records_use"] = true;
+  }
   return object;
 }
 
@@ -43,6 +46,7 @@
     ownership.mActiveFor =
       Milliseconds(reader.Number("active_for_ms", 0, kMaxActiveMs));
   }
+  ownership.mRecordsUse = reader.FlagOr("records_use", false);
   if (reader.Fault()) {
     return *reader.Fault();
   }
--- a/mulberryvalve/app/jobs/shard_runtime.cc
+++ b/mulberryvalve/app/jobs/shard_runtime.cc
@@ -43,7 +43,9 @@
   , mStamp(OwnershipRecord{ mOptions.mEpoch,
                             mOptions.mInstance,
                             mOptions.mPeer,
-                            mOptions.mProcess },
+                            mOptions.mProcess,
+                            std::nullopt,
+                            true },
            aPorts.mClock.Now())
   , mDelays(aPorts.mMetrics, aPorts.mClock.Now())
   , mWatchdog(aPorts.mMetrics, aPorts.mClock.Now())
--- a/mulberryvalve/app/jobs/shard_runtime_readers.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_readers.cc
@@ -207,8 +207,11 @@
       aShard.RestoreLearned(*learned);
     } else if (auto* claim = std::get_if<OwnershipRecord>(&item.value())) {
       if (claim->mEpoch < mOptions.mEpoch) {
-        aShard.RestoreFormerOwner(FormerOwner{
-          claim->mEpoch, claim->mPeer, claim->mProcess, claim->mActiveFor });
+        aShard.RestoreFormerOwner(FormerOwner{ claim->mEpoch,
+                                               claim->mPeer,
+                                               claim->mProcess,
+                                               claim->mActiveFor,
+                                               claim->mRecordsUse });
         ApplyObservation(*claim, aShard);
       }
     }
--- a/mulberryvalve/core/jobs/bounded_runs_test.cc
+++ b/mulberryvalve/core/jobs/bounded_runs_test.cc
@@ -147,6 +147,7 @@
     WorkerTable workers(terms);
     WorkerEntry& worker = workers.Add(WorkerId("w"));
     worker.mRecorded = true;
+    worker.mIsUseRecorded = true;
     worker.mClock = WorkerTime{ 50000 };
     worker.mClockReceivedAt = readAt;
     const MonotonicTime provedAt = readAt + Milliseconds(staleMs);
@@ -167,6 +168,7 @@
   WorkerTable workers{ LeaseTerms() };
   WorkerEntry& worker = workers.Add(WorkerId("w"));
   worker.mRecorded = true;
+  worker.mIsUseRecorded = true;
   worker.mClock = WorkerTime{ 50000 };
   worker.mClockReceivedAt = provedAt;
   const auto leaseAt = [&](int aMs) {
@@ -243,10 +245,10 @@
   FormerOwners owners;
   owners.Add(FormerOwner{ Epoch(1) });
   owners.OnLastProof(Epoch(1), provedAt, RunsEndEvidence::kClaimed);
-  CHECK_FALSE(owners.AllRunsEndBy(workers).has_value());
+  CHECK_FALSE(owners.RunsEndBy(std::nullopt, workers).has_value());
   owners.OnEnded(Epoch(1), provedAt);
   CHECK(workers.EndOfLeaseRequestedBy(provedAt) ==
-        owners.AllRunsEndBy(workers));
+        owners.RunsEndBy(std::nullopt, workers));
 }
 
 TEST(BoundedRunsTest, TheEarlierBoundOfAFormerOwnerCounts)
@@ -262,7 +264,8 @@
   owners.OnLastProof(Epoch(1), provedAt, RunsEndEvidence::kObserved);
   owners.OnLastProof(
     Epoch(1), provedAt + Milliseconds(50), RunsEndEvidence::kObserved);
-  CHECK(workers.EndOfRunsProvedAt(provedAt) == owners.AllRunsEndBy(workers));
+  CHECK(workers.EndOfRunsProvedAt(provedAt) ==
+        owners.RunsEndBy(std::nullopt, workers));
   owners.OnEnded(Epoch(1), provedAt + Milliseconds(9000));
   CHECK(RunsEndEvidence::kObserved == owners.EndsOfRuns(workers)[0].mEvidence);
   owners.OnEnded(Epoch(1), provedAt + Milliseconds(1000));
--- a/mulberryvalve/core/jobs/former_owners.cc
+++ b/mulberryvalve/core/jobs/former_owners.cc
@@ -1,6 +1,7 @@
 #include "mulberryvalve/core/jobs/former_owners.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace mulberryvalve {
@@ -76,15 +77,30 @@
   return ends;
 }
 
-std::optional<MonotonicTime> FormerOwners::AllRunsEndBy(
+// An owner that is newer than the last user in the worker's record has not used
+// the worker, unless it would not have recorded that.
+bool FormerOwners::MayHaveUsed(const Entry& aEntry, Epoch aLastUser)
+{
+  return aEntry.mOwner.mEpoch <= aLastUser || !aEntry.mOwner.mRecordsUse;
+}
+
+std::optional<MonotonicTime> FormerOwners::RunsEndBy(
+  std::optional<Epoch> aLastUser,
   const WorkerTable& aWorkers) const
 {
+  const Epoch any(std::numeric_limits<uint64_t>::max());
+  const bool isKnown = aLastUser && mOwners.count(*aLastUser) != 0;
+  const Epoch lastUser = isKnown ? aLastUser.value_or(any) : any;
   std::optional<MonotonicTime> last;
-  for (const RunsEnd& end : EndsOfRuns(aWorkers)) {
-    if (!end.mBy) {
+  for (const auto& [epoch, entry] : mOwners) {
+    if (!MayHaveUsed(entry, lastUser)) {
+      continue;
+    }
+    const std::optional<MonotonicTime> end = EndOfRuns(entry, aWorkers).mBy;
+    if (!end) {
       return std::nullopt;
     }
-    last = std::max(last.value_or(*end.mBy), *end.mBy);
+    last = std::max(last.value_or(*end), *end);
   }
   return last;
 }
--- a/mulberryvalve/core/jobs/former_owners.h
+++ b/mulberryvalve/core/jobs/former_owners.h
@@ -26,6 +26,8 @@
   // How long it had been active when its last append was first sent, by its own
   // clock. Unset in a record of an owner whose leases no proof bounds.
   std::optional<Milliseconds> mActiveFor{};
+  // It used no worker before the worker's record on the log named it.
+  bool mRecordsUse = false;
 };
 
 // RunsEndEvidence is what shows when the runs of a former owner have ended.
@@ -78,9 +80,12 @@
   // Returns when the runs of each owner end, by the bounds of aWorkers.
   std::vector<RunsEnd> EndsOfRuns(const WorkerTable& aWorkers) const;
 
-  // Returns when the runs of all owners have ended, or nothing if that is not
-  // known of one of them or if there is none.
-  std::optional<MonotonicTime> AllRunsEndBy(const WorkerTable& aWorkers) const;
+  // Returns when all runs have ended on a worker whose record names aLastUser,
+  // or nothing if that is not known of an owner that may have used it or if
+  // there is none. Without aLastUser, or if that owner is unknown, any owner
+  // may have.
+  std::optional<MonotonicTime> RunsEndBy(std::optional<Epoch> aLastUser,
+                                         const WorkerTable& aWorkers) const;
 
   // Returns the epochs of all owners, and forgets them.
   std::vector<Epoch> TakeAll();
@@ -95,6 +100,7 @@
   };
 
   static RunsEnd EndOfRuns(const Entry& aEntry, const WorkerTable& aWorkers);
+  static bool MayHaveUsed(const Entry& aEntry, Epoch aLastUser);
 
   std::map<Epoch, Entry> mOwners;
 };
--- a/mulberryvalve/core/jobs/held_task_report.cc
+++ b/mulberryvalve/core/jobs/held_task_report.cc
@@ -69,14 +69,11 @@
   Release(aWorker, WaitRelease::kGone, aNow);
 }
 
-void HeldTaskReport::OnAssumedWaitsLimited(MonotonicTime aUntil)
+void HeldTaskReport::OnWaitShortened(const WorkerId& aWorker)
 {
-  for (auto& [worker, wait] : mWaits) {
-    const InheritedWorker* inherited = mInherited.Find(worker);
-    if (inherited != nullptr && inherited->mIsAssumed &&
-        aUntil < inherited->mWaitUntil) {
-      wait.mIsShortened = true;
-    }
+  const auto found = mWaits.find(aWorker);
+  if (found != mWaits.end()) {
+    found->second.mIsShortened = true;
   }
 }
 
--- a/mulberryvalve/core/jobs/held_task_report.h
+++ b/mulberryvalve/core/jobs/held_task_report.h
@@ -52,9 +52,9 @@
   void OnEndsOmitted(const WorkerId& aWorker);
   void OnGone(const WorkerId& aWorker, MonotonicTime aNow);
 
-  // Records that no former owner renewed a lease that lasts beyond aUntil. Call
-  // it before the waits are shortened.
-  void OnAssumedWaitsLimited(MonotonicTime aUntil);
+  // Records that the wait for a worker was shortened by what is known of former
+  // owners. Does nothing if the worker is not waited for.
+  void OnWaitShortened(const WorkerId& aWorker);
 
   // Records the end of a run that a worker listed.
   void OnRunEnded(const RunEndReport& aRow);
--- a/mulberryvalve/core/jobs/held_task_report_test.cc
+++ b/mulberryvalve/core/jobs/held_task_report_test.cc
@@ -231,8 +231,11 @@
 {
   mTakeover.Inherit("a", InheritedWorker{ At(9000), std::nullopt, true });
   mTakeover.Inherit("b", InheritedWorker{ At(2000), Tasks{ Task(0) }, false });
-  mTakeover.mReport.OnAssumedWaitsLimited(At(4000));
-  mTakeover.mInherited.ShortenAssumedWaits(At(4000));
+  for (const WorkerId& worker : { WorkerId("a"), WorkerId("b") }) {
+    if (mTakeover.mInherited.ShortenWait(worker, At(4000))) {
+      mTakeover.mReport.OnWaitShortened(worker);
+    }
+  }
   const HeldTaskCounts counts = mTakeover.CountsAt(0);
   CHECK_EQUAL(1U, CountOf(counts, WaitEvidence::kNoNote));
   CHECK_EQUAL(0U, counts.mAssumed);
--- a/mulberryvalve/core/jobs/inherited_workers.cc
+++ b/mulberryvalve/core/jobs/inherited_workers.cc
@@ -68,6 +68,7 @@
   InheritedWorker& inherited = mWorkers.at(aWorker);
   SetWait(aWorker, inherited, std::max(inherited.mWaitUntil, aUntil));
   inherited.mIsAssumed = false;
+  inherited.mIsPostponed = true;
 }
 
 // Precondition: the wait has not ended.
@@ -80,16 +81,18 @@
   mPendingWaits.emplace(aUntil, aWorker);
 }
 
-void InheritedWorkers::ShortenAssumedWaits(MonotonicTime aUntil)
+bool InheritedWorkers::ShortenWait(const WorkerId& aWorker,
+                                   MonotonicTime aUntil)
 {
-  for (auto& [worker, inherited] : mWorkers) {
-    const bool isPending =
-      mPendingWaits.count({ inherited.mWaitUntil, worker }) != 0;
-    if (!isPending || !inherited.mIsAssumed) {
-      continue;
-    }
-    SetWait(worker, inherited, std::min(inherited.mWaitUntil, aUntil));
+  if (!MayRunTasks(aWorker)) {
+    return false;
+  }
+  InheritedWorker& inherited = mWorkers.at(aWorker);
+  if (inherited.mIsPostponed || inherited.mWaitUntil <= aUntil) {
+    return false;
   }
+  SetWait(aWorker, inherited, aUntil);
+  return true;
 }
 
 bool InheritedWorkers::HasAssumedWaits() const
--- a/mulberryvalve/core/jobs/inherited_workers.h
+++ b/mulberryvalve/core/jobs/inherited_workers.h
@@ -30,6 +30,10 @@
   // No note limits the wait, which covers the latest time at which a former
   // owner may have renewed a lease there.
   bool mIsAssumed = false;
+  // The newest former owner that may have used it, as in its record.
+  std::optional<Epoch> mLastUser{};
+  // It has answered, and its wait covers ends that it has not listed yet.
+  bool mIsPostponed = false;
 };
 
 // Not thread-safe.
@@ -60,10 +64,13 @@
   // worker is unknown.
   void MarkIdle(const WorkerId& aWorker, MonotonicTime aNow);
 
-  // Ends the waits that no note limits by aUntil at the latest, as no former
-  // owner can have renewed a lease that lasts longer. HasAssumedWaits returns
-  // whether a wait that no note limits has not ended.
-  void ShortenAssumedWaits(MonotonicTime aUntil);
+  // Ends the wait for a worker by aUntil at the latest, as no former owner can
+  // have renewed a lease there that lasts longer. Returns whether the wait was
+  // to last longer: not if the worker is unknown, its wait has ended or was
+  // postponed.
+  bool ShortenWait(const WorkerId& aWorker, MonotonicTime aUntil);
+
+  // Returns whether a wait that no note limits has not ended.
   bool HasAssumedWaits() const;
 
   // Returns the state of a worker, or null if it is unknown or was removed.
--- a/mulberryvalve/core/jobs/interference_test.cc
+++ b/mulberryvalve/core/jobs/interference_test.cc
@@ -280,6 +280,7 @@
     WorkerTable workers(terms);
     WorkerEntry& worker = workers.Add(WorkerId("w"));
     worker.mRecorded = true;
+    worker.mIsUseRecorded = true;
     worker.mClock = WorkerTime{ 1 };
     worker.mServingTasks = 1;
     worker.mBestEffortTasks = 1;
--- a/mulberryvalve/core/jobs/job_placement_policy.cc
+++ b/mulberryvalve/core/jobs/job_placement_policy.cc
@@ -187,7 +187,7 @@
   if (!aWorker.mListed || facts.mState != WorkerState::kLive) {
     return PlacementRefusal::kLeaving;
   }
-  if (!aWorker.mHasReportedRuns || aWorker.mSilent || !aWorker.mRecorded ||
+  if (!aWorker.mHasReportedRuns || aWorker.mSilent || !aWorker.MayBeUsed() ||
       aWorker.mHasHandoverNote || aWorker.mForeignDemandUnknown) {
     return PlacementRefusal::kUnsure;
   }
--- a/mulberryvalve/core/jobs/owner_chain_test.cc
+++ b/mulberryvalve/core/jobs/owner_chain_test.cc
@@ -1,6 +1,7 @@
 // Changes of owner in a row while workers are unreachable: an owner adds to the
 // wait for a worker only if it may have used that worker.
 #include "mulberryvalve/core/jobs/full_cluster_fake.h"
+#include "mulberryvalve/core/jobs/single_worker_shard_fake.h"
 
 #include "CppUTest/TestHarness.h"
 
@@ -69,4 +70,80 @@
   STRCMP_EQUAL("", Findings(EndOfRuns(lostAt)).c_str());
 }
 
+// Guards against a lease that the next owner does not know of: it is renewed
+// before the log says that this owner uses the worker (TWICE).
+TEST(OwnerChainTest, NoLeaseIsRenewedBeforeTheRecordNamesTheOwner)
+{
+  SingleWorkerShard owner;
+  UsedWorkerRecord former;
+  former.mId = kWorker;
+  former.mEndpoint = owner.mInfo.mEndpoint;
+  former.mWorkerIncarnation = WorkerIncarnation(1);
+  former.mLastUser = Epoch(64);
+  owner.mShard.RestoreWorker(former);
+  const auto asksForLease = [&owner] {
+    owner.CountStarts();
+    const auto renewal = owner.mShard.NextRenewal(kWorker, true, owner.mNow);
+    return renewal.has_value() && renewal->mUntil.has_value();
+  };
+  CHECK_FALSE(asksForLease());
+  owner.AnswerHold();
+  CHECK_FALSE(asksForLease());
+  const UsedWorkerRecord record = owner.NextRecord();
+  CHECK(ShardSchedulerOptions().mEpoch == record.mLastUser.value());
+  CHECK(asksForLease());
+}
+
+// Guards against a note of an unheard worker that names the owner that wrote
+// it.
+TEST(OwnerChainTest, TheNoteOfAnUnheardWorkerNamesItsLastUser)
+{
+  SingleWorkerShard owner;
+  UsedWorkerRecord former;
+  former.mId = kWorker;
+  former.mEndpoint = owner.mInfo.mEndpoint;
+  former.mLastUser = Epoch(64);
+  owner.mShard.RestoreWorker(former);
+  owner.mNow += Milliseconds(2500);
+  const UsedWorkerRecord note = owner.NextRecord();
+  CHECK(note.mRemainingLease.has_value());
+  CHECK(Epoch(64) == note.mLastUser.value());
+}
+
+// Guards against a wait of an owner of an earlier version that is cut short:
+// that one names itself on no worker (TWICE).
+TEST(OwnerChainTest, AnOwnerThatDoesNotNameItselfMayHaveUsedEveryWorker)
+{
+  FormerOwners owners;
+  const WorkerTable workers{ LeaseTerms() };
+  FormerOwner first{ Epoch(1) };
+  first.mActiveFor = Milliseconds(1);
+  first.mRecordsUse = true;
+  FormerOwner second = first;
+  second.mEpoch = Epoch(2);
+  second.mRecordsUse = false;
+  const MonotonicTime early{ std::chrono::seconds(100) };
+  const MonotonicTime late = early + Milliseconds(3000);
+  owners.Add(first);
+  owners.Add(second);
+  owners.OnLastProof(Epoch(1), early, RunsEndEvidence::kObserved);
+  owners.OnLastProof(Epoch(2), late, RunsEndEvidence::kObserved);
+  CHECK(EndOfRuns(late) == owners.RunsEndBy(Epoch(1), workers));
+}
+
+// Guards against a worker's record whose owner is not known any more.
+TEST(OwnerChainTest, WithoutAKnownLastUserEveryOwnerIsWaitedFor)
+{
+  FormerOwners owners;
+  const WorkerTable workers{ LeaseTerms() };
+  FormerOwner former{ Epoch(2) };
+  former.mActiveFor = Milliseconds(1);
+  former.mRecordsUse = true;
+  const MonotonicTime provedAt{ std::chrono::seconds(100) };
+  owners.Add(former);
+  owners.OnLastProof(Epoch(2), provedAt, RunsEndEvidence::kObserved);
+  CHECK(EndOfRuns(provedAt) == owners.RunsEndBy(std::nullopt, workers));
+  CHECK(EndOfRuns(provedAt) == owners.RunsEndBy(Epoch(1), workers));
+}
+
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/shard_scheduler.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler.cc
@@ -70,9 +70,11 @@
   workerState.mNoteSaysNoWait = aWorker.mRemainingLease == Milliseconds(0);
   const Milliseconds wait = aWorker.mRemainingLease.value_or(MaxFormerRuns());
   const MonotonicTime until = mClaimedAt + wait + mOptions.mLease.mMargin;
-  mInheritedWorkers.Add(
-    aWorker.mId,
-    InheritedWorker{ until, aWorker.mPossibleTasks, !aWorker.mRemainingLease });
+  mInheritedWorkers.Add(aWorker.mId,
+                        InheritedWorker{ until,
+                                         aWorker.mPossibleTasks,
+                                         !aWorker.mRemainingLease,
+                                         aWorker.mLastUser });
   mHeldTasks.OnInherited(aWorker.mId);
 }
 
@@ -108,14 +110,16 @@
 
 // Applies what became known of the former owners, once all of them are
 // restored.
-void ShardScheduler::ShortenAssumedWaits()
+void ShardScheduler::ShortenInheritedWaits()
 {
   if (!std::exchange(mFormerOwnersChanged, false)) {
     return;
   }
-  if (const auto end = mFormerOwners.AllRunsEndBy(mWorkers)) {
-    mHeldTasks.OnAssumedWaitsLimited(*end);
-    mInheritedWorkers.ShortenAssumedWaits(*end);
+  for (const auto& [worker, inherited] : mInheritedWorkers.All()) {
+    const auto end = mFormerOwners.RunsEndBy(inherited.mLastUser, mWorkers);
+    if (end && mInheritedWorkers.ShortenWait(worker, *end)) {
+      mHeldTasks.OnWaitShortened(worker);
+    }
   }
 }
 
@@ -229,7 +233,8 @@
     if (mayStart) {
       RevokeHandoverNote(workerState);
     }
-    if (!workerState.mRecorded) {
+    if (!workerState.mRecorded ||
+        (workerState.mIsUseDeclared && !workerState.mIsUseRecorded)) {
       mDirtyWorkers.insert(facts.mId);
     }
     workerState.mLeavesAt.reset();
@@ -365,6 +370,10 @@
   if (!isSameWorker) {
     return;
   }
+  if (aWorker.mLastUser == mOptions.mEpoch && !workerState->mIsUseRecorded) {
+    workerState->mIsUseRecorded = true;
+    mWorkers.MarkChanged(*workerState);
+  }
   // A handover note that was revoked in the meantime does not count as the
   // plain record that a worker in use needs.
   const bool isNote = aWorker.mRemainingLease || aWorker.mPossibleTasks;
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -225,12 +225,13 @@
   UsedWorkerRecord BuildWorkerRecord(const WorkerEntry& aWorker,
                                      MonotonicTime aNow) const;
   UsedWorkerRecord TakeWorkerRecord(WorkerEntry& aWorker, MonotonicTime aNow);
+  void DeclareUse(WorkerEntry& aWorker);
   void RevokeHandoverNote(WorkerEntry& aWorker);
   void RefreshHandoverNotes(MonotonicTime aNow);
   void RefreshInheritedNotes(MonotonicTime aNow);
   void RefreshNoteOf(const WorkerEntry& aWorker, bool aRefreshDue);
   Milliseconds MaxFormerRuns() const;
-  void ShortenAssumedWaits();
+  void ShortenInheritedWaits();
   void RemoveEndedClaims(MonotonicTime aNow);
   void RemoveGoneWorkers(MonotonicTime aNow);
   bool IsGone(const WorkerEntry& aWorker, MonotonicTime aNow) const;
--- a/mulberryvalve/core/jobs/shard_scheduler_handover.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_handover.cc
@@ -42,6 +42,8 @@
   record.mService = facts.mService;
   record.mWorkerIncarnation = aWorker.mWorkerIncarnation;
   const InheritedWorker* inherited = mInheritedWorkers.Find(facts.mId);
+  const bool isUnused = inherited != nullptr && !aWorker.mIsUseDeclared;
+  record.mLastUser = isUnused ? inherited->mLastUser : mOptions.mEpoch;
   if (inherited != nullptr) {
     record.mRemainingLease = RemainingUntil(inherited->mWaitUntil, aNow);
     record.mPossibleTasks = inherited->mPossibleTasks;
@@ -77,6 +79,15 @@
   return record;
 }
 
+// Has the worker's record name this owner, which has heard from the worker and
+// may use it from then on.
+void ShardScheduler::DeclareUse(WorkerEntry& aWorker)
+{
+  if (!std::exchange(aWorker.mIsUseDeclared, true)) {
+    mDirtyWorkers.insert(aWorker.mInfo.mId);
+  }
+}
+
 void ShardScheduler::RevokeHandoverNote(WorkerEntry& aWorker)
 {
   if (!aWorker.mHasHandoverNote) {
--- a/mulberryvalve/core/jobs/shard_scheduler_placement.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_placement.cc
@@ -32,7 +32,7 @@
   mProvedAt = std::max(mProvedAt, aProof.mProvedAt);
   mWorkers.OnOwnershipRecorded(aProof.mRecordedAt);
   ResendStops(aNow);
-  ShortenAssumedWaits();
+  ShortenInheritedWaits();
   // Inherited waits end only with proof of ownership, since a successor may
   // have renewed the leases of the worker.
   mInheritedWorkers.ExpireWaits(mProvedAt);
--- a/mulberryvalve/core/jobs/shard_scheduler_reports.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_reports.cc
@@ -72,6 +72,7 @@
     RevokeHandoverNote(*workerState);
     LogWorkerDecision(DecisionKind::kWorkerBack, aOrder.mWorker, "answers");
   }
+  DeclareUse(*workerState);
   mWorkers.OnClockReading(*workerState, aReply.mReading, aNow);
   ProcessReport(*workerState, aReply, aSentAt, aNow);
   if (aReply.mMayOmitEnds) {
--- a/mulberryvalve/core/jobs/shard_scheduler_starts.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_starts.cc
@@ -162,7 +162,7 @@
   }
   const WorkerEntry& worker = *mWorkers.Find(aOrder.mWorker);
   return worker.mListed && worker.mInfo.mState == WorkerState::kLive &&
-         worker.mHasReportedRuns && worker.mRecorded &&
+         worker.mHasReportedRuns && worker.MayBeUsed() &&
          !worker.mHasHandoverNote && IsPermitted(aOrder, worker.mInfo);
 }
 
--- a/mulberryvalve/core/jobs/shard_simulation_fake.cc
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.cc
@@ -130,6 +130,7 @@
   FormerOwner former{ aOwner.mEpoch, Endpoint{ "peer", 1 }, Incarnation(1) };
   former.mActiveFor =
     std::chrono::ceil<Milliseconds>(aOwner.mStoredAt - aOwner.mClaimedAt);
+  former.mRecordsUse = true;
   return former;
 }
 
--- a/mulberryvalve/core/jobs/used_worker_record.h
+++ b/mulberryvalve/core/jobs/used_worker_record.h
@@ -25,6 +25,10 @@
   Endpoint mEndpoint;
   ServiceId mService;
   WorkerIncarnation mWorkerIncarnation;
+  // The newest owner that may have renewed a lease or started anything there;
+  // owners before it may have too. Unset in a record of an owner that does not
+  // name itself: then any former owner may have.
+  std::optional<Epoch> mLastUser;
   // Set while no leases are renewed on the worker, because the owner cannot
   // reach it or nothing runs there: how long after the record was written runs
   // may go on there.
--- a/mulberryvalve/core/jobs/worker_table.cc
+++ b/mulberryvalve/core/jobs/worker_table.cc
@@ -310,7 +310,7 @@
   order.mEndpoint = aWorker.mInfo.mEndpoint;
   order.mEpoch = aEpoch;
   order.mSeen = aWorker.mLastDurableEnd;
-  const bool mayRenew = aMayRenew && !aWorker.mSilent && aWorker.mRecorded;
+  const bool mayRenew = aMayRenew && !aWorker.mSilent && aWorker.MayBeUsed();
   if (!aWorker.mClock || !mayRenew) {
     return order;
   }
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -58,6 +58,9 @@
   bool mSilent = false;
   // The worker is on the log, so that the next owner queries it before it acts.
   bool mRecorded = false;
+  // Its record is to name this owner as its last user, and does so on the log.
+  bool mIsUseDeclared = false;
+  bool mIsUseRecorded = false;
   // The record on the log is a handover note: it names the tasks that may
   // run there, or limits how long they may. It must be withdrawn before
   // anything is started there.
@@ -127,6 +130,10 @@
   // placed.
   MonotonicTime mReservedForLongRunningUntil;
 
+  // Returns whether the log tells a successor all that it has to know before a
+  // lease is renewed or a task is started there.
+  bool MayBeUsed() const { return mRecorded && mIsUseRecorded; }
+
   // NeedsPacing returns whether best-effort tasks may disturb serving tasks.
   bool NeedsPacing() const { return mServingTasks > 0 && mBestEffortTasks > 0; }
 
--- a/mulberryvalve/ports/out/job_log_codec.h
+++ b/mulberryvalve/ports/out/job_log_codec.h
@@ -23,7 +23,8 @@
 // appends renew. The peer endpoint and the process may be unset. mActiveFor is
 // the time from before the claim was sent until before the append with this
 // record was first sent, by the owner's clock, rounded up; unset in records of
-// owners whose leases it does not bound.
+// owners whose leases it does not bound. mRecordsUse is false for owners of a
+// version that does not name itself in a worker's record before it uses it.
 struct OwnershipRecord
 {
   Epoch mEpoch;
@@ -31,6 +32,7 @@
   Endpoint mPeer{};
   Incarnation mProcess{};
   std::optional<Milliseconds> mActiveFor{};
+  bool mRecordsUse = false;
 };
 
 // Tombstone marks a key whose record was deleted.
