An owner records until when runs of its former owners may last

Cause: how old a former owner was when it last appended is known only to instances that heard from it. A fresh process has heard of none, so it counted 10 s from its own claim for the first owner too ("64:claim:10043 192:claim:10043"), although the second owner knew that runs of the first one ended 3.7 s after its claim. Only this one's memory held that.

Change: the record that rides with each append says for how long after that append runs of each former owner may go on (former_runs_ms). A successor adds this to the time by which that append was sent at the latest. Unreadable rows are left out, which only lengthens a wait. former_runs names the evidence as "recorded".

Why it works: the bound was true by the recorder's clock; 2% and a margin cover the rates.

Test: AFreshProcessKnowsWhatItsPredecessorKnew fails without the record (lasting tasks run 12,327 ms after, 11,000 allowed).

--- a/mulberryvalve/adapters/json/job_log_json_test.cc
+++ b/mulberryvalve/adapters/json/job_log_json_test.cc
@@ -262,6 +262,34 @@
   }
 }
 
+// Guards against a successor that waits from anew as its process is fresh.
+TEST(JobLogJsonTest, AClaimTellsHowLongRunsOfFormerOwnersGoOn)
+{
+  const JobLogJson codec;
+  OwnershipRecord claim;
+  claim.mEpoch = Epoch(320);
+  claim.mFormerRunsLeft = { { Epoch(64), Milliseconds(0) },
+                            { Epoch(192), Milliseconds(9514) } };
+  const auto item = codec.DecodeProgress(codec.Encode(claim));
+  CHECK(claim.mFormerRunsLeft ==
+        std::get<OwnershipRecord>(item.value()).mFormerRunsLeft);
+}
+
+// Guards against an owner that ends by an unreadable record of former runs.
+TEST(JobLogJsonTest, FormerRunsThatCannotBeReadAreLeftOut)
+{
+  const JobLogJson codec;
+  OwnershipRecord claim;
+  claim.mEpoch = Epoch(320);
+  KeyedEntry entry = codec.Encode(claim);
+  entry.mValue = R"({"epoch":320,"instance":"","former_runs_ms":[[64,-1],"x",)"
+                 R"([1],[2,99999999999999999],[128,7.5],[192,5]]})";
+  const auto item = codec.DecodeProgress(entry);
+  const std::map<Epoch, Milliseconds> expected{ { Epoch(192),
+                                                  Milliseconds(5) } };
+  CHECK(expected == std::get<OwnershipRecord>(item.value()).mFormerRunsLeft);
+}
+
 // Guards against a duplicate start: a task missing from the worker record would
 // be started again.
 TEST(JobLogJsonTest, WorkerPossibleTasksRoundTrip)
--- a/mulberryvalve/adapters/json/ownership_json.cc
+++ b/mulberryvalve/adapters/json/ownership_json.cc
@@ -11,6 +11,34 @@
 
 // A century. Sums of such times stay within the range of every time type.
 constexpr int64_t kMaxActiveMs = 3'155'760'000'000;
+// Former owners stay on the log for seconds only.
+constexpr size_t kMaxFormerOwners = 64;
+
+json RunsLeftToJson(const std::map<Epoch, Milliseconds>& aLeft)
+{
+  json rows = json::array();
+  for (const auto& [epoch, left] : aLeft) {
+    rows.push_back(json::array({ epoch.Value(), left.count() }));
+  }
+  return rows;
+}
+
+// Rows that can't be read are left out: without one, a successor waits longer.
+std::map<Epoch, Milliseconds> RunsLeftFromJson(const json& aRows)
+{
+  std::map<Epoch, Milliseconds> left;
+  for (const json& row : aRows) {
+    const bool isReadable = row.is_array() && row.size() == 2 &&
+                            row[0].is_number_unsigned() &&
+                            row[1].is_number_unsigned();
+    const uint64_t ms = isReadable ? row[1].get<uint64_t>() : 0;
+    if (isReadable && ms <= static_cast<uint64_t>(kMaxActiveMs)) {
+      left[Epoch(row[0].get<uint64_t>())] =
+        Milliseconds(static_cast<int64_t>(ms));
+    }
+  }
+  return left;
+}
 
 } // namespace
 
@@ -28,6 +56,9 @@
   if (aOwnership.mRecordsUse) {
     object["records_use"] = true;
   }
+  if (!aOwnership.mFormerRunsLeft.empty()) {
+    object["former_runs_ms"] = RunsLeftToJson(aOwnership.mFormerRunsLeft);
+  }
   return object;
 }
 
@@ -47,6 +78,10 @@
       Milliseconds(reader.Number("active_for_ms", 0, kMaxActiveMs));
   }
   ownership.mRecordsUse = reader.FlagOr("records_use", false);
+  if (reader.Has("former_runs_ms")) {
+    ownership.mFormerRunsLeft =
+      RunsLeftFromJson(reader.Array("former_runs_ms", kMaxFormerOwners));
+  }
   if (reader.Fault()) {
     return *reader.Fault();
   }
--- a/mulberryvalve/app/jobs/shard_runtime.h
+++ b/mulberryvalve/app/jobs/shard_runtime.h
@@ -201,6 +201,7 @@
   void RunProgressWriter();
   void AppendProgress(const ProgressBatch& aBatch);
   KeyedLogLimits LimitsBesideRecord() const;
+  OwnershipRecord RecordAt(MonotonicTime aNow) const;
   StampedAppend Stamp(std::vector<KeyedEntry> aEntries) const;
   bool RenewRecord(Milliseconds aMaxAge);
   bool AppendWithRetries(std::vector<KeyedEntry> aEntries);
--- a/mulberryvalve/app/jobs/shard_runtime_readers.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_readers.cc
@@ -211,7 +211,8 @@
                                                claim->mPeer,
                                                claim->mProcess,
                                                claim->mActiveFor,
-                                               claim->mRecordsUse });
+                                               claim->mRecordsUse,
+                                               claim->mFormerRunsLeft });
         ApplyObservation(*claim, aShard);
       }
     }
--- a/mulberryvalve/app/jobs/shard_runtime_writer.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_writer.cc
@@ -24,8 +24,9 @@
 // The same while there is something else to append, all of which may have no
 // room for the record.
 constexpr Milliseconds kMaxRecordAge{ 3000 };
-// Room for the number in the owner's record, which grows.
-constexpr size_t kMaxRecordGrowth = 16;
+// Room for what grows in the owner's record: its age, and former owners of
+// which more becomes known.
+constexpr size_t kMaxRecordGrowth = 128;
 
 } // namespace
 
@@ -124,19 +125,29 @@
 // Returns the limits of appends that have room for the owner's record.
 KeyedLogLimits ShardRuntime::LimitsBesideRecord() const
 {
-  const KeyedEntry record =
-    mPorts.mCodec.Encode(mStamp.RecordAt(mPorts.mClock.Now()));
+  const KeyedEntry record = mPorts.mCodec.Encode(RecordAt(mPorts.mClock.Now()));
   return WithRoomFor(RecordBytes(record) + kRecordOverhead + kMaxRecordGrowth,
                      mPorts.mLog.Limits());
 }
 
+// Returns the owner's record of an append that is first sent at aNow or later.
+OwnershipRecord ShardRuntime::RecordAt(MonotonicTime aNow) const
+{
+  OwnershipRecord record = mStamp.RecordAt(aNow);
+  MutexLock lock(mMutex);
+  if (mShard != nullptr) {
+    record.mFormerRunsLeft = mShard->FormerRunsLeft(aNow);
+  }
+  return record;
+}
+
 // Adds the owner's record to an append that is sent next.
 ShardRuntime::StampedAppend ShardRuntime::Stamp(
   std::vector<KeyedEntry> aEntries) const
 {
   StampedAppend append{ std::move(aEntries) };
   const MonotonicTime now = mPorts.mClock.Now();
-  append.mEntries.push_back(mPorts.mCodec.Encode(mStamp.RecordAt(now)));
+  append.mEntries.push_back(mPorts.mCodec.Encode(RecordAt(now)));
   if (FitsRequest(append.mEntries, mPorts.mLog.Limits())) {
     append.mRecordedAt = now;
   } else {
--- a/mulberryvalve/core/jobs/former_owners.cc
+++ b/mulberryvalve/core/jobs/former_owners.cc
@@ -48,9 +48,29 @@
   return owners;
 }
 
-// Either bound holds, so the earlier one is used.
+// Returns by when the runs of aEpoch have ended by what later owners recorded
+// of it, or nothing if none did.
+std::optional<MonotonicTime> FormerOwners::EndRecordedByOthers(
+  Epoch aEpoch,
+  const WorkerTable& aWorkers) const
+{
+  std::optional<MonotonicTime> by;
+  for (auto later = mOwners.upper_bound(aEpoch); later != mOwners.end();
+       ++later) {
+    const Entry& entry = later->second;
+    const auto left = entry.mOwner.mFormerRunsLeft.find(aEpoch);
+    if (entry.mProvedBy && left != entry.mOwner.mFormerRunsLeft.end()) {
+      const MonotonicTime end =
+        aWorkers.EndOfRunsLeft(*entry.mProvedBy, left->second);
+      by = std::min(by.value_or(end), end);
+    }
+  }
+  return by;
+}
+
+// Each bound holds, so the earliest one is used.
 RunsEnd FormerOwners::EndOfRuns(const Entry& aEntry,
-                                const WorkerTable& aWorkers)
+                                const WorkerTable& aWorkers) const
 {
   RunsEnd end;
   end.mEpoch = aEntry.mOwner.mEpoch;
@@ -58,6 +78,11 @@
     end.mBy = aWorkers.EndOfRunsProvedAt(*aEntry.mProvedBy);
     end.mEvidence = aEntry.mProofEvidence;
   }
+  const auto recorded = EndRecordedByOthers(end.mEpoch, aWorkers);
+  if (recorded && (!end.mBy || *recorded < *end.mBy)) {
+    end.mBy = recorded;
+    end.mEvidence = RunsEndEvidence::kRecorded;
+  }
   if (aEntry.mEndedBy) {
     const MonotonicTime by = aWorkers.EndOfLeaseRequestedBy(*aEntry.mEndedBy);
     if (!end.mBy || by < *end.mBy) {
--- a/mulberryvalve/core/jobs/former_owners.h
+++ b/mulberryvalve/core/jobs/former_owners.h
@@ -28,6 +28,9 @@
   std::optional<Milliseconds> mActiveFor{};
   // It used no worker before the worker's record on the log named it.
   bool mRecordsUse = false;
+  // For how long after its last append was first sent runs of owners before it
+  // went on at most, by its own clock, as far as it knew.
+  std::map<Epoch, Milliseconds> mFormerRunsLeft{};
 };
 
 // RunsEndEvidence is what shows when the runs of a former owner have ended.
@@ -36,13 +39,15 @@
   kNone,
   kClaimed,  // a later claim, after which it could record no proof
   kObserved, // how long it was active, told by itself, and its last record
+  kRecorded, // what an owner after it recorded of it
   kEnded,    // the end of its ownership or its process
 };
 
-inline constexpr EnumTable<RunsEndEvidence, 4> kRunsEndEvidenceNames{ { {
+inline constexpr EnumTable<RunsEndEvidence, 5> kRunsEndEvidenceNames{ { {
   { RunsEndEvidence::kNone, "none" },
   { RunsEndEvidence::kClaimed, "claim" },
   { RunsEndEvidence::kObserved, "observed" },
+  { RunsEndEvidence::kRecorded, "recorded" },
   { RunsEndEvidence::kEnded, "ended" },
 } } };
 
@@ -99,7 +104,10 @@
     RunsEndEvidence mProofEvidence = RunsEndEvidence::kNone;
   };
 
-  static RunsEnd EndOfRuns(const Entry& aEntry, const WorkerTable& aWorkers);
+  RunsEnd EndOfRuns(const Entry& aEntry, const WorkerTable& aWorkers) const;
+  std::optional<MonotonicTime> EndRecordedByOthers(
+    Epoch aEpoch,
+    const WorkerTable& aWorkers) const;
   static bool MayHaveUsed(const Entry& aEntry, Epoch aLastUser);
 
   std::map<Epoch, Entry> mOwners;
--- a/mulberryvalve/core/jobs/owner_chain_test.cc
+++ b/mulberryvalve/core/jobs/owner_chain_test.cc
@@ -11,6 +11,8 @@
 // An owner that lives this long has asked every worker and written no note.
 constexpr Milliseconds kShortLife{ 1500 };
 constexpr size_t kMostOwnersInARow = 3;
+// 2% of the longest wait, and the margin of a wait.
+constexpr Milliseconds kClockDeviation{ 200 + 150 };
 
 // Returns when the runs of an owner have ended whose newest append was sent at
 // aAppendedAt.
@@ -70,6 +72,21 @@
   STRCMP_EQUAL("", Findings(EndOfRuns(lostAt)).c_str());
 }
 
+// Guards against a process that has just started and has heard of no owner: it
+// counts from its own claim, though its predecessor knew more (LOST).
+TEST(OwnerChainTest, AFreshProcessKnowsWhatItsPredecessorKnew)
+{
+  const MonotonicTime lostAt = mCluster->Now();
+  mCluster.LoseUnreachableWorkers();
+  ReplaceOwnerInARow(1);
+  mCluster->mObservesOwners = false;
+  ReplaceOwnerInARow(1);
+  // What is left counts from the predecessor's newest append, which may have
+  // been sent as late as the claim, by a clock that may deviate.
+  const MonotonicTime end = EndOfRuns(lostAt) + kTakeoverDelay;
+  STRCMP_EQUAL("", Findings(end + kClockDeviation).c_str());
+}
+
 // Guards against a lease that the next owner does not know of: it is renewed
 // before the log says that this owner uses the worker (TWICE).
 TEST(OwnerChainTest, NoLeaseIsRenewedBeforeTheRecordNamesTheOwner)
--- a/mulberryvalve/core/jobs/shard_scheduler.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler.cc
@@ -131,6 +131,19 @@
          10 * mOptions.mLease.mMargin;
 }
 
+std::map<Epoch, Milliseconds> ShardScheduler::FormerRunsLeft(
+  MonotonicTime aNow) const
+{
+  std::map<Epoch, Milliseconds> left;
+  for (const RunsEnd& end : EndsOfFormerRuns()) {
+    if (end.mBy) {
+      const MonotonicTime by = std::max(*end.mBy, aNow);
+      left[end.mEpoch] = std::chrono::ceil<Milliseconds>(by - aNow);
+    }
+  }
+  return left;
+}
+
 void ShardScheduler::RemoveEndedClaims(MonotonicTime aNow)
 {
   if (aNow < mClaimedAt + MaxFormerRuns() + mOptions.mLease.mMargin) {
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -62,6 +62,10 @@
     return mFormerOwners.EndsOfRuns(mWorkers);
   }
 
+  // Returns for how long after aNow runs of each former owner may go on, as far
+  // as that is known: what a successor is to know.
+  std::map<Epoch, Milliseconds> FormerRunsLeft(MonotonicTime aNow) const;
+
   // Returns the former owners whose ends would shorten a wait, if they were
   // known. Ask them, and call OnFormerOwnerEnded. Once there are none, there
   // will be none later.
--- a/mulberryvalve/core/jobs/shard_simulation_fake.cc
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.cc
@@ -131,6 +131,7 @@
   former.mActiveFor =
     std::chrono::ceil<Milliseconds>(aOwner.mStoredAt - aOwner.mClaimedAt);
   former.mRecordsUse = true;
+  former.mFormerRunsLeft = aOwner.mStoredFormerRunsLeft;
   return former;
 }
 
@@ -389,6 +390,7 @@
   }
   Store(aOwner.mAppend->mBatch);
   aOwner.mStoredAt = aOwner.mAppend->mSentAt;
+  aOwner.mStoredFormerRunsLeft = aOwner.mAppend->mFormerRunsLeft;
   if (aOwner.mAppendAnswersLost) {
     return false;
   }
@@ -406,7 +408,10 @@
   if (aOwner.mShard->NeedsAppend()) {
     batch = aOwner.mShard->TakeProgress(mNow);
   }
-  return SimulatedAppend{ std::move(batch), mNow, mNow + aOwner.mAppendDelay };
+  return SimulatedAppend{ std::move(batch),
+                          aOwner.mShard->FormerRunsLeft(mNow),
+                          mNow,
+                          mNow + aOwner.mAppendDelay };
 }
 
 void ShardSimulation::Store(const ProgressBatch& aBatch)
--- a/mulberryvalve/core/jobs/shard_simulation_fake.h
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.h
@@ -101,6 +101,7 @@
 struct SimulatedAppend
 {
   ProgressBatch mBatch;
+  std::map<Epoch, Milliseconds> mFormerRunsLeft;
   MonotonicTime mSentAt;
   MonotonicTime mArrivesAt;
 };
@@ -126,6 +127,7 @@
   MonotonicTime mClaimedAt;
   MonotonicTime mRecordedAt;
   MonotonicTime mStoredAt;
+  std::map<Epoch, Milliseconds> mStoredFormerRunsLeft;
   bool mIsActive = true;
   // If false, none of its decisions becomes durable.
   bool mCanAppend = true;
--- a/mulberryvalve/core/jobs/worker_table.cc
+++ b/mulberryvalve/core/jobs/worker_table.cc
@@ -283,6 +283,12 @@
          kClockEstimateError + mTerms.mMargin;
 }
 
+MonotonicTime WorkerTable::EndOfRunsLeft(MonotonicTime aSince,
+                                         Milliseconds aLeft) const
+{
+  return aSince + MaxRealDuration(aLeft.count()) + mTerms.mMargin;
+}
+
 void WorkerTable::OnStartOfFormerIncarnation(WorkerEntry& aWorker,
                                              MonotonicTime aNow) const
 {
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -277,6 +277,10 @@
   // whose last recorded proof was at aRecordedAt or before.
   MonotonicTime EndOfRunsProvedAt(MonotonicTime aRecordedAt) const;
 
+  // EndOfRunsLeft returns when runs have certainly ended that went on for aLeft
+  // at most after aSince, by the clock of a former owner.
+  MonotonicTime EndOfRunsLeft(MonotonicTime aSince, Milliseconds aLeft) const;
+
   // OnStartOfFormerIncarnation accounts for a start that carries a lease by the
   // clock of a worker's former incarnation, and that the present one may accept
   // by aNow.
--- a/mulberryvalve/ports/out/job_log_codec.h
+++ b/mulberryvalve/ports/out/job_log_codec.h
@@ -6,6 +6,7 @@
 #include "mulberryvalve/core/jobs/shard_scheduler.h"
 #include "mulberryvalve/ports/out/keyed_log.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -33,6 +34,8 @@
   Incarnation mProcess{};
   std::optional<Milliseconds> mActiveFor{};
   bool mRecordsUse = false;
+  // As in FormerOwner.
+  std::map<Epoch, Milliseconds> mFormerRunsLeft{};
 };
 
 // Tombstone marks a key whose record was deleted.
