--- a/mulberryvalve/core/jobs/last_user_test.cc
+++ b/mulberryvalve/core/jobs/last_user_test.cc
@@ -24,6 +24,15 @@
   return record;
 }
 
+// Returns an owner that names itself before it uses a worker.
+FormerOwner RecordingOwner(Epoch aEpoch)
+{
+  FormerOwner owner{ aEpoch, Endpoint{ "peer", 1 }, Incarnation(1) };
+  owner.mActiveFor = Milliseconds(1000);
+  owner.mRecordsUse = true;
+  return owner;
+}
+
 bool RenewsLease(SingleWorkerShard& aOwner)
 {
   const auto renewal = aOwner.mShard.NextRenewal(kWorker, true, aOwner.mNow);
@@ -87,4 +96,55 @@
   STRCMP_EQUAL("", sim.AllViolations().c_str());
 }
 
+// Guards against a start on a new incarnation of its worker, which may last for
+// the longest lease from its arrival, that outlasts the wait for an owner that
+// has ended (TWICE).
+TEST(LastUserTest, TheWaitForAnEndedOwnerCoversAStartOnARestartedWorker)
+{
+  FormerOwners owners;
+  const LeaseTerms terms;
+  const WorkerTable workers{ terms };
+  const MonotonicTime endedBy{ std::chrono::seconds(100) };
+  owners.Add(RecordingOwner(kFormer));
+  owners.OnEnded(kFormer, endedBy);
+  const Milliseconds longest(terms.mMaxGranted.count() * 1000 /
+                             (1000 - terms.mClockDriftPerMille));
+  const auto end = owners.RunsEndBy(kFormer, workers);
+  CHECK(end.has_value());
+  CHECK(endedBy + longest <= *end);
+}
+
+// The same between owners. The log is away, so the first owner does not read
+// that the worker has restarted, and starts plain tasks there.
+TEST(LastUserTest, AStartOnARestartedWorkerEndsBeforeTheWaitForAnEndedOwner)
+{
+  TakeoverSimulation sim(2);
+  JobGraph job = OneStepJob("j", 1, 1000);
+  job.mSteps.push_back(job.mSteps[0]);
+  job.mSteps[1].mCount = 64;
+  job.mSteps[1].mDemand = Resources{ 100, 100, 0 };
+  job.mSteps[1].mDependsOn = { 0 };
+  sim->Submit(job);
+  sim->RunFor(Milliseconds(3000));
+  const WorkerId first = sim.WorkerOf(TaskOf("j", 0));
+  const WorkerId restarted = sim.IdOf(first == sim.IdOf(0) ? 1 : 0);
+  SimulatedWorker& worker = sim->Worker(sim.IndexOf(restarted));
+  SimulatedOwner& owner = sim->Owner(0);
+  owner.mCanAppend = false;
+  sim->RunFor(Milliseconds(1000));
+  sim->RestartWorker(restarted);
+  owner.mNextRenewalAt[restarted] = sim->Now() + Milliseconds(1500);
+  sim.EndRunsOf(first);
+  while (worker.mRuns.empty() && sim->Now() < owner.mNextRenewalAt[restarted]) {
+    sim->Step();
+  }
+  CHECK(!worker.mRuns.empty());
+  sim.KillOwner();
+  SimulatedOwner& next = sim.LoadOwner();
+  next.mShard->OnFormerOwnerEnded(owner.mEpoch, sim->Now());
+  next.mLinks[restarted] = LinkState::kDisconnected;
+  sim->RunFor(kSettleTime);
+  STRCMP_EQUAL("", sim.AllViolations().c_str());
+}
+
 } // namespace mulberryvalve
