--- a/mulberryvalve/core/jobs/last_user_test.cc
+++ b/mulberryvalve/core/jobs/last_user_test.cc
@@ -147,4 +147,16 @@
   STRCMP_EQUAL("", sim.AllViolations().c_str());
 }
 
+// Guards against a take-over that ends every run: the log goes away once it has
+// taken the claim, for less long than the proof allows leases to last.
+TEST(LastUserTest, LeasesAreRenewedIfTheLogGoesAwayRightAfterTheClaim)
+{
+  FullCluster cluster;
+  const size_t before = cluster->RunningOf(JobId("lasting"));
+  cluster.ReplaceOwner(kTakeoverDelay);
+  cluster->Owner(1).mAppendsFail = true;
+  cluster->RunFor(Milliseconds(7000));
+  CHECK_EQUAL(before, cluster->RunningOf(JobId("lasting")));
+}
+
 } // namespace mulberryvalve
