--- a/mulberryvalve/core/jobs/last_user_test.cc
+++ b/mulberryvalve/core/jobs/last_user_test.cc
@@ -96,6 +96,21 @@
   STRCMP_EQUAL("", sim.AllViolations().c_str());
 }
 
+// Guards against a wait that is counted anew by each owner in a row: a note is
+// counted from the claim of its reader, so what former owners can tell may end
+// it earlier.
+TEST(LastUserTest, FormerOwnersAreAskedWhileANoteLimitsAWait)
+{
+  SingleWorkerShard owner;
+  UsedWorkerRecord note = PlainRecord(owner);
+  note.mRemainingLease = Milliseconds(6000);
+  note.mPossibleTasks.emplace({ kTask });
+  owner.mShard.RestoreWorker(note);
+  owner.mShard.RestoreFormerOwner(RecordingOwner(kFormer));
+  owner.CountStarts();
+  CHECK_EQUAL(1U, owner.mShard.FormerOwnersToAsk().size());
+}
+
 // Guards against a start on a new incarnation of its worker, which may last for
 // the longest lease from its arrival, that outlasts the wait for an owner that
 // has ended (TWICE).
