--- a/mulberryvalve/core/jobs/last_user_test.cc
+++ b/mulberryvalve/core/jobs/last_user_test.cc
@@ -111,6 +111,24 @@
   CHECK_EQUAL(1U, owner.mShard.FormerOwnersToAsk().size());
 }
 
+// Guards against a wait that starts anew with each claim: the first owner could
+// append nothing any more when the second one appended.
+TEST(LastUserTest, AnOwnerAppendsNothingAfterItsSuccessorDid)
+{
+  FormerOwners owners;
+  const WorkerTable workers{ LeaseTerms() };
+  const MonotonicTime secondAppended{ std::chrono::seconds(100) };
+  const MonotonicTime claimed = secondAppended + Milliseconds(5000);
+  owners.Add(RecordingOwner(Epoch(1)));
+  owners.Add(RecordingOwner(Epoch(2)));
+  owners.OnLastProof(Epoch(1), claimed, RunsEndEvidence::kClaimed);
+  owners.OnLastProof(Epoch(2), claimed, RunsEndEvidence::kClaimed);
+  owners.OnLastProof(Epoch(2), secondAppended, RunsEndEvidence::kObserved);
+  const auto end = owners.RunsEndBy(Epoch(1), workers);
+  CHECK(end.has_value());
+  CHECK(*end <= workers.EndOfRunsProvedAt(secondAppended));
+}
+
 // Guards against a start on a new incarnation of its worker, which may last for
 // the longest lease from its arrival, that outlasts the wait for an owner that
 // has ended (TWICE).
