--- a/mulberryvalve/core/jobs/last_user_test.cc
+++ b/mulberryvalve/core/jobs/last_user_test.cc
@@ -111,6 +111,16 @@
   CHECK_EQUAL(1U, owner.mShard.FormerOwnersToAsk().size());
 }
 
+// Guards against a wait for an owner that only read that the worker exists.
+TEST(LastUserTest, AnOwnerThatNeverHeardFromANewWorkerIsNotItsLastUser)
+{
+  SingleWorkerShard owner;
+  owner.ReadWorkerList();
+  const UsedWorkerRecord record = owner.NextRecord();
+  const bool namesOwner = record.mLastUser == ShardSchedulerOptions().mEpoch;
+  CHECK(!namesOwner || record.mRemainingLease == Milliseconds(0));
+}
+
 // Guards against a wait that starts anew with each claim: the first owner could
 // append nothing any more when the second one appended.
 TEST(LastUserTest, AnOwnerAppendsNothingAfterItsSuccessorDid)
