--- a/mulberryvalve/core/jobs/last_user_test.cc
+++ b/mulberryvalve/core/jobs/last_user_test.cc
@@ -139,6 +139,21 @@
   CHECK(*end <= workers.EndOfRunsProvedAt(secondAppended));
 }
 
+// Guards against waits that begin anew during an upgrade: an owner that names
+// itself hands on a note of a worker that it has not heard from, and whose
+// record names no user.
+TEST(LastUserTest, TheNoteOfAnUnheardWorkerRulesItsWriterOut)
+{
+  SingleWorkerShard owner;
+  UsedWorkerRecord former = PlainRecord(owner);
+  former.mLastUser.reset();
+  owner.mShard.RestoreWorker(former);
+  owner.mShard.RestoreFormerOwner(RecordingOwner(kFormer));
+  owner.mNow += Milliseconds(2500);
+  const UsedWorkerRecord note = owner.NextRecord();
+  CHECK(note.mLastUser.has_value());
+}
+
 // Guards against a start on a new incarnation of its worker, which may last for
 // the longest lease from its arrival, that outlasts the wait for an owner that
 // has ended (TWICE).
