No note limits the wait for a worker whose leases are renewed

A worker whose report omits ends has answered and may be used, and its record was a note that limits the wait, counted from the answer. An owner that was paused between the answer and a renewal left a note that ends before the lease (two runs of a lasting task).

Change: the record of a worker that was heard names the tasks that may run there, as before, and no remaining lease; a note that limits the wait is withdrawn when the worker is first heard. A successor waits by what it knows of the last user, as for every used worker.

--- a/mulberryvalve/core/jobs/shard_scheduler_handover.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_handover.cc
@@ -45,7 +45,11 @@
   const bool isUnused = inherited != nullptr && !aWorker.mIsUseDeclared;
   record.mLastUser = isUnused ? inherited->mLastUser : mOptions.mEpoch;
   if (inherited != nullptr) {
-    record.mRemainingLease = RemainingUntil(inherited->mWaitUntil, aNow);
+    // Leases are renewed on a worker that has answered, though its report omits
+    // ends, so nothing limits the wait for it.
+    if (!aWorker.mIsUseDeclared) {
+      record.mRemainingLease = RemainingUntil(inherited->mWaitUntil, aNow);
+    }
     record.mPossibleTasks = inherited->mPossibleTasks;
     return record;
   }
@@ -80,11 +84,15 @@
 }
 
 // Has the worker's record name this owner, which has heard from the worker and
-// may use it from then on.
+// may use it from then on. A note that limits the wait there is withdrawn.
 void ShardScheduler::DeclareUse(WorkerEntry& aWorker)
 {
-  if (!std::exchange(aWorker.mIsUseDeclared, true)) {
-    mDirtyWorkers.insert(aWorker.mInfo.mId);
+  if (std::exchange(aWorker.mIsUseDeclared, true)) {
+    return;
+  }
+  mDirtyWorkers.insert(aWorker.mInfo.mId);
+  if (aWorker.mNoteLimitsWait) {
+    RevokeHandoverNote(aWorker);
   }
 }
 
@@ -129,7 +137,8 @@
     const WorkerEntry* worker = mWorkers.Find(id);
     const bool due =
       isFirstDue || (worker != nullptr && worker->mNoteLimitsWait);
-    if (due && worker != nullptr && !worker->mNoteSaysNoWait) {
+    if (due && worker != nullptr && !worker->mNoteSaysNoWait &&
+        !worker->mIsUseDeclared) {
       mDirtyWorkers.insert(id);
     }
   }
