--- a/mulberryvalve/adapters/json/job_log_json_test.cc
+++ b/mulberryvalve/adapters/json/job_log_json_test.cc
@@ -449,6 +449,38 @@
               std::get<JobRecord>(item.value()).mTasks.size());
 }
 
+// Guards against a last user or a claim that an owner can't read and ends on.
+TEST(JobLogJsonTest, RejectsMalformedUse)
+{
+  const JobLogJson codec;
+  const KeyedEntry worker = codec.Encode(WorkerWith(std::nullopt));
+  OwnershipRecord owner;
+  owner.mEpoch = Epoch(64);
+  const KeyedEntry claim = codec.Encode(owner);
+  const auto isRejected = [&codec](KeyedEntry aEntry,
+                                   const std::string& aMore) {
+    aEntry.mValue->pop_back();
+    *aEntry.mValue += "," + aMore + "}";
+    return !codec.DecodeProgress(aEntry);
+  };
+  for (const char* malformed : { "\"1\"",
+                                 "-1",
+                                 "1.5",
+                                 "1e300",
+                                 "9223372036854775808",
+                                 "18446744073709551616",
+                                 "null",
+                                 "[]",
+                                 "{}" }) {
+    CHECK_TEXT(isRejected(worker, R"("last_user":)" + std::string(malformed)),
+               malformed);
+    CHECK_TEXT(isRejected(claim, R"("records_use":)" + std::string(malformed)),
+               malformed);
+  }
+  CHECK_FALSE(isRejected(worker, R"("last_user":9223372036854775807)"));
+  CHECK_FALSE(isRejected(claim, R"("records_use":true)"));
+}
+
 TEST(JobLogJsonTest, RejectsMalformedEntries)
 {
   const JobLogJson codec;
