A wait for an ended owner covers a start on a restarted worker

Change: EndOfRunsOrderedBy is the later of the two. bounded_runs_test asserted the bound that is too short for an owner of an earlier version; it asserts the new one as strictly.

--- a/mulberryvalve/core/jobs/bounded_runs_test.cc
+++ b/mulberryvalve/core/jobs/bounded_runs_test.cc
@@ -247,7 +247,7 @@
   owners.OnLastProof(Epoch(1), provedAt, RunsEndEvidence::kClaimed);
   CHECK_FALSE(owners.RunsEndBy(std::nullopt, workers).has_value());
   owners.OnEnded(Epoch(1), provedAt);
-  CHECK(workers.EndOfLeaseRequestedBy(provedAt) ==
+  CHECK(workers.EndOfRunsOrderedBy(provedAt) ==
         owners.RunsEndBy(std::nullopt, workers));
 }
 
--- a/mulberryvalve/core/jobs/former_owners.cc
+++ b/mulberryvalve/core/jobs/former_owners.cc
@@ -84,7 +84,7 @@
     end.mEvidence = RunsEndEvidence::kRecorded;
   }
   if (aEntry.mEndedBy) {
-    const MonotonicTime by = aWorkers.EndOfLeaseRequestedBy(*aEntry.mEndedBy);
+    const MonotonicTime by = aWorkers.EndOfRunsOrderedBy(*aEntry.mEndedBy);
     if (!end.mBy || by < *end.mBy) {
       end.mBy = by;
       end.mEvidence = RunsEndEvidence::kEnded;
--- a/mulberryvalve/core/jobs/worker_table.cc
+++ b/mulberryvalve/core/jobs/worker_table.cc
@@ -283,6 +283,14 @@
          kClockEstimateError + mTerms.mMargin;
 }
 
+MonotonicTime WorkerTable::EndOfRunsOrderedBy(MonotonicTime aOrderedBy) const
+{
+  const MonotonicTime startEndsBy =
+    aOrderedBy + kMaxStartDelay + MaxRealDuration(mTerms.mMaxGranted.count()) +
+    mTerms.mMargin;
+  return std::max(startEndsBy, EndOfLeaseRequestedBy(aOrderedBy));
+}
+
 MonotonicTime WorkerTable::EndOfRunsLeft(MonotonicTime aSince,
                                          Milliseconds aLeft) const
 {
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -283,6 +283,11 @@
 
   // OnStartOfFormerIncarnation accounts for a start that carries a lease by the
   // clock of a worker's former incarnation, and that the present one may accept
+  // EndOfRunsOrderedBy returns when all runs have certainly ended of an owner
+  // that sent its last message by aOrderedBy. A start that reaches a new
+  // incarnation of its worker may last for the longest lease.
+  MonotonicTime EndOfRunsOrderedBy(MonotonicTime aOrderedBy) const;
+
   // by aNow.
   void OnStartOfFormerIncarnation(WorkerEntry& aWorker,
                                   MonotonicTime aNow) const;
