What a later owner appended bounds the runs of earlier ones

The log refuses an owner once a later one has claimed, so when a later owner appended after its claim was on the log, the earlier one had ended appending.

--- a/mulberryvalve/core/jobs/former_owners.cc
+++ b/mulberryvalve/core/jobs/former_owners.cc
@@ -68,6 +68,26 @@
   return by;
 }
 
+// Returns the entry with the earliest time by which aEntry's owner had appended
+// for the last time: its own, or one of a later owner that appended after its
+// claim was on the log, as only those record use. The log refuses an owner once
+// a later one has claimed.
+const FormerOwners::Entry& FormerOwners::EarliestProof(
+  const Entry& aEntry) const
+{
+  const Entry* earliest = &aEntry;
+  for (auto later = mOwners.upper_bound(aEntry.mOwner.mEpoch);
+       later != mOwners.end();
+       ++later) {
+    const Entry& entry = later->second;
+    if (entry.mOwner.mRecordsUse && entry.mProvedBy &&
+        *entry.mProvedBy < *earliest->mProvedBy) {
+      earliest = &entry;
+    }
+  }
+  return *earliest;
+}
+
 // Each bound holds, so the earliest one is used.
 RunsEnd FormerOwners::EndOfRuns(const Entry& aEntry,
                                 const WorkerTable& aWorkers) const
@@ -75,8 +95,9 @@
   RunsEnd end;
   end.mEpoch = aEntry.mOwner.mEpoch;
   if (aEntry.mProvedBy) {
-    end.mBy = aWorkers.EndOfRunsProvedAt(*aEntry.mProvedBy);
-    end.mEvidence = aEntry.mProofEvidence;
+    const Entry& last = EarliestProof(aEntry);
+    end.mBy = aWorkers.EndOfRunsProvedAt(*last.mProvedBy);
+    end.mEvidence = last.mProofEvidence;
   }
   const auto recorded = EndRecordedByOthers(end.mEpoch, aWorkers);
   if (recorded && (!end.mBy || *recorded < *end.mBy)) {
--- a/mulberryvalve/core/jobs/former_owners.h
+++ b/mulberryvalve/core/jobs/former_owners.h
@@ -106,6 +106,7 @@
 
   RunsEnd EndOfRuns(const Entry& aEntry, const WorkerTable& aWorkers) const;
   std::optional<MonotonicTime> EndRecordedByOthers(
+  const Entry& EarliestProof(const Entry& aEntry) const;
     Epoch aEpoch,
     const WorkerTable& aWorkers) const;
   static bool MayHaveUsed(const Entry& aEntry, Epoch aLastUser);
