Former owners are asked while any wait could be shortened

NobodyIsAskedIfNotesLimitTheWaits asserted that nobody is asked, which was right while an answer could not shorten a noted wait; NobodyIsAskedOnceNoWaitIsLeft takes its place: one is asked while the note's wait lasts, none after its answer and none after the wait.

Test: FormerOwnersAreAskedWhileANoteLimitsAWait failed before.

--- a/mulberryvalve/core/jobs/former_owners_test.cc
+++ b/mulberryvalve/core/jobs/former_owners_test.cc
@@ -96,8 +96,9 @@
   lost.CheckOneRun();
 }
 
-// A note limits the wait already, and the end of its writer tells nothing more.
-TEST(FormerOwnersTest, NobodyIsAskedIfNotesLimitTheWaits)
+// A note is counted from the claim of its reader, so the end of its writer may
+// end the wait earlier; after that there is nothing to ask.
+TEST(FormerOwnersTest, NobodyIsAskedOnceNoWaitIsLeft)
 {
   TakeoverSimulation sim(kWorkers);
   sim->Submit(LongRunningJob("lasting", 1, 9000));
@@ -106,7 +107,13 @@
   sim->RunFor(TakeoverSimulation::kNoteInterval);
   sim.ReplaceOwner();
   sim->RunFor(TakeoverSimulation::kPlacementLimit);
-  CHECK(sim->Owner(1).mShard->FormerOwnersToAsk().empty());
+  ShardScheduler& next = *sim->Owner(1).mShard;
+  CHECK_EQUAL(1U, next.FormerOwnersToAsk().size());
+  next.OnFormerOwnerEnded(Epoch(1), sim->Now());
+  CHECK(next.FormerOwnersToAsk().empty());
+  sim.ReplaceOwner();
+  sim->RunFor(kSettleTime);
+  CHECK(sim->Owner(2).mShard->FormerOwnersToAsk().empty());
 }
 
 // Claims are needed only while a run of their owners may be left.
--- a/mulberryvalve/core/jobs/inherited_workers.cc
+++ b/mulberryvalve/core/jobs/inherited_workers.cc
@@ -95,11 +95,11 @@
   return true;
 }
 
-bool InheritedWorkers::HasAssumedWaits() const
+bool InheritedWorkers::HasShortenableWaits() const
 {
   return std::any_of(
     mPendingWaits.begin(), mPendingWaits.end(), [this](const auto& aWait) {
-      return mWorkers.at(aWait.second).mIsAssumed;
+      return !mWorkers.at(aWait.second).mIsPostponed;
     });
 }
 
--- a/mulberryvalve/core/jobs/inherited_workers.h
+++ b/mulberryvalve/core/jobs/inherited_workers.h
@@ -70,8 +70,8 @@
   // postponed.
   bool ShortenWait(const WorkerId& aWorker, MonotonicTime aUntil);
 
-  // Returns whether a wait that no note limits has not ended.
-  bool HasAssumedWaits() const;
+  // Returns whether there is a wait that ShortenWait could shorten.
+  bool HasShortenableWaits() const;
 
   // Returns the state of a worker, or null if it is unknown or was removed.
   const InheritedWorker* Find(const WorkerId& aWorker) const;
--- a/mulberryvalve/core/jobs/shard_scheduler.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler.cc
@@ -98,7 +98,7 @@
 
 std::vector<FormerOwner> ShardScheduler::FormerOwnersToAsk() const
 {
-  return mInheritedWorkers.HasAssumedWaits() ? mFormerOwners.Unsettled()
+  return mInheritedWorkers.HasShortenableWaits() ? mFormerOwners.Unsettled()
                                              : std::vector<FormerOwner>();
 }
 
