Leases are renewed after a claim though the log takes no append

Change: until the log has taken an append after the claim, leases are renewed on workers whose records don't name the owner yet; starts still wait. The owner's record says records_use only once an append was taken and every worker used so far names the owner; until then a successor counts it for every worker, as before.

Why it works: what says that an owner records use is written after the last worker that it used without a record has one, and from then on it uses none without.

NoLeaseIsRenewedBeforeTheRecordNamesTheOwner now begins with an append, as it guards the time from which the claim says so.

--- a/mulberryvalve/app/jobs/shard_runtime.cc
+++ b/mulberryvalve/app/jobs/shard_runtime.cc
@@ -43,9 +43,7 @@
   , mStamp(OwnershipRecord{ mOptions.mEpoch,
                             mOptions.mInstance,
                             mOptions.mPeer,
-                            mOptions.mProcess,
-                            std::nullopt,
-                            true },
+                            mOptions.mProcess },
            aPorts.mClock.Now())
   , mDelays(aPorts.mMetrics, aPorts.mClock.Now())
   , mWatchdog(aPorts.mMetrics, aPorts.mClock.Now())
--- a/mulberryvalve/app/jobs/shard_runtime_writer.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_writer.cc
@@ -137,6 +137,7 @@
   MutexLock lock(mMutex);
   if (mShard != nullptr) {
     record.mFormerRunsLeft = mShard->FormerRunsLeft(aNow);
+    record.mRecordsUse = mShard->RecordsUse();
   }
   return record;
 }
--- a/mulberryvalve/core/jobs/former_owners.h
+++ b/mulberryvalve/core/jobs/former_owners.h
@@ -26,7 +26,8 @@
   // How long it had been active when its last append was first sent, by its own
   // clock. Unset in a record of an owner whose leases no proof bounds.
   std::optional<Milliseconds> mActiveFor{};
-  // It used no worker before the worker's record on the log named it.
+  // It used no worker before the worker's record on the log named it, and has
+  // appended since its claim was on the log.
   bool mRecordsUse = false;
   // For how long after its last append was first sent runs of owners before it
   // went on at most, by its own clock, as far as it knew.
@@ -105,8 +106,8 @@
   };
 
   RunsEnd EndOfRuns(const Entry& aEntry, const WorkerTable& aWorkers) const;
-  std::optional<MonotonicTime> EndRecordedByOthers(
   const Entry& EarliestProof(const Entry& aEntry) const;
+  std::optional<MonotonicTime> EndRecordedByOthers(
     Epoch aEpoch,
     const WorkerTable& aWorkers) const;
   static bool MayHaveUsed(const Entry& aEntry, Epoch aLastUser);
--- a/mulberryvalve/core/jobs/owner_chain_test.cc
+++ b/mulberryvalve/core/jobs/owner_chain_test.cc
@@ -88,10 +88,15 @@
 }
 
 // Guards against a lease that the next owner does not know of: it is renewed
-// before the log says that this owner uses the worker (TWICE).
+// before the log says that this owner uses the worker, though its claim says
+// that it records use (TWICE).
 TEST(OwnerChainTest, NoLeaseIsRenewedBeforeTheRecordNamesTheOwner)
 {
   SingleWorkerShard owner;
+  owner.Submit(OneStepJob("first", 1, 1000));
+  owner.mShard.OnJobCancelled(JobId("first"), owner.mNow);
+  owner.PersistAll();
+  CHECK(owner.mShard.RecordsUse());
   UsedWorkerRecord former;
   former.mId = kWorker;
   former.mEndpoint = owner.mInfo.mEndpoint;
@@ -111,6 +116,26 @@
   CHECK(asksForLease());
 }
 
+// Guards against a successor that does not count an owner for a worker that it
+// used while the log took nothing after the claim (TWICE).
+TEST(OwnerChainTest, AnOwnerRecordsUseOnceAllItsWorkersNameIt)
+{
+  SingleWorkerShard owner;
+  UsedWorkerRecord former;
+  former.mId = kWorker;
+  former.mEndpoint = owner.mInfo.mEndpoint;
+  former.mWorkerIncarnation = WorkerIncarnation(1);
+  former.mLastUser = Epoch(64);
+  owner.mShard.RestoreWorker(former);
+  owner.CountStarts();
+  owner.AnswerHold();
+  const auto renewal = owner.mShard.NextRenewal(kWorker, true, owner.mNow);
+  CHECK(renewal->mUntil.has_value());
+  CHECK_FALSE(owner.mShard.RecordsUse());
+  owner.PersistAll();
+  CHECK(owner.mShard.RecordsUse());
+}
+
 // Guards against a note of an unheard worker that names the owner that wrote
 // it.
 TEST(OwnerChainTest, TheNoteOfAnUnheardWorkerNamesItsLastUser)
--- a/mulberryvalve/core/jobs/shard_scheduler.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler.cc
@@ -345,6 +345,7 @@
 void ShardScheduler::OnDurable(const ProgressBatch& aBatch)
 {
   if (!aBatch.Empty()) {
+    mHasAppended = true;
     mHeldStarts.OnAppended();
   }
   for (const JobRecord& record : aBatch.mJobs) {
@@ -385,6 +386,7 @@
   }
   if (aWorker.mLastUser == mOptions.mEpoch && !workerState->mIsUseRecorded) {
     workerState->mIsUseRecorded = true;
+    mUsedUnrecorded.erase(aWorker.mId);
     mWorkers.MarkChanged(*workerState);
   }
   // A handover note that was revoked in the meantime does not count as the
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -66,6 +66,10 @@
   // as that is known: what a successor is to know.
   std::map<Epoch, Milliseconds> FormerRunsLeft(MonotonicTime aNow) const;
 
+  // Returns whether this owner has used, and will use, no worker whose durable
+  // record does not name it, and has appended since its claim.
+  bool RecordsUse() const { return mHasAppended && mUsedUnrecorded.empty(); }
+
   // Returns the former owners whose ends would shorten a wait, if they were
   // known. Ask them, and call OnFormerOwnerEnded. Once there are none, there
   // will be none later.
@@ -230,6 +234,7 @@
                                      MonotonicTime aNow) const;
   UsedWorkerRecord TakeWorkerRecord(WorkerEntry& aWorker, MonotonicTime aNow);
   void DeclareUse(WorkerEntry& aWorker);
+  void UseUnrecordedIfAllowed(WorkerEntry& aWorker);
   void RevokeHandoverNote(WorkerEntry& aWorker);
   void RefreshHandoverNotes(MonotonicTime aNow);
   void RefreshInheritedNotes(MonotonicTime aNow);
@@ -471,6 +476,10 @@
   std::set<JobId> mDirtyJobs;
   std::set<WorkerId> mDirtyWorkers;
   std::set<WorkerId> mRemovedWorkers;
+  // The log has taken an append of this owner after its claim.
+  bool mHasAppended = false;
+  // Where leases were renewed before the worker's record named this owner.
+  std::set<WorkerId> mUsedUnrecorded;
   // When to send a stop again unless the end was reported by then.
   std::map<TaskRef, MonotonicTime> mResendStopAt;
   // When to send the stop of an unwanted run again.
--- a/mulberryvalve/core/jobs/shard_scheduler_handover.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_handover.cc
@@ -96,6 +96,19 @@
   }
 }
 
+// Until the log takes an append, so that an outage right after the claim ends
+// no runs, leases are renewed on workers whose records don't name this owner.
+// Its claim tells no successor that it records use until these records are
+// durable.
+void ShardScheduler::UseUnrecordedIfAllowed(WorkerEntry& aWorker)
+{
+  if (mHasAppended || !aWorker.mIsUseDeclared || aWorker.mIsUseRecorded) {
+    return;
+  }
+  aWorker.mIsUsedUnrecorded = true;
+  mUsedUnrecorded.insert(aWorker.mInfo.mId);
+}
+
 void ShardScheduler::RevokeHandoverNote(WorkerEntry& aWorker)
 {
   if (!aWorker.mHasHandoverNote) {
@@ -178,6 +191,7 @@
     mRemovedWorkers.insert(id);
     mInheritedWorkers.Remove(id);
     mUnreadJobs.ForgetWorker(id);
+    mUsedUnrecorded.erase(id);
     mWorkers.Remove(id);
   }
 }
--- a/mulberryvalve/core/jobs/shard_scheduler_reports.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_reports.cc
@@ -29,6 +29,7 @@
   if (workerState == nullptr) {
     return std::nullopt;
   }
+  UseUnrecordedIfAllowed(*workerState);
   return mWorkers.NextRenewal(*workerState, mOptions.mEpoch, aMayRenew, aNow);
 }
 
--- a/mulberryvalve/core/jobs/shard_simulation_fake.cc
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.cc
@@ -130,7 +130,7 @@
   FormerOwner former{ aOwner.mEpoch, Endpoint{ "peer", 1 }, Incarnation(1) };
   former.mActiveFor =
     std::chrono::ceil<Milliseconds>(aOwner.mStoredAt - aOwner.mClaimedAt);
-  former.mRecordsUse = true;
+  former.mRecordsUse = aOwner.mStoredRecordsUse;
   former.mFormerRunsLeft = aOwner.mStoredFormerRunsLeft;
   return former;
 }
@@ -391,6 +391,7 @@
   Store(aOwner.mAppend->mBatch);
   aOwner.mStoredAt = aOwner.mAppend->mSentAt;
   aOwner.mStoredFormerRunsLeft = aOwner.mAppend->mFormerRunsLeft;
+  aOwner.mStoredRecordsUse = aOwner.mAppend->mRecordsUse;
   if (aOwner.mAppendAnswersLost) {
     return false;
   }
@@ -410,6 +411,7 @@
   }
   return SimulatedAppend{ std::move(batch),
                           aOwner.mShard->FormerRunsLeft(mNow),
+                          aOwner.mShard->RecordsUse(),
                           mNow,
                           mNow + aOwner.mAppendDelay };
 }
--- a/mulberryvalve/core/jobs/shard_simulation_fake.h
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.h
@@ -102,6 +102,7 @@
 {
   ProgressBatch mBatch;
   std::map<Epoch, Milliseconds> mFormerRunsLeft;
+  bool mRecordsUse = false;
   MonotonicTime mSentAt;
   MonotonicTime mArrivesAt;
 };
@@ -128,6 +129,7 @@
   MonotonicTime mRecordedAt;
   MonotonicTime mStoredAt;
   std::map<Epoch, Milliseconds> mStoredFormerRunsLeft;
+  bool mStoredRecordsUse = false;
   bool mIsActive = true;
   // If false, none of its decisions becomes durable.
   bool mCanAppend = true;
--- a/mulberryvalve/core/jobs/worker_table.cc
+++ b/mulberryvalve/core/jobs/worker_table.cc
@@ -324,7 +324,7 @@
   order.mEndpoint = aWorker.mInfo.mEndpoint;
   order.mEpoch = aEpoch;
   order.mSeen = aWorker.mLastDurableEnd;
-  const bool mayRenew = aMayRenew && !aWorker.mSilent && aWorker.MayBeUsed();
+  const bool mayRenew = aMayRenew && !aWorker.mSilent && aWorker.MayBeRenewed();
   if (!aWorker.mClock || !mayRenew) {
     return order;
   }
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -61,6 +61,8 @@
   // Its record is to name this owner as its last user, and does so on the log.
   bool mIsUseDeclared = false;
   bool mIsUseRecorded = false;
+  // This owner renews leases there although its record does not name it yet.
+  bool mIsUsedUnrecorded = false;
   // The record on the log is a handover note: it names the tasks that may
   // run there, or limits how long they may. It must be withdrawn before
   // anything is started there.
@@ -130,9 +132,13 @@
   // placed.
   MonotonicTime mReservedForLongRunningUntil;
 
-  // Returns whether the log tells a successor all that it has to know before a
-  // lease is renewed or a task is started there.
+  // Return whether the log tells a successor all that it has to know before a
+  // task is started, or a lease renewed, there.
   bool MayBeUsed() const { return mRecorded && mIsUseRecorded; }
+  bool MayBeRenewed() const
+  {
+    return mRecorded && (mIsUseRecorded || mIsUsedUnrecorded);
+  }
 
   // NeedsPacing returns whether best-effort tasks may disturb serving tasks.
   bool NeedsPacing() const { return mServingTasks > 0 && mBestEffortTasks > 0; }
@@ -277,17 +283,17 @@
   // whose last recorded proof was at aRecordedAt or before.
   MonotonicTime EndOfRunsProvedAt(MonotonicTime aRecordedAt) const;
 
+  // EndOfRunsOrderedBy returns when all runs have certainly ended of an owner
+  // that sent its last message by aOrderedBy. A start that reaches a new
+  // incarnation of its worker may last for the longest lease.
+  MonotonicTime EndOfRunsOrderedBy(MonotonicTime aOrderedBy) const;
+
   // EndOfRunsLeft returns when runs have certainly ended that went on for aLeft
   // at most after aSince, by the clock of a former owner.
   MonotonicTime EndOfRunsLeft(MonotonicTime aSince, Milliseconds aLeft) const;
 
   // OnStartOfFormerIncarnation accounts for a start that carries a lease by the
   // clock of a worker's former incarnation, and that the present one may accept
-  // EndOfRunsOrderedBy returns when all runs have certainly ended of an owner
-  // that sent its last message by aOrderedBy. A start that reaches a new
-  // incarnation of its worker may last for the longest lease.
-  MonotonicTime EndOfRunsOrderedBy(MonotonicTime aOrderedBy) const;
-
   // by aNow.
   void OnStartOfFormerIncarnation(WorkerEntry& aWorker,
                                   MonotonicTime aNow) const;
--- a/mulberryvalve/ports/out/job_log_codec.h
+++ b/mulberryvalve/ports/out/job_log_codec.h
@@ -25,7 +25,8 @@
 // the time from before the claim was sent until before the append with this
 // record was first sent, by the owner's clock, rounded up; unset in records of
 // owners whose leases it does not bound. mRecordsUse is false for owners of a
-// version that does not name itself in a worker's record before it uses it.
+// version that does not name itself in a worker's record before it uses it, and
+// until all workers that an owner has used are named so.
 struct OwnershipRecord
 {
   Epoch mEpoch;
