An append that starts wait for isn't put off by the pause

So the pause is what can go.

Change: ShardScheduler tells what waits for an append (AppendDemand); AppendPace says when it begins: at once for starts, else 10 ms after the last answer. What is guaranteed is unchanged: starts are sent by Decide, once their record is durable.

--- a/mulberryvalve/app/jobs/shard_runtime.h
+++ b/mulberryvalve/app/jobs/shard_runtime.h
@@ -4,6 +4,7 @@
 #ifndef MULBERRYVALVE_APP_JOBS_SHARD_RUNTIME_H_
 #define MULBERRYVALVE_APP_JOBS_SHARD_RUNTIME_H_
 
+#include "mulberryvalve/app/jobs/append_pace.h"
 #include "mulberryvalve/app/jobs/append_splitting.h"
 #include "mulberryvalve/app/jobs/config_view.h"
 #include "mulberryvalve/app/jobs/failure_log_limiter.h"
@@ -199,6 +200,7 @@
                            std::chrono::steady_clock::time_point aDecisionDue);
   void RequestDecisionPass() MV_REQUIRES(mMutex);
   void RunProgressWriter();
+  std::optional<ProgressBatch> NextProgress(const AppendPace& aPace);
   void AppendProgress(const ProgressBatch& aBatch);
   KeyedLogLimits LimitsBesideRecord() const;
   StampedAppend Stamp(std::vector<KeyedEntry> aEntries) const;
--- a/mulberryvalve/app/jobs/shard_runtime_writer.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_writer.cc
@@ -14,9 +14,6 @@
 // How long the progress writer waits for something to append before it looks at
 // its other work.
 constexpr Milliseconds kWriterInterval{ 100 };
-// Minimum time between two appends. Changes made in the meantime are written by
-// one append.
-constexpr Milliseconds kAppendInterval{ 10 };
 constexpr Milliseconds kAppendRetryDelay{ 150 };
 // An owner whose newest record is older appends it though nothing else changed,
 // so that its leases can be renewed for their full length.
@@ -71,36 +68,47 @@
 
 void ShardRuntime::RunProgressWriter()
 {
+  AppendPace pace;
   while (true) {
     RetireJobs();
-    const Steady::time_point next = Steady::now() + kWriterInterval;
-    ProgressBatch batch;
-    {
-      MutexLock lock(mMutex);
-      while (!mStopping && !mShard->NeedsAppend() && Steady::now() < next) {
-        mWriteCond.WaitUntil(mMutex, next);
-      }
-      if (mStopping) {
-        return;
-      }
-      batch = mShard->TakeProgress(mPorts.mClock.Now());
+    const std::optional<ProgressBatch> batch = NextProgress(pace);
+    if (!batch) {
+      return;
     }
-    if (batch.Empty()) {
+    if (batch->Empty()) {
       // End reports that change no job record need no append: the log already
       // holds all they depend on.
-      if (!batch.mAckedEnds.empty()) {
-        OnAppended(batch);
+      if (!batch->mAckedEnds.empty()) {
+        OnAppended(*batch);
       }
       if (!RenewRecord(kRecordInterval)) {
         return;
       }
       continue;
     }
-    AppendProgress(batch);
-    if (mIsOwnershipOver || !SleepUntil(Steady::now() + kAppendInterval)) {
+    AppendProgress(*batch);
+    if (mIsOwnershipOver) {
       return;
     }
+    pace.OnAppended(Steady::now());
+  }
+}
+
+// Waits until something is to be appended, or for kWriterInterval. Returns
+// nothing if the owner is stopping.
+std::optional<ProgressBatch> ShardRuntime::NextProgress(const AppendPace& aPace)
+{
+  const Steady::time_point latest = Steady::now() + kWriterInterval;
+  MutexLock lock(mMutex);
+  while (!mStopping) {
+    const Steady::time_point next =
+      aPace.NextAt(mShard->NeededAppend(), latest);
+    if (Steady::now() >= next) {
+      return mShard->TakeProgress(mPorts.mClock.Now());
+    }
+    mWriteCond.WaitUntil(mMutex, next);
   }
+  return std::nullopt;
 }
 
 void ShardRuntime::AppendProgress(const ProgressBatch& aBatch)
--- a/mulberryvalve/core/jobs/held_starts.h
+++ b/mulberryvalve/core/jobs/held_starts.h
@@ -55,9 +55,10 @@
   bool UpdateOverdue(MonotonicTime aNow);
   bool AreRecordsOverdue() const { return mIsOverdue; }
 
-  // Returns whether there is a start, and whether one is recorded.
+  // Return whether there is a start, one that is recorded, or one that is not.
   bool Empty() const { return mStarts.empty(); }
   bool HasRecorded() const { return mRecordedCount > 0; }
+  bool HasUnrecorded() const { return mRecordedCount < mStarts.size(); }
 
   // Returns the starts for which aCondition is true, in the order of decisions.
   std::vector<HeldStart> Select(
--- a/mulberryvalve/core/jobs/progress_batch.h
+++ b/mulberryvalve/core/jobs/progress_batch.h
@@ -2,6 +2,7 @@
 #ifndef MULBERRYVALVE_CORE_JOBS_PROGRESS_BATCH_H_
 #define MULBERRYVALVE_CORE_JOBS_PROGRESS_BATCH_H_
 
+#include "mulberryvalve/core/base/enum_table.h"
 #include "mulberryvalve/core/jobs/job_state.h"
 #include "mulberryvalve/core/jobs/learned_record.h"
 #include "mulberryvalve/core/jobs/used_worker_record.h"
@@ -11,6 +12,20 @@
 
 namespace mulberryvalve {
 
+// AppendDemand is what waits for an append.
+enum class AppendDemand
+{
+  kNone,
+  kChanges, // changes of records, but no start
+  kStarts,  // starts that are sent once their records are durable
+};
+
+inline constexpr EnumTable<AppendDemand, 3> kAppendDemandNames{ { {
+  { AppendDemand::kNone, "none" },
+  { AppendDemand::kChanges, "changes" },
+  { AppendDemand::kStarts, "starts" },
+} } };
+
 // ProgressBatch is what to append to the log next. Pass it to OnDurable once it
 // is durable.
 struct ProgressBatch
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -157,13 +157,10 @@
   ProgressBatch TakeProgress(MonotonicTime aNow);
   void OnDurable(const ProgressBatch& aBatch);
 
-  // NeedsAppend tells whether TakeProgress would return something.
-  bool NeedsAppend() const
-  {
-    return !mDirtyJobs.empty() || !mDirtyWorkers.empty() ||
-           !mRemovedWorkers.empty() || !mJobsOffIntake.empty() ||
-           !mEndedClaims.empty();
-  }
+  // Tells whether TakeProgress would return something that needs an append, and
+  // whether starts wait for it.
+  AppendDemand NeededAppend() const;
+  bool NeedsAppend() const { return NeededAppend() != AppendDemand::kNone; }
 
   // Returns the phase to report to callers, or nothing if the job is unknown.
   std::optional<JobPhase> Phase(const JobId& aJob) const;
--- a/mulberryvalve/core/jobs/shard_scheduler_starts.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_starts.cc
@@ -66,6 +66,18 @@
   LogDecision(std::move(decision));
 }
 
+AppendDemand ShardScheduler::NeededAppend() const
+{
+  const bool hasChanges = !mDirtyJobs.empty() || !mDirtyWorkers.empty() ||
+                          !mRemovedWorkers.empty() || !mJobsOffIntake.empty() ||
+                          !mEndedClaims.empty();
+  if (!hasChanges) {
+    return AppendDemand::kNone;
+  }
+  return mHeldStarts.HasUnrecorded() ? AppendDemand::kStarts
+                                     : AppendDemand::kChanges;
+}
+
 // Sends the held starts that may go out now, and drops those that can't be sent
 // any more or that have waited too long.
 void ShardScheduler::HandleHeldStarts(bool aMayStart, MonotonicTime aNow)
