--- a/mulberryvalve/app/jobs/jobs_fake.cc
+++ b/mulberryvalve/app/jobs/jobs_fake.cc
@@ -44,6 +44,13 @@
   return appends;
 }
 
+size_t MemoryLog::CountEpochs(const TopicPartition& aPlace) const
+{
+  MutexLock lock(mMutex);
+  const auto found = mPartitions.find({ aPlace.mTopic, aPlace.mPartition });
+  return found == mPartitions.end() ? 0 : found->second.mEpochs;
+}
+
 bool MemoryLog::Holds(KeyedTopic aTopic, const std::string& aKey) const
 {
   MutexLock lock(mMutex);
@@ -137,6 +144,7 @@
   Result<void> taken = ApplyAppend(partition, aEntries);
   const bool done = taken || taken.error().mField == kAppendFaultDone;
   if (done) {
+    partition.mEpochs += partition.mEpoch < aProof.mEpoch ? 1 : 0;
     partition.mEpoch = aProof.mEpoch;
     partition.mSequence = aProof.mSequence;
   }
@@ -188,168 +196,6 @@
   return view;
 }
 
-Result<GroupAssignment> FakeShardGroups::Join(uint16_t aPort,
-                                              ShardNumber aShard)
-{
-  MutexLock lock(mMutex);
-  if (mDisconnected.count(aPort) != 0) {
-    return Fail(FailureKind::kLogUnavailable);
-  }
-  mJoins[aPort]++;
-  mAllJoins++;
-  mCond.NotifyAll();
-  Group& group = mGroups[aShard];
-  std::vector<uint16_t>& members = group.mMembers;
-  if (std::find(members.begin(), members.end(), aPort) == members.end()) {
-    members.push_back(aPort);
-    group.mGeneration++;
-  }
-  GroupAssignment share;
-  share.mGeneration = Generation(group.mGeneration);
-  const uint64_t lastGeneration =
-    std::exchange(group.mLastGeneration[aPort], group.mGeneration);
-  const bool pauses = mOrder == AssignmentOrder::kOldestAfterOneEmptyJoin &&
-                      lastGeneration != 0 &&
-                      lastGeneration != group.mGeneration;
-  share.mHoldsShard = HolderOf(group) == aPort && !pauses;
-  share.mIsOnlyMember = members.size() == 1;
-  return share;
-}
-
-Result<GroupView> FakeShardGroups::View(uint16_t aPort, ShardNumber aShard)
-{
-  MutexLock lock(mMutex);
-  if (mDisconnected.count(aPort) + mJoinsOnly.count(aPort) != 0) {
-    mFailedViews++;
-    mCond.NotifyAll();
-    return Fail(FailureKind::kLogUnavailable);
-  }
-  mViews++;
-  mCond.NotifyAll();
-  GroupView view;
-  const Group& group = mGroups[aShard];
-  for (const uint16_t port : group.mMembers) {
-    const auto known = mProcessors.find(port);
-    const GroupMember member{ Endpoint{ "10.0.0.1", port },
-                              known == mProcessors.end() ? kWholeCore
-                                                         : known->second };
-    if (port == HolderOf(group)) {
-      view.mOwner = member;
-    } else {
-      view.mOthers.push_back(member);
-    }
-  }
-  return view;
-}
-
-Result<void> FakeShardGroups::Leave(uint16_t aPort, ShardNumber aShard)
-{
-  MutexLock lock(mMutex);
-  if (mDisconnected.count(aPort) != 0) {
-    return Fail(FailureKind::kLogUnavailable);
-  }
-  Remove(mGroups[aShard], aPort);
-  return Done();
-}
-
-void FakeShardGroups::Disconnect(uint16_t aPort)
-{
-  MutexLock lock(mMutex);
-  mDisconnected.insert(aPort);
-  for (auto& [shard, group] : mGroups) {
-    Remove(group, aPort);
-  }
-}
-
-void FakeShardGroups::Reconnect(uint16_t aPort)
-{
-  MutexLock lock(mMutex);
-  mDisconnected.erase(aPort);
-  mJoinsOnly.erase(aPort);
-}
-
-void FakeShardGroups::RestoreJoins(uint16_t aPort)
-{
-  MutexLock lock(mMutex);
-  mDisconnected.erase(aPort);
-  mJoinsOnly.insert(aPort);
-}
-
-void FakeShardGroups::AwaitFailedViews(size_t aCount)
-{
-  MutexLock lock(mMutex);
-  Await(mFailedViews, aCount);
-}
-
-void FakeShardGroups::Await(const size_t& aCounter, size_t aMore)
-{
-  const size_t until = aCounter + aMore;
-  while (aCounter < until) {
-    mCond.Wait(mMutex);
-  }
-}
-
-uint16_t FakeShardGroups::HolderOf(const Group& aGroup) const
-{
-  return mOrder == AssignmentOrder::kNewestFirst ? aGroup.mMembers.back()
-                                                 : aGroup.mMembers.front();
-}
-
-void FakeShardGroups::Remove(Group& aGroup, uint16_t aPort)
-{
-  std::vector<uint16_t>& members = aGroup.mMembers;
-  const auto gone = std::remove(members.begin(), members.end(), aPort);
-  aGroup.mGeneration += gone == members.end() ? 0 : 1;
-  members.erase(gone, members.end());
-}
-
-void FakeShardGroups::SetProcessor(uint16_t aPort, MilliCores aProcessor)
-{
-  MutexLock lock(mMutex);
-  mProcessors[aPort] = aProcessor;
-}
-
-std::map<ShardNumber, uint16_t> FakeShardGroups::Owners() const
-{
-  MutexLock lock(mMutex);
-  std::map<ShardNumber, uint16_t> owners;
-  for (const auto& [shard, group] : mGroups) {
-    if (!group.mMembers.empty()) {
-      owners[shard] = HolderOf(group);
-    }
-  }
-  return owners;
-}
-
-size_t FakeShardGroups::Changes() const
-{
-  MutexLock lock(mMutex);
-  size_t changes = 0;
-  for (const auto& [shard, group] : mGroups) {
-    changes += group.mGeneration - 1;
-  }
-  return changes;
-}
-
-void FakeShardGroups::AwaitViews(size_t aCount)
-{
-  MutexLock lock(mMutex);
-  Await(mViews, aCount);
-}
-
-void FakeShardGroups::AwaitJoins(size_t aCount)
-{
-  MutexLock lock(mMutex);
-  Await(mAllJoins, aCount);
-}
-
-size_t FakeShardGroups::Joins(uint16_t aPort) const
-{
-  MutexLock lock(mMutex);
-  const auto found = mJoins.find(aPort);
-  return found == mJoins.end() ? 0 : found->second;
-}
-
 ThreadedWorker::ThreadedWorker()
   : mOrderThread([this] { RunOrders(); })
   , mRenewalThread([this] { RunRenewals(); })
--- a/mulberryvalve/app/jobs/jobs_fake.h
+++ b/mulberryvalve/app/jobs/jobs_fake.h
@@ -1,5 +1,5 @@
 // Fakes for tests of the job services: an in-memory keyed log with injected
-// failures, shard groups, and workers that end each task at once.
+// failures, and workers that end each task at once.
 #ifndef MULBERRYVALVE_APP_JOBS_JOBS_FAKE_H_
 #define MULBERRYVALVE_APP_JOBS_JOBS_FAKE_H_
 
@@ -74,6 +74,9 @@
   // Returns the number of appends to a topic that took effect.
   size_t CountAppends(KeyedTopic aTopic) const;
 
+  // Returns the number of epochs under which owners have written to a place.
+  size_t CountEpochs(const TopicPartition& aPlace) const;
+
   // Returns whether a key has a record.
   bool Holds(KeyedTopic aTopic, const std::string& aKey) const;
 
@@ -94,6 +97,7 @@
     uint64_t mFirst = 0;
     Epoch mEpoch;
     uint64_t mSequence = 0;
+    size_t mEpochs = 0;
     size_t mAppends = 0;
   };
 
@@ -129,116 +133,9 @@
   const uint64_t mGeneration;
 };
 
-// The processor of members without a SetProcessor call.
+// The processor of the instances in tests, unless a test sets another one.
 inline constexpr MilliCores kWholeCore = 1000;
 
-// The member to which a group assigns its shard after each change of members.
-enum class AssignmentOrder
-{
-  kNewestFirst,
-  kOldestFirst,
-  // The oldest one, but its first join after a change does not list the shard.
-  kOldestAfterOneEmptyJoin,
-};
-
-// One group for each shard. Thread-safe.
-class FakeShardGroups
-{
-public:
-  explicit FakeShardGroups(
-    AssignmentOrder aOrder = AssignmentOrder::kNewestFirst)
-    : mOrder(aOrder)
-  {
-  }
-
-  // Calls of the member whose peer port is aPort. They fail while it is
-  // disconnected.
-  Result<GroupAssignment> Join(uint16_t aPort, ShardNumber aShard);
-  Result<GroupView> View(uint16_t aPort, ShardNumber aShard);
-  Result<void> Leave(uint16_t aPort, ShardNumber aShard);
-
-  // Disconnect removes a member from all groups and makes its calls fail until
-  // Reconnect. RestoreJoins, called in between, lets joins succeed again but
-  // not views.
-  void Disconnect(uint16_t aPort);
-  void RestoreJoins(uint16_t aPort);
-  void Reconnect(uint16_t aPort);
-
-  // Blocks until View has succeeded aCount more times.
-  void AwaitViews(size_t aCount);
-
-  // Blocks until View has failed aCount more times.
-  void AwaitFailedViews(size_t aCount);
-
-  // Blocks until Join has succeeded aCount more times.
-  void AwaitJoins(size_t aCount);
-
-  // Returns the number of successful joins of a member.
-  size_t Joins(uint16_t aPort) const;
-
-  // Sets the processor that a member's entry in a view shows.
-  void SetProcessor(uint16_t aPort, MilliCores aProcessor);
-
-  // Returns the member that holds each shard, for the shards that are held.
-  std::map<ShardNumber, uint16_t> Owners() const;
-
-  // Returns the number of member changes in all groups.
-  size_t Changes() const;
-
-private:
-  struct Group
-  {
-    uint64_t mGeneration = 1;
-    std::vector<uint16_t> mMembers;
-    // The generation that each member's last join returned.
-    std::map<uint16_t, uint64_t> mLastGeneration;
-  };
-
-  void Remove(Group& aGroup, uint16_t aPort) MV_REQUIRES(mMutex);
-  void Await(const size_t& aCounter, size_t aMore) MV_REQUIRES(mMutex);
-  uint16_t HolderOf(const Group& aGroup) const MV_REQUIRES(mMutex);
-
-  const AssignmentOrder mOrder;
-  mutable Mutex mMutex;
-  CondVar mCond;
-  std::map<ShardNumber, Group> mGroups MV_GUARDED_BY(mMutex);
-  std::map<uint16_t, MilliCores> mProcessors MV_GUARDED_BY(mMutex);
-  std::set<uint16_t> mDisconnected MV_GUARDED_BY(mMutex);
-  std::set<uint16_t> mJoinsOnly MV_GUARDED_BY(mMutex);
-  size_t mFailedViews MV_GUARDED_BY(mMutex) = 0;
-  std::map<uint16_t, size_t> mJoins MV_GUARDED_BY(mMutex);
-  size_t mViews MV_GUARDED_BY(mMutex) = 0;
-  size_t mAllJoins MV_GUARDED_BY(mMutex) = 0;
-};
-
-// One member's connection to a FakeShardGroups.
-class FakeShardGroupsMember : public ShardGroup
-{
-public:
-  FakeShardGroupsMember(FakeShardGroups& aGroup, uint16_t aPort)
-    : mGroup(aGroup)
-    , mPort(aPort)
-  {
-  }
-
-  Result<GroupAssignment> Join(ShardNumber aShard, Generation) override
-  {
-    return mGroup.Join(mPort, aShard);
-  }
-  Result<GroupView> View(ShardNumber aShard) override
-  {
-    return mGroup.View(mPort, aShard);
-  }
-  Result<void> Leave(ShardNumber aShard) override
-  {
-    return mGroup.Leave(mPort, aShard);
-  }
-
-private:
-  FakeShardGroups& mGroup;
-  const uint16_t mPort;
-};
-
 // Answers orders on one thread and renewals on another, one at a time.
 // Thread-safe.
 class ThreadedWorker : public TaskWorkerPort
--- a/mulberryvalve/app/jobs/jobs_test.cc
+++ b/mulberryvalve/app/jobs/jobs_test.cc
@@ -1,6 +1,7 @@
 // Tests of the job services as an instance composes them, on an in-memory log.
 #include "mulberryvalve/app/jobs/decision_metrics.h"
 #include "mulberryvalve/app/jobs/jobs_instance_fake.h"
+#include "mulberryvalve/app/jobs/shard_groups_fake.h"
 
 #include <atomic>
 #include <thread>
--- a/mulberryvalve/app/jobs/shard_membership_manager_test.cc
+++ b/mulberryvalve/app/jobs/shard_membership_manager_test.cc
@@ -1,6 +1,7 @@
 // Tests of shard assignment with several instances and one group per shard.
 #include "mulberryvalve/adapters/system/seeded_random.h"
 #include "mulberryvalve/app/jobs/jobs_instance_fake.h"
+#include "mulberryvalve/app/jobs/shard_groups_fake.h"
 
 #include "CppUTest/TestHarness.h"
 
--- a/mulberryvalve/app/jobs/stuck_owner_test.cc
+++ b/mulberryvalve/app/jobs/stuck_owner_test.cc
@@ -2,6 +2,7 @@
 #include "mulberryvalve/adapters/system/seeded_random.h"
 #include "mulberryvalve/app/jobs/faulty_log_fake.h"
 #include "mulberryvalve/app/jobs/jobs_instance_fake.h"
+#include "mulberryvalve/app/jobs/shard_groups_fake.h"
 
 #include "CppUTest/TestHarness.h"
 
