Tests of one ownership for one loss, known red: a member that comes and goes ends the owner

Two members that join at once, or a late join of a former owner, make the platform deal the shard to a member that leaves again or knows nothing of it. The owner, not listed once, ends at that join.

--- a/mulberryvalve/app/jobs/shard_membership_manager_test.cc
+++ b/mulberryvalve/app/jobs/shard_membership_manager_test.cc
@@ -18,6 +18,12 @@
 // Number of joins of all members without a change after which assignments count
 // as stable. Takes longer than any delay or backoff of ShardBalancerDelays.
 constexpr size_t kJoinsWithoutChange = 150;
+// A member that joins and leaves again, and how many joins of the owner it
+// stays for.
+constexpr uint16_t kTemporaryMember = 9;
+constexpr size_t kJoinsBeside = 3;
+// More joins than the owner needs to claim the shard.
+constexpr size_t kJoinsForClaim = 10;
 
 // The default delays divided by ten.
 ShardBalancerDelays ShortDelays()
@@ -34,8 +40,12 @@
 class FakeCluster
 {
 public:
-  explicit FakeCluster(AssignmentOrder aOrder)
-    : mGroup(aOrder)
+  explicit FakeCluster(AssignmentOrder aOrder,
+                       ShardNumber aShards = kShards,
+                       ShardBalancerDelays aDelays = ShortDelays())
+    : mShards(aShards)
+    , mDelays(aDelays)
+    , mGroup(aOrder)
   {
   }
 
@@ -43,8 +53,8 @@
   void Add(uint16_t aPort, MilliCores aProcessor = kWholeCore)
   {
     mGroup.SetProcessor(aPort, aProcessor);
-    ShardMembershipOptions options = JobsInstance::OptionsAt(aPort, kShards);
-    options.mBalancerDelays = ShortDelays();
+    ShardMembershipOptions options = JobsInstance::OptionsAt(aPort, mShards);
+    options.mBalancerDelays = mDelays;
     options.mSelf.mProcessor = aProcessor;
     auto instance = std::make_unique<JobsInstance>(
       mLog,
@@ -88,12 +98,41 @@
     for (const auto& [shard, owner] : rows) {
       owners.insert(owner);
     }
-    return rows.size() == kShards ? owners : std::set<uint16_t>();
+    return rows.size() == mShards ? owners : std::set<uint16_t>();
+  }
+
+  // Waits until shard 0 has been claimed by aCount owners, one after the other.
+  // Returns false on timeout.
+  bool AwaitClaims(size_t aCount)
+  {
+    const RealClock clock;
+    const MonotonicTime until = clock.Now() + kTestTimeout;
+    while (Claims() < aCount && clock.Now() < until) {
+      mGroup.AwaitJoins(1);
+    }
+    return Claims() >= aCount;
+  }
+
+  size_t Claims() const
+  {
+    return mLog.CountEpochs(TopicPartition{ KeyedTopic::kProgress, 0 });
+  }
+
+  // Lets another member join the group of shard 0, and leave it after some
+  // joins of its owner at aOwner. Then waits until the group is calm.
+  void JoinAndLeaveBeside(uint16_t aOwner)
+  {
+    CHECK(mGroup.Join(kTemporaryMember, 0).has_value());
+    CHECK(mGroup.AwaitJoinsOf(aOwner, kJoinsBeside, kTestTimeout));
+    CHECK(mGroup.Leave(kTemporaryMember, 0).has_value());
+    CHECK(mGroup.AwaitJoinsOf(aOwner, kJoinsForClaim, kTestTimeout));
   }
 
   FakeShardGroups& Group() { return mGroup; }
 
 private:
+  const ShardNumber mShards;
+  const ShardBalancerDelays mDelays;
   MemoryLog mLog;
   InstantWorker mWorkers;
   FakeShardGroups mGroup;
@@ -163,13 +202,47 @@
   cluster.Add(1);
   CHECK(cluster.AwaitOwners(1));
   const size_t changes = cluster.Group().Changes();
-  constexpr uint16_t kTemporaryMember = 9;
   CHECK(cluster.Group().Join(kTemporaryMember, 0).has_value());
   CHECK(cluster.Group().Leave(kTemporaryMember, 0).has_value());
   CHECK(cluster.AwaitOwners(1));
   CHECK_EQUAL(changes + 2, cluster.Group().Changes());
 }
 
+// Guards against a second ownership because a member that soon leaves moved the
+// shard: its owner ended, and started anew under another epoch.
+TEST(ShardMembershipManagerTest, AnOwnerKeepsItsEpochWhileAMemberComesAndGoes)
+{
+  for (const AssignmentOrder order :
+       { AssignmentOrder::kNewestFirst,
+         AssignmentOrder::kOldestFirst,
+         AssignmentOrder::kOldestAfterOneEmptyJoin }) {
+    FakeCluster cluster(order, 1, ShardBalancerDelays());
+    cluster.Add(1);
+    CHECK(cluster.AwaitClaims(1));
+    const size_t changes = cluster.Group().Changes();
+    cluster.JoinAndLeaveBeside(1);
+    CHECK_EQUAL(1U, cluster.Claims());
+    CHECK_EQUAL(changes + 2, cluster.Group().Changes());
+    CHECK_EQUAL(1U, cluster.Group().Owners().at(0));
+  }
+}
+
+// Guards against two ownerships after one loss: two members join at once, and
+// the one that is given the shard loses it before it has claimed it.
+TEST(ShardMembershipManagerTest, OneClaimFollowsALossAfterWhichTwoMembersJoin)
+{
+  constexpr uint16_t kNext = 2;
+  FakeCluster cluster(AssignmentOrder::kNewestFirst, 1, ShardBalancerDelays());
+  cluster.Add(1);
+  CHECK(cluster.AwaitClaims(1));
+  cluster.Add(kNext);
+  cluster.Kill(1);
+  CHECK(cluster.Group().AwaitJoinsOf(kNext, 1, kTestTimeout));
+  cluster.JoinAndLeaveBeside(kNext);
+  CHECK_EQUAL(2U, cluster.Claims());
+  CHECK_EQUAL(kNext, cluster.Group().Owners().at(0));
+}
+
 // Guards against an owner with too little capacity while a larger instance is
 // available: if both kinds start together, the small ones must own nothing.
 TEST(ShardMembershipManagerTest, SmallInstancesLeaveTheShardsToLargerOnes)
