An owner keeps its shard and epoch while another member joins and leaves

After a cut the late joins of the former owner arrive at about 26 s and make it a member for 1.2 s; two that see a vacant shard join at once. Each such join makes the platform deal the shard to that member. The owner, not listed once, ended, joined with the new generation and so gave the shard to a member that knew nothing of it or left.

An owner that no better one can relieve goes on under its epoch and joins with its old generation until that has risen by two (somebody joined and left) or for 2 s, and accepts the new one only then; if the next join does not list the shard, it ends as before. Joins that don't list it prove no ownership. A weak owner, or one with two shards, gives way at once as before, so a relief takes no longer.

Ruled out: only to keep the old generation. Ruled out for a member whose joins get no answer: to start from a look, which tells no generation, so no epoch.

The test of two members that join at once counted claims without waiting for the second one and once saw one of two; it waits now, and then counts as strictly.

--- a/mulberryvalve/app/jobs/shard_balancer.cc
+++ b/mulberryvalve/app/jobs/shard_balancer.cc
@@ -121,6 +121,12 @@
                      });
 }
 
+bool ShardBalancer::MayBeReplaced(ShardNumber aShard) const
+{
+  MutexLock lock(mMutex);
+  return !MayOwnShards(mSelf) || OwnsTooMany(aShard, mSelf.mPeer);
+}
+
 bool ShardBalancer::ShouldReplaceOwner(ShardNumber aShard,
                                        const GroupView& aView) const
 {
@@ -151,9 +157,11 @@
 }
 
 // An owner hands over only one shard at a time: the last one.
-bool ShardBalancer::IsLastShardOf(ShardNumber aShard,
-                                  const Endpoint& aPeer) const
+bool ShardBalancer::OwnsTooMany(ShardNumber aShard, const Endpoint& aPeer) const
 {
+  if (CountOwned(aPeer) < 2) {
+    return false;
+  }
   return std::none_of(
     mShards.upper_bound(aShard), mShards.end(), [&](const auto& aEntry) {
       const auto& owner = aEntry.second.mOwner;
@@ -173,7 +181,7 @@
   const bool isMember =
     aCandidate.mPeer == mSelf.mPeer && mShards.at(aShard).mIsMember;
   return CountOwned(aCandidate.mPeer) - (isMember ? 1 : 0) == 0 &&
-         CountOwned(aOwner.mPeer) >= 2 && IsLastShardOf(aShard, aOwner.mPeer);
+         OwnsTooMany(aShard, aOwner.mPeer);
 }
 
 } // namespace mulberryvalve
--- a/mulberryvalve/app/jobs/shard_balancer.h
+++ b/mulberryvalve/app/jobs/shard_balancer.h
@@ -81,6 +81,10 @@
   // another member in aView.
   bool ShouldHandOver(ShardNumber aShard, const GroupView& aView) const;
 
+  // Returns whether another instance can be a better owner of the shard than
+  // this one, which owns it.
+  bool MayBeReplaced(ShardNumber aShard) const;
+
   // Returns whether this instance would still be a better owner than the one in
   // aView.
   bool ShouldReplaceOwner(ShardNumber aShard, const GroupView& aView) const;
@@ -102,7 +106,7 @@
   };
 
   size_t CountOwned(const Endpoint& aPeer) const MV_REQUIRES(mMutex);
-  bool IsLastShardOf(ShardNumber aShard, const Endpoint& aPeer) const
+  bool OwnsTooMany(ShardNumber aShard, const Endpoint& aPeer) const
     MV_REQUIRES(mMutex);
   bool IsBetterOwner(const GroupMember& aCandidate,
                      const GroupMember& aOwner,
--- a/mulberryvalve/app/jobs/shard_groups_fake.cc
+++ b/mulberryvalve/app/jobs/shard_groups_fake.cc
@@ -28,6 +28,7 @@
     group.mHolderKnows = std::max(group.mHolderKnows, aKnown.Value());
     if (group.mMovesSince && aKnown.Value() >= *group.mMovesSince) {
       GiveToNext(group);
+      group.mGeneration++;
     }
   }
   GroupAssignment share;
@@ -138,13 +139,12 @@
 
 void FakeShardGroups::OnMembersChanged(Group& aGroup)
 {
+  aGroup.mMemberChanges++;
   if (aGroup.mMembers.empty()) {
     aGroup.mMovesSince.reset();
   } else if (!aGroup.mHolder) {
     GiveToNext(aGroup);
-  } else if (*aGroup.mHolder == NextHolderOf(aGroup)) {
-    aGroup.mMovesSince.reset();
-  } else if (!aGroup.mMovesSince) {
+  } else if (!aGroup.mMovesSince && *aGroup.mHolder != NextHolderOf(aGroup)) {
     aGroup.mMovesSince = aGroup.mGeneration;
   }
 }
@@ -179,7 +179,7 @@
   MutexLock lock(mMutex);
   size_t changes = 0;
   for (const auto& [shard, group] : mGroups) {
-    changes += group.mGeneration - 1;
+    changes += group.mMemberChanges;
   }
   return changes;
 }
--- a/mulberryvalve/app/jobs/shard_groups_fake.h
+++ b/mulberryvalve/app/jobs/shard_groups_fake.h
@@ -23,7 +23,8 @@
 // One group for each shard. A shard moves in two steps, as on the platform: the
 // joins of its holder don't list it any more, and once the holder has joined
 // with a generation that did not assign it the shard, or has left, the next
-// member holds it. A view shows a member without the shard only once the holder
+// member holds it. A shard that moves back to its holder takes both steps too.
+// A view shows a member without the shard only once the holder
 // has joined with the generation of that member's first join, as other
 // partitions move there too. Thread-safe.
 class FakeShardGroups
@@ -79,6 +80,7 @@
   struct Group
   {
     uint64_t mGeneration = 1;
+    size_t mMemberChanges = 0;
     std::vector<uint16_t> mMembers;
     std::optional<uint16_t> mHolder;
     // Since when the holder is to give way to another member.
--- a/mulberryvalve/app/jobs/shard_membership.cc
+++ b/mulberryvalve/app/jobs/shard_membership.cc
@@ -12,6 +12,8 @@
 // Number of epochs per group generation. A member that is assigned a shard
 // again in the same generation takes the next one.
 constexpr uint64_t kEpochsPerGeneration = 64;
+// A member that joins and leaves again raises the generation by this much.
+constexpr uint64_t kChangesOfAVisit = 2;
 constexpr Milliseconds kMaxFirstPollDelay{ 600 };
 // Delay before polling again after the known owner turned out to be outdated.
 constexpr Milliseconds kStalePollDelay{ 250 };
@@ -321,13 +323,15 @@
              { { "generation", std::to_string(aShare.mGeneration.Value()) } });
   }
   LogDealIfChanged(aShare);
-  mGeneration = aShare.mGeneration;
+  mDealtGeneration = aShare.mGeneration;
   if (mIsStopping || mState != MemberState::kMember) {
     return;
   }
   if (aShare.mHoldsShard) {
+    mGeneration = aShare.mGeneration;
     OnShardAssigned(aShare.mGeneration, aSentAt);
-  } else {
+  } else if (!ShouldKeepShard(aShare.mGeneration, aSentAt)) {
+    mGeneration = aShare.mGeneration;
     OnShardNotAssigned(aSentAt);
   }
   mIsOwnerStale = !aShare.mIsOnlyMember;
@@ -340,6 +344,7 @@
                                       MonotonicTime aSentAt)
 {
   mOwner = mOptions.mSelf.mPeer;
+  mKept.reset();
   mBalancer.OnAssigned(mShard, aSentAt);
   UpdateOwnedGauge();
   if (mRuntime != nullptr) {
@@ -369,6 +374,33 @@
   mState = MemberState::kLeaving;
 }
 
+// Most members that join beside an owner leave at once, or are late joins of a
+// former owner, which expire. The owner accepts the new generation only after
+// that, and meanwhile nobody else holds the shard. A join that does not list
+// the shard proves no ownership, so the runtime acts only as long as its
+// appends do.
+bool ShardMembership::ShouldKeepShard(Generation aDealt, MonotonicTime aSentAt)
+{
+  const bool mayKeep = mRuntime != nullptr && !mRuntime->IsOwnershipOver() &&
+                       !mBalancer.MayBeReplaced(mShard);
+  if (!mayKeep || (mKept && mKept->mHasAccepted)) {
+    return false;
+  }
+  if (!mKept) {
+    mKept = KeptShard{ aSentAt + mOptions.mBalancerDelays.mKeepTimeout };
+    LogEvent("shard_kept",
+             { { "generation", std::to_string(mGeneration.Value()) },
+               { "dealt", std::to_string(aDealt.Value()) } });
+  }
+  const bool hasOtherLeft =
+    aDealt.Value() >= mGeneration.Value() + kChangesOfAVisit;
+  if (hasOtherLeft || aSentAt >= mKept->mAcceptBy) {
+    mGeneration = aDealt;
+    mKept->mHasAccepted = true;
+  }
+  return true;
+}
+
 void ShardMembership::OnShardNotAssigned(MonotonicTime aSentAt)
 {
   if (mRuntime != nullptr) {
@@ -441,6 +473,7 @@
   mRuntime->BeginStop();
   mEndingRuntimes.push_back(std::move(mRuntime));
   mRuntime = nullptr;
+  mKept.reset();
 }
 
 // Destroying the state of a large shard takes long, so it is done without the
--- a/mulberryvalve/app/jobs/shard_membership.h
+++ b/mulberryvalve/app/jobs/shard_membership.h
@@ -75,6 +75,15 @@
   void OnPeerAnswer(const PeerQueryResult& aAnswer);
 
 private:
+  // A shard that its owner keeps though the group deals it anew. The group
+  // lists it again, or gives it to another member, only once the owner accepts,
+  // that is, joins with the new generation.
+  struct KeptShard
+  {
+    MonotonicTime mAcceptBy;
+    bool mHasAccepted = false;
+  };
+
   PeerQueryResult AnswerOwnershipEnd(const PeerQuery& aQuestion);
   std::shared_ptr<ShardRuntime> FindRuntime(Epoch aEpoch);
   void ObserveOwner();
@@ -97,6 +106,8 @@
   void ApplyShare(const GroupAssignment& aShare, MonotonicTime aSentAt);
   void OnShardAssigned(Generation aGeneration, MonotonicTime aSentAt)
     MV_REQUIRES(mMutex);
+  bool ShouldKeepShard(Generation aDealt, MonotonicTime aSentAt)
+    MV_REQUIRES(mMutex);
   void OnShardNotAssigned(MonotonicTime aSentAt) MV_REQUIRES(mMutex);
   void LeaveForAnother() MV_REQUIRES(mMutex);
   void LeaveGroup();
@@ -125,7 +136,13 @@
   CondVar mJoinCond;
   MemberState mState MV_GUARDED_BY(mMutex) = MemberState::kNotMember;
   JoinReason mJoinReason MV_GUARDED_BY(mMutex) = JoinReason::kNone;
+  // The generation to join with. Joining with one that does not assign the
+  // shard to this member gives it up.
   Generation mGeneration MV_GUARDED_BY(mMutex);
+  // The generation that the last join returned.
+  Generation mDealtGeneration MV_GUARDED_BY(mMutex);
+  // Set while the shard is kept though joins don't list it.
+  std::optional<KeptShard> mKept MV_GUARDED_BY(mMutex);
   // The lowest epoch that the next ownership here may use.
   Epoch mMinEpoch MV_GUARDED_BY(mMutex);
   std::shared_ptr<ShardRuntime> mRuntime MV_GUARDED_BY(mMutex);
--- a/mulberryvalve/app/jobs/shard_membership_manager_test.cc
+++ b/mulberryvalve/app/jobs/shard_membership_manager_test.cc
@@ -29,11 +29,11 @@
 ShardBalancerDelays ShortDelays()
 {
   const ShardBalancerDelays defaults;
-  return ShardBalancerDelays{ defaults.mDelayPerOwnedShard / 10,
-                              defaults.mLowCapacityDelay / 10,
-                              defaults.mMinOwnerAge / 10,
-                              defaults.mHandOverTimeout / 10,
-                              defaults.mInitialBackoff / 10 };
+  return ShardBalancerDelays{
+    defaults.mDelayPerOwnedShard / 10, defaults.mLowCapacityDelay / 10,
+    defaults.mMinOwnerAge / 10,        defaults.mHandOverTimeout / 10,
+    defaults.mInitialBackoff / 10,     defaults.mKeepTimeout / 10
+  };
 }
 
 // Several instances that share one log and one FakeShardGroups.
@@ -239,10 +239,44 @@
   cluster.Kill(1);
   CHECK(cluster.Group().AwaitJoinsOf(kNext, 1, kTestTimeout));
   cluster.JoinAndLeaveBeside(kNext);
+  CHECK(cluster.AwaitClaims(2));
   CHECK_EQUAL(2U, cluster.Claims());
   CHECK_EQUAL(kNext, cluster.Group().Owners().at(0));
 }
 
+// Guards against an owner that keeps its shard from a better one.
+TEST(ShardMembershipManagerTest, AWeakOwnerGivesWayWithoutKeepingTheShard)
+{
+  constexpr uint16_t kLarge = 2;
+  for (const AssignmentOrder order :
+       { AssignmentOrder::kNewestFirst, AssignmentOrder::kOldestFirst }) {
+    ShardBalancerDelays delays = ShortDelays();
+    delays.mKeepTimeout = kTestTimeout;
+    FakeCluster cluster(order, 1, delays);
+    cluster.Add(1, kLowCapacity);
+    CHECK(cluster.AwaitClaims(1));
+    cluster.Add(kLarge);
+    CHECK(cluster.AwaitClaims(2));
+    CHECK_EQUAL(kLarge, cluster.Group().Owners().at(0));
+  }
+}
+
+// Guards against a member that the group never gives the shard to, because its
+// owner keeps it.
+TEST(ShardMembershipManagerTest, AnOwnerGivesWayToAMemberThatStays)
+{
+  FakeCluster cluster(AssignmentOrder::kNewestFirst, 1);
+  cluster.Add(1);
+  CHECK(cluster.AwaitClaims(1));
+  CHECK(cluster.Group().Join(kTemporaryMember, 0).has_value());
+  const RealClock clock;
+  const MonotonicTime until = clock.Now() + kTestTimeout;
+  while (cluster.Group().Owners().at(0) == 1 && clock.Now() < until) {
+    cluster.Group().AwaitJoins(1);
+  }
+  CHECK_EQUAL(kTemporaryMember, cluster.Group().Owners().at(0));
+}
+
 // Guards against an owner with too little capacity while a larger instance is
 // available: if both kinds start together, the small ones must own nothing.
 TEST(ShardMembershipManagerTest, SmallInstancesLeaveTheShardsToLargerOnes)
--- a/mulberryvalve/app/jobs/shard_membership_options.h
+++ b/mulberryvalve/app/jobs/shard_membership_options.h
@@ -21,6 +21,11 @@
   // Delay before joining again after the group did not assign the shard.
   // Doubles with each further failure.
   Milliseconds mInitialBackoff{ 1000 };
+  // How long an owner that no better owner can replace keeps a shard that the
+  // group assigns to another member. Longer than mMemberTtl and a join, so that
+  // a member that has gone silent expires first, and shorter than
+  // mHandOverTimeout.
+  Milliseconds mKeepTimeout{ 2000 };
 };
 
 // Settings of the memberships.
--- a/mulberryvalve/app/jobs/shard_membership_reporting.cc
+++ b/mulberryvalve/app/jobs/shard_membership_reporting.cc
@@ -36,12 +36,12 @@
 
 void ShardMembership::LogDealIfChanged(const GroupAssignment& aShare)
 {
-  if (aShare.mGeneration == mGeneration) {
+  if (aShare.mGeneration == mDealtGeneration) {
     return;
   }
   LogEvent("group_dealt",
            { { "generation", std::to_string(aShare.mGeneration.Value()) },
-             { "before", std::to_string(mGeneration.Value()) },
+             { "before", std::to_string(mDealtGeneration.Value()) },
              { "holds", aShare.mHoldsShard ? "yes" : "no" },
              { "only_member", aShare.mIsOnlyMember ? "yes" : "no" } });
 }
--- a/mulberryvalve/app/jobs/stuck_owner_test.cc
+++ b/mulberryvalve/app/jobs/stuck_owner_test.cc
@@ -20,11 +20,11 @@
 ShardBalancerDelays ShortDelays()
 {
   const ShardBalancerDelays defaults;
-  return ShardBalancerDelays{ defaults.mDelayPerOwnedShard / 10,
-                              defaults.mLowCapacityDelay / 10,
-                              defaults.mMinOwnerAge / 10,
-                              defaults.mHandOverTimeout / 10,
-                              defaults.mInitialBackoff / 10 };
+  return ShardBalancerDelays{
+    defaults.mDelayPerOwnedShard / 10, defaults.mLowCapacityDelay / 10,
+    defaults.mMinOwnerAge / 10,        defaults.mHandOverTimeout / 10,
+    defaults.mInitialBackoff / 10,     defaults.mKeepTimeout / 10
+  };
 }
 
 // One member's connection to a group. All calls but Leave fail during an
