--- a/mulberryvalve/adapters/ws_call/peer_query_codec.cc
+++ b/mulberryvalve/adapters/ws_call/peer_query_codec.cc
@@ -1,6 +1,7 @@
 #include "mulberryvalve/adapters/ws_call/peer_query_codec.h"
 
 #include "mulberryvalve/adapters/json/json_reader.h"
+#include "mulberryvalve/adapters/ws_call/told_use_cbor.h"
 #include "mulberryvalve/adapters/ws_peer/cbor_check.h"
 
 #include <nlohmann/json.hpp>
@@ -12,6 +13,10 @@
 using nlohmann::json;
 
 constexpr size_t kMaxNestingDepth = 2;
+constexpr size_t kMaxResultNestingDepth = 3;
+// Of the workers named in a query; the other fields need less than the rest of
+// kMaxCallBytes.
+constexpr size_t kMaxNamesBytes = 3072;
 constexpr size_t kMaxQueueBytes = 2048;
 // A century. Sums of such times stay within the range of every time type.
 constexpr int64_t kMaxActiveMs = 3'155'760'000'000;
@@ -22,12 +27,14 @@
   return std::string(bytes.begin(), bytes.end());
 }
 
-Result<json> DecodeCborMap(std::string_view aBytes)
+Result<json> DecodeCborMap(std::string_view aBytes,
+                           size_t aMaxBytes,
+                           size_t aMaxDepth)
 {
-  if (aBytes.size() > kMaxCallBytes) {
+  if (aBytes.size() > aMaxBytes) {
     return Fail(FailureKind::kTooLarge, "frame");
   }
-  const Result<void> checked = CheckCbor(aBytes, kMaxNestingDepth);
+  const Result<void> checked = CheckCbor(aBytes, aMaxDepth);
   if (!checked) {
     return checked.error();
   }
@@ -38,18 +45,35 @@
   return object;
 }
 
+// Adds what a former owner tells, as far as a frame has room for it.
+std::string EncodeWithTold(const json& aObject, const ToldUse& aTold)
+{
+  json all = aObject;
+  AddTold(all, aTold);
+  std::string frame = EncodeCbor(all);
+  if (frame.size() > kMaxResultBytes) {
+    all.erase("told_starts");
+    frame = EncodeCbor(all);
+  }
+  return frame.size() > kMaxResultBytes ? EncodeCbor(aObject) : frame;
+}
+
 } // namespace
 
 std::string EncodeQuery(const QueryFrame& aFrame)
 {
   const PeerQuery& query = aFrame.mQuery;
-  return EncodeCbor(json{ { "call", aFrame.mCallId },
-                          { "kind", kPeerQueryKindNames.Name(query.mKind) },
-                          { "shard", query.mShard },
-                          { "job", query.mJob.Text() },
-                          { "queue", query.mQueue.Text() },
-                          { "epoch", query.mEpoch.Value() },
-                          { "process", query.mProcess.Value() } });
+  json object{ { "call", aFrame.mCallId },
+               { "kind", kPeerQueryKindNames.Name(query.mKind) },
+               { "shard", query.mShard },
+               { "job", query.mJob.Text() },
+               { "queue", query.mQueue.Text() },
+               { "epoch", query.mEpoch.Value() },
+               { "process", query.mProcess.Value() } };
+  if (!query.mWorkers.empty()) {
+    object["workers"] = EncodeNames(query.mWorkers, kMaxNamesBytes);
+  }
+  return EncodeCbor(object);
 }
 
 std::string EncodeResult(const ResultFrame& aFrame)
@@ -67,12 +91,16 @@
     object["owner_epoch"] = aFrame.mResult.mOwner->mEpoch.Value();
     object["active_for_ms"] = aFrame.mResult.mOwner->mActiveFor.count();
   }
-  return EncodeCbor(object);
+  if (!aFrame.mResult.mTold) {
+    return EncodeCbor(object);
+  }
+  return EncodeWithTold(object, *aFrame.mResult.mTold);
 }
 
 Result<QueryFrame> DecodeQuery(std::string_view aBytes)
 {
-  const Result<json> object = DecodeCborMap(aBytes);
+  const Result<json> object =
+    DecodeCborMap(aBytes, kMaxCallBytes, kMaxNestingDepth);
   if (!object) {
     return object.error();
   }
@@ -88,6 +116,9 @@
     Epoch(static_cast<uint64_t>(reader.NumberOr("epoch", 0)));
   frame.mQuery.mProcess =
     Incarnation(static_cast<uint64_t>(reader.NumberOr("process", 0)));
+  if (reader.Has("workers")) {
+    frame.mQuery.mWorkers = DecodeNames(reader);
+  }
   if (reader.Fault()) {
     return *reader.Fault();
   }
@@ -96,7 +127,8 @@
 
 Result<ResultFrame> DecodeResult(std::string_view aBytes)
 {
-  const Result<json> object = DecodeCborMap(aBytes);
+  const Result<json> object =
+    DecodeCborMap(aBytes, kMaxResultBytes, kMaxResultNestingDepth);
   if (!object) {
     return object.error();
   }
@@ -109,7 +141,8 @@
     frame.mResult.mPhase = reader.Enum("phase", kJobPhaseNames);
   }
   if (reader.Has("ended_for_ms")) {
-    frame.mResult.mEndedFor = Milliseconds(reader.Number("ended_for_ms", 0));
+    frame.mResult.mEndedFor =
+      Milliseconds(reader.Number("ended_for_ms", 0, kMaxActiveMs));
   }
   if (reader.Has("owner_epoch")) {
     OwnerAge owner;
@@ -118,6 +151,9 @@
       Milliseconds(reader.Number("active_for_ms", 0, kMaxActiveMs));
     frame.mResult.mOwner = owner;
   }
+  if (reader.Has("told_workers")) {
+    frame.mResult.mTold = DecodeTold(reader);
+  }
   if (reader.Fault()) {
     return *reader.Fault();
   }
--- a/mulberryvalve/adapters/ws_call/peer_query_codec.h
+++ b/mulberryvalve/adapters/ws_call/peer_query_codec.h
@@ -10,8 +10,11 @@
 
 namespace mulberryvalve {
 
-// kMaxCallBytes is the maximum size of a query or result frame.
+// kMaxCallBytes is the maximum size of a query frame, and of a result frame to
+// an instance of an earlier version; such an instance names no workers.
+// kMaxResultBytes is that of other result frames.
 inline constexpr size_t kMaxCallBytes = 4096;
+inline constexpr size_t kMaxResultBytes = 32768;
 
 // QueryFrame is a query with its call id, which the result frame repeats.
 struct QueryFrame
@@ -27,7 +30,9 @@
   PeerQueryResult mResult;
 };
 
-// Each Decode function reverses its Encode function. Thread-safe. Errors of
+// Each Decode function reverses its Encode function, except that workers which
+// a query has no room for are not named, and what a former owner tells is left
+// out, the starts first, if there is no room for it. Thread-safe. Errors of
 // decoding: kMalformed, kTooLarge, kInvalidInput.
 std::string EncodeQuery(const QueryFrame& aFrame);
 std::string EncodeResult(const ResultFrame& aFrame);
--- a/mulberryvalve/adapters/ws_call/ws_call_test.cc
+++ b/mulberryvalve/adapters/ws_call/ws_call_test.cc
@@ -163,6 +163,64 @@
   CHECK_FALSE(DecodeResult("\x01").has_value());
 }
 
+TEST(WsCallTest, WhatAFormerOwnerTellsRoundTrips)
+{
+  QueryFrame question{ 9, QueryForJob("job") };
+  CHECK(DecodeQuery(EncodeQuery(question)).value().mQuery.mWorkers.empty());
+  question.mQuery.mWorkers = { WorkerId("w1"), WorkerId("w2") };
+  CHECK(question.mQuery.mWorkers ==
+        DecodeQuery(EncodeQuery(question)).value().mQuery.mWorkers);
+  ResultFrame answer;
+  CHECK_FALSE(
+    DecodeResult(EncodeResult(answer)).value().mResult.mTold.has_value());
+  answer.mResult.mTold =
+    ToldUse{ { ToldWorker{ WorkerId("w1") },
+               ToldWorker{ WorkerId("w2"), Milliseconds(1234) } } };
+  const auto unnamed = DecodeResult(EncodeResult(answer)).value().mResult;
+  CHECK_EQUAL(2U, unnamed.mTold.value().mWorkers.size());
+  CHECK_FALSE(unnamed.mTold.value().mWorkers[0].mLeasesLeft.has_value());
+  CHECK(Milliseconds(1234) ==
+        unnamed.mTold.value().mWorkers[1].mLeasesLeft.value());
+  CHECK(WorkerId("w2") == unnamed.mTold.value().mWorkers[1].mWorker);
+  CHECK_FALSE(unnamed.mTold.value().mUnrecorded.has_value());
+  const TaskRef task{ StepRef{ JobId("job"), 3, 2 }, 4294967295U };
+  answer.mResult.mTold->mUnrecorded = { { task, WorkerId("w2") } };
+  const auto named = DecodeResult(EncodeResult(answer)).value().mResult;
+  CHECK_EQUAL(1U, named.mTold.value().mUnrecorded.value().size());
+  CHECK(task == named.mTold.value().mUnrecorded.value()[0].mTask);
+  CHECK(WorkerId("w2") == named.mTold.value().mUnrecorded.value()[0].mWorker);
+  answer.mResult.mTold->mWorkers[1].mLeasesLeft = Milliseconds::max();
+  CHECK_FALSE(DecodeResult(EncodeResult(answer)).has_value());
+}
+
+// Guards against an answer that is too large to be read, and against one that
+// names some of the starts only (TWICE).
+TEST(WsCallTest, StartsThatHaveNoRoomAreNotTold)
+{
+  const std::string longName(60, 'n');
+  ResultFrame answer;
+  answer.mResult.mEndedFor = Milliseconds(1);
+  answer.mResult.mTold = ToldUse{ { ToldWorker{ WorkerId("w1") } } };
+  std::vector<UnrecordedStart>& starts =
+    answer.mResult.mTold->mUnrecorded.emplace();
+  const TaskRef task{ StepRef{ JobId("job"), 0, 0 }, 0 };
+  starts.assign(kMaxToldStarts, { task, WorkerId("w1") });
+  const auto all = DecodeResult(EncodeResult(answer)).value().mResult;
+  CHECK_EQUAL(kMaxToldStarts, all.mTold.value().mUnrecorded.value().size());
+  starts.assign(kMaxToldStarts, { task, WorkerId(longName) });
+  CHECK(EncodeResult(answer).size() <= kMaxResultBytes);
+  const auto some = DecodeResult(EncodeResult(answer)).value().mResult;
+  CHECK_EQUAL(1U, some.mTold.value().mWorkers.size());
+  CHECK_FALSE(some.mTold.value().mUnrecorded.has_value());
+  QueryFrame question{ 9, QueryForJob("job") };
+  for (size_t number = 0; number <= kMaxToldWorkers; number++) {
+    question.mQuery.mWorkers.emplace_back(longName + std::to_string(number));
+  }
+  CHECK(EncodeQuery(question).size() <= kMaxCallBytes);
+  const auto asked = DecodeQuery(EncodeQuery(question)).value().mQuery.mWorkers;
+  CHECK(!asked.empty() && asked.size() < question.mQuery.mWorkers.size());
+}
+
 TEST(WsCallTest, PeerAnswersQuery)
 {
   NullEventLog log;
--- a/mulberryvalve/adapters/ws_call/ws_peer_query_transport.cc
+++ b/mulberryvalve/adapters/ws_call/ws_peer_query_transport.cc
@@ -54,12 +54,14 @@
 }
 
 template<typename AnyEndpoint>
-void ConfigureEndpoint(AnyEndpoint& aEndpoint, asio::io_context& aIo)
+void ConfigureEndpoint(AnyEndpoint& aEndpoint,
+                       asio::io_context& aIo,
+                       size_t aMaxMessageBytes)
 {
   aEndpoint.clear_access_channels(websocketpp::log::alevel::all);
   aEndpoint.clear_error_channels(websocketpp::log::elevel::all);
   aEndpoint.init_asio(&aIo);
-  aEndpoint.set_max_message_size(kMaxCallBytes);
+  aEndpoint.set_max_message_size(aMaxMessageBytes);
   aEndpoint.set_open_handshake_timeout(kOpenTimeoutMs);
   aEndpoint.set_close_handshake_timeout(kCloseTimeoutMs);
 }
@@ -75,8 +77,8 @@
     , mLog(aLog)
     , mWork(asio::make_work_guard(mIo))
   {
-    ConfigureEndpoint(mServer, mIo);
-    ConfigureEndpoint(mClient, mIo);
+    ConfigureEndpoint(mServer, mIo, kMaxCallBytes);
+    ConfigureEndpoint(mClient, mIo, kMaxResultBytes);
     mServer.set_reuse_addr(true);
     mServer.set_listen_backlog(kBacklog);
     mServer.set_open_handler([this](const ConnectionHandle& aHandle) {
--- a/mulberryvalve/app/jobs/jobs_test.cc
+++ b/mulberryvalve/app/jobs/jobs_test.cc
@@ -217,6 +217,43 @@
   CHECK(ended);
 }
 
+// Guards against an end that is counted anew from each question, and against a
+// former owner that does not tell what it did (LOST).
+TEST(JobsTest, AFormerOwnerTellsSinceWhenItHasEndedAndWhatItDid)
+{
+  MemoryLog log;
+  InstantWorker workers;
+  JobsInstance former(log, workers, 1);
+  former.Start();
+  former.Complete("a");
+  PeerQuery query;
+  query.mKind = PeerQueryKind::kOwnershipEnd;
+  query.mEpoch = Epoch(64);
+  query.mWorkers = { WorkerId("w"), WorkerId("never heard of") };
+  const PeerQueryResult acting = former.Ask(query);
+  CHECK_FALSE(acting.mEndedFor.has_value());
+  CHECK_FALSE(acting.mTold.has_value());
+  const MonotonicTime until = former.TimeAfter(kTestTimeout);
+  PeerQueryResult first;
+  while (!first.mEndedFor && former.TimeAfter(Milliseconds(0)) < until) {
+    std::this_thread::sleep_for(Milliseconds(5));
+    first = former.Ask(query);
+  }
+  const MonotonicTime answeredAt = former.TimeAfter(Milliseconds(0));
+  std::this_thread::sleep_for(Milliseconds(50));
+  const MonotonicTime askedAt = former.TimeAfter(Milliseconds(0));
+  const PeerQueryResult second = former.Ask(query);
+  CHECK(second.mEndedFor.value() + Milliseconds(1) >=
+        first.mEndedFor.value() + (askedAt - answeredAt));
+  const ToldUse told = second.mTold.value();
+  CHECK_EQUAL(1U, told.mWorkers.size());
+  CHECK(WorkerId("w") == told.mWorkers[0].mWorker);
+  CHECK(told.mWorkers[0].mLeasesLeft.has_value());
+  CHECK_EQUAL(0U, told.mUnrecorded.value().size());
+  query.mWorkers.clear();
+  CHECK_FALSE(former.Ask(query).mTold.has_value());
+}
+
 // Finished jobs stay on the log for the configured time.
 TEST(JobsTest, AFinishedJobIsRemovedFromTheLog)
 {
--- a/mulberryvalve/app/jobs/shard_membership.cc
+++ b/mulberryvalve/app/jobs/shard_membership.cc
@@ -456,6 +456,9 @@
                             return !aRuntime->HasEnded();
                           });
   std::move(firstEnded, mEndingRuntimes.end(), std::back_inserter(ended));
+  for (const std::shared_ptr<ShardRuntime>& runtime : ended) {
+    mEndedOwnerships.Add(runtime->End());
+  }
   mEndingRuntimes.erase(firstEnded, mEndingRuntimes.end());
 }
 
--- a/mulberryvalve/app/jobs/shard_membership.h
+++ b/mulberryvalve/app/jobs/shard_membership.h
@@ -6,6 +6,7 @@
 
 #include "mulberryvalve/app/jobs/shard_balancer.h"
 #include "mulberryvalve/app/jobs/shard_runtime.h"
+#include "mulberryvalve/core/jobs/ended_ownerships.h"
 #include "mulberryvalve/ports/out/peer_query.h"
 
 #include <memory>
@@ -76,7 +77,7 @@
 
 private:
   PeerQueryResult AnswerOwnershipEnd(const PeerQuery& aQuestion);
-  std::shared_ptr<ShardRuntime> FindRuntime(Epoch aEpoch);
+  std::shared_ptr<ShardRuntime> FindRuntime(Epoch aEpoch) MV_REQUIRES(mMutex);
   void ObserveOwner();
   std::optional<Endpoint> OwnerToObserve(MonotonicTime aNow);
   OwnerObservations Observations() const;
@@ -131,6 +132,8 @@
   std::shared_ptr<ShardRuntime> mRuntime MV_GUARDED_BY(mMutex);
   std::vector<std::shared_ptr<ShardRuntime>> mEndingRuntimes
     MV_GUARDED_BY(mMutex);
+  // The ends of runtimes that were removed.
+  EndedOwnerships mEndedOwnerships MV_GUARDED_BY(mMutex);
   std::optional<Endpoint> mOwner MV_GUARDED_BY(mMutex);
   // The known owner may be outdated.
   bool mIsOwnerStale MV_GUARDED_BY(mMutex) = true;
--- a/mulberryvalve/app/jobs/shard_membership_queries.cc
+++ b/mulberryvalve/app/jobs/shard_membership_queries.cc
@@ -29,7 +29,8 @@
 }
 
 // A process that was started later answers for the one before it: that one had
-// ended by then.
+// ended by then. Of an epoch that is not remembered, only that it has ended is
+// known.
 PeerQueryResult ShardMembership::AnswerOwnershipEnd(const PeerQuery& aQuestion)
 {
   PeerQueryResult answer;
@@ -38,11 +39,25 @@
       mPorts.mClock.Now() - mOptions.mProcessStartedAt);
     return answer;
   }
-  const std::shared_ptr<ShardRuntime> runtime = FindRuntime(aQuestion.mEpoch);
+  std::shared_ptr<ShardRuntime> runtime;
+  std::shared_ptr<const OwnershipEnd> end;
+  {
+    MutexLock lock(mMutex);
+    runtime = FindRuntime(aQuestion.mEpoch);
+    end = runtime == nullptr ? mEndedOwnerships.Find(aQuestion.mEpoch)
+                             : runtime->End();
+  }
   if (runtime != nullptr) {
     answer.mOwner = runtime->Age();
   }
-  if (runtime == nullptr || runtime->HasEnded()) {
+  if (end != nullptr) {
+    const MonotonicTime now = mPorts.mClock.Now();
+    answer.mEndedFor =
+      std::chrono::duration_cast<Milliseconds>(now - end->mEndedAt);
+    if (!aQuestion.mWorkers.empty()) {
+      answer.mTold = end->mSummary.TellOf(aQuestion.mWorkers, now);
+    }
+  } else if (runtime == nullptr) {
     answer.mEndedFor = Milliseconds(0);
   } else if (!runtime->IsOwnershipOver()) {
     runtime->OnSuperseded();
@@ -101,7 +116,6 @@
 // Returns the runtime of an epoch, also if it is ending, or null.
 std::shared_ptr<ShardRuntime> ShardMembership::FindRuntime(Epoch aEpoch)
 {
-  MutexLock lock(mMutex);
   if (mRuntime != nullptr && mRuntime->EpochHeld() == aEpoch) {
     return mRuntime;
   }
--- a/mulberryvalve/app/jobs/shard_runtime.cc
+++ b/mulberryvalve/app/jobs/shard_runtime.cc
@@ -138,9 +138,23 @@
   BeginStop();
   mSender.Stop();
   LogEnd();
+  RecordEnd();
   mHasEnded = true;
 }
 
+// Precondition: nothing is sent any more.
+void ShardRuntime::RecordEnd()
+{
+  MutexLock lock(mMutex);
+  auto end = std::make_shared<OwnershipEnd>();
+  end->mEpoch = mOptions.mEpoch;
+  end->mEndedAt = mPorts.mClock.Now();
+  if (mShard != nullptr) {
+    end->mSummary = mShard->Summary();
+  }
+  mEnd = std::move(end);
+}
+
 // Each pass handles everything that happened since the previous one. After a
 // pass, mMutex stays free for at least the duration of that pass, up to
 // kMaxPassDelay, so that replies and new jobs can be processed.
--- a/mulberryvalve/app/jobs/shard_runtime.h
+++ b/mulberryvalve/app/jobs/shard_runtime.h
@@ -14,6 +14,7 @@
 #include "mulberryvalve/app/jobs/ownership_stamp.h"
 #include "mulberryvalve/app/jobs/worker_sender.h"
 #include "mulberryvalve/core/base/mutex.h"
+#include "mulberryvalve/core/jobs/ended_ownerships.h"
 #include "mulberryvalve/core/jobs/shard_scheduler.h"
 #include "mulberryvalve/ports/out/clock.h"
 #include "mulberryvalve/ports/out/cluster_feeds.h"
@@ -119,6 +120,13 @@
   // not block.
   bool HasEnded() const { return mHasEnded; }
 
+  // Returns since when this ownership has sent nothing and what it did, or null
+  // until all threads have ended.
+  std::shared_ptr<const OwnershipEnd> End() const
+  {
+    return mHasEnded ? mEnd : nullptr;
+  }
+
   // Returns whether another instance owns the shard or this one gave it up.
   bool IsOwnershipOver() const { return mIsOwnershipOver; }
 
@@ -215,8 +223,8 @@
   void OnIntakeRead(MonotonicTime aReadUpTo);
   void FollowWorkers();
   void FollowFormerOwners();
-  void AskFormerOwner(const FormerOwner& aOwner);
-  void LogFormerOwnerEnded(Epoch aEpoch, Microseconds aAgo);
+  void AskFormerOwner(const FormerOwnerQuestion& aQuestion);
+  void LogFormerOwnerEnded(const FormerOwnerEnd& aEnd);
   void StartRenewals() MV_REQUIRES(mMutex);
   PassResult RunDecisionPass() MV_REQUIRES(mMutex);
   void DispatchDecisions(PassResult aResult);
@@ -236,6 +244,7 @@
   void WriteFailure(const FailureSummary& aSummary);
   void ReportStall();
   void LogEnd();
+  void RecordEnd();
   TopicPartition Place(KeyedTopic aTopic) const
   {
     return TopicPartition{ aTopic, mOptions.mShard };
@@ -273,6 +282,8 @@
   std::atomic<uint64_t> mCompetingEpoch{ 0 };
   std::atomic<bool> mIsOwnershipOver{ false };
   std::atomic<bool> mShouldLeaveGroup{ false };
+  // Set before mHasEnded, and not changed after that.
+  std::shared_ptr<const OwnershipEnd> mEnd;
   std::atomic<bool> mHasEnded{ false };
   WorkerSender mSender;
   std::thread mThread;
--- a/mulberryvalve/app/jobs/shard_runtime_readers.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_readers.cc
@@ -18,10 +18,6 @@
 // Progress waits while a removal from the intake hangs, so one that failed is
 // not repeated soon.
 constexpr Milliseconds kRetireRetryDelay{ 5000 };
-// Most workers answer a new owner within this; only then it asks for the ends
-// of former owners.
-constexpr Milliseconds kFormerOwnerInterval{ 250 };
-constexpr Milliseconds kPeerTimeout{ 500 };
 // Former owners that a line names.
 constexpr size_t kMaxNamedOwners = 4;
 
@@ -38,37 +34,6 @@
   return isFinished ? &found->second : nullptr;
 }
 
-// Returns by when a former owner had ended, or nothing if it may still act. A
-// process listens for its peers from before it owns a shard until after that,
-// so where none listens, none acts.
-std::optional<MonotonicTime> EndFromAnswer(
-  const Result<PeerQueryResult>& aAnswer,
-  MonotonicTime aNow)
-{
-  if (aAnswer && aAnswer.value().mEndedFor) {
-    return aNow - *aAnswer.value().mEndedFor;
-  }
-  if (!aAnswer && aAnswer.error().mKind == FailureKind::kPeerNotListening) {
-    return aNow;
-  }
-  return std::nullopt;
-}
-
-// Returns by when a former owner had recorded its newest proof, by the age that
-// it tells, or nothing if that is not known.
-std::optional<MonotonicTime> LastRecordFromAnswer(
-  const FormerOwner& aOwner,
-  const Result<PeerQueryResult>& aAnswer,
-  MonotonicTime aNow)
-{
-  if (!aAnswer || !aAnswer.value().mOwner || !aOwner.mActiveFor) {
-    return std::nullopt;
-  }
-  OwnerObservations observed;
-  observed.Add(*aAnswer.value().mOwner, aNow);
-  return observed.WasActiveFor(aOwner.mEpoch, *aOwner.mActiveFor);
-}
-
 // Returns until how many milliseconds after aClaimedAt runs of each former
 // owner may last and by which evidence, for the newest kMaxNamedOwners.
 std::string FormatRunsEnds(const ShardScheduler& aShard,
@@ -413,64 +378,4 @@
   }
 }
 
-// Asks former owners whether they have ended, while a wait for a worker depends
-// on that.
-void ShardRuntime::FollowFormerOwners()
-{
-  while (SleepUntil(Steady::now() + kFormerOwnerInterval)) {
-    std::vector<FormerOwner> owners;
-    {
-      MutexLock lock(mMutex);
-      owners = mShard->FormerOwnersToAsk();
-    }
-    if (owners.empty()) {
-      return;
-    }
-    for (const FormerOwner& owner : owners) {
-      AskFormerOwner(owner);
-    }
-  }
-}
-
-// Learns from a former owner's answer whether it has ended, or how long it has
-// been active.
-void ShardRuntime::AskFormerOwner(const FormerOwner& aOwner)
-{
-  PeerQuery query;
-  query.mKind = PeerQueryKind::kOwnershipEnd;
-  query.mShard = mOptions.mShard;
-  query.mEpoch = aOwner.mEpoch;
-  query.mProcess = aOwner.mProcess;
-  const Result<PeerQueryResult> result =
-    mPorts.mPeers.Ask(aOwner.mPeer, query, kPeerTimeout);
-  const MonotonicTime now = mPorts.mClock.Now();
-  const std::optional<MonotonicTime> endedBy = EndFromAnswer(result, now);
-  const std::optional<MonotonicTime> provedBy =
-    LastRecordFromAnswer(aOwner, result, now);
-  if (endedBy) {
-    LogFormerOwnerEnded(aOwner.mEpoch, now - *endedBy);
-  }
-  if (!endedBy && !provedBy) {
-    return;
-  }
-  MutexLock lock(mMutex);
-  if (endedBy) {
-    mShard->OnFormerOwnerEnded(aOwner.mEpoch, *endedBy);
-  }
-  if (provedBy) {
-    mShard->OnFormerOwnerProof(
-      aOwner.mEpoch, *provedBy, RunsEndEvidence::kObserved);
-  }
-  RequestDecisionPass();
-}
-
-void ShardRuntime::LogFormerOwnerEnded(Epoch aEpoch, Microseconds aAgo)
-{
-  const auto ago = std::chrono::duration_cast<Milliseconds>(aAgo);
-  LogEvent(EventLevel::kInfo,
-           "former_owner_ended",
-           { { "former_epoch", std::to_string(aEpoch.Value()) },
-             { "ended_for_ms", std::to_string(ago.count()) } });
-}
-
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/bounded_runs_test.cc
+++ b/mulberryvalve/core/jobs/bounded_runs_test.cc
@@ -245,10 +245,11 @@
   FormerOwners owners;
   owners.Add(FormerOwner{ Epoch(1) });
   owners.OnLastProof(Epoch(1), provedAt, RunsEndEvidence::kClaimed);
-  CHECK_FALSE(owners.RunsEndBy(std::nullopt, workers).has_value());
+  CHECK_FALSE(
+    owners.RunsEndBy(WorkerId("w"), std::nullopt, workers).has_value());
   owners.OnEnded(Epoch(1), provedAt);
   CHECK(workers.EndOfLeaseRequestedBy(provedAt) ==
-        owners.RunsEndBy(std::nullopt, workers));
+        owners.RunsEndBy(WorkerId("w"), std::nullopt, workers));
 }
 
 TEST(BoundedRunsTest, TheEarlierBoundOfAFormerOwnerCounts)
@@ -265,7 +266,7 @@
   owners.OnLastProof(
     Epoch(1), provedAt + Milliseconds(50), RunsEndEvidence::kObserved);
   CHECK(workers.EndOfRunsProvedAt(provedAt) ==
-        owners.RunsEndBy(std::nullopt, workers));
+        owners.RunsEndBy(WorkerId("w"), std::nullopt, workers));
   owners.OnEnded(Epoch(1), provedAt + Milliseconds(9000));
   CHECK(RunsEndEvidence::kObserved == owners.EndsOfRuns(workers)[0].mEvidence);
   owners.OnEnded(Epoch(1), provedAt + Milliseconds(1000));
--- a/mulberryvalve/core/jobs/former_owners.cc
+++ b/mulberryvalve/core/jobs/former_owners.cc
@@ -1,10 +1,24 @@
 #include "mulberryvalve/core/jobs/former_owners.h"
 
 #include <algorithm>
-#include <limits>
+#include <cstdint>
 #include <utility>
 
 namespace mulberryvalve {
+namespace {
+
+// Two clocks' rates differ by 2% at most.
+constexpr int64_t kPerMille = 1000;
+constexpr int64_t kSlowestRatePerMille = 980;
+
+// Returns the longest time here that aTime on a former owner's clock can take.
+Milliseconds LongestOf(Milliseconds aTime)
+{
+  return Milliseconds((aTime.count() * kPerMille + kSlowestRatePerMille - 1) /
+                      kSlowestRatePerMille);
+}
+
+} // namespace
 
 void FormerOwners::Add(FormerOwner aOwner)
 {
@@ -37,15 +51,59 @@
   }
 }
 
-std::vector<FormerOwner> FormerOwners::Unsettled() const
+// The answer was given before it arrived, so what is left of a lease from then
+// on ends no later than counted from its arrival. An owner that has ended sends
+// nothing more, so each of its answers holds for good.
+void FormerOwners::OnTold(const FormerOwnerEnd& aEnd)
+{
+  OnEnded(aEnd.mEpoch, aEnd.mEndedBy);
+  const auto found = mOwners.find(aEnd.mEpoch);
+  if (found == mOwners.end() || !aEnd.mTold) {
+    return;
+  }
+  Entry& entry = found->second;
+  entry.mTells = true;
+  entry.mAskedOf.insert(aEnd.mAskedOf.begin(), aEnd.mAskedOf.end());
+  for (const ToldWorker& told : aEnd.mTold->mWorkers) {
+    entry.mLeasesEndBy[told.mWorker] =
+      told.mLeasesLeft ? aEnd.mReceivedAt + LongestOf(*told.mLeasesLeft)
+                       : MonotonicTime();
+    if (aEnd.mTold->mUnrecorded) {
+      entry.mUnrecorded[told.mWorker].clear();
+    }
+  }
+  if (!aEnd.mTold->mUnrecorded) {
+    return;
+  }
+  for (const UnrecordedStart& start : *aEnd.mTold->mUnrecorded) {
+    const auto told = entry.mUnrecorded.find(start.mWorker);
+    if (told != entry.mUnrecorded.end()) {
+      told->second.push_back(start.mTask);
+    }
+  }
+}
+
+std::vector<FormerOwnerQuestion> FormerOwners::Questions(
+  const std::vector<WorkerId>& aPending) const
 {
-  std::vector<FormerOwner> owners;
+  std::vector<FormerOwnerQuestion> questions;
   for (const auto& [epoch, entry] : mOwners) {
-    if (!entry.mEndedBy && !entry.mOwner.mPeer.mAddress.empty()) {
-      owners.push_back(entry.mOwner);
+    const bool hasEnded = entry.mEndedBy.has_value();
+    if (entry.mOwner.mPeer.mAddress.empty() || (hasEnded && !entry.mTells)) {
+      continue;
+    }
+    FormerOwnerQuestion question{ entry.mOwner, {} };
+    for (const WorkerId& worker : aPending) {
+      if (entry.mAskedOf.count(worker) == 0 &&
+          question.mWorkers.size() < kMaxToldWorkers) {
+        question.mWorkers.push_back(worker);
+      }
+    }
+    if (!hasEnded || !question.mWorkers.empty()) {
+      questions.push_back(std::move(question));
     }
   }
-  return owners;
+  return questions;
 }
 
 // Either bound holds, so the earlier one is used.
@@ -77,26 +135,45 @@
   return ends;
 }
 
-// An owner that is newer than the last user in the worker's record has not used
-// the worker, unless it would not have recorded that.
-bool FormerOwners::MayHaveUsed(const Entry& aEntry, Epoch aLastUser)
+// What an owner told of a worker counts if it is earlier than the bounds for
+// all workers.
+std::optional<MonotonicTime> FormerOwners::EndOfRunsOn(
+  const WorkerId& aWorker,
+  const Entry& aEntry,
+  const WorkerTable& aWorkers)
 {
-  return aEntry.mOwner.mEpoch <= aLastUser || !aEntry.mOwner.mRecordsUse;
+  const std::optional<MonotonicTime> end = EndOfRuns(aEntry, aWorkers).mBy;
+  const auto told = aEntry.mLeasesEndBy.find(aWorker);
+  if (told == aEntry.mLeasesEndBy.end()) {
+    return end;
+  }
+  return std::min(end.value_or(told->second), told->second);
+}
+
+// Returns the owners that may have used a worker whose record names aLastUser.
+// An owner that is newer than that one has not used it, unless it would not
+// have recorded that.
+std::vector<const FormerOwners::Entry*> FormerOwners::PossibleUsers(
+  std::optional<Epoch> aLastUser) const
+{
+  const bool isKnown = aLastUser && mOwners.count(*aLastUser) != 0;
+  std::vector<const Entry*> users;
+  for (const auto& [epoch, entry] : mOwners) {
+    if (!isKnown || epoch <= *aLastUser || !entry.mOwner.mRecordsUse) {
+      users.push_back(&entry);
+    }
+  }
+  return users;
 }
 
 std::optional<MonotonicTime> FormerOwners::RunsEndBy(
+  const WorkerId& aWorker,
   std::optional<Epoch> aLastUser,
   const WorkerTable& aWorkers) const
 {
-  const Epoch any(std::numeric_limits<uint64_t>::max());
-  const bool isKnown = aLastUser && mOwners.count(*aLastUser) != 0;
-  const Epoch lastUser = isKnown ? aLastUser.value_or(any) : any;
   std::optional<MonotonicTime> last;
-  for (const auto& [epoch, entry] : mOwners) {
-    if (!MayHaveUsed(entry, lastUser)) {
-      continue;
-    }
-    const std::optional<MonotonicTime> end = EndOfRuns(entry, aWorkers).mBy;
+  for (const Entry* user : PossibleUsers(aLastUser)) {
+    const auto end = EndOfRunsOn(aWorker, *user, aWorkers);
     if (!end) {
       return std::nullopt;
     }
@@ -105,6 +182,25 @@
   return last;
 }
 
+std::optional<std::vector<TaskRef>> FormerOwners::UnrecordedStartsOn(
+  const WorkerId& aWorker,
+  std::optional<Epoch> aLastUser) const
+{
+  const std::vector<const Entry*> users = PossibleUsers(aLastUser);
+  if (users.empty()) {
+    return std::nullopt;
+  }
+  std::vector<TaskRef> tasks;
+  for (const Entry* user : users) {
+    const auto told = user->mUnrecorded.find(aWorker);
+    if (told == user->mUnrecorded.end()) {
+      return std::nullopt;
+    }
+    tasks.insert(tasks.end(), told->second.begin(), told->second.end());
+  }
+  return tasks;
+}
+
 std::vector<Epoch> FormerOwners::TakeAll()
 {
   std::vector<Epoch> epochs;
--- a/mulberryvalve/core/jobs/former_owners.h
+++ b/mulberryvalve/core/jobs/former_owners.h
@@ -5,12 +5,15 @@
 
 #include "mulberryvalve/core/base/enum_table.h"
 #include "mulberryvalve/core/base/time.h"
+#include "mulberryvalve/core/jobs/job_graph.h"
+#include "mulberryvalve/core/jobs/ownership_summary.h"
 #include "mulberryvalve/core/jobs/worker_table.h"
 #include "mulberryvalve/core/model/ids.h"
 #include "mulberryvalve/core/model/worker.h"
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace mulberryvalve {
@@ -30,6 +33,27 @@
   bool mRecordsUse = false;
 };
 
+// FormerOwnerQuestion asks a former owner whether it has ended, and what it did
+// on some workers.
+struct FormerOwnerQuestion
+{
+  FormerOwner mOwner;
+  std::vector<WorkerId> mWorkers;
+};
+
+// FormerOwnerEnd is the answer of a former owner that has ended, or what stands
+// for it. mAskedOf are the workers that it was asked about; mTold is unset if
+// it does not tell what it did.
+struct FormerOwnerEnd
+{
+  Epoch mEpoch;
+  // It sent nothing after that.
+  MonotonicTime mEndedBy;
+  MonotonicTime mReceivedAt;
+  std::vector<WorkerId> mAskedOf{};
+  std::optional<ToldUse> mTold{};
+};
+
 // RunsEndEvidence is what shows when the runs of a former owner have ended.
 enum class RunsEndEvidence
 {
@@ -74,8 +98,15 @@
                    MonotonicTime aProvedBy,
                    RunsEndEvidence aEvidence);
 
-  // Returns the owners that are not known to have ended, and can be asked.
-  std::vector<FormerOwner> Unsettled() const;
+  // Records what an owner told after its end, and by when that was. Does
+  // nothing if the epoch is unknown.
+  void OnTold(const FormerOwnerEnd& aEnd);
+
+  // Returns whom to ask of what, while aPending are waited for: the owners that
+  // can be asked and are not known to have ended, and those that tell what they
+  // did and were not asked of all of aPending.
+  std::vector<FormerOwnerQuestion> Questions(
+    const std::vector<WorkerId>& aPending) const;
 
   // Returns when the runs of each owner end, by the bounds of aWorkers.
   std::vector<RunsEnd> EndsOfRuns(const WorkerTable& aWorkers) const;
@@ -84,9 +115,16 @@
   // or nothing if that is not known of an owner that may have used it or if
   // there is none. Without aLastUser, or if that owner is unknown, any owner
   // may have.
-  std::optional<MonotonicTime> RunsEndBy(std::optional<Epoch> aLastUser,
+  std::optional<MonotonicTime> RunsEndBy(const WorkerId& aWorker,
+                                         std::optional<Epoch> aLastUser,
                                          const WorkerTable& aWorkers) const;
 
+  // Returns the tasks that may have been started on a worker without a record
+  // on the log, or nothing if an owner that may have used it has not told all.
+  std::optional<std::vector<TaskRef>> UnrecordedStartsOn(
+    const WorkerId& aWorker,
+    std::optional<Epoch> aLastUser) const;
+
   // Returns the epochs of all owners, and forgets them.
   std::vector<Epoch> TakeAll();
 
@@ -97,10 +135,21 @@
     std::optional<MonotonicTime> mEndedBy{};
     std::optional<MonotonicTime> mProvedBy{};
     RunsEndEvidence mProofEvidence = RunsEndEvidence::kNone;
+    // It tells what it did, of these workers if it can.
+    bool mTells = false;
+    std::set<WorkerId> mAskedOf{};
+    // By when its leases end on the workers of which it told; the earliest time
+    // for those that it never used.
+    std::map<WorkerId, MonotonicTime> mLeasesEndBy{};
+    // The starts without a record, of the workers of which it told all.
+    std::map<WorkerId, std::vector<TaskRef>> mUnrecorded{};
   };
 
   static RunsEnd EndOfRuns(const Entry& aEntry, const WorkerTable& aWorkers);
-  static bool MayHaveUsed(const Entry& aEntry, Epoch aLastUser);
+  static std::optional<MonotonicTime> EndOfRunsOn(const WorkerId& aWorker,
+                                                  const Entry& aEntry,
+                                                  const WorkerTable& aWorkers);
+  std::vector<const Entry*> PossibleUsers(std::optional<Epoch> aLastUser) const;
 
   std::map<Epoch, Entry> mOwners;
 };
--- a/mulberryvalve/core/jobs/former_owners_test.cc
+++ b/mulberryvalve/core/jobs/former_owners_test.cc
@@ -34,7 +34,10 @@
   // Lets the newest owner learn that the owner of aEpoch had ended by aEndedBy.
   void Learn(uint64_t aEpoch, MonotonicTime aEndedBy)
   {
-    Newest().OnFormerOwnerEnded(Epoch(aEpoch), aEndedBy);
+    FormerOwnerEnd end;
+    end.mEpoch = Epoch(aEpoch);
+    end.mEndedBy = aEndedBy;
+    Newest().OnFormerOwnerEnded(end);
   }
 
   void ReplaceOwner()
--- a/mulberryvalve/core/jobs/held_starts.cc
+++ b/mulberryvalve/core/jobs/held_starts.cc
@@ -14,7 +14,8 @@
   return { aTask.mOccurrence, aTask.mStep, aTask.mIndex };
 }
 
-// Returns whether aRecord names aWorker as a possible one of a task of its job.
+} // namespace
+
 bool NamesWorker(const JobRecord& aRecord,
                  const TaskRef& aTask,
                  const WorkerId& aWorker)
@@ -37,8 +38,6 @@
   return std::find(workers.begin(), workers.end(), aWorker) != workers.end();
 }
 
-} // namespace
-
 void HeldStarts::Add(TaskOrder aOrder,
                      bool aMayStartUnrecorded,
                      MonotonicTime aNow)
--- a/mulberryvalve/core/jobs/held_starts.h
+++ b/mulberryvalve/core/jobs/held_starts.h
@@ -27,6 +27,12 @@
   uint64_t mNumber = 0;
 };
 
+// Returns whether aRecord names aWorker as a possible one of a task of its job.
+// The tasks of aRecord are in order.
+bool NamesWorker(const JobRecord& aRecord,
+                 const TaskRef& aTask,
+                 const WorkerId& aWorker);
+
 // Not thread-safe.
 class HeldStarts
 {
--- a/mulberryvalve/core/jobs/held_task_decisions_test.cc
+++ b/mulberryvalve/core/jobs/held_task_decisions_test.cc
@@ -77,7 +77,8 @@
   StartUsingWorker();
   CHECK_EQUAL(0U, mOwner.CountStarts());
   CHECK_EQUAL(1U, mOwner.mShard.TakeHeldTaskStats(mOwner.mNow).mTasks);
-  mOwner.mShard.OnFormerOwnerEnded(Epoch(1), mOwner.mNow);
+  mOwner.mShard.OnFormerOwnerEnded(
+    FormerOwnerEnd{ Epoch(1), mOwner.mNow, mOwner.mNow });
   mOwner.mNow += Milliseconds(7000);
   CHECK_EQUAL(1U, mOwner.CountStarts());
   CHECK_EQUAL(0U, mOwner.mShard.TakeHeldTaskStats(mOwner.mNow).mTasks);
--- a/mulberryvalve/core/jobs/inherited_workers.cc
+++ b/mulberryvalve/core/jobs/inherited_workers.cc
@@ -14,8 +14,7 @@
   const InheritedWorker& inherited = entry->second;
   mPendingWaits.emplace(inherited.mWaitUntil, aWorker);
   if (!inherited.mPossibleTasks) {
-    mUnnotedCount++;
-    mUnnotedByBucket[BucketOf(aWorker)]++;
+    BlockBucket(aWorker);
     return;
   }
   for (const TaskRef& task : *inherited.mPossibleTasks) {
@@ -40,6 +39,28 @@
   return true;
 }
 
+bool InheritedWorkers::OnStartsKnown(const WorkerId& aWorker,
+                                     const std::vector<TaskRef>& aTasks)
+{
+  if (!MayRunTasks(aWorker)) {
+    return false;
+  }
+  InheritedWorker& inherited = mWorkers.at(aWorker);
+  if (!inherited.BlocksBucket() || inherited.mIsPostponed) {
+    return false;
+  }
+  inherited.mAreStartsKnown = true;
+  UnblockBucket(aWorker);
+  std::vector<TaskRef>& recorded = mRecordedTasks[aWorker];
+  for (const TaskRef& task : aTasks) {
+    if (std::find(recorded.begin(), recorded.end(), task) == recorded.end()) {
+      recorded.push_back(task);
+      mBlockedTasks[task]++;
+    }
+  }
+  return true;
+}
+
 void InheritedWorkers::Remove(const WorkerId& aWorker)
 {
   MarkIdle(aWorker, MonotonicTime());
@@ -69,6 +90,10 @@
   SetWait(aWorker, inherited, std::max(inherited.mWaitUntil, aUntil));
   inherited.mIsAssumed = false;
   inherited.mIsPostponed = true;
+  // An end that is not listed may be of any start that was not recorded.
+  if (std::exchange(inherited.mAreStartsKnown, false)) {
+    BlockBucket(aWorker);
+  }
 }
 
 // Precondition: the wait has not ended.
@@ -160,9 +185,8 @@
     recorded = std::move(found->second);
     mRecordedTasks.erase(found);
   }
-  if (!aInherited.mPossibleTasks) {
-    mUnnotedCount--;
-    mUnnotedByBucket[BucketOf(aWorker)]--;
+  if (aInherited.BlocksBucket()) {
+    UnblockBucket(aWorker);
   }
   const std::vector<TaskRef>& blocked =
     aInherited.mPossibleTasks ? *aInherited.mPossibleTasks : recorded;
@@ -174,6 +198,18 @@
   }
 }
 
+void InheritedWorkers::BlockBucket(const WorkerId& aWorker)
+{
+  mUnnotedCount++;
+  mUnnotedByBucket[BucketOf(aWorker)]++;
+}
+
+void InheritedWorkers::UnblockBucket(const WorkerId& aWorker)
+{
+  mUnnotedCount--;
+  mUnnotedByBucket[BucketOf(aWorker)]--;
+}
+
 void InheritedWorkers::UnblockTask(const TaskRef& aTask)
 {
   const auto blocked = mBlockedTasks.find(aTask);
--- a/mulberryvalve/core/jobs/inherited_workers.h
+++ b/mulberryvalve/core/jobs/inherited_workers.h
@@ -34,6 +34,11 @@
   std::optional<Epoch> mLastUser{};
   // It has answered, and its wait covers ends that it has not listed yet.
   bool mIsPostponed = false;
+  // All starts there without a record are known, and are as if recorded.
+  bool mAreStartsKnown = false;
+
+  // Returns whether any task of its bucket may run there without a record.
+  bool BlocksBucket() const { return !mPossibleTasks && !mAreStartsKnown; }
 };
 
 // Not thread-safe.
@@ -60,6 +65,13 @@
   // earlier version, which records nothing.
   void OnStartsWithoutRecords() { mHasStartsWithoutRecords = true; }
 
+  // Records that of the tasks that may have been started on the worker without
+  // a record, aTasks are all. Returns whether that releases its bucket: not if
+  // the worker is unknown, its wait has ended or was postponed, or a note names
+  // its tasks.
+  bool OnStartsKnown(const WorkerId& aWorker,
+                     const std::vector<TaskRef>& aTasks);
+
   // Records that nothing runs on the worker any more. Does nothing if the
   // worker is unknown.
   void MarkIdle(const WorkerId& aWorker, MonotonicTime aNow);
@@ -138,13 +150,15 @@
   void SetWait(const WorkerId& aWorker,
                InheritedWorker& aInherited,
                MonotonicTime aUntil);
+  void BlockBucket(const WorkerId& aWorker);
+  void UnblockBucket(const WorkerId& aWorker);
   void Unblock(const WorkerId& aWorker, const InheritedWorker& aInherited);
   void UnblockTask(const TaskRef& aTask);
 
   std::map<WorkerId, InheritedWorker> mWorkers;
   // The pending workers, ordered by the end of their waits.
   std::set<std::pair<MonotonicTime, WorkerId>> mPendingWaits;
-  // The pending workers without a note of their tasks, in all and by bucket.
+  // The pending workers for which BlocksBucket is true, in all and by bucket.
   size_t mUnnotedCount = 0;
   std::array<size_t, kStartBuckets> mUnnotedByBucket{};
   bool mHasStartsWithoutRecords = false;
--- a/mulberryvalve/core/jobs/outage_cluster_fake.h
+++ b/mulberryvalve/core/jobs/outage_cluster_fake.h
@@ -67,6 +67,13 @@
   {
     mSimulation.mObservesOwners = true;
     mSimulation.mGangsFailTogether = true;
+    // In a third of the schedules nobody can be asked; of the owners that have
+    // ended, a quarter can't be, and of their answers half are lost.
+    if (aSeed % 3 != 0) {
+      mSimulation.mTellsItsEnd = [this](const SimulatedOwner& aOwner) {
+        return aOwner.mEpoch.Value() % 4 != 0 && Pick(2) == 0;
+      };
+    }
     mSimulation.mDurationOf = [](const TaskRef& aTask) {
       return aTask.mStep.mJob.Text()[0] == 'l'
                ? TakeoverSimulation::kLong
--- a/mulberryvalve/core/jobs/owner_chain_test.cc
+++ b/mulberryvalve/core/jobs/owner_chain_test.cc
@@ -128,7 +128,7 @@
   owners.Add(second);
   owners.OnLastProof(Epoch(1), early, RunsEndEvidence::kObserved);
   owners.OnLastProof(Epoch(2), late, RunsEndEvidence::kObserved);
-  CHECK(EndOfRuns(late) == owners.RunsEndBy(Epoch(1), workers));
+  CHECK(EndOfRuns(late) == owners.RunsEndBy(kWorker, Epoch(1), workers));
 }
 
 // Guards against a worker's record whose owner is not known any more.
@@ -142,8 +142,9 @@
   const MonotonicTime provedAt{ std::chrono::seconds(100) };
   owners.Add(former);
   owners.OnLastProof(Epoch(2), provedAt, RunsEndEvidence::kObserved);
-  CHECK(EndOfRuns(provedAt) == owners.RunsEndBy(std::nullopt, workers));
-  CHECK(EndOfRuns(provedAt) == owners.RunsEndBy(Epoch(1), workers));
+  CHECK(EndOfRuns(provedAt) ==
+        owners.RunsEndBy(kWorker, std::nullopt, workers));
+  CHECK(EndOfRuns(provedAt) == owners.RunsEndBy(kWorker, Epoch(1), workers));
 }
 
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/shard_scheduler.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler.cc
@@ -78,68 +78,6 @@
   mHeldTasks.OnInherited(aWorker.mId);
 }
 
-void ShardScheduler::RestoreFormerOwner(FormerOwner aOwner)
-{
-  const Epoch epoch = aOwner.mEpoch;
-  if (!aOwner.mActiveFor) {
-    mInheritedWorkers.OnStartsWithoutRecords();
-  }
-  mFormerOwners.Add(std::move(aOwner));
-  OnFormerOwnerProof(epoch, mClaimedAt, RunsEndEvidence::kClaimed);
-}
-
-void ShardScheduler::OnFormerOwnerProof(Epoch aEpoch,
-                                        MonotonicTime aProvedBy,
-                                        RunsEndEvidence aEvidence)
-{
-  mFormerOwners.OnLastProof(aEpoch, aProvedBy, aEvidence);
-  mFormerOwnersChanged = true;
-}
-
-std::vector<FormerOwner> ShardScheduler::FormerOwnersToAsk() const
-{
-  return mInheritedWorkers.HasAssumedWaits() ? mFormerOwners.Unsettled()
-                                             : std::vector<FormerOwner>();
-}
-
-void ShardScheduler::OnFormerOwnerEnded(Epoch aEpoch, MonotonicTime aEndedBy)
-{
-  mFormerOwners.OnEnded(aEpoch, aEndedBy);
-  mFormerOwnersChanged = true;
-}
-
-// Applies what became known of the former owners, once all of them are
-// restored.
-void ShardScheduler::ShortenInheritedWaits()
-{
-  if (!std::exchange(mFormerOwnersChanged, false)) {
-    return;
-  }
-  for (const auto& [worker, inherited] : mInheritedWorkers.All()) {
-    const auto end = mFormerOwners.RunsEndBy(inherited.mLastUser, mWorkers);
-    if (end && mInheritedWorkers.ShortenWait(worker, *end)) {
-      mHeldTasks.OnWaitShortened(worker);
-    }
-  }
-}
-
-// Returns how long runs of the former owners may go on after the claim, if no
-// proof of theirs bounds their leases.
-Milliseconds ShardScheduler::MaxFormerRuns() const
-{
-  return mOptions.mProofLimit + mOptions.mLease.mLength +
-         10 * mOptions.mLease.mMargin;
-}
-
-void ShardScheduler::RemoveEndedClaims(MonotonicTime aNow)
-{
-  if (aNow < mClaimedAt + MaxFormerRuns() + mOptions.mLease.mMargin) {
-    return;
-  }
-  const std::vector<Epoch> ended = mFormerOwners.TakeAll();
-  mEndedClaims.insert(mEndedClaims.end(), ended.begin(), ended.end());
-}
-
 void ShardScheduler::RestoreLearned(const LearnedRecord& aLearned)
 {
   mInterference.Restore(aLearned, mJobTable.Images());
@@ -296,6 +234,7 @@
       std::move(parts.begin(), parts.end(), std::back_inserter(batch.mJobs));
     }
   }
+  mUnrecordedStarts.OnTaken(batch.mJobs);
   while (!mJobsOffIntake.empty() && batch.mRetired.size() < kMaxJobsPerBatch) {
     batch.mRetired.push_back(std::move(mJobsOffIntake.back()));
     mJobsOffIntake.pop_back();
@@ -336,6 +275,7 @@
   }
   for (const JobRecord& record : aBatch.mJobs) {
     mHeldStarts.OnRecorded(record);
+    mUnrecordedStarts.OnDurable(record);
     JobEntry* job = mJobTable.Find(record.mId);
     if (job != nullptr && record.mPart == 0) {
       job->mDurablePhase = record.mPhase;
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -20,6 +20,8 @@
 #include "mulberryvalve/core/jobs/shard_scheduler_options.h"
 #include "mulberryvalve/core/jobs/start_window.h"
 #include "mulberryvalve/core/jobs/unread_jobs.h"
+#include "mulberryvalve/core/jobs/unrecorded_start_list.h"
+#include "mulberryvalve/core/jobs/unwanted_run.h"
 #include "mulberryvalve/core/jobs/used_worker_record.h"
 #include "mulberryvalve/core/jobs/worker_search.h"
 #include "mulberryvalve/core/jobs/worker_table.h"
@@ -62,14 +64,17 @@
     return mFormerOwners.EndsOfRuns(mWorkers);
   }
 
-  // Returns the former owners whose ends would shorten a wait, if they were
-  // known. Ask them, and call OnFormerOwnerEnded. Once there are none, there
-  // will be none later.
-  std::vector<FormerOwner> FormerOwnersToAsk() const;
+  // Returns the former owners whose answers would shorten a wait or release a
+  // task, and what to ask of them; then call OnFormerOwnerEnded. Once there are
+  // none, there will be none later.
+  std::vector<FormerOwnerQuestion> FormerOwnersToAsk() const;
 
-  // Records that a former owner had ended by aEndedBy: it sent nothing after
-  // that.
-  void OnFormerOwnerEnded(Epoch aEpoch, MonotonicTime aEndedBy);
+  // Records that a former owner has ended, and what it told.
+  void OnFormerOwnerEnded(const FormerOwnerEnd& aEnd);
+
+  // Returns what this owner did on its workers. Call it once nothing is sent
+  // any more and no reply can arrive.
+  OwnershipSummary Summary() const;
 
   // Restores the run times and the interference that former owners learned.
   void RestoreLearned(const LearnedRecord& aLearned);
@@ -195,20 +200,6 @@
   // A stop whose task is still not reported as ended is sent again after this.
   static constexpr Milliseconds kStopResendInterval{ 700 };
 
-  // UnwantedRun is a run that a worker reports though it should not exist.
-  struct UnwantedRun
-  {
-    TaskRef mTask;
-    RunNumber mRun;
-    WorkerId mWorker;
-
-    friend bool operator<(const UnwantedRun& aLeft, const UnwantedRun& aRight)
-    {
-      return std::tie(aLeft.mTask, aLeft.mRun, aLeft.mWorker) <
-             std::tie(aRight.mTask, aRight.mRun, aRight.mWorker);
-    }
-  };
-
   // ReportedRun is a run that a worker reported, with the task that it belongs
   // to.
   struct ReportedRun
@@ -232,6 +223,7 @@
   void RefreshNoteOf(const WorkerEntry& aWorker, bool aRefreshDue);
   Milliseconds MaxFormerRuns() const;
   void ShortenInheritedWaits();
+  bool HasOpenStart(const WorkerEntry& aWorker) const;
   void RemoveEndedClaims(MonotonicTime aNow);
   void RemoveGoneWorkers(MonotonicTime aNow);
   bool IsGone(const WorkerEntry& aWorker, MonotonicTime aNow) const;
@@ -454,6 +446,7 @@
   InheritedWorkers mInheritedWorkers;
   HeldTaskReport mHeldTasks;
   HeldStarts mHeldStarts;
+  UnrecordedStartList mUnrecordedStarts;
   UnreadJobs mUnreadJobs;
   MonotonicTime mRefreshNotesAt;
   // A list of workers was received.
--- a/mulberryvalve/core/jobs/shard_scheduler_starts.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_starts.cc
@@ -129,6 +129,8 @@
   }
   mHeldStarts.Remove(aOrder.mTask);
   if (!isRecorded) {
+    mUnrecordedStarts.OnSent(
+      aOrder.mTask, aOrder.mWorker, mJobTable.PartOf(aOrder.mTask));
     LogDecision(DecisionKind::kStartUnrecorded,
                 aOrder.mTask,
                 aOrder.mWorker,
--- a/mulberryvalve/core/jobs/shard_simulation_fake.cc
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.cc
@@ -124,6 +124,29 @@
   return *mOwners.back();
 }
 
+// An owner is asked at its end or later, so what it tells holds from then on.
+void ShardSimulation::AskFormerOwners(SimulatedOwner& aOwner)
+{
+  for (const FormerOwnerQuestion& question :
+       aOwner.mShard->FormerOwnersToAsk()) {
+    for (const auto& former : mOwners) {
+      const bool isAsked = former->mEpoch == question.mOwner.mEpoch;
+      const bool hasEnded =
+        !former->mIsActive && former->mEndedAt != MonotonicTime();
+      if (!isAsked || !hasEnded || (mTellsItsEnd && !mTellsItsEnd(*former))) {
+        continue;
+      }
+      FormerOwnerEnd end;
+      end.mEpoch = former->mEpoch;
+      end.mEndedBy = former->mEndedAt;
+      end.mReceivedAt = mNow;
+      end.mAskedOf = question.mWorkers;
+      end.mTold = former->mShard->Summary().TellOf(question.mWorkers, mNow);
+      aOwner.mShard->OnFormerOwnerEnded(end);
+    }
+  }
+}
+
 // Returns what the owner's newest record on the log tells of it.
 FormerOwner ShardSimulation::RecordOf(const SimulatedOwner& aOwner)
 {
@@ -211,6 +234,9 @@
 void ShardSimulation::StepOwner(SimulatedOwner& aOwner)
 {
   ReadIntake(aOwner);
+  if (mTellsItsEnd) {
+    AskFormerOwners(aOwner);
+  }
   if (aOwner.mCanAppend) {
     aOwner.mProvedAt = mNow;
     std::vector<WorkerInfo> facts;
--- a/mulberryvalve/core/jobs/shard_simulation_fake.h
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.h
@@ -127,6 +127,7 @@
   MonotonicTime mRecordedAt;
   MonotonicTime mStoredAt;
   bool mIsActive = true;
+  MonotonicTime mEndedAt;
   // If false, none of its decisions becomes durable.
   bool mCanAppend = true;
   // Its appends fail, though its ownership is proved.
@@ -201,7 +202,15 @@
   void ChangeEndpoint(const WorkerId& aWorker, const Endpoint& aEndpoint);
 
   // Ends an owner's process.
-  void Kill(size_t aOwner) { mOwners[aOwner]->mIsActive = false; }
+  void Kill(size_t aOwner)
+  {
+    mOwners[aOwner]->mIsActive = false;
+    mOwners[aOwner]->mEndedAt = mNow;
+  }
+
+  // Lets an owner ask the former ones. Those that have ended tell it since when
+  // and what they did.
+  void AskFormerOwners(SimulatedOwner& aOwner);
 
   // Applies a configuration to all owners.
   void Configure(const ClusterConfig& aConfig);
@@ -238,6 +247,9 @@
   bool mOrderRepliesTellIncarnation = true;
   // Whether new owners know when the last append of each former one was sent.
   bool mObservesOwners = false;
+  // If set, each owner asks the former ones in each tick, and one that has
+  // ended answers if it returns true.
+  std::function<bool(const SimulatedOwner&)> mTellsItsEnd;
   // Whether the end of one member of a gang ends the others.
   bool mGangsFailTogether = false;
 
--- a/mulberryvalve/core/jobs/takeover_faults_test.cc
+++ b/mulberryvalve/core/jobs/takeover_faults_test.cc
@@ -133,7 +133,8 @@
     for (size_t number = 0; number < mOwnerCount; number++) {
       const SimulatedOwner& former = mSimulation.Owner(number);
       if (!former.mIsActive) {
-        added.OnFormerOwnerEnded(former.mEpoch, mSimulation.Now());
+        added.OnFormerOwnerEnded(FormerOwnerEnd{
+          former.mEpoch, mSimulation.Now(), mSimulation.Now() });
       }
     }
     mOwnerCount++;
--- a/mulberryvalve/ports/out/peer_query.h
+++ b/mulberryvalve/ports/out/peer_query.h
@@ -6,10 +6,12 @@
 #include "mulberryvalve/core/base/failure.h"
 #include "mulberryvalve/core/jobs/job_state.h"
 #include "mulberryvalve/core/jobs/owner_observations.h"
+#include "mulberryvalve/core/jobs/ownership_summary.h"
 #include "mulberryvalve/core/model/worker.h"
 #include "mulberryvalve/ports/out/shard_group.h"
 
 #include <optional>
+#include <vector>
 
 namespace mulberryvalve {
 
@@ -29,7 +31,8 @@
 // PeerQuery is a query to the owner of a shard. mJob is used by kJobPhase, and
 // mQueue by kWaitingJobs. kOwnershipEnd is a query of a new owner to a former
 // one: whether the ownership under mEpoch, claimed by the process mProcess, has
-// ended. It also tells a former owner that still acts that it was superseded.
+// ended, and what it did on mWorkers, at most kMaxToldWorkers. It also tells a
+// former owner that still acts that it was superseded.
 struct PeerQuery
 {
   PeerQueryKind mKind = PeerQueryKind::kJobPhase;
@@ -38,6 +41,7 @@
   QueueId mQueue;
   Epoch mEpoch;
   Incarnation mProcess;
+  std::vector<WorkerId> mWorkers{};
 };
 
 // PeerQueryResult is the response to a PeerQuery. mOwns tells whether the
@@ -45,6 +49,9 @@
 // mEndedFor tells for how long at least the ownership that kOwnershipEnd names
 // has sent nothing; it is absent while that ownership may still send. mOwner
 // tells how long the queried ownership has been active, if it is known here.
+// mTold tells what the queried ownership did, once it has ended; it is absent
+// without named workers, from an earlier version, and if it is not known any
+// more.
 struct PeerQueryResult
 {
   bool mOwns = false;
@@ -52,6 +59,7 @@
   uint64_t mWaiting = 0;
   std::optional<Milliseconds> mEndedFor{};
   std::optional<OwnerAge> mOwner{};
+  std::optional<ToldUse> mTold{};
 };
 
 // PeerQueryClient sends queries to other instances. Thread-safe; blocks up to
