Test of an owner whose former owner tells that it never used a worker

The fake peer tells so, and the clock stands still once the shard is loaded, so that no wait ends by time. Without what the peer tells, the test does not end (15 s, stopped). The question names the worker that has not answered.

--- a/mulberryvalve/app/jobs/shard_runtime_fake.h
+++ b/mulberryvalve/app/jobs/shard_runtime_fake.h
@@ -22,11 +22,16 @@
 public:
   MonotonicTime Now() const override
   {
-    return RealClock::Now() + Milliseconds(mPausedMs);
+    const MonotonicTime::rep stoppedAt = mStoppedAt;
+    return stoppedAt != 0 ? MonotonicTime(MonotonicTime::duration(stoppedAt))
+                          : RealClock::Now() + Milliseconds(mPausedMs);
   }
   void Pause(Milliseconds aLength) { mPausedMs += aLength.count(); }
+  // From now on the time does not change.
+  void Stop() { mStoppedAt = Now().time_since_epoch().count(); }
 
 private:
+  std::atomic<MonotonicTime::rep> mStoppedAt{ 0 };
   std::atomic<int64_t> mPausedMs{ 0 };
 };
 
--- a/mulberryvalve/app/jobs/shard_runtime_test.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_test.cc
@@ -101,7 +101,8 @@
   }
 };
 
-// Tells that each former owner it is asked about has ended. Thread-safe.
+// Tells that each former owner it is asked about has ended and used no worker.
+// Thread-safe.
 class EndedPeers : public PeerQueryClient
 {
 public:
@@ -114,6 +115,7 @@
     mQuery = aQuery;
     PeerQueryResult result;
     result.mEndedFor = Milliseconds(100);
+    result.mTold = OwnershipSummary().TellOf(aQuery.mWorkers, MonotonicTime());
     return result;
   }
 
@@ -255,6 +257,22 @@
   ShardRuntime mRuntime;
 };
 
+// Puts an owner of epoch 3 on the log, and worker "w1".
+void RecordFormerOwner(MemoryLog& aLog)
+{
+  const JobLogJson codec;
+  UsedWorkerRecord used;
+  used.mId = WorkerId("w1");
+  const OwnershipRecord claim{
+    Epoch(3), "former", Endpoint{ "10.0.0.9", 7380 }, Incarnation(5)
+  };
+  const AppendFence proof{ TopicPartition{ KeyedTopic::kProgress, 0 },
+                           Epoch(3),
+                           1 };
+  CHECK(aLog.AppendFenced(proof, { codec.Encode(claim), codec.Encode(used) })
+          .has_value());
+}
+
 void SubmitJob(MemoryLog& aLog, const char* aJob, uint32_t aTasks = 1)
 {
   JobGraph job;
@@ -368,23 +386,28 @@
 {
   MemoryLog log;
   SilentWorker worker;
-  const JobLogJson codec;
-  UsedWorkerRecord used;
-  used.mId = WorkerId("w1");
-  const OwnershipRecord claim{
-    Epoch(3), "former", Endpoint{ "10.0.0.9", 7380 }, Incarnation(5)
-  };
-  const AppendFence proof{ TopicPartition{ KeyedTopic::kProgress, 0 },
-                           Epoch(3),
-                           1 };
-  CHECK(log.AppendFenced(proof, { codec.Encode(claim), codec.Encode(used) })
-          .has_value());
+  RecordFormerOwner(log);
   Owner owner(log, worker, 64);
   owner.Events().Await("former_owner_ended");
   CHECK(PeerQueryKind::kOwnershipEnd == owner.Peers().LastQuery().mKind);
   CHECK(Epoch(3) == owner.Peers().LastQuery().mEpoch);
   CHECK(Incarnation(5) == owner.Peers().LastQuery().mProcess);
   CHECK_EQUAL(7380, owner.Peers().LastPeer().mPort);
+  CHECK(std::vector<WorkerId>{ WorkerId("w1") } ==
+        owner.Peers().LastQuery().mWorkers);
+}
+
+// Guards against a wait for the leases that an owner could have renewed until
+// its end, though it tells that it renewed none there (LOST).
+TEST(ShardRuntimeTest, AWorkerThatNoFormerOwnerUsedIsNotWaitedFor)
+{
+  MemoryLog log;
+  SilentWorker worker;
+  RecordFormerOwner(log);
+  Owner owner(log, worker, 64);
+  owner.Events().Await("shard_loaded");
+  owner.ProcessClock().Stop();
+  owner.Events().Await("worker_released");
 }
 
 // An alert on these gauges must end with the ownership.
