--- a/mulberryvalve/core/jobs/former_owners_test.cc
+++ b/mulberryvalve/core/jobs/former_owners_test.cc
@@ -34,7 +34,10 @@
   // Lets the newest owner learn that the owner of aEpoch had ended by aEndedBy.
   void Learn(uint64_t aEpoch, MonotonicTime aEndedBy)
   {
-    Newest().OnFormerOwnerEnded(Epoch(aEpoch), aEndedBy);
+    FormerOwnerEnd end;
+    end.mEpoch = Epoch(aEpoch);
+    end.mEndedBy = aEndedBy;
+    Newest().OnFormerOwnerEnded(end);
   }
 
   void ReplaceOwner()
@@ -109,7 +112,7 @@
   sim->RunFor(TakeoverSimulation::kPlacementLimit);
   ShardScheduler& next = *sim->Owner(1).mShard;
   CHECK_EQUAL(1U, next.FormerOwnersToAsk().size());
-  next.OnFormerOwnerEnded(Epoch(1), sim->Now());
+  next.OnFormerOwnerEnded(FormerOwnerEnd{ Epoch(1), sim->Now(), sim->Now() });
   CHECK(next.FormerOwnersToAsk().empty());
   sim.ReplaceOwner();
   sim->RunFor(kSettleTime);
--- a/mulberryvalve/core/jobs/last_user_test.cc
+++ b/mulberryvalve/core/jobs/last_user_test.cc
@@ -79,7 +79,8 @@
   }
   sim->RunFor(Milliseconds(100));
   SimulatedOwner& second = sim.LoadOwner();
-  second.mShard->OnFormerOwnerEnded(sim->Owner(0).mEpoch, sim->Now());
+  second.mShard->OnFormerOwnerEnded(
+    FormerOwnerEnd{ sim->Owner(0).mEpoch, sim->Now(), sim->Now() });
   second.mLinks[worker] = LinkState::kDisconnected;
   sim->RunFor(Milliseconds(100));
   second.mLinks.clear();
@@ -134,7 +135,7 @@
   owners.OnLastProof(Epoch(1), claimed, RunsEndEvidence::kClaimed);
   owners.OnLastProof(Epoch(2), claimed, RunsEndEvidence::kClaimed);
   owners.OnLastProof(Epoch(2), secondAppended, RunsEndEvidence::kObserved);
-  const auto end = owners.RunsEndBy(Epoch(1), workers);
+  const auto end = owners.RunsEndBy(kWorker, Epoch(1), workers);
   CHECK(end.has_value());
   CHECK(*end <= workers.EndOfRunsProvedAt(secondAppended));
 }
@@ -167,7 +168,7 @@
   owners.OnEnded(kFormer, endedBy);
   const Milliseconds longest(terms.mMaxGranted.count() * 1000 /
                              (1000 - terms.mClockDriftPerMille));
-  const auto end = owners.RunsEndBy(kFormer, workers);
+  const auto end = owners.RunsEndBy(kWorker, kFormer, workers);
   CHECK(end.has_value());
   CHECK(endedBy + longest <= *end);
 }
@@ -199,7 +200,8 @@
   CHECK(!worker.mRuns.empty());
   sim.KillOwner();
   SimulatedOwner& next = sim.LoadOwner();
-  next.mShard->OnFormerOwnerEnded(owner.mEpoch, sim->Now());
+  next.mShard->OnFormerOwnerEnded(
+    FormerOwnerEnd{ owner.mEpoch, sim->Now(), sim->Now() });
   next.mLinks[restarted] = LinkState::kDisconnected;
   sim->RunFor(kSettleTime);
   STRCMP_EQUAL("", sim.AllViolations().c_str());
