--- a/mulberryvalve/core/jobs/outage_cluster_fake.h
+++ b/mulberryvalve/core/jobs/outage_cluster_fake.h
@@ -60,6 +60,7 @@
   static constexpr size_t kMinUsableWorkers = 5;
   static constexpr uint32_t kMaxLastingJobs = 6;
   static constexpr Milliseconds kMaxNotice{ 1500 };
+  static constexpr Milliseconds kSlow{ 7000 };
 
   explicit OutageCluster(uint32_t aSeed)
     : mRandom(aSeed)
@@ -75,9 +76,14 @@
       };
     }
     mSimulation.mDurationOf = [](const TaskRef& aTask) {
-      return aTask.mStep.mJob.Text()[0] == 'l'
-               ? TakeoverSimulation::kLong
-               : Milliseconds(300 + 400 * (aTask.mIndex % 7));
+      switch (aTask.mStep.mJob.Text()[0]) {
+        case 'l':
+          return TakeoverSimulation::kLong;
+        case 's':
+          return kSlow;
+        default:
+          return Milliseconds(300 + 400 * (aTask.mIndex % 7));
+      }
     };
     for (size_t index = 0; index < kWorkers; index++) {
       mSimulation.Worker(index).mClockRatePerMille = 980 + Pick(21);
@@ -114,6 +120,15 @@
     mSimulation.Submit(job);
   }
 
+  // Submits a job of plain tasks that run for longer than a change of owner.
+  void SubmitSlowJob()
+  {
+    const JobGraph job =
+      OneStepJob("s" + std::to_string(mJobs.size()), kWorkers, 250);
+    mJobs.push_back(job);
+    mSimulation.Submit(job);
+  }
+
   void BeginTrouble(LogTrouble aTrouble)
   {
     SimulatedOwner& owner = Owner();
--- a/mulberryvalve/core/jobs/outage_random_test.cc
+++ b/mulberryvalve/core/jobs/outage_random_test.cc
@@ -72,6 +72,10 @@
     const auto trouble = static_cast<LogTrouble>(mCluster.Pick(kLogTroubles));
     const auto fault = static_cast<OwnerFault>(mCluster.Pick(kOwnerFaults));
     const Milliseconds length(1000 + mCluster.Pick(5000));
+    // Most of these start while the log takes no record of it.
+    for (uint32_t job = mCluster.Pick(4); job > 0; job--) {
+      mCluster.SubmitSlowJob();
+    }
     mCluster.BeginTrouble(trouble);
     ScheduleFaults(fault, length);
     RunFor(length);
