--- a/mulberryvalve/core/jobs/held_task_decisions_test.cc
+++ b/mulberryvalve/core/jobs/held_task_decisions_test.cc
@@ -1,6 +1,7 @@
 // Tests what a new owner logs and counts of the tasks that it holds back, and
 // of the workers that it waits for.
 #include "mulberryvalve/core/jobs/single_worker_shard_fake.h"
+#include "mulberryvalve/core/jobs/takeover_simulation_fake.h"
 
 namespace mulberryvalve {
 
@@ -150,4 +151,27 @@
   FAIL("no held task is logged");
 }
 
+TEST_GROUP(UnrecordedStartDecisionTest){};
+
+// Guards against not knowing whether the buckets of a take-over hold anything.
+TEST(UnrecordedStartDecisionTest, EachStartWithoutARecordIsTold)
+{
+  TakeoverSimulation sim(48);
+  sim->RunFor(Milliseconds(500));
+  SimulatedOwner& owner = sim->Owner(0);
+  owner.mAppendsFail = true;
+  size_t sent = 0;
+  sim->mOnOrder = [&sent](const TaskOrder& aOrder) {
+    sent += aOrder.mKind == OrderKind::kStart ? 1 : 0;
+  };
+  sim->Submit(OneStepJob("batch", 96, 1000));
+  sim->RunFor(Milliseconds(980));
+  size_t told = 0;
+  for (const JobDecision& decision : owner.mShard->TakeDecisions()) {
+    told += decision.mKind == DecisionKind::kStartUnrecorded ? 1 : 0;
+  }
+  CHECK(sent > 0);
+  CHECK_EQUAL(sent, told);
+}
+
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/ownership_summary_test.cc
+++ b/mulberryvalve/core/jobs/ownership_summary_test.cc
@@ -185,7 +185,7 @@
 {
   mOwners.Add(OwnerOf(1));
   mOwners.OnTold(EndOf(1, ToldOfFirst(Milliseconds(60000))));
-  CHECK(mWorkers.EndOfLeaseRequestedBy(kNow - Milliseconds(1000)) ==
+  CHECK(mWorkers.EndOfRunsOrderedBy(kNow - Milliseconds(1000)) ==
         EndOnFirst().value());
 }
 
@@ -194,7 +194,7 @@
   mOwners.Add(OwnerOf(1));
   mOwners.OnTold(EndOf(1, ToldOfFirst(std::nullopt)));
   CHECK(EndOnFirst().value() < kNow);
-  CHECK(mWorkers.EndOfLeaseRequestedBy(kNow - Milliseconds(1000)) ==
+  CHECK(mWorkers.EndOfRunsOrderedBy(kNow - Milliseconds(1000)) ==
         mOwners.RunsEndBy(kSecond, std::nullopt, mWorkers).value());
   CHECK_FALSE(mOwners.UnrecordedStartsOn(kSecond, std::nullopt).has_value());
 }
