The fake worker ends a gang's members together, as the platform's workers do

Trace: the fake ended each start at once, also of a gang's member. Since starts no longer wait for the pause between appends, its report that the first member is done comes before the second is sent; the owner takes the whole gang for done, as members end together, and rightly sends nothing more. No worker reports the end of a member while another has not started.

Change: EndTogether makes the fake run a gang's members until all were started, and list them as running till then.

--- a/mulberryvalve/app/jobs/jobs_fake.cc
+++ b/mulberryvalve/app/jobs/jobs_fake.cc
@@ -274,15 +274,53 @@
   mFence = aOrder.mEpoch;
   reply.mOutcome = OrderOutcome::kAccepted;
   if (aOrder.mKind == OrderKind::kStart) {
-    mStarts[aOrder.mTask]++;
-    mLast = mLast.Next();
-    mEnded.push_back(RunEndReport{
-      mLast, aOrder.mTask, aOrder.mRun, EndKind::kDone, CheckpointId() });
-    mCond.NotifyAll();
+    Start(aOrder);
   }
   return reply;
 }
 
+void InstantWorker::EndTogether(const StepRef& aStep, size_t aMembers)
+{
+  MutexLock lock(mMutex);
+  mGangs[aStep] = aMembers;
+}
+
+void InstantWorker::Start(const TaskOrder& aOrder)
+{
+  mStarts[aOrder.mTask]++;
+  const StepRef& step = aOrder.mTask.mStep;
+  const auto gang = mGangs.find(step);
+  if (gang == mGangs.end()) {
+    End(aOrder.mTask, aOrder.mRun);
+    return;
+  }
+  mRunning[aOrder.mTask] = aOrder.mRun;
+  const auto isMember = [&step](const auto& aRun) {
+    return aRun.first.mStep == step;
+  };
+  const auto members =
+    std::count_if(mRunning.begin(), mRunning.end(), isMember);
+  if (static_cast<size_t>(members) < gang->second) {
+    return;
+  }
+  for (auto run = mRunning.begin(); run != mRunning.end();) {
+    if (isMember(*run)) {
+      End(run->first, run->second);
+      run = mRunning.erase(run);
+    } else {
+      ++run;
+    }
+  }
+}
+
+void InstantWorker::End(const TaskRef& aTask, RunNumber aRun)
+{
+  mLast = mLast.Next();
+  mEnded.push_back(
+    RunEndReport{ mLast, aTask, aRun, EndKind::kDone, CheckpointId() });
+  mCond.NotifyAll();
+}
+
 RenewalReply InstantWorker::HandleRenewal(const RenewalRequest& aOrder)
 {
   const auto until =
@@ -306,6 +344,13 @@
   }
   reply.mOutcome = OrderOutcome::kAccepted;
   reply.mEnded = mEnded;
+  for (const auto& [task, run] : mRunning) {
+    RunReport row;
+    row.mTask = task;
+    row.mRun = run;
+    row.mPercent = kFullPace;
+    reply.mRunning.push_back(row);
+  }
   return reply;
 }
 
--- a/mulberryvalve/app/jobs/jobs_fake.h
+++ b/mulberryvalve/app/jobs/jobs_fake.h
@@ -181,6 +181,10 @@
 class InstantWorker : public ThreadedWorker
 {
 public:
+  // Makes the tasks of a step a gang of aMembers: they run until all were
+  // started, and end together.
+  void EndTogether(const StepRef& aStep, size_t aMembers);
+
   // Returns how often a task was started, or all tasks.
   size_t Starts(const TaskRef& aTask) const;
   size_t Starts() const
@@ -203,10 +207,15 @@
 private:
   OrderReply HandleOrder(const TaskOrder& aOrder) override;
   RenewalReply HandleRenewal(const RenewalRequest& aOrder) override;
+  void Start(const TaskOrder& aOrder) MV_REQUIRES(mMutex);
+  void End(const TaskRef& aTask, RunNumber aRun) MV_REQUIRES(mMutex);
 
   mutable Mutex mMutex;
   CondVar mCond;
   Epoch mFence MV_GUARDED_BY(mMutex);
+  std::map<StepRef, size_t> mGangs MV_GUARDED_BY(mMutex);
+  // The members of gangs that run.
+  std::map<TaskRef, RunNumber> mRunning MV_GUARDED_BY(mMutex);
   std::vector<RunEndReport> mEnded MV_GUARDED_BY(mMutex);
   EndNumber mLast MV_GUARDED_BY(mMutex);
   std::map<TaskRef, size_t> mStarts MV_GUARDED_BY(mMutex);
--- a/mulberryvalve/app/jobs/recorded_starts_test.cc
+++ b/mulberryvalve/app/jobs/recorded_starts_test.cc
@@ -67,6 +67,7 @@
   mFaulty.FailCalls(LogCall::kAppendFenced, FailureKind::kLogUnavailable);
   JobGraph gang = SmallJob("gang");
   gang.mSteps[0].mGang = true;
+  mWorkers.EndTogether(StepRef{ gang.mId, 0, 0 }, gang.mSteps[0].mCount);
   Submit(gang);
   const std::string batch = JobWithBucket(0, true);
   Submit(SmallJob(batch.c_str()));
