Restored images are numbered in the order of the record, whatever the compiler

Callers saw nothing of it yet: a successor numbered the two images of a learned pair by two arguments of one call, so that the numbers, and with them placements that tie, depended on the compiler.

Cause: PairAt(images.NumberOf(a), images.NumberOf(b)). g++ on x86-64 evaluates the last argument first.

--- a/mulberryvalve/core/jobs/interference_estimator.cc
+++ b/mulberryvalve/core/jobs/interference_estimator.cc
@@ -129,8 +129,9 @@
 {
   mVersion++;
   for (const LearnedInterference& pair : aRecord.mPairs) {
-    PairAt(aImages.NumberOf(pair.mServingImage),
-           aImages.NumberOf(pair.mBestEffortImage)) =
+    const ImageNumber serving = aImages.NumberOf(pair.mServingImage);
+    const ImageNumber bestEffort = aImages.NumberOf(pair.mBestEffortImage);
+    PairAt(serving, bestEffort) =
       PairWeight{ pair.mWeight, pair.mObservations };
   }
   for (const LearnedMinTail& tail : aRecord.mTails) {
--- a/mulberryvalve/core/jobs/interference_test.cc
+++ b/mulberryvalve/core/jobs/interference_test.cc
@@ -223,6 +223,19 @@
 
 // Guards against batch tasks that stay throttled after the services beside them
 // have gone, until something else is started there.
+// Guards against image numbers that depend on the compiler: the two images of a
+// restored pair were numbered by two arguments of one call.
+TEST(InterferenceTest, RestoredImagesAreNumberedInTheOrderOfTheRecord)
+{
+  LearnedRecord record;
+  record.mPairs = { { ImageId("service"), ImageId("heavy"), 0.5, 8 } };
+  ImageTable images;
+  InterferenceEstimator estimator;
+  estimator.Restore(record, images);
+  CHECK_EQUAL(0U, images.NumberOf(ImageId("service")));
+  CHECK_EQUAL(1U, images.NumberOf(ImageId("heavy")));
+}
+
 TEST(InterferenceTest, PaceIsRestoredWhenTheServicesHaveGone)
 {
   ShardSimulation world(1);
