What random numbers and changes decide stands in statements of its own

Tests drew two random numbers in one expression, so a seed meant another schedule on the other kind of machine: outage_cluster_fake.h, takeover_random_test.cc, takeover_faults_test.cc, shard_scheduler_test.cc, tests/schedules/schedule.cc. The other places read as harmless, three in the product among them (json_bundle_reader.cc, inbound_peers.cc, relay_fake.cc), and are two statements now, so that the coming check needs no list of exceptions.

--- a/bench/messages/worker_call_cost.cc
+++ b/bench/messages/worker_call_cost.cc
@@ -235,7 +235,8 @@
 int main(int aArgc, char** aArgv)
 {
   using namespace mulberryvalve;
-  return Run(ArgumentOr(aArgc, aArgv, 1, kDefaultWorkers),
-             ArgumentOr(aArgc, aArgv, 2, kDefaultRate),
-             ArgumentOr(aArgc, aArgv, 3, kDefaultSeconds));
+  const auto workers = ArgumentOr(aArgc, aArgv, 1, kDefaultWorkers);
+  const auto rate = ArgumentOr(aArgc, aArgv, 2, kDefaultRate);
+  const auto seconds = ArgumentOr(aArgc, aArgv, 3, kDefaultSeconds);
+  return Run(workers, rate, seconds);
 }
--- a/bench/placement/world.cc
+++ b/bench/placement/world.cc
@@ -188,7 +188,9 @@
       domain = &mDomains[mRandom() % mDomains.size()];
     }
     const size_t drawn = mRandom() % kWatcherClass;
-    Submit(*domain, wave && Uniform() < 0.5 ? 1 : drawn, 1 + mRandom() % 4);
+    const size_t size = wave && Uniform() < 0.5 ? 1 : drawn;
+    const size_t count = 1 + mRandom() % 4;
+    Submit(*domain, size, count);
   }
 }
 
--- a/bench/requests/request_sim.cc
+++ b/bench/requests/request_sim.cc
@@ -224,8 +224,9 @@
   {
     SimRequest& request = mRequests.at(aId);
     UpstreamTable& table = *mInstances[aInstance].mTable;
-    const auto worker = table.Reserve(
-      mSpecs, request.mFlow->TriedWorkers(), PeersOf(aInstance), mNow);
+    const PeerSlotUsage& peers = PeersOf(aInstance);
+    const auto worker =
+      table.Reserve(mSpecs, request.mFlow->TriedWorkers(), peers, mNow);
     if (!worker) {
       return false;
     }
--- a/mulberryvalve/adapters/json/json_bundle_reader.cc
+++ b/mulberryvalve/adapters/json/json_bundle_reader.cc
@@ -165,9 +165,8 @@
 {
   PlacementRules rules;
   Section section(aObject, "placement", aFaults);
-  Section reserve(section.Object("request_reserve"),
-                  section.PathOf("request_reserve"),
-                  aFaults);
+  const json& reserveObject = section.Object("request_reserve");
+  Section reserve(reserveObject, section.PathOf("request_reserve"), aFaults);
   rules.mRequestReserve = ReadSectionResources(reserve, rules.mRequestReserve);
   reserve.ReportUnknownFields();
   rules.mSpreadRacks = section.Flag("spread_racks", rules.mSpreadRacks);
--- a/mulberryvalve/adapters/ws_peer/inbound_peers.cc
+++ b/mulberryvalve/adapters/ws_peer/inbound_peers.cc
@@ -95,22 +95,22 @@
       RetryAccept();
       return;
     }
-    mAcceptor.async_accept(connection->get_raw_socket(),
-                           [this, connection](const std::error_code& aError) {
-                             if (mStopping ||
-                                 aError == asio::error::operation_aborted) {
-                               return;
-                             }
-                             if (aError) {
-                               mLog.Write(EventLevel::kWarn,
-                                          "peer_accept_failed",
-                                          { { "why", aError.message() } });
-                               RetryAccept();
-                               return;
-                             }
-                             AddConnection(connection);
-                             Accept();
-                           });
+    auto& socket = connection->get_raw_socket();
+    mAcceptor.async_accept(
+      socket, [this, connection](const std::error_code& aError) {
+        if (mStopping || aError == asio::error::operation_aborted) {
+          return;
+        }
+        if (aError) {
+          mLog.Write(EventLevel::kWarn,
+                     "peer_accept_failed",
+                     { { "why", aError.message() } });
+          RetryAccept();
+          return;
+        }
+        AddConnection(connection);
+        Accept();
+      });
   }
 
   void CloseSilentConnections()
--- a/mulberryvalve/adapters/ws_peer/relay_fake.cc
+++ b/mulberryvalve/adapters/ws_peer/relay_fake.cc
@@ -38,7 +38,8 @@
              Tcp::socket& aTo)
 {
   auto buffer = std::make_shared<Buffer>();
-  aFrom.async_read_some(asio::buffer(*buffer),
+  const auto space = asio::buffer(*buffer);
+  aFrom.async_read_some(space,
                         [aConnection, &aFrom, &aTo, buffer](
                           const std::error_code& aError, size_t aSize) {
                           if (aConnection->mFrozen) {
--- a/mulberryvalve/app/requests/request_router_test.cc
+++ b/mulberryvalve/app/requests/request_router_test.cc
@@ -143,7 +143,8 @@
   CHECK(instance.Call("k").mStatus == RequestStatus::kUnknown);
   CHECK(instance.Call("k", kShortDeadline, true).mReason ==
         RequestReason::kNotReady);
-  LONGS_EQUAL(0, mWorkers.RunCount("") + mWorkers.RunCount("k"));
+  LONGS_EQUAL(0, mWorkers.RunCount(""));
+  LONGS_EQUAL(0, mWorkers.RunCount("k"));
 }
 
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/full_cluster_fake.h
+++ b/mulberryvalve/core/jobs/full_cluster_fake.h
@@ -127,7 +127,8 @@
   std::string NotPlacedInTime()
   {
     mSim->RunFor(kPlacementLimit);
-    std::string findings = NotRunningOf("lasting") + NotRunningOf("batch");
+    std::string findings = NotRunningOf("lasting");
+    findings += NotRunningOf("batch");
     findings += WaitingBatchTasksNotRunning();
     findings += TooFewOf("more", kWaitingLastingTasks);
     findings += TooFewOf("gang", kWaitingMembers);
--- a/mulberryvalve/core/jobs/last_user_test.cc
+++ b/mulberryvalve/core/jobs/last_user_test.cc
@@ -194,7 +194,8 @@
   sim->RestartWorker(restarted);
   owner.mNextRenewalAt[restarted] = sim->Now() + Milliseconds(1500);
   sim.EndRunsOf(first);
-  while (worker.mRuns.empty() && sim->Now() < owner.mNextRenewalAt[restarted]) {
+  const MonotonicTime renewalAt = owner.mNextRenewalAt[restarted];
+  while (worker.mRuns.empty() && sim->Now() < renewalAt) {
     sim->Step();
   }
   CHECK(!worker.mRuns.empty());
--- a/mulberryvalve/core/jobs/outage_cluster_fake.h
+++ b/mulberryvalve/core/jobs/outage_cluster_fake.h
@@ -99,6 +99,11 @@
     return static_cast<uint32_t>(mRandom() % static_cast<uint64_t>(aBelow));
   }
 
+  void MakeUnreachableFor(const WorkerId& aWorker, Milliseconds aLength)
+  {
+    mSimulation.MakeUnreachable(aWorker, mSimulation.Now() + aLength);
+  }
+
   // Returns when something last failed, ended or came back.
   MonotonicTime LastDisruption() const { return mLastDisruption; }
 
@@ -110,8 +115,10 @@
     const bool isLasting = Pick(4) == 0 && mLastingJobs < kMaxLastingJobs;
     const bool isGang = !isLasting && Pick(4) == 0;
     const std::string kind = isLasting ? "l" : (isGang ? "g" : "j");
-    JobGraph job = OneStepJob(
-      kind + std::to_string(mJobs.size()), 1 + Pick(4), 500 * (1 + Pick(4)));
+    const auto tasks = 1 + Pick(4);
+    const auto taskMs = 500 * (1 + Pick(4));
+    JobGraph job =
+      OneStepJob(kind + std::to_string(mJobs.size()), tasks, taskMs);
     job.mSteps[0].mLongRunning = isLasting;
     job.mSteps[0].mGang = isGang;
     job.mSteps[0].mBestEffort = !isLasting && !isGang && Pick(4) == 0;
@@ -196,8 +203,7 @@
         mSimulation.MakeUnreachable(worker);
         break;
       case WorkerFault::kUnreachableAndUnlisted:
-        mSimulation.MakeUnreachable(
-          worker, mSimulation.Now() + Milliseconds(Pick(4000)));
+        MakeUnreachableFor(worker, Milliseconds(Pick(4000)));
         break;
       case WorkerFault::kExits:
         mSimulation.Exit(worker);
--- a/mulberryvalve/core/jobs/ownership_summary_test.cc
+++ b/mulberryvalve/core/jobs/ownership_summary_test.cc
@@ -185,8 +185,8 @@
 {
   mOwners.Add(OwnerOf(1));
   mOwners.OnTold(EndOf(1, ToldOfFirst(Milliseconds(60000))));
-  CHECK(mWorkers.EndOfRunsOrderedBy(kNow - Milliseconds(1000)) ==
-        EndOnFirst().value());
+  const auto endOfRuns = mWorkers.EndOfRunsOrderedBy(kNow - Milliseconds(1000));
+  CHECK(endOfRuns == EndOnFirst().value());
 }
 
 TEST(OwnershipSummaryTest, AWorkerThatWasNotToldIsWaitedForAsBefore)
--- a/mulberryvalve/core/jobs/restarted_worker_test.cc
+++ b/mulberryvalve/core/jobs/restarted_worker_test.cc
@@ -198,14 +198,17 @@
   sim->RunFor(kNoticeLimit);
   CHECK(sim->Worker(0).mRuns.size() > 0);
   ShardScheduler& owner = *sim->Owner(0).mShard;
-  owner.OnWorkerList({ former, sim->Worker(1).mInfo, sim->Worker(2).mInfo },
-                     sim->Now());
+  const std::vector<WorkerInfo> listed{ former,
+                                        sim->Worker(1).mInfo,
+                                        sim->Worker(2).mInfo };
+  owner.OnWorkerList(listed, sim->Now());
   const auto renewal = owner.NextRenewal(former.mId, true, sim->Now());
   RenewalReply reply;
   reply.mOutcome = renewal->mEndpoint.mAddress == "elsewhere"
                      ? OrderOutcome::kUnknown
                      : OrderOutcome::kGone;
-  owner.OnRenewalReply(*renewal, reply, sim->Now(), sim->Now());
+  const MonotonicTime askedAt = sim->Now();
+  owner.OnRenewalReply(*renewal, reply, askedAt, askedAt);
   // The next entry is read only then.
   sim->Owner(0).mCanAppend = false;
   sim->RunFor(kNoticeLimit);
--- a/mulberryvalve/core/jobs/shard_scheduler_test.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_test.cc
@@ -368,8 +368,9 @@
     };
     size_t owners = 1;
     for (int round = 0; round < 40; round++) {
-      JobGraph job = OneStepJob(
-        "j" + std::to_string(round), 1 + pick(6), 500 * (1 + pick(12)));
+      const auto tasks = 1 + pick(6);
+      const auto taskMs = 500 * (1 + pick(12));
+      JobGraph job = OneStepJob("j" + std::to_string(round), tasks, taskMs);
       job.mSteps[0].mBestEffort = pick(3) == 0;
       simulation.Submit(job);
       SimulatedOwner& owner = simulation.Owner(owners - 1);
--- a/mulberryvalve/core/jobs/takeover_faults_test.cc
+++ b/mulberryvalve/core/jobs/takeover_faults_test.cc
@@ -74,10 +74,16 @@
     return static_cast<uint32_t>(mRandom() % aBelow);
   }
 
+  void MakeUnreachableFor(const WorkerId& aWorker, Milliseconds aLength)
+  {
+    mSimulation.MakeUnreachable(aWorker, mSimulation.Now() + aLength);
+  }
+
   JobGraph NextJob(int aRound)
   {
-    JobGraph job = OneStepJob(
-      "j" + std::to_string(aRound), 1 + Pick(6), 500 * (1 + Pick(12)));
+    const auto tasks = 1 + Pick(6);
+    const auto taskMs = 500 * (1 + Pick(12));
+    JobGraph job = OneStepJob("j" + std::to_string(aRound), tasks, taskMs);
     job.mSteps[0].mGang = Pick(4) == 0;
     job.mSteps[0].mBestEffort = !job.mSteps[0].mGang && Pick(4) == 0;
     return job;
@@ -158,8 +164,7 @@
         mSimulation.MakeUnreachable(aWorker);
         break;
       case 3:
-        mSimulation.MakeUnreachable(
-          aWorker, mSimulation.Now() + Milliseconds(500 * Pick(5)));
+        MakeUnreachableFor(aWorker, Milliseconds(500 * Pick(5)));
         break;
       default:
         mSimulation.ChangeEndpoint(aWorker,
--- a/mulberryvalve/core/jobs/takeover_random_test.cc
+++ b/mulberryvalve/core/jobs/takeover_random_test.cc
@@ -137,7 +137,9 @@
     const std::string id =
       std::string(isLongRunning ? "l" : (gang ? "g" : "j")) +
       std::to_string(mRound);
-    JobGraph job = OneStepJob(id, 1 + Pick(6), 500 * (1 + Pick(10)));
+    const auto tasks = 1 + Pick(6);
+    const auto taskMs = 500 * (1 + Pick(10));
+    JobGraph job = OneStepJob(id, tasks, taskMs);
     StepSpec& step = job.mSteps[0];
     step.mLongRunning = isLongRunning;
     step.mGang = gang;
@@ -269,8 +271,8 @@
         break;
       case Fault::kUnreachable:
         WithWorker(NodeState::kUp, [this](const WorkerId& aId) {
-          mSimulation.MakeUnreachable(
-            aId, mSimulation.Now() + Milliseconds(Pick(8000)));
+          const Milliseconds length(Pick(8000));
+          mSimulation.MakeUnreachable(aId, mSimulation.Now() + length);
         });
         break;
       case Fault::kReconnect:
@@ -299,7 +301,8 @@
     mEndpointChanges++;
     mSimulation.ChangeEndpoint(
       aWorker, Endpoint{ "moved-" + std::to_string(mEndpointChanges), 7000 });
-    mRelistAt[aWorker] = mSimulation.Now() + Milliseconds(Pick(3000));
+    const Milliseconds delay(Pick(3000));
+    mRelistAt[aWorker] = mSimulation.Now() + delay;
   }
 
   void RunFor(Milliseconds aLength)
--- a/mulberryvalve/core/jobs/takeover_test.cc
+++ b/mulberryvalve/core/jobs/takeover_test.cc
@@ -191,8 +191,8 @@
 {
   aSim->Submit(OneStepJob("batch", 1, 12000));
   aSim->RunFor(Milliseconds(600));
-  const bool isFirst = aSim.WorkerOf(TaskOf("batch", 0)) == aSim.IdOf(0);
-  return aSim.IdOf(isFirst ? 1 : 0);
+  const WorkerId used = aSim.WorkerOf(TaskOf("batch", 0));
+  return aSim.IdOf(used == aSim.IdOf(0) ? 1 : 0);
 }
 
 } // namespace
--- a/standins/workerd.cc
+++ b/standins/workerd.cc
@@ -55,7 +55,9 @@
 std::string NewBootId()
 {
   std::random_device random;
-  return std::to_string(random()) + "-" + std::to_string(random());
+  const std::string first = std::to_string(random());
+  const std::string second = std::to_string(random());
+  return first + "-" + second;
 }
 
 std::vector<WorkerSettings> MakeWorkers(const Settings& aSettings)
--- a/tests/schedules/fake_instance.cc
+++ b/tests/schedules/fake_instance.cc
@@ -204,8 +204,9 @@
     mLedgers[shard] = MakeStream(ShardStateMachine(shard), *this);
     mWriters[shard] = std::make_unique<FakeAppender>(
       *this, ShardMap::StreamOf(shard).Text(), *mLedgers[shard]);
+    const ShardOwnerOptions options = OptionsOf(*this, shard);
     mOwners[shard] =
-      std::make_unique<ShardOwner>(OptionsOf(*this, shard),
+      std::make_unique<ShardOwner>(options,
                                    ShardOwnerPorts{ *mLedgers[shard],
                                                     *mConfig,
                                                     *mWriters[shard],
@@ -244,8 +245,8 @@
         return;
       }
       if (mWorld.mNow < mFrozenUntil) {
-        RunLater(
-          mFrozenUntil - mWorld.mNow + mWorld.Random(5 * kMs), event, aThread);
+        const int64_t delay = mWorld.Random(5 * kMs);
+        RunLater(mFrozenUntil - mWorld.mNow + delay, event, aThread);
       } else if (mDeciding && aThread == EventThread::kOther) {
         RunLater(10 * kMs, event, aThread);
       } else {
@@ -283,7 +284,7 @@
   auto* self = const_cast<FakeInstance*>(this);
   const bool decided = mDeciding;
   self->mDeciding = true;
-  const int64_t until = mWorld.mNow + mWorld.Uniform(50, 4000) * kMs;
+  const int64_t until = mWorld.After(mWorld.Uniform(50, 4000) * kMs);
   if (mWorld.Random(2) == 0) {
     mFrozenUntil = std::max(mFrozenUntil, until);
   }
@@ -387,8 +388,8 @@
     return Fail(FailureKind::kWorkerUnreachable);
   }
   if (mWorld.mNow < worker.mFrozenUntil || mWorld.FaultOccurs(4)) {
-    const int64_t late = std::max(worker.mFrozenUntil - mWorld.mNow,
-                                  mWorld.Uniform(20, 6000) * kMs);
+    const int64_t delay = mWorld.Uniform(20, 6000) * kMs;
+    const int64_t late = std::max(worker.mFrozenUntil - mWorld.mNow, delay);
     mWorld.ScheduleAt(mWorld.mNow + late, [&worker, aEffect] {
       if (!worker.mDead) {
         (void)aEffect(worker);
--- a/tests/schedules/fake_worker.cc
+++ b/tests/schedules/fake_worker.cc
@@ -142,10 +142,8 @@
   Running running;
   running.mCommand = aCommand;
   running.mExpiresAt = aCommand.mExpiresAt.mMilliseconds;
-  running.mDoneAt =
-    mWorld.mNow +
-    mWorld.Uniform(200 * kMs,
-                   mWorld.mFaultsEnabled ? 15'000 * kMs : 3000 * kMs);
+  running.mDoneAt = mWorld.After(mWorld.Uniform(
+    200 * kMs, mWorld.mFaultsEnabled ? 15'000 * kMs : 3000 * kMs));
   running.mFails = mWorld.FaultOccurs(5);
   running.mRun = mHistory.mRuns.size();
   mHistory.mRuns.push_back(Run{ aCommand.mTask.Text(),
--- a/tests/schedules/schedule.cc
+++ b/tests/schedules/schedule.cc
@@ -36,7 +36,7 @@
     Gossip();
     const int64_t faultsEnd = mWorld.Uniform(8, 18) * kSecond;
     while (mWorld.mNow < faultsEnd) {
-      mWorld.RunUntil(mWorld.mNow + mWorld.Uniform(50, 700) * kMs);
+      mWorld.RunUntil(mWorld.After(mWorld.Uniform(50, 700) * kMs));
       InjectRandomEvent();
       Sample(false);
     }
@@ -88,7 +88,7 @@
 
   void PublishWorkerListLater()
   {
-    mWorld.ScheduleAt(mWorld.mNow + mWorld.Random(kListLag),
+    mWorld.ScheduleAt(mWorld.After(mWorld.Random(kListLag)),
                       [this] { PublishWorkerList(); });
   }
 
@@ -137,7 +137,7 @@
   {
     aLife.Kill();
     mWorld.ScheduleAt(
-      mWorld.mNow + RandomDuration(3000),
+      mWorld.After(RandomDuration(3000)),
       [this, name = aLife.mSelf.mInstance.Text(), domain = aLife.mDomain] {
         StartInstance(name, domain);
       });
@@ -159,10 +159,13 @@
       case 1:
         life->mFrozenUntil = now + RandomDuration(9000);
         break;
-      case 2:
+      case 2: {
         life->mPlatformCutUntil = now + RandomDuration(9000);
-        life->mPeersCutUntil = mWorld.Random(2) * (now + RandomDuration(9000));
+        const bool arePeersCut = mWorld.Random(2) != 0;
+        const int64_t until = now + RandomDuration(9000);
+        life->mPeersCutUntil = arePeersCut ? until : 0;
         break;
+      }
       case 3:
         mWorld.mOutageUntil =
           now + RandomDuration(mWorld.Random(4) == 0 ? 14000 : 1500);
@@ -242,7 +245,7 @@
         owner->BeginRelease();
       }
     });
-    mWorld.ScheduleAt(mWorld.mNow + RandomDuration(3000), [this, &aLife] {
+    mWorld.ScheduleAt(mWorld.After(RandomDuration(3000)), [this, &aLife] {
       if (aLife.mAlive) {
         RestartInstance(aLife);
       }
@@ -320,13 +323,13 @@
   {
     const int operators = static_cast<int>(mWorld.Uniform(1, 4));
     for (int i = 0; i < operators; i++) {
-      SubmitDomainChange(*RandomInstance(),
-                         aDomain,
-                         mWorld.Random(3) == 0 ? DomainState::kIn
-                                               : DomainState::kOut);
+      FakeInstance& instance = *RandomInstance();
+      const bool isIn = mWorld.Random(3) == 0;
+      SubmitDomainChange(
+        instance, aDomain, isIn ? DomainState::kIn : DomainState::kOut);
     }
     if (mWorld.Random(2) == 0) {
-      mWorld.ScheduleAt(mWorld.mNow + RandomDuration(6000), [this, aDomain] {
+      mWorld.ScheduleAt(mWorld.After(RandomDuration(6000)), [this, aDomain] {
         if (FakeInstance* life = RandomInstance()) {
           SubmitDomainChange(*life, aDomain, DomainState::kIn);
         }
@@ -339,8 +342,8 @@
   {
     const DomainId domain(aFrom.mDomain.Text() == "a" ? "b" : "a");
     SubmitJob(aFrom, domain);
-    mWorld.ScheduleAt(mWorld.mNow + RandomDuration(400), [this, domain] {
-      const int64_t until = mWorld.mNow + RandomDuration(6000);
+    mWorld.ScheduleAt(mWorld.After(RandomDuration(400)), [this, domain] {
+      const int64_t until = mWorld.After(RandomDuration(6000));
       for (const auto& life : mFleet.mInstances) {
         if (life->mDomain == domain) {
           life->mFrozenUntil = std::max(life->mFrozenUntil, until);
@@ -375,7 +378,7 @@
   {
     FakeInstance* from = RandomInstance();
     FakeInstance* to = RandomInstance();
-    mWorld.ScheduleAt(mWorld.mNow + mWorld.Uniform(20, 100) * kMs,
+    mWorld.ScheduleAt(mWorld.After(mWorld.Uniform(20, 100) * kMs),
                       [this] { Gossip(); });
     if (from == nullptr || from == to || mWorld.mNow < from->mPeersCutUntil ||
         mWorld.mNow < to->mPeersCutUntil || mWorld.mNow < from->mFrozenUntil) {
--- a/tests/schedules/world.h
+++ b/tests/schedules/world.h
@@ -49,6 +49,9 @@
   int64_t mSlowUntil = 0;
   size_t mPageRecords = 60;
 
+  // Returns the time that is aLength from now.
+  int64_t After(int64_t aLength) const { return mNow + aLength; }
+
   // Returns a uniform random number in [0, aBound).
   int64_t Random(int64_t aBound)
   {
