--- a/mulberryvalve/adapters/json/json_reader.cc
+++ b/mulberryvalve/adapters/json/json_reader.cc
@@ -187,6 +187,20 @@
   return Has(aName) ? Number(aName, aLow, aHigh) : aDefault;
 }
 
+double JsonReader::DecimalOr(const char* aName, double aDefault, double aMax)
+{
+  const auto found = mObject.find(aName);
+  if (found == mObject.end() || !found->is_number()) {
+    return aDefault;
+  }
+  const auto number = found->get<double>();
+  if (!(number >= 0 && number <= aMax)) {
+    SetFault(FailureKind::kInvalidInput, aName, "is out of range");
+    return aDefault;
+  }
+  return number;
+}
+
 bool JsonReader::FlagOr(const char* aName, bool aDefault)
 {
   if (!Has(aName)) {
--- a/mulberryvalve/adapters/json/json_reader.h
+++ b/mulberryvalve/adapters/json/json_reader.h
@@ -60,6 +60,10 @@
                    int64_t aLow = 0,
                    int64_t aHigh = INT64_MAX);
 
+  // DecimalOr returns a number in [0, aMax] that may have a fraction, or
+  // aDefault when the field is absent or no number.
+  double DecimalOr(const char* aName, double aDefault, double aMax);
+
   // FlagOr returns a boolean, or aDefault when absent.
   bool FlagOr(const char* aName, bool aDefault);
 
