A note of an unheard worker rules its writer out, during an upgrade too

Callers could see tasks wait longer than needed (LOST) while owners of an earlier version are replaced: a note handed on from a record without a last user named nobody, so a successor waited for its writer too, which had used nothing there.

Cause: the note copied the missing last user. The newest former owner is the newest that may have used the worker, as the writer has not; the note names that one.

--- a/mulberryvalve/core/jobs/former_owners.cc
+++ b/mulberryvalve/core/jobs/former_owners.cc
@@ -247,6 +247,14 @@
   return tasks;
 }
 
+std::optional<Epoch> FormerOwners::Newest() const
+{
+  if (mOwners.empty()) {
+    return std::nullopt;
+  }
+  return mOwners.rbegin()->first;
+}
+
 std::vector<Epoch> FormerOwners::TakeAll()
 {
   std::vector<Epoch> epochs;
--- a/mulberryvalve/core/jobs/former_owners.h
+++ b/mulberryvalve/core/jobs/former_owners.h
@@ -131,6 +131,9 @@
     const WorkerId& aWorker,
     std::optional<Epoch> aLastUser) const;
 
+  // Returns the epoch of the newest owner, or nothing if there is none.
+  std::optional<Epoch> Newest() const;
+
   // Returns the epochs of all owners, and forgets them.
   std::vector<Epoch> TakeAll();
 
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -218,6 +218,8 @@
   // Handover notes for the successor, and waits inherited from the former owner
   // (shard_scheduler_handover.cc). A handover note is a worker's record that
   // says which tasks may run there, or for how long at most.
+  std::optional<Epoch> LastUserOf(const WorkerEntry& aWorker,
+                                  const InheritedWorker* aInherited) const;
   UsedWorkerRecord BuildWorkerRecord(const WorkerEntry& aWorker,
                                      MonotonicTime aNow) const;
   UsedWorkerRecord TakeWorkerRecord(WorkerEntry& aWorker, MonotonicTime aNow);
--- a/mulberryvalve/core/jobs/shard_scheduler_handover.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_handover.cc
@@ -29,6 +29,17 @@
 
 } // namespace
 
+// Returns the newest owner that may have used the worker.
+std::optional<Epoch> ShardScheduler::LastUserOf(
+  const WorkerEntry& aWorker,
+  const InheritedWorker* aInherited) const
+{
+  if (aWorker.mIsUseDeclared || aInherited == nullptr) {
+    return mOptions.mEpoch;
+  }
+  return aInherited->mLastUser ? aInherited->mLastUser : mFormerOwners.Newest();
+}
+
 // An unresponsive or leaving worker gets no start until its note is durably
 // revoked, so only its present tasks can run there. An unresponsive worker gets
 // no lease renewals either, so those tasks end with its present leases.
@@ -42,8 +53,7 @@
   record.mService = facts.mService;
   record.mWorkerIncarnation = aWorker.mWorkerIncarnation;
   const InheritedWorker* inherited = mInheritedWorkers.Find(facts.mId);
-  const bool isUnused = inherited != nullptr && !aWorker.mIsUseDeclared;
-  record.mLastUser = isUnused ? inherited->mLastUser : mOptions.mEpoch;
+  record.mLastUser = LastUserOf(aWorker, inherited);
   if (inherited != nullptr) {
     // Leases are renewed on a worker that has answered, though its report omits
     // ends, so nothing limits the wait for it.
