The record of a worker that was never heard from limits every wait to nothing

Callers could see a sixteenth of the plain batch held back, and tasks that are to last wait, for a worker on which nothing ever ran, after an owner that had only read that it exists (LOST).

Cause: the record that is written when a worker is first listed named the owner as its last user and limited no wait. It is a note now: no tasks, no time.

--- a/mulberryvalve/core/jobs/shard_scheduler_handover.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_handover.cc
@@ -34,10 +34,11 @@
   const WorkerEntry& aWorker,
   const InheritedWorker* aInherited) const
 {
-  if (aWorker.mIsUseDeclared || aInherited == nullptr) {
+  if (aWorker.mIsUseDeclared) {
     return mOptions.mEpoch;
   }
-  return aInherited->mLastUser ? aInherited->mLastUser : mFormerOwners.Newest();
+  const bool isNamed = aInherited != nullptr && aInherited->mLastUser;
+  return isNamed ? aInherited->mLastUser : mFormerOwners.Newest();
 }
 
 // An unresponsive or leaving worker gets no start until its note is durably
@@ -63,6 +64,12 @@
     record.mPossibleTasks = inherited->mPossibleTasks;
     return record;
   }
+  if (!aWorker.mIsUseDeclared) {
+    // Nobody has used it, or all that former owners started there has ended.
+    record.mRemainingLease = Milliseconds(0);
+    record.mPossibleTasks.emplace();
+    return record;
+  }
   const bool isLeaving = facts.mState == WorkerState::kLeaving;
   if (!aWorker.mHasReportedRuns || !(aWorker.mSilent || isLeaving)) {
     return record;
