No multiplication is fused with an addition, on any kind of machine

Callers saw nothing yet: scores that tie on one kind of machine could differ on the other, and with them where work is placed.

Cause: g++ and clang fuse a multiplication and an addition by default where the processor has an instruction for it, which is so on arm64 and not on plain x86-64.

--- a/cmake/Mulberryvalve.cmake
+++ b/cmake/Mulberryvalve.cmake
@@ -13,6 +13,9 @@
 target_include_directories(mulberryvalve_flags INTERFACE ${PROJECT_SOURCE_DIR})
 target_compile_features(mulberryvalve_flags INTERFACE cxx_std_17)
 target_compile_options(mulberryvalve_flags INTERFACE -Wall -Wextra -Wpedantic -Werror)
+# Scores that tie on one kind of machine must tie on the other: g++ fuses a
+# multiplication and an addition on arm64 and not on x86-64 by default.
+target_compile_options(mulberryvalve_flags INTERFACE -ffp-contract=off)
 if(CMAKE_CXX_COMPILER_ID MATCHES "Clang")
   target_compile_options(mulberryvalve_flags INTERFACE -Wthread-safety)
 endif()
