--- a/tools/evaluation_order/access_path.cc
+++ b/tests/evaluation_order/access_path.cc
@@ -1,4 +1,4 @@
-#include "tools/evaluation_order/access_path.h"
+#include "tests/evaluation_order/access_path.h"
 
 #include <algorithm>
 #include <clang/AST/DeclCXX.h>
--- a/tools/evaluation_order/access_path.h
+++ b/tests/evaluation_order/access_path.h
@@ -1,6 +1,6 @@
 // AccessPath: the object that an expression names, as a chain of declarations.
-#ifndef MULBERRYVALVE_TOOLS_EVALUATION_ORDER_ACCESS_PATH_H_
-#define MULBERRYVALVE_TOOLS_EVALUATION_ORDER_ACCESS_PATH_H_
+#ifndef MULBERRYVALVE_TESTS_EVALUATION_ORDER_ACCESS_PATH_H_
+#define MULBERRYVALVE_TESTS_EVALUATION_ORDER_ACCESS_PATH_H_
 
 #include <clang/AST/Expr.h>
 #include <optional>
@@ -32,4 +32,4 @@
 
 } // namespace evaluation_order
 
-#endif // MULBERRYVALVE_TOOLS_EVALUATION_ORDER_ACCESS_PATH_H_
+#endif // MULBERRYVALVE_TESTS_EVALUATION_ORDER_ACCESS_PATH_H_
--- a/tools/evaluation_order/effects.cc
+++ b/tests/evaluation_order/effects.cc
@@ -1,4 +1,4 @@
-#include "tools/evaluation_order/effects.h"
+#include "tests/evaluation_order/effects.h"
 
 #include <clang/AST/DeclCXX.h>
 #include <clang/AST/DeclTemplate.h>
--- a/tools/evaluation_order/effects.h
+++ b/tests/evaluation_order/effects.h
@@ -1,8 +1,8 @@
 // Effects: what the evaluation of an expression reads and changes.
-#ifndef MULBERRYVALVE_TOOLS_EVALUATION_ORDER_EFFECTS_H_
-#define MULBERRYVALVE_TOOLS_EVALUATION_ORDER_EFFECTS_H_
+#ifndef MULBERRYVALVE_TESTS_EVALUATION_ORDER_EFFECTS_H_
+#define MULBERRYVALVE_TESTS_EVALUATION_ORDER_EFFECTS_H_
 
-#include "tools/evaluation_order/access_path.h"
+#include "tests/evaluation_order/access_path.h"
 
 #include <clang/AST/Stmt.h>
 #include <optional>
@@ -34,4 +34,4 @@
 
 } // namespace evaluation_order
 
-#endif // MULBERRYVALVE_TOOLS_EVALUATION_ORDER_EFFECTS_H_
+#endif // MULBERRYVALVE_TESTS_EVALUATION_ORDER_EFFECTS_H_
--- a/tools/evaluation_order/main.cc
+++ b/tests/evaluation_order/main.cc
@@ -1,8 +1,8 @@
 // evaluation-order -p BUILD FILE...: lists the expressions in which one operand
 // changes an object that another one uses, while the language leaves the order
 // of the two open. Prints a line each and exits with 1 if there is any.
-#include "tools/evaluation_order/effects.h"
-#include "tools/evaluation_order/unordered_operands.h"
+#include "tests/evaluation_order/effects.h"
+#include "tests/evaluation_order/unordered_operands.h"
 
 #include <clang/AST/ASTConsumer.h>
 #include <clang/AST/RecursiveASTVisitor.h>
--- a/tools/evaluation_order/unordered_operands.cc
+++ b/tests/evaluation_order/unordered_operands.cc
@@ -1,4 +1,4 @@
-#include "tools/evaluation_order/unordered_operands.h"
+#include "tests/evaluation_order/unordered_operands.h"
 
 #include <clang/AST/ExprCXX.h>
 
--- a/tests/schedules/fake_instance.cc
+++ b/tests/schedules/fake_instance.cc
@@ -282,8 +282,7 @@
     return before;
   }
   auto* self = const_cast<FakeInstance*>(this);
-  const bool decided = mDeciding;
-  self->mDeciding = true;
+  const bool decided = std::exchange(self->mDeciding, true);
   const int64_t until = mWorld.After(mWorld.Uniform(50, 4000) * kMs);
   if (mWorld.Random(2) == 0) {
     mFrozenUntil = std::max(mFrozenUntil, until);
