--- a/review/standins-2/worker.cc
+++ b/review/standins-2/worker.cc
@@ -29,6 +29,7 @@
 
 Worker::Worker(WorkerSettings aSettings, Store& aStore, Record& aRecord)
   : mSettings(std::move(aSettings))
+  , mKind(mSettings.mKind)
   , mStore(aStore)
   , mRecord(aRecord)
 {
@@ -67,10 +68,17 @@
   mRuns.clear();
   mEnds.clear();
   mPast.clear();
-  mRecord.Add(Event{ 0, Id(), "born", "", 0, 0, mIncarnation, "" });
+  mRecord.Add(
+    Event{ 0, Id(), "born", "", 0, 0, mIncarnation, "kind=" + mKind });
 }
 
-void Worker::Restart(int aDownMs)
+std::string Worker::Kind()
+{
+  std::lock_guard<std::mutex> lock(mMutex);
+  return mKind;
+}
+
+void Worker::Restart(int aDownMs, const std::string& aKind)
 {
   {
     std::lock_guard<std::mutex> lock(mMutex);
@@ -81,12 +89,14 @@
   std::this_thread::sleep_for(std::chrono::milliseconds(aDownMs));
   {
     std::lock_guard<std::mutex> lock(mMutex);
+    mKind = aKind.empty() ? mKind : aKind;
     Begin();
     mIsUp = true;
     mChanged.notify_all();
   }
-  mServer->Listen();
+  // The entry is in the store before the first call can be answered.
   Register();
+  mServer->Listen();
 }
 
 void Worker::SetUnhealthy(bool aUnhealthy)
@@ -195,7 +205,8 @@
                      run,
                      0,
                      mIncarnation,
-                     "checkpoint=" + body.value("checkpoint", "") });
+                     "kind=" + mKind + " " + specification +
+                       " checkpoint=" + body.value("checkpoint", "") });
   return Response{ 200, json{ { "clock_ms", ClockMs() } }.dump() };
 }
 
@@ -349,7 +360,7 @@
               { { "cpu", mSettings.mCpu },
                 { "mem_mb", mSettings.mMemoryMb },
                 { "gpu", 0 } } },
-            { "labels", { "a", mSettings.mRack } },
+            { "labels", { mKind, mSettings.mRack } },
             { "clock_ms", ClockMs() },
             { "born", mBornUnixMs },
             { "sequence", ++mSequence } };
--- a/review/standins-2/worker.h
+++ b/review/standins-2/worker.h
@@ -25,11 +25,10 @@
   int64_t mMemoryMb = 64000;
   int64_t mMaxHoldMs = 10000;
   int64_t mHeartbeatMs = 1100;
-  int64_t mGangTimeoutMs = 3000;
+  // The first label of the worker.
+  std::string mKind = "a";
 };
 
-class World;
-
 // Thread-safe.
 class Worker
 {
@@ -41,8 +40,11 @@
 
   const std::string& Id() const { return mSettings.mId; }
 
-  // Ends the process of the worker and starts it again under the same id.
-  void Restart(int aDownMs);
+  // Ends the process of the worker and starts it again under the same id, as
+  // another kind if aKind is not empty.
+  void Restart(int aDownMs, const std::string& aKind = "");
+
+  std::string Kind();
 
   // While it is on, the worker answers 503 to starts and does nothing.
   void SetUnhealthy(bool aUnhealthy);
@@ -81,6 +83,7 @@
   void Register();
 
   const WorkerSettings mSettings;
+  std::string mKind;
   Store& mStore;
   Record& mRecord;
   std::mutex mMutex;
--- a/review/standins-2/world.cc
+++ b/review/standins-2/world.cc
@@ -330,15 +330,18 @@
 
 std::string World::JobBody(const std::string& aSpecification,
                            int aTasks,
-                           int aCpu)
+                           int aCpu,
+                           const std::string& aLabel)
 {
+  json step{ { "count", aTasks },
+             { "cpu", aCpu },
+             { "mem_mb", 500 },
+             { "estimated_ms", 500 } };
+  if (!aLabel.empty()) {
+    step["required_label"] = aLabel;
+  }
   return json{
-    { "specification", aSpecification },
-    { "steps",
-      { { { "count", aTasks },
-          { "cpu", aCpu },
-          { "mem_mb", 500 },
-          { "estimated_ms", 500 } } } }
+    { "specification", aSpecification }, { "steps", json::array({ step }) }
   }.dump();
 }
 
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -55,7 +55,8 @@
   static std::string NewJobId();
   static std::string JobBody(const std::string& aSpecification,
                              int aTasks,
-                             int aCpu);
+                             int aCpu,
+                             const std::string& aLabel = "");
 
   Store& PlatformStore() { return mStore; }
   Record& Events() { return mRecord; }
