Review case 7: large scheduled jobs end every entry process in turn

Each owner builds all occurrences of all jobs in memory; 13 jobs of 60,000 occurrences exceed memory_mb, and so they do at each successor (LOST, and processes that end by themselves).

The cases are put in order, the gravest first; the one on the count of waiting jobs gives way to this.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# A burst for one service, while the workers of another one are free.
-exec "$(dirname "$0")/../standins-2/run.sh" starved_case review/7
+# Large scheduled jobs come at once.
+exec "$(dirname "$0")/../standins-2/run.sh" schedule_case review/7
--- a/review/standins-2/rerun_case.cc
+++ b/review/standins-2/rerun_case.cc
@@ -11,9 +11,11 @@
 constexpr int kStoreDelayMs = 4;
 constexpr int kSlowFactor = 60;
 constexpr int64_t kSlowMs = 4500;
-constexpr int64_t kCalmMs = 3500;
-constexpr int kRounds = 9;
-constexpr int kDownMs = 60;
+constexpr int64_t kCalmMs = 3000;
+constexpr int kRounds = 10;
+// One worker at a time, in each slow time of the store.
+constexpr int kRestarts = 6;
+constexpr int kDownMs = 30;
 
 // Returns the number of starts after a noted end.
 int CountReruns(World& aWorld)
@@ -58,7 +60,7 @@
     clients.emplace_back([&] {
       while (!isOver) {
         const Answer answer = world.Submit(
-          "/fee/", World::NewJobId(), World::JobBody("ms=100", 12, 1500));
+          "/fee/", World::NewJobId(), World::JobBody("ms=100", 16, 1500));
         accepted += answer.mStatus == 200 ? 1 : 0;
         SleepMs(450);
       }
@@ -70,12 +72,13 @@
       world.Note("the store is slow");
       world.PlatformStore().SetDelay(kStoreDelayMs * kSlowFactor);
     }
-    SleepMs(kSlowMs / 4);
-    for (int restart = 0; restart < 3; restart++) {
+    SleepMs(kSlowMs / (kRestarts + 1));
+    for (int restart = 0; restart < kRestarts; restart++) {
       if (World::HasTrouble()) {
-        world.Workers()[(round * 3 + restart) % kWorkers]->Restart(kDownMs);
+        world.Workers()[(round * kRestarts + restart) % kWorkers]->Restart(
+          kDownMs);
       }
-      SleepMs(kSlowMs / 4 - kDownMs);
+      SleepMs(kSlowMs / (kRestarts + 1) - kDownMs);
     }
     world.PlatformStore().SetDelay(kStoreDelayMs);
     SleepMs(kCalmMs);
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -44,6 +44,12 @@
   bool StartEntries(int aCount);
   bool AllEntriesRun();
 
+  // From now on does as the platform does: kills an entry process whose memory
+  // exceeds aMegabytes, and starts one that has ended again 0.5 s later.
+  void WatchEntries(int aMegabytes);
+  // Returns how often the process of each entry has ended since then.
+  std::vector<int> Ends();
+
   // Calls an entry process as a client would; tries the others in turn after
   // no answer, 502, 503 and 504. Returns the last answer.
   Answer Submit(const std::string& aPrefix,
@@ -72,8 +78,13 @@
     uint16_t mFront = 0;
     uint16_t mReady = 0;
     pid_t mPid = 0;
+    int mEnds = 0;
+    std::string mSettings;
+    std::string mLog;
   };
 
+  void Spawn(Entry& aEntry);
+  void RunWatch(int aMegabytes);
   std::string WriteSettings(int aIndex, const Entry& aEntry);
   Answer CallEntries(const std::string& aMethod,
                      const std::string& aPath,
@@ -88,6 +99,9 @@
   std::vector<std::unique_ptr<Worker>> mWorkers;
   std::vector<Entry> mEntries;
   std::atomic<int> mNextEntry{ 0 };
+  std::mutex mEntriesMutex;
+  std::atomic<bool> mIsWatching{ false };
+  std::thread mWatch;
 };
 
 void SleepMs(int64_t aMilliseconds);
