--- a/review/standins-2/rerun_case.cc
+++ b/review/standins-2/rerun_case.cc
@@ -14,7 +14,7 @@
 constexpr int64_t kCalmMs = 3000;
 constexpr int kRounds = 10;
 // One worker at a time, in each slow time of the store.
-constexpr int kRestarts = 6;
+constexpr int kRestarts = 9;
 constexpr int kDownMs = 30;
 
 // Returns the number of starts after a noted end.
