--- a/review/standins-2/store.cc
+++ b/review/standins-2/store.cc
@@ -308,6 +308,14 @@
   return Response{ 200, "{}" };
 }
 
+std::string Store::Holder(const std::string& aGroup, uint32_t aPart)
+{
+  std::lock_guard<std::mutex> lock(mMutex);
+  Group& group = mGroups[aGroup];
+  Expire(group);
+  return aPart < group.mHolder.size() ? group.mHolder[aPart] : "";
+}
+
 Response Store::Owners(const Request& aRequest)
 {
   std::lock_guard<std::mutex> lock(mMutex);
--- a/review/standins-2/store.h
+++ b/review/standins-2/store.h
@@ -26,6 +26,9 @@
            const std::string& aValue);
   void Remove(const std::string& aTopic, const std::string& aKey);
 
+  // Returns the member that holds a partition in a group, or an empty text.
+  std::string Holder(const std::string& aGroup, uint32_t aPart);
+
   // How long an answer takes at least, in milliseconds.
   void SetDelay(int aMilliseconds) { mDelayMs = aMilliseconds; }
 
--- a/review/standins-2/worker.cc
+++ b/review/standins-2/worker.cc
@@ -165,6 +165,7 @@
   const std::string task = body.at("task");
   const auto run = body.at("run").get<int64_t>();
   const int64_t fence = body.value("fencing_token", int64_t{ 0 });
+  std::this_thread::sleep_for(std::chrono::milliseconds(mSettings.mStartMs));
   std::lock_guard<std::mutex> lock(mMutex);
   const auto refuse = [&](const char* aReason) {
     mRecord.Add(
--- a/review/standins-2/worker.h
+++ b/review/standins-2/worker.h
@@ -25,6 +25,8 @@
   int64_t mMemoryMb = 64000;
   int64_t mMaxHoldMs = 10000;
   int64_t mHeartbeatMs = 1100;
+  // How long a start takes, in milliseconds.
+  int64_t mStartMs = 0;
   // The first label of the worker.
   std::string mKind = "a";
 };
--- a/review/standins-2/world.cc
+++ b/review/standins-2/world.cc
@@ -327,6 +327,20 @@
   }
 }
 
+// A member's name begins with the address at which its peers reach it.
+int World::Owner()
+{
+  const std::string holder = mStore.Holder("owners-0", 0);
+  for (size_t index = 0; index < mEntries.size(); index++) {
+    if (holder.compare(0,
+                       mEntries[index].mAddress.size() + 1,
+                       mEntries[index].mAddress + ":") == 0) {
+      return static_cast<int>(index);
+    }
+  }
+  return -1;
+}
+
 std::vector<int> World::Ends()
 {
   std::lock_guard<std::mutex> lock(mEntriesMutex);
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -44,6 +44,9 @@
   bool StartEntries(int aCount);
   bool AllEntriesRun();
 
+  // Returns the entry that owns the shard, or -1.
+  int Owner();
+
   // From now on does as the platform does: kills an entry process whose memory
   // exceeds aMegabytes, and starts one that has ended again 0.5 s later.
   void WatchEntries(int aMegabytes);
