--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# Large scheduled jobs come at once.
-exec "$(dirname "$0")/../standins-2/run.sh" schedule_case review/7
+# The owner freezes with starts in its queue; a worker restarts meanwhile.
+exec "$(dirname "$0")/../standins-2/run.sh" late_start_case review/7
--- a/review/standins-2/world.cc
+++ b/review/standins-2/world.cc
@@ -423,7 +423,8 @@
 std::string World::JobBody(const std::string& aSpecification,
                            int aTasks,
                            int aCpu,
-                           const std::string& aLabel)
+                           const std::string& aLabel,
+                           bool aLasts)
 {
   json step{ { "count", aTasks },
              { "cpu", aCpu },
@@ -432,6 +433,9 @@
   if (!aLabel.empty()) {
     step["required_label"] = aLabel;
   }
+  if (aLasts) {
+    step["long_running"] = true;
+  }
   return json{
     { "specification", aSpecification }, { "steps", json::array({ step }) }
   }.dump();
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -65,7 +65,8 @@
   static std::string JobBody(const std::string& aSpecification,
                              int aTasks,
                              int aCpu,
-                             const std::string& aLabel = "");
+                             const std::string& aLabel = "",
+                             bool aLasts = false);
 
   Store& PlatformStore() { return mStore; }
   Record& Events() { return mRecord; }
