--- a/review/standins-2/store.cc
+++ b/review/standins-2/store.cc
@@ -77,21 +77,8 @@
   mAppended.notify_all();
 }
 
-void Store::Remove(const std::string& aTopic, const std::string& aKey)
-{
-  Put(aTopic, aKey, "");
-}
-
 Response Store::Handle(const Request& aRequest)
 {
-  if (mSilent) {
-    while (mSilent) {
-      Sleep(20);
-    }
-    Response none;
-    none.mDropConnection = true;
-    return none;
-  }
   Sleep(mDelayMs);
   if (aRequest.mPath == "/v1/log-append") {
     return Append(aRequest);
--- a/review/standins-2/store.h
+++ b/review/standins-2/store.h
@@ -24,7 +24,6 @@
   void Put(const std::string& aTopic,
            const std::string& aKey,
            const std::string& aValue);
-  void Remove(const std::string& aTopic, const std::string& aKey);
 
   // Returns the member that holds a partition in a group, or an empty text.
   std::string Holder(const std::string& aGroup, uint32_t aPart);
@@ -32,9 +31,6 @@
   // How long an answer takes at least, in milliseconds.
   void SetDelay(int aMilliseconds) { mDelayMs = aMilliseconds; }
 
-  // Calls in this time get no answer and do nothing.
-  void SetSilent(bool aSilent) { mSilent = aSilent; }
-
 private:
   struct Done
   {
@@ -74,7 +70,6 @@
 
   const uint32_t mParts;
   std::atomic<int> mDelayMs{ 4 };
-  std::atomic<bool> mSilent{ false };
   std::mutex mMutex;
   std::condition_variable mAppended;
   std::map<std::string, Part> mTopics;
--- a/review/standins-2/worker.cc
+++ b/review/standins-2/worker.cc
@@ -99,12 +99,6 @@
   mServer->Listen();
 }
 
-void Worker::SetUnhealthy(bool aUnhealthy)
-{
-  std::lock_guard<std::mutex> lock(mMutex);
-  mIsUnhealthy = aUnhealthy;
-}
-
 size_t Worker::Running()
 {
   std::lock_guard<std::mutex> lock(mMutex);
@@ -165,8 +159,17 @@
   const std::string task = body.at("task");
   const auto run = body.at("run").get<int64_t>();
   const int64_t fence = body.value("fencing_token", int64_t{ 0 });
+  std::unique_lock<std::mutex> lock(mMutex);
+  const uint64_t incarnation = mIncarnation;
+  lock.unlock();
   std::this_thread::sleep_for(std::chrono::milliseconds(mSettings.mStartMs));
-  std::lock_guard<std::mutex> lock(mMutex);
+  lock.lock();
+  if (incarnation != mIncarnation || !mIsUp) {
+    // A call to a killed process is not carried out.
+    Response none;
+    none.mDropConnection = true;
+    return none;
+  }
   const auto refuse = [&](const char* aReason) {
     mRecord.Add(
       Event{ 0, Id(), "refused", task, run, 0, mIncarnation, aReason });
@@ -177,11 +180,6 @@
   if (fence < mFence) {
     return refuse("fence");
   }
-  if (mIsUnhealthy) {
-    mRecord.Add(
-      Event{ 0, Id(), "refused", task, run, 0, mIncarnation, "unhealthy" });
-    return Response{ 503, json{ { "clock_ms", ClockMs() } }.dump() };
-  }
   mFence = fence;
   const auto until = body.at("until_ms").get<int64_t>();
   if (until <= ClockMs()) {
--- a/review/standins-2/worker.h
+++ b/review/standins-2/worker.h
@@ -48,9 +48,6 @@
 
   std::string Kind();
 
-  // While it is on, the worker answers 503 to starts and does nothing.
-  void SetUnhealthy(bool aUnhealthy);
-
   // Returns the number of tasks at work.
   size_t Running();
   // Returns the tasks at work that belong to a job.
@@ -92,7 +89,6 @@
   std::condition_variable mChanged;
   bool mStopping = false;
   bool mIsUp = true;
-  bool mIsUnhealthy = false;
   int64_t mBornAt = 0;
   int64_t mBornUnixMs = 0;
   int64_t mFence = 0;
--- a/review/standins-2/world.cc
+++ b/review/standins-2/world.cc
@@ -22,7 +22,6 @@
 constexpr int kReadyTimeoutMs = 25000;
 constexpr int kClientTimeoutMs = 3000;
 constexpr int kGraceMs = 7000;
-constexpr int64_t kRestartDelayMs = 500;
 const char* const kHost = "nony24.example";
 
 // Loopback addresses of the case, of a network that depends on the process so
@@ -46,19 +45,6 @@
   return ntohs(address.sin_port);
 }
 
-// Returns the memory of a process that belongs to no file.
-int64_t AnonymousMemoryMb(pid_t aPid)
-{
-  std::ifstream status("/proc/" + std::to_string(aPid) + "/status");
-  std::string line;
-  while (std::getline(status, line)) {
-    if (line.compare(0, 8, "RssAnon:") == 0) {
-      return std::stoll(line.substr(8)) / 1024;
-    }
-  }
-  return 0;
-}
-
 uint64_t Random()
 {
   static std::mt19937_64 generator(std::random_device{}());
@@ -89,20 +75,13 @@
 
 World::~World()
 {
-  mIsWatching = false;
-  if (mWatch.joinable()) {
-    mWatch.join();
-  }
   for (const Entry& entry : mEntries) {
-    if (entry.mPid == 0) {
-      continue;
-    }
     ::kill(entry.mPid, SIGCONT);
     ::kill(entry.mPid, SIGTERM);
   }
   const int64_t until = NowMs() + kGraceMs;
   for (const Entry& entry : mEntries) {
-    while (entry.mPid != 0 && ::waitpid(entry.mPid, nullptr, WNOHANG) == 0) {
+    while (::waitpid(entry.mPid, nullptr, WNOHANG) == 0) {
       if (NowMs() > until) {
         ::kill(entry.mPid, SIGKILL);
       }
@@ -286,47 +265,6 @@
   ::_exit(127);
 }
 
-void World::WatchEntries(int aMegabytes)
-{
-  mIsWatching = true;
-  mWatch = std::thread([this, aMegabytes] { RunWatch(aMegabytes); });
-}
-
-// The thread that starts the processes has to live as long as they do.
-void World::RunWatch(int aMegabytes)
-{
-  std::map<size_t, int64_t> startAt;
-  while (mIsWatching) {
-    {
-      std::lock_guard<std::mutex> lock(mEntriesMutex);
-      for (size_t index = 0; index < mEntries.size(); index++) {
-        Entry& entry = mEntries[index];
-        const std::string name = "entry " + std::to_string(index + 1);
-        if (entry.mPid == 0) {
-          if (NowMs() >= startAt[index]) {
-            Spawn(entry);
-            Note(name + " is started");
-          }
-          continue;
-        }
-        const int64_t memoryMb = AnonymousMemoryMb(entry.mPid);
-        if (memoryMb > aMegabytes) {
-          ::kill(entry.mPid, SIGKILL);
-          Note(name + " is killed, as it uses " + std::to_string(memoryMb) +
-               " MB");
-        }
-        if (::waitpid(entry.mPid, nullptr, WNOHANG) != 0) {
-          entry.mEnds++;
-          entry.mPid = 0;
-          startAt[index] = NowMs() + kRestartDelayMs;
-          Note(name + " has ended");
-        }
-      }
-    }
-    SleepMs(50);
-  }
-}
-
 // A member's name begins with the address at which its peers reach it.
 int World::Owner()
 {
@@ -341,16 +279,6 @@
   return -1;
 }
 
-std::vector<int> World::Ends()
-{
-  std::lock_guard<std::mutex> lock(mEntriesMutex);
-  std::vector<int> ends;
-  for (const Entry& entry : mEntries) {
-    ends.push_back(entry.mEnds);
-  }
-  return ends;
-}
-
 bool World::AllEntriesRun()
 {
   for (const Entry& entry : mEntries) {
@@ -407,11 +335,6 @@
   return CallEntries("GET", aPath, "", aEntry);
 }
 
-Answer World::Cancel(const std::string& aPath)
-{
-  return CallEntries("DELETE", aPath, "", mNextEntry++);
-}
-
 std::string World::NewJobId()
 {
   char text[17];
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -47,19 +47,12 @@
   // Returns the entry that owns the shard, or -1.
   int Owner();
 
-  // From now on does as the platform does: kills an entry process whose memory
-  // exceeds aMegabytes, and starts one that has ended again 0.5 s later.
-  void WatchEntries(int aMegabytes);
-  // Returns how often the process of each entry has ended since then.
-  std::vector<int> Ends();
-
   // Calls an entry process as a client would; tries the others in turn after
   // no answer, 502, 503 and 504. Returns the last answer.
   Answer Submit(const std::string& aPrefix,
                 const std::string& aJob,
                 const std::string& aBody);
   Answer Ask(const std::string& aPath, int aEntry = 0);
-  Answer Cancel(const std::string& aPath);
 
   static std::string NewJobId();
   static std::string JobBody(const std::string& aSpecification,
@@ -82,13 +75,11 @@
     uint16_t mFront = 0;
     uint16_t mReady = 0;
     pid_t mPid = 0;
-    int mEnds = 0;
     std::string mSettings;
     std::string mLog;
   };
 
   void Spawn(Entry& aEntry);
-  void RunWatch(int aMegabytes);
   std::string WriteSettings(int aIndex, const Entry& aEntry);
   Answer CallEntries(const std::string& aMethod,
                      const std::string& aPath,
@@ -103,9 +94,6 @@
   std::vector<std::unique_ptr<Worker>> mWorkers;
   std::vector<Entry> mEntries;
   std::atomic<int> mNextEntry{ 0 };
-  std::mutex mEntriesMutex;
-  std::atomic<bool> mIsWatching{ false };
-  std::thread mWatch;
 };
 
 void SleepMs(int64_t aMilliseconds);
