An answer whose clock began anew shows a restart, and its lease is counted

Callers saw a task run on two workers (TWICE): a worker restarted under its id, accepted starts that were meant for its former incarnation, and was cut off before the owner learned of the restart; the owner started the tasks elsewhere when the lease by the former clock was over, 5.2 s after the first runs, which lasted 6.0 s.

Cause: the lease of such a start is by another incarnation's clock, so the new one cuts it to its longest lease. Only a restart that had been learned, from a renewal or the list of workers, had that counted. The answer to an order tells clock_ms and nothing else, and that was not used.

Change: an answer whose clock is behind what the known clock can be at least is of a later incarnation. From there each start there is charged the longest lease, and the worker gets nothing more until a report tells its incarnation.

Measured on x86_64: LeaseOfStartsThatAnUnnoticedIncarnationAcceptedIsWaitedFor, whose answers tell no more than the wire, fails without the change ("two runs" of j.0.0.0 and j.0.0.4) and passes with it; the 35 tests of takeover_test pass.

--- a/mulberryvalve/core/jobs/restarted_worker_test.cc
+++ b/mulberryvalve/core/jobs/restarted_worker_test.cc
@@ -12,6 +12,8 @@
 constexpr Milliseconds kNoticeLimit{ 500 };
 // How long a renewal hangs that was sent to a former incarnation.
 constexpr Milliseconds kHangingRenewal{ 1500 };
+// Longer than the test.
+constexpr Milliseconds kNoRenewal{ 60000 };
 // Longer than every lease.
 constexpr Milliseconds kSettleTime{ 10000 };
 
@@ -182,6 +184,35 @@
   starts.CheckOneRunEach();
 }
 
+// Guards against a lease that is counted by the clock of the former incarnation
+// though the answers to the starts, which tell only a clock, are those of the
+// next one: it lasts longer, and the worker is cut off before the owner learns
+// of the restart in any other way (issue 49).
+TEST(RestartedWorkerTest,
+     LeaseOfStartsThatAnUnnoticedIncarnationAcceptedIsWaitedFor)
+{
+  QueuedStarts starts;
+  const WorkerId worker = starts.mSim.IdOf(0);
+  starts.mSim->mOrderRepliesTellIncarnation = false;
+  starts.mSim->RunFor(Milliseconds(3000));
+  SimulatedOwner& owner = starts.Owner();
+  owner.mNextRenewalAt[worker] = starts.mSim->Now() + kNoRenewal;
+  const auto renewal =
+    owner.mShard->NextRenewal(worker, true, starts.mSim->Now());
+  starts.mSim->RunFor(Milliseconds(600));
+  starts.Restart();
+  owner.mNextRenewalAt[worker] = starts.mSim->Now() + kNoRenewal;
+  starts.Deliver();
+  CHECK(starts.RunsOnWorker() > 0);
+  starts.mSim->MakeUnreachable(worker, starts.mSim->Now());
+  starts.Answer();
+  starts.mSim->RunFor(Milliseconds(900));
+  const RenewalReply unanswered;
+  owner.mShard->OnRenewalReply(
+    *renewal, unanswered, starts.mSim->Now(), starts.mSim->Now());
+  starts.CheckOneRunEach();
+}
+
 // Guards against an entry of the worker list that was written before the worker
 // restarted elsewhere, and is read after the newer one: another worker answers
 // at the address that it names, and what runs on this one is started again.
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -293,6 +293,7 @@
   bool StopDisturbingTasks(const WorkerEntry& aWorker,
                            ImageNumber aServing,
                            int aTailPercent);
+  void OnUnnamedIncarnation(WorkerEntry& aWorker);
   void OnWorkerSilent(WorkerEntry& aWorker, OrderOutcome aOutcome);
   void ResetIncarnation(WorkerEntry& aWorker,
                         WorkerIncarnation aBirth,
--- a/mulberryvalve/core/jobs/shard_scheduler_losses.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_losses.cc
@@ -23,6 +23,19 @@
   }
 }
 
+// An answer shows that the worker has restarted, though not as which
+// incarnation. It is used again once a report tells that; until then the lease
+// of each start that was sent there is taken for the longest one.
+void ShardScheduler::OnUnnamedIncarnation(WorkerEntry& aWorker)
+{
+  LogWorkerDecision(
+    DecisionKind::kWorkerRestarted, aWorker.mInfo.mId, "its clock began anew");
+  DropHeldStartsOn(aWorker, "its worker has restarted");
+  aWorker.mClock.reset();
+  aWorker.mHasReportedRuns = false;
+  mWorkers.MarkChanged(aWorker);
+}
+
 void ShardScheduler::OnWorkerSilent(WorkerEntry& aWorker, OrderOutcome aOutcome)
 {
   if (aWorker.mSilent) {
--- a/mulberryvalve/core/jobs/shard_scheduler_replies.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_replies.cc
@@ -27,6 +27,11 @@
   // Otherwise the reading is of another worker, which answers at the address.
   if (worker != nullptr && aReply.mOutcome != OrderOutcome::kGone) {
     LearnIncarnation(*worker, aReply.mReading.mWorkerIncarnation, aNow);
+    if (aReply.mReading.mWorkerIncarnation == WorkerIncarnation() &&
+        mWorkers.IsClockOfLaterIncarnation(
+          *worker, aReply.mReading, aOrder.mDecidedAt)) {
+      OnUnnamedIncarnation(*worker);
+    }
     if (aReply.mReading.mWorkerIncarnation == worker->mWorkerIncarnation) {
       mWorkers.OnClockReading(*worker, aReply.mReading, aNow);
     }
@@ -74,8 +79,10 @@
   const OrderOutcome outcome = aReply.mOutcome;
   const bool mayHaveStarted =
     outcome == OrderOutcome::kAccepted || outcome == OrderOutcome::kUnknown;
-  if (mayHaveStarted && worker != nullptr &&
-      aOrder.mWorkerIncarnation < worker->mWorkerIncarnation) {
+  const bool hasRestarted =
+    worker != nullptr &&
+    (aOrder.mWorkerIncarnation < worker->mWorkerIncarnation || !worker->mClock);
+  if (mayHaveStarted && hasRestarted) {
     mWorkers.OnStartOfFormerIncarnation(*worker, aNow);
   }
   if (outcome == OrderOutcome::kAccepted) {
--- a/mulberryvalve/core/jobs/worker_table.cc
+++ b/mulberryvalve/core/jobs/worker_table.cc
@@ -3,6 +3,7 @@
 #include "mulberryvalve/core/jobs/unrecorded_starts.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 namespace mulberryvalve {
@@ -19,6 +20,9 @@
 // An owner reads the clock of a worker that it renews every few seconds.
 constexpr Milliseconds kClockEstimateError{ 200 };
 
+// Readings and differences of times are whole milliseconds.
+constexpr Milliseconds kClockRounding{ 3 };
+
 // A tail latency below this percentage of its target rises above the target
 // over several reports.
 constexpr int kCalmTailPercent = 60;
@@ -362,6 +366,24 @@
   return aWorker.mLeaseUntil;
 }
 
+// The known clock was read before it arrived, and advances by at least the
+// slowest rate from there.
+bool WorkerTable::IsClockOfLaterIncarnation(const WorkerEntry& aWorker,
+                                            const ClockReading& aReading,
+                                            MonotonicTime aSentAt) const
+{
+  if (!aWorker.mClock || !aReading.mClock) {
+    return false;
+  }
+  const int64_t elapsed =
+    MillisecondsBetween(aWorker.mClockReceivedAt, aSentAt);
+  const int64_t drift =
+    std::abs(elapsed) * mTerms.mClockDriftPerMille / kPerMille;
+  const int64_t earliest =
+    aWorker.mClock->mMilliseconds + elapsed - drift - kClockRounding.count();
+  return aReading.mClock->mMilliseconds < earliest;
+}
+
 void WorkerTable::OnClockReading(WorkerEntry& aWorker,
                                  const ClockReading& aReading,
                                  MonotonicTime aNow)
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -298,6 +298,14 @@
   void OnStartOfFormerIncarnation(WorkerEntry& aWorker,
                                   MonotonicTime aNow) const;
 
+  // IsClockOfLaterIncarnation returns whether a reading of the worker's clock,
+  // for a call that was sent at aSentAt or later, was made by a later
+  // incarnation than the one whose clock is known: that one's clock would be
+  // ahead of it.
+  bool IsClockOfLaterIncarnation(const WorkerEntry& aWorker,
+                                 const ClockReading& aReading,
+                                 MonotonicTime aSentAt) const;
+
   // OnClockReading stores a reading of the worker's clock that arrived at aNow.
   void OnClockReading(WorkerEntry& aWorker,
                       const ClockReading& aReading,
