An order is sent only to the incarnation of a worker that it is meant for

The new incarnation knew no fencing token and ran the woken owner's starts.

Cause: an order named its worker's id, which a restart keeps. The owner's checks before sending rest on a proof of ownership of up to 6 s ago and on an incarnation that it does not know to be over, and the worker has nothing to refuse by.

Change: a connection does not outlive the process at its other end. Once an answer on it has told an incarnation, it leads to that one only. AsyncHttpClient sends a call that names one on such a connection; a new connection first gets a harmless call whose answer tells it, a request for the lists of runs. If that is another one, the order is not sent, and the owner learns of the restart from the answer. The check of the permission to send stays bounded: the connection must be ready within half of the call's timeout, as connecting had to be before.

Cost: one request for the lists for each new connection that carries orders.

--- a/mulberryvalve/adapters/http/async_http_client.cc
+++ b/mulberryvalve/adapters/http/async_http_client.cc
@@ -52,40 +52,49 @@
   void StartExchange(const Endpoint& aEndpoint, PendingExchange aExchange)
   {
     if (aExchange.mDeadline <= Steady::now()) {
-      const HttpAnswer notSent{ HttpOutcome::kNotConnected, 0, "", {}, {} };
+      const HttpAnswer notSent{ HttpOutcome::kNotConnected, 0, "", {}, {}, {} };
       aExchange.mCompletion->OnAnswer(notSent);
       return;
     }
     const std::string host = HostHeaderValue(aEndpoint);
-    if (const Connection idle = TakeIdleConnection(host)) {
+    if (const Connection idle =
+          TakeIdleConnection(host, aExchange.mCall.mPeer)) {
       idle->StartExchange(std::move(aExchange));
       return;
     }
-    const Steady::time_point connectBy =
-      aExchange.mDeadline - aExchange.mCall.mTimeout +
-      std::min(aExchange.mCall.mTimeout / 2, kMaxConnect);
     ConnectionListener& listener = *this;
     std::make_shared<AsyncHttpConnection>(mIo, listener, host)
-      ->ConnectAndStart(aEndpoint, std::move(aExchange), connectBy);
+      ->ConnectAndStart(aEndpoint, std::move(aExchange));
   }
 
-  // Returns the most recently used idle connection, or null; closes those idle
-  // for longer than kMaxIdle.
-  Connection TakeIdleConnection(const std::string& aHost)
+  // Returns the most recently used idle connection that leads to aPeer or may
+  // do so, or null; closes those idle for longer than kMaxIdle.
+  Connection TakeIdleConnection(const std::string& aHost, PeerIncarnation aPeer)
   {
     CloseIdleUsedBefore(aHost, Steady::now() - kMaxIdle);
     std::vector<Connection>& idle = mIdle[aHost];
-    while (!idle.empty()) {
-      Connection last = idle.back();
-      idle.pop_back();
-      if (last->IsReusable()) {
-        return last;
+    for (size_t i = idle.size(); i > 0; i--) {
+      Connection candidate = idle[i - 1];
+      if (!MayLeadTo(*candidate, aPeer)) {
+        continue;
       }
-      last->Close();
+      idle.erase(idle.begin() + static_cast<long>(i - 1));
+      if (candidate->IsReusable()) {
+        return candidate;
+      }
+      candidate->Close();
     }
     return nullptr;
   }
 
+  static bool MayLeadTo(const AsyncHttpConnection& aConnection,
+                        PeerIncarnation aPeer)
+  {
+    const PeerIncarnation actual = aConnection.Peer();
+    return aPeer == PeerIncarnation() || actual == PeerIncarnation() ||
+           actual == aPeer;
+  }
+
   void CloseIdleUsedBefore(const std::string& aHost, Steady::time_point aTime)
   {
     std::vector<Connection>& idle = mIdle[aHost];
@@ -99,9 +108,18 @@
     idle.erase(older, idle.end());
   }
 
+  // Connections to other incarnations of the server are dead.
   void OnIdle(const Connection& aIdle) override
   {
     std::vector<Connection>& idle = mIdle[aIdle->Host()];
+    const auto others = std::stable_partition(
+      idle.begin(), idle.end(), [&](const Connection& aConnection) {
+        return MayLeadTo(*aConnection, aIdle->Peer());
+      });
+    std::for_each(others, idle.end(), [](const Connection& aConnection) {
+      aConnection->Close();
+    });
+    idle.erase(others, idle.end());
     if (idle.size() < mIdlePerEndpoint) {
       idle.push_back(aIdle);
     } else {
@@ -148,10 +166,14 @@
 {
   const size_t endpointHash =
     std::hash<std::string>()(aEndpoint.mAddress) + aEndpoint.mPort;
-  const auto deadline = Steady::now() + aCall.mTimeout;
+  const Steady::time_point now = Steady::now();
+  const Steady::time_point deadline = now + aCall.mTimeout;
+  const Steady::time_point readyBy =
+    now + std::min(aCall.mTimeout / 2, kMaxConnect);
   mEventLoops[endpointHash % mEventLoops.size()]->Post(
     aEndpoint,
-    PendingExchange{ std::move(aCall), std::move(aCompletion), deadline });
+    PendingExchange{
+      std::move(aCall), std::move(aCompletion), deadline, readyBy });
 }
 
 } // namespace mulberryvalve
--- a/mulberryvalve/adapters/http/async_http_client.h
+++ b/mulberryvalve/adapters/http/async_http_client.h
@@ -33,6 +33,8 @@
 // limits and the closing of idle connections after a failure are those of
 // HttpClientPool. Thread-safe: each endpoint is assigned to one thread, and
 // only that thread accesses its connections. An exchange is never retried.
+// A call for one incarnation of its server is sent only on a connection that
+// leads to it. A new connection is asked first, in half of the call's timeout.
 class AsyncHttpClient
 {
 public:
--- a/mulberryvalve/adapters/http/async_http_connection.cc
+++ b/mulberryvalve/adapters/http/async_http_connection.cc
@@ -27,11 +27,10 @@
 }
 
 void AsyncHttpConnection::ConnectAndStart(const Endpoint& aEndpoint,
-                                          PendingExchange aExchange,
-                                          Time aConnectBy)
+                                          PendingExchange aExchange)
 {
   mExchange = std::move(aExchange);
-  StartTimer(aConnectBy);
+  StartTimer(mExchange->mReadyBy);
   std::error_code error;
   const auto address = asio::ip::make_address_v4(aEndpoint.mAddress, error);
   if (!error) {
@@ -57,11 +56,58 @@
 void AsyncHttpConnection::StartExchange(PendingExchange aExchange)
 {
   mExchange = std::move(aExchange);
+  mIdentificationTraffic = HttpTraffic();
+  if (NeedsIdentification()) {
+    Identify();
+  } else {
+    SendCall();
+  }
+}
+
+bool AsyncHttpConnection::NeedsIdentification() const
+{
+  return mExchange->mCall.mPeer != PeerIncarnation() &&
+         mPeer == PeerIncarnation();
+}
+
+void AsyncHttpConnection::Identify()
+{
+  mIsIdentifying = true;
+  SendRequest(mExchange->mCall.mIdentification->Call(), mExchange->mReadyBy);
+}
+
+// The thread may run late, or the process may have been paused: the call is not
+// sent any more then.
+void AsyncHttpConnection::OnIdentified(HttpAnswer aAnswer, bool aKeep)
+{
+  mIsIdentifying = false;
+  mIdentificationTraffic = aAnswer.mTraffic;
+  if (mPeer != mExchange->mCall.mPeer) {
+    aAnswer.mOutcome = HttpOutcome::kOtherPeer;
+    CompleteExchange(std::move(aAnswer), aKeep);
+    return;
+  }
+  if (!aKeep || Steady::now() >= mExchange->mReadyBy) {
+    FailExchange(HttpOutcome::kNotConnected);
+    return;
+  }
+  mLastAnswerTime = Steady::now();
+  WaitForInput();
+  SendCall();
+}
+
+void AsyncHttpConnection::SendCall()
+{
+  SendRequest(mExchange->mCall, mExchange->mDeadline);
+}
+
+void AsyncHttpConnection::SendRequest(const HttpCall& aCall, Time aDeadline)
+{
   mInLateReadGrace = false;
   mParser = std::make_unique<HttpAnswerParser>();
-  mUnsent = SerializeRequest(mHost, mExchange->mCall);
+  mUnsent = SerializeRequest(mHost, aCall);
   mRequestBytes = mUnsent.size();
-  StartTimer(mExchange->mDeadline);
+  StartTimer(aDeadline);
   SendUnsent();
 }
 
@@ -106,7 +152,7 @@
     StartTimer(Steady::now() + kLateReadGrace);
     return;
   }
-  FailExchange(HttpOutcome::kLost);
+  FailSentExchange();
 }
 
 bool AsyncHttpConnection::HasUnreadBytes()
@@ -136,7 +182,7 @@
   std::error_code error;
   const size_t sent = mSocket.write_some(asio::buffer(mUnsent), error);
   if (error && error != asio::error::would_block) {
-    FailExchange(HttpOutcome::kLost);
+    FailSentExchange();
     return;
   }
   mUnsent.erase(0, error ? 0 : sent);
@@ -181,7 +227,7 @@
     return;
   }
   if (error || got == 0) {
-    FailExchange(HttpOutcome::kLost);
+    FailSentExchange();
     return;
   }
   OnBytes(std::string_view(bytes.data(), got));
@@ -194,34 +240,56 @@
       WaitForInput();
       return;
     case HttpParseState::kMalformed:
-      FailExchange(HttpOutcome::kLost);
+      FailSentExchange();
       return;
     case HttpParseState::kComplete:
-      CompleteExchange();
+      OnAnswer();
       return;
   }
 }
 
-// Returns the connection to the idle list before calling the completion, so
-// that the next exchange can use it.
-void AsyncHttpConnection::CompleteExchange()
+void AsyncHttpConnection::OnAnswer()
 {
-  const PendingExchange exchange = std::move(*mExchange);
-  mExchange.reset();
-  const bool keep = mUnsent.empty() && mParser->CanReuseConnection();
+  const bool canReuse = mUnsent.empty() && mParser->CanReuseConnection();
   HttpAnswer answer = mParser->ReleaseAnswer();
   answer.mTraffic = Traffic();
   mParser.reset();
   std::error_code ignored;
   mTimer.cancel(ignored);
-  if (keep && EchoedHeaderMatches(exchange.mCall, answer)) {
+  const HttpCall& call = mExchange->mCall;
+  if (mPeer == PeerIncarnation() && call.mIdentification != nullptr) {
+    mPeer = call.mIdentification->PeerOf(answer);
+  }
+  answer.mPeer = mPeer;
+  if (mIsIdentifying) {
+    OnIdentified(std::move(answer), canReuse);
+    return;
+  }
+  const bool keep = canReuse && EchoedHeaderMatches(call, answer);
+  CompleteExchange(std::move(answer), keep);
+}
+
+// Returns the connection to the idle list before calling the completion, so
+// that the next exchange can use it.
+void AsyncHttpConnection::CompleteExchange(HttpAnswer aAnswer, bool aKeep)
+{
+  const PendingExchange exchange = std::move(*mExchange);
+  mExchange.reset();
+  if (aKeep) {
     mLastAnswerTime = Steady::now();
     WaitForInput();
     mListener.OnIdle(shared_from_this());
   } else {
     Close();
   }
-  exchange.mCompletion->OnAnswer(std::move(answer));
+  exchange.mCompletion->OnAnswer(std::move(aAnswer));
+}
+
+// An identification that gets no answer leaves its call unsent.
+void AsyncHttpConnection::FailSentExchange()
+{
+  FailExchange(mIsIdentifying ? HttpOutcome::kNotConnected
+                              : HttpOutcome::kLost);
 }
 
 void AsyncHttpConnection::FailExchange(HttpOutcome aOutcome)
@@ -230,16 +298,19 @@
   mExchange.reset();
   Close();
   mListener.OnExchangeFailed(mHost);
-  exchange.mCompletion->OnAnswer(HttpAnswer{ aOutcome, 0, "", {}, Traffic() });
+  exchange.mCompletion->OnAnswer(
+    HttpAnswer{ aOutcome, 0, "", {}, Traffic(), {} });
 }
 
 // There is no parser, and no traffic, before the first request.
 HttpTraffic AsyncHttpConnection::Traffic() const
 {
   if (mParser == nullptr) {
-    return HttpTraffic();
+    return mIdentificationTraffic;
   }
-  return HttpTraffic{ mRequestBytes - mUnsent.size(), mParser->Received() };
+  return HttpTraffic{ mIdentificationTraffic.mSent + mRequestBytes -
+                        mUnsent.size(),
+                      mIdentificationTraffic.mReceived + mParser->Received() };
 }
 
 } // namespace mulberryvalve
--- a/mulberryvalve/adapters/http/async_http_connection.h
+++ b/mulberryvalve/adapters/http/async_http_connection.h
@@ -3,6 +3,7 @@
 #define MULBERRYVALVE_ADAPTERS_HTTP_ASYNC_HTTP_CONNECTION_H_
 
 #include "mulberryvalve/adapters/http/async_http_client.h"
+#include "mulberryvalve/adapters/http/peer_identification.h"
 
 #include <asio.hpp>
 #include <chrono>
@@ -18,6 +19,8 @@
   HttpCall mCall;
   std::unique_ptr<HttpCompletion> mCompletion;
   std::chrono::steady_clock::time_point mDeadline;
+  // By when a connection that can carry the call must be ready, at the latest.
+  std::chrono::steady_clock::time_point mReadyBy;
 };
 
 class AsyncHttpConnection;
@@ -51,13 +54,12 @@
                       ConnectionListener& aListener,
                       std::string aHost);
 
-  // ConnectAndStart connects, by aConnectBy at the latest, and makes the first
-  // exchange.
-  void ConnectAndStart(const Endpoint& aEndpoint,
-                       PendingExchange aExchange,
-                       Time aConnectBy);
+  // ConnectAndStart connects and makes the first exchange.
+  void ConnectAndStart(const Endpoint& aEndpoint, PendingExchange aExchange);
 
-  // StartExchange makes an exchange on an idle connection.
+  // StartExchange makes an exchange on an idle connection. If the call is for
+  // one incarnation of the server, and the one at the other end is not known,
+  // that is found out first.
   void StartExchange(PendingExchange aExchange);
 
   // Close ends an idle connection.
@@ -70,6 +72,10 @@
   // Host returns the value of the Host header.
   const std::string& Host() const { return mHost; }
 
+  // Peer returns the incarnation of the server that the connection leads to, or
+  // zero while it is unknown.
+  PeerIncarnation Peer() const { return mPeer; }
+
   // LastAnswerTime returns when the connection last answered.
   Time LastAnswerTime() const { return mLastAnswerTime; }
 
@@ -77,12 +83,19 @@
   void StartTimer(Time aDeadline);
   void OnTimer();
   void OnConnected(const std::error_code& aError);
+  bool NeedsIdentification() const;
+  void Identify();
+  void OnIdentified(HttpAnswer aAnswer, bool aKeep);
+  void SendCall();
+  void SendRequest(const HttpCall& aCall, Time aDeadline);
   void SendUnsent();
   void WaitForInput();
   void OnReadable(const std::error_code& aError);
   void OnBytes(std::string_view aBytes);
-  void CompleteExchange();
+  void OnAnswer();
+  void CompleteExchange(HttpAnswer aAnswer, bool aKeep);
   void FailExchange(HttpOutcome aOutcome);
+  void FailSentExchange();
   bool HasUnreadBytes();
   HttpTraffic Traffic() const;
 
@@ -96,9 +109,14 @@
   std::string mUnsent;
   // The length of the whole request.
   size_t mRequestBytes = 0;
+  // The traffic of the identification before the present request.
+  HttpTraffic mIdentificationTraffic;
+  PeerIncarnation mPeer;
   Time mLastAnswerTime;
   Time mTimerDeadline;
   bool mConnected = false;
+  // The request that is in progress is the identification, not the call.
+  bool mIsIdentifying = false;
   // The deadline has passed, and bytes that arrived before it are being read.
   bool mInLateReadGrace = false;
 };
--- a/mulberryvalve/adapters/http/http_client_pool.cc
+++ b/mulberryvalve/adapters/http/http_client_pool.cc
@@ -67,7 +67,7 @@
     }
     if (connection.mSocket == nullptr) {
       CloseIdleUsedBefore(key, Steady::now());
-      return HttpAnswer{ HttpOutcome::kNotConnected, 0, "", {}, {} };
+      return HttpAnswer{ HttpOutcome::kNotConnected, 0, "", {}, {}, {} };
     }
     HttpAnswerParser parser;
     const std::string text = SerializeRequest(key, aCall);
@@ -76,7 +76,7 @@
     if (!answered) {
       CloseIdleUsedBefore(key, Steady::now());
       const HttpTraffic traffic{ text.size(), parser.Received() };
-      return HttpAnswer{ HttpOutcome::kLost, 0, "", {}, traffic };
+      return HttpAnswer{ HttpOutcome::kLost, 0, "", {}, traffic, {} };
     }
     const bool keep = parser.CanReuseConnection();
     HttpAnswer answer = parser.ReleaseAnswer();
--- a/mulberryvalve/adapters/http/http_message.cc
+++ b/mulberryvalve/adapters/http/http_message.cc
@@ -105,6 +105,7 @@
                      static_cast<int>(message.result_int()),
                      std::move(message.body()),
                      {},
+                     {},
                      {} };
   for (const auto& field : message) {
     answer.mHeaders.push_back(HttpHeader{ std::string(field.name_string()),
--- a/mulberryvalve/adapters/http/http_message.h
+++ b/mulberryvalve/adapters/http/http_message.h
@@ -15,19 +15,25 @@
 
 namespace mulberryvalve {
 
-// HttpOutcome is the result of one exchange. Only kNotConnected guarantees that
-// nothing was sent.
+// PeerIncarnation numbers the incarnations of a server, as its caller defines
+// them. Zero is none.
+using PeerIncarnation = StrongNumber<struct PeerIncarnationTag>;
+
+// HttpOutcome is the result of one exchange. Only kNotConnected and kOtherPeer
+// guarantee that the call was not sent.
 enum class HttpOutcome
 {
   kAnswered,
   kNotConnected,
   kLost,
+  kOtherPeer, // another incarnation of the server answered its identification
 };
 
-inline constexpr EnumTable<HttpOutcome, 3> kHttpOutcomeNames{ { {
+inline constexpr EnumTable<HttpOutcome, 4> kHttpOutcomeNames{ { {
   { HttpOutcome::kAnswered, "answered" },
   { HttpOutcome::kNotConnected, "not_connected" },
   { HttpOutcome::kLost, "lost" },
+  { HttpOutcome::kOtherPeer, "other_peer" },
 } } };
 
 enum class HttpMethod
@@ -42,9 +48,13 @@
   std::string mValue;
 };
 
+class PeerIdentification;
+
 // HttpCall is the request of one exchange. mTimeout limits the whole exchange.
 // When mEchoedHeader has a name, an answer with another value of that header
-// belongs to another call, and its connection is closed.
+// belongs to another call, and its connection is closed. When mPeer is set, the
+// call is sent to that incarnation of the server only, and mIdentification must
+// be set too; AsyncHttpClient alone does so.
 struct HttpCall
 {
   HttpMethod mMethod = HttpMethod::kGet;
@@ -53,6 +63,8 @@
   std::string mBody;
   Milliseconds mTimeout{ 0 };
   HttpHeader mEchoedHeader;
+  PeerIncarnation mPeer{};
+  std::shared_ptr<const PeerIdentification> mIdentification{};
 };
 
 // HttpTraffic counts the bytes of an exchange, headers included.
@@ -63,7 +75,8 @@
 };
 
 // HttpAnswer is the result of an exchange. Only mOutcome and mTraffic are set
-// unless mOutcome is kAnswered.
+// unless mOutcome is kAnswered, or kOtherPeer: then the rest is the answer to
+// the identification. mPeer is the incarnation that answered, if it is known.
 struct HttpAnswer
 {
   HttpOutcome mOutcome = HttpOutcome::kLost;
@@ -71,6 +84,7 @@
   std::string mBody;
   std::vector<HttpHeader> mHeaders;
   HttpTraffic mTraffic{};
+  PeerIncarnation mPeer{};
 
   // Header returns the value of the header aName, which is compared without
   // regard to case, or an empty string.
--- a/mulberryvalve/core/jobs/late_starts_test.cc
+++ b/mulberryvalve/core/jobs/late_starts_test.cc
@@ -100,10 +100,11 @@
 }
 
 // The successor has heard from a worker, which then restarts and knows no
-// fencing token. A start of the former owner arrives only now.
+// fencing token. A start of the former owner is sent only now (review/7).
 TEST(LateStartsTest, QueuedStartOfAFormerOwnerOnARestartedWorker)
 {
   TakeoverSimulation sim(kWorkers);
+  sim->mCallsReachOneIncarnation = true;
   sim->RunFor(Milliseconds(500));
   const WorkerId worker = sim.IdOf(0);
   SimulatedOwner& owner = sim->Owner(0);
--- a/mulberryvalve/core/jobs/shard_simulation_fake.cc
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.cc
@@ -313,7 +313,7 @@
     reply.mOutcome = OrderOutcome::kNotSent;
   } else if (!orderLost && DeliversTo(aOwner, aOrder.mWorker) &&
              !DelayOrder(aOrder)) {
-    const OrderReply actualReply = Apply(mWorkers.at(aOrder.mWorker), aOrder);
+    const OrderReply actualReply = SendOrder(aOrder);
     if (DeliversFrom(aOwner, aOrder.mWorker)) {
       reply = actualReply;
     }
@@ -327,7 +327,7 @@
     OrderReply reply;
     reply.mOutcome = OrderOutcome::kNotSent;
     if (aOwner.mShard->IsStillNeeded(order, mNow)) {
-      reply = Apply(mWorkers.at(order.mWorker), order);
+      reply = SendOrder(order);
     }
     aOwner.mHeldReplies.emplace_back(order, reply);
   }
--- a/mulberryvalve/core/jobs/shard_simulation_fake.h
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.h
@@ -249,6 +249,10 @@
   size_t mMaxListedEnds = 500;
   // Whether the answers to orders tell the worker's incarnation.
   bool mOrderRepliesTellIncarnation = true;
+  // Whether orders reach only the incarnation that they name, as TaskWorkerPort
+  // promises. Otherwise any incarnation of the worker carries them out, as it
+  // may carry out unanswered orders that are late.
+  bool mCallsReachOneIncarnation = false;
   // Whether new owners know when the last append of each former one was sent.
   bool mObservesOwners = false;
   // If set, each owner asks the former ones in each tick, and one that has
@@ -275,6 +279,7 @@
   void Deliver(SimulatedOwner& aOwner, const TaskOrder& aOrder);
   bool DelayOrder(const TaskOrder& aOrder);
   void DeliverDelayed();
+  OrderReply SendOrder(const TaskOrder& aOrder);
   OrderReply Apply(SimulatedWorker& aWorker, const TaskOrder& aOrder);
   OrderOutcome Start(SimulatedWorker& aWorker, const TaskOrder& aOrder);
   RenewalReply RenewLease(SimulatedWorker& aWorker,
--- a/mulberryvalve/core/jobs/shard_simulation_workers.cc
+++ b/mulberryvalve/core/jobs/shard_simulation_workers.cc
@@ -143,6 +143,19 @@
          present.mPort == aEndpoint.mPort;
 }
 
+OrderReply ShardSimulation::SendOrder(const TaskOrder& aOrder)
+{
+  SimulatedWorker& worker = mWorkers.at(aOrder.mWorker);
+  const bool isMeant = aOrder.mWorkerIncarnation == worker.mWorkerIncarnation;
+  if (isMeant || !mCallsReachOneIncarnation) {
+    return Apply(worker, aOrder);
+  }
+  OrderReply notSent;
+  notSent.mOutcome = OrderOutcome::kNotSent;
+  notSent.mReading = { worker.ClockAt(mNow), worker.mWorkerIncarnation };
+  return notSent;
+}
+
 RenewalReply ShardSimulation::RenewLease(SimulatedWorker& aWorker,
                                          const RenewalRequest& aOrder)
 {
--- a/mulberryvalve/core/jobs/worker_messages.h
+++ b/mulberryvalve/core/jobs/worker_messages.h
@@ -76,7 +76,8 @@
   kInvalid,
   kUnhealthy, // not carried out; the worker asks for no orders for a while
   kGone,      // another worker answered at this address
-  kNotSent,   // no connection, or the owner's proof of ownership had expired
+  kNotSent,   // no connection, or it leads to another incarnation, or the
+              // owner's proof of ownership had expired
   kUnknown,   // no answer; it may have been carried out or still may be
 };
 
--- a/mulberryvalve/ports/out/metrics.h
+++ b/mulberryvalve/ports/out/metrics.h
@@ -79,6 +79,7 @@
   kOrderBytesReceived,
   kRenewalBytesSent,
   kRenewalBytesReceived,
+  kFormerIncarnationCalls,
   kTasksHeldBack,
   kStartsHeldBack,
   kFormerWorkersAnswered,
@@ -88,7 +89,7 @@
   kStartsUnrecorded,
 };
 
-inline constexpr MetricTable<Counter, 45> kCounterNames{ { {
+inline constexpr MetricTable<Counter, 46> kCounterNames{ { {
   { Counter::kRequestsAnswered,
     "requests_answered",
     "Requests whose answer was given to the caller" },
@@ -184,6 +185,9 @@
   { Counter::kRenewalBytesReceived,
     "renewal_bytes_received",
     "Bytes of workers' answers to renewals" },
+  { Counter::kFormerIncarnationCalls,
+    "former_incarnation_calls",
+    "Orders and renewals that were not sent, as their worker had restarted" },
   { Counter::kTasksHeldBack,
     "tasks_held_back",
     "Tasks that a take-over held back for workers of the former owner, at each "
--- a/mulberryvalve/ports/out/task_worker_port.h
+++ b/mulberryvalve/ports/out/task_worker_port.h
@@ -27,12 +27,18 @@
 // time, and never on the calling thread before the call returns; aReplies must
 // outlive the reply. An order without a response is reported as kUnknown, never
 // as refused. Concurrent calls may take effect in any order.
+//
+// An order reaches only the incarnation of the worker that it names, if it names
+// one; but a worker may carry out an unanswered order seconds later. The
+// reading in each reply tells which incarnation answered, or zero if that is
+// unknown.
 class TaskWorkerPort
 {
 public:
   virtual ~TaskWorkerPort() = default;
 
-  // Send sends one order.
+  // Send sends one order. If another incarnation answers, the order was not
+  // sent (kNotSent), and the reading is that one's.
   virtual void Send(TaskOrder aOrder, WorkerReplyHandler& aReplies) = 0;
 
   // Renew renews the leases of a worker's tasks and requests the worker's lists
