A renewal acknowledges ends of the incarnation that it is meant for only

Cause: a renewal carried seen_upto, and a lease end, of the worker's former incarnation; any incarnation takes them. The numbers of ends start anew.

If another one answers, nothing was acknowledged or renewed there, and its lists are the renewal's answer, so the restart costs no further call. A first renewal, which acknowledges and renews nothing, goes to any incarnation and is one call as before.

--- a/mulberryvalve/core/jobs/shard_simulation_fake.cc
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.cc
@@ -263,7 +263,7 @@
     if (!IsListeningAt(id, order->mEndpoint)) {
       reply.mOutcome = OrderOutcome::kNotSent;
     } else if (DeliversTo(aOwner, id)) {
-      RenewalReply actualReply = RenewLease(worker, *order);
+      RenewalReply actualReply = SendRenewal(*order);
       if (DeliversFrom(aOwner, id)) {
         reply = std::move(actualReply);
       }
--- a/mulberryvalve/core/jobs/shard_simulation_fake.h
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.h
@@ -249,7 +249,7 @@
   size_t mMaxListedEnds = 500;
   // Whether the answers to orders tell the worker's incarnation.
   bool mOrderRepliesTellIncarnation = true;
-  // Whether orders reach only the incarnation that they name, as TaskWorkerPort
+  // Whether calls reach only the incarnation that they name, as TaskWorkerPort
   // promises. Otherwise any incarnation of the worker carries them out, as it
   // may carry out unanswered orders that are late.
   bool mCallsReachOneIncarnation = false;
@@ -280,6 +280,7 @@
   bool DelayOrder(const TaskOrder& aOrder);
   void DeliverDelayed();
   OrderReply SendOrder(const TaskOrder& aOrder);
+  RenewalReply SendRenewal(RenewalRequest aOrder);
   OrderReply Apply(SimulatedWorker& aWorker, const TaskOrder& aOrder);
   OrderOutcome Start(SimulatedWorker& aWorker, const TaskOrder& aOrder);
   RenewalReply RenewLease(SimulatedWorker& aWorker,
--- a/mulberryvalve/core/jobs/shard_simulation_workers.cc
+++ b/mulberryvalve/core/jobs/shard_simulation_workers.cc
@@ -156,6 +156,17 @@
   return notSent;
 }
 
+RenewalReply ShardSimulation::SendRenewal(RenewalRequest aOrder)
+{
+  SimulatedWorker& worker = mWorkers.at(aOrder.mWorker);
+  const bool isMeant = aOrder.mWorkerIncarnation == worker.mWorkerIncarnation;
+  if (!isMeant && mCallsReachOneIncarnation) {
+    aOrder.mUntil.reset();
+    aOrder.mSeen = EndNumber();
+  }
+  return RenewLease(worker, aOrder);
+}
+
 RenewalReply ShardSimulation::RenewLease(SimulatedWorker& aWorker,
                                          const RenewalRequest& aOrder)
 {
--- a/mulberryvalve/core/jobs/worker_messages.h
+++ b/mulberryvalve/core/jobs/worker_messages.h
@@ -112,11 +112,13 @@
 // RenewalRequest renews the leases of all runs on a worker and requests its run
 // lists. Without mUntil no lease is renewed. The worker drops ends numbered up
 // to mSeen from its list. It delays its answer by up to mWait until a run ends
-// (long polling).
+// (long polling). mUntil and mSeen are by the clock and the numbers of
+// mWorkerIncarnation.
 struct RenewalRequest
 {
   WorkerId mWorker;
   Endpoint mEndpoint;
+  WorkerIncarnation mWorkerIncarnation;
   Epoch mEpoch;
   EndNumber mSeen;
   std::optional<WorkerTime> mUntil;
--- a/mulberryvalve/core/jobs/worker_table.cc
+++ b/mulberryvalve/core/jobs/worker_table.cc
@@ -326,6 +326,7 @@
   RenewalRequest order;
   order.mWorker = aWorker.mInfo.mId;
   order.mEndpoint = aWorker.mInfo.mEndpoint;
+  order.mWorkerIncarnation = aWorker.mWorkerIncarnation;
   order.mEpoch = aEpoch;
   order.mSeen = aWorker.mLastDurableEnd;
   const bool mayRenew = aMayRenew && !aWorker.mSilent && aWorker.MayBeRenewed();
--- a/mulberryvalve/ports/out/task_worker_port.h
+++ b/mulberryvalve/ports/out/task_worker_port.h
@@ -28,7 +28,7 @@
 // outlive the reply. An order without a response is reported as kUnknown, never
 // as refused. Concurrent calls may take effect in any order.
 //
-// An order reaches only the incarnation of the worker that it names, if it names
+// A call reaches only the incarnation of the worker that it names, if it names
 // one; but a worker may carry out an unanswered order seconds later. The
 // reading in each reply tells which incarnation answered, or zero if that is
 // unknown.
@@ -42,7 +42,8 @@
   virtual void Send(TaskOrder aOrder, WorkerReplyHandler& aReplies) = 0;
 
   // Renew renews the leases of a worker's tasks and requests the worker's lists
-  // of running and ended tasks.
+  // of running and ended tasks. If another incarnation answers, nothing was
+  // renewed or acknowledged there, and the lists are that one's.
   virtual void Renew(RenewalRequest aOrder, WorkerReplyHandler& aReplies) = 0;
 };
 
