Tasks are placed by the entry of a worker's present incarnation

Cause: a renewal's answer shows the new incarnation before the list of workers is read, every 0.4 s or later. Clock, ends and fencing of the former one were forgotten, its labels, rack, capacity and service were not.

Change: an entry counts for placement only if it is of the present incarnation.

TasksArePlacedByTheLabelsOfThePresentIncarnation fails without the change (one run on the worker without the label).

--- a/mulberryvalve/core/jobs/job_placement_policy.cc
+++ b/mulberryvalve/core/jobs/job_placement_policy.cc
@@ -188,7 +188,8 @@
     return PlacementRefusal::kLeaving;
   }
   if (!aWorker.mHasReportedRuns || aWorker.mSilent || !aWorker.MayBeUsed() ||
-      aWorker.mHasHandoverNote || aWorker.mForeignDemandUnknown) {
+      aWorker.mHasHandoverNote || aWorker.mForeignDemandUnknown ||
+      !aWorker.IsInfoCurrent()) {
     return PlacementRefusal::kUnsure;
   }
   if (aQuery.mNow < aWorker.mAvoidUntil) {
--- a/mulberryvalve/core/jobs/restarted_worker_test.cc
+++ b/mulberryvalve/core/jobs/restarted_worker_test.cc
@@ -213,6 +213,33 @@
   starts.CheckOneRunEach();
 }
 
+// Guards against tasks being placed by the labels of a worker's former
+// incarnation, while its entry in the list is that one's and its answers are
+// those of the next one, which has other labels (review/10).
+TEST(RestartedWorkerTest, TasksArePlacedByTheLabelsOfThePresentIncarnation)
+{
+  const WorkerLabel label("kind-a");
+  TakeoverSimulation sim(2);
+  sim->Worker(0).mInfo.mLabels = { label };
+  sim->RunFor(kNoticeLimit);
+  SimulatedOwner& owner = sim->Owner(0);
+  owner.mReadsWorkerList = false;
+  sim->RestartWorker(sim.IdOf(0));
+  sim->Worker(0).mInfo.mLabels = { WorkerLabel("kind-b") };
+  sim->RunFor(kNoticeLimit);
+  JobGraph job = OneStepJob("j", 1, 1000);
+  job.mSteps[0].mRequiredLabel = label;
+  sim->Submit(job);
+  sim->RunFor(kNoticeLimit);
+  owner.mReadsWorkerList = true;
+  sim->RunFor(kNoticeLimit);
+  CHECK_EQUAL(0U, sim->Running());
+  sim->RestartWorker(sim.IdOf(0));
+  sim->Worker(0).mInfo.mLabels = { label };
+  sim->RunFor(kNoticeLimit);
+  CHECK_EQUAL(1U, sim->RunningOf(JobId("j")));
+}
+
 // Guards against an entry of the worker list that was written before the worker
 // restarted elsewhere, and is read after the newer one: another worker answers
 // at the address that it names, and what runs on this one is started again.
--- a/mulberryvalve/core/jobs/shard_simulation_fake.cc
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.cc
@@ -240,6 +240,8 @@
   }
   if (aOwner.mCanAppend) {
     aOwner.mProvedAt = mNow;
+  }
+  if (aOwner.mCanAppend && aOwner.mReadsWorkerList) {
     std::vector<WorkerInfo> facts;
     for (const auto& [id, worker] : mWorkers) {
       if (worker.IsListedAt(mNow)) {
--- a/mulberryvalve/core/jobs/shard_simulation_fake.h
+++ b/mulberryvalve/core/jobs/shard_simulation_fake.h
@@ -144,6 +144,8 @@
   bool mAppendAnswersLost = false;
   // It still reads submissions, though its claim is superseded.
   bool mReadsSubmissions = false;
+  // While this is false, it does not read the list of workers.
+  bool mReadsWorkerList = true;
   // While this is false, submissions reach it only once it is true again.
   bool mReadsIntake = true;
   std::vector<SimulatedSubmission> mUnreadSubmissions;
--- a/mulberryvalve/core/jobs/worker_table.cc
+++ b/mulberryvalve/core/jobs/worker_table.cc
@@ -41,7 +41,8 @@
 {
   return aLeft.mService == aRight.mService && aLeft.mDomain == aRight.mDomain &&
          aLeft.mRack == aRight.mRack && aLeft.mLabels == aRight.mLabels &&
-         aLeft.mCapacity == aRight.mCapacity && aLeft.mState == aRight.mState;
+         aLeft.mCapacity == aRight.mCapacity && aLeft.mState == aRight.mState &&
+         aLeft.mWorkerIncarnation == aRight.mWorkerIncarnation;
 }
 
 } // namespace
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -143,6 +143,15 @@
   // NeedsPacing returns whether best-effort tasks may disturb serving tasks.
   bool NeedsPacing() const { return mServingTasks > 0 && mBestEffortTasks > 0; }
 
+  // IsInfoCurrent returns whether the entry in the list of workers is of the
+  // present incarnation, which may differ from the former one in all but its
+  // id.
+  bool IsInfoCurrent() const
+  {
+    return mInfo.mWorkerIncarnation == WorkerIncarnation() ||
+           mInfo.mWorkerIncarnation == mWorkerIncarnation;
+  }
+
   // IsCalm returns whether the last report had all tail latencies far below
   // their targets without any best-effort task being paced.
   bool IsCalm() const;
