The wait for a former owner is no longer where workers grant longer leases

Cause: a successor waits for what the former owner may have started until 9.5 s after that one's last append, and where workers grant leases of 10 s until 13.5 s: a start that reached a new incarnation of its worker could last for the longest lease from its arrival, whatever end it named. That has not been so since starts reach only the incarnation that they are meant for.

Change: every lease that an owner requests ends within 9.5 s of its last append, and that is the wait, whatever workers grant. Starts still end 3.2 s after it. What is not covered, as before: an unanswered start that a worker carries out seconds late and after a restart, while its owner ends and no successor reaches the worker.

Ruled out: starts for 7.1 s after the last append, as the longest lease need not fit any more; held starts were then given up on a slow log (late_starts_test LastingTasksStartThoughTheLogIsSlow).

RunsEndAsSoonWhereWorkersGrantLongerLeases fails without the change.

--- a/mulberryvalve/core/jobs/bounded_runs_test.cc
+++ b/mulberryvalve/core/jobs/bounded_runs_test.cc
@@ -190,6 +190,24 @@
   CHECK(workers.MayStart(provedAt + Milliseconds(3200)));
 }
 
+// Guards against a wait that is longer where workers grant longer leases, by
+// more than a rule allows tasks to wait: no lease that an owner requests lasts
+// longer, and no start reaches an incarnation that would count it anew
+// (review/9).
+TEST(BoundedRunsTest, RunsEndAsSoonWhereWorkersGrantLongerLeases)
+{
+  LeaseTerms longer;
+  longer.mMaxGranted = Milliseconds(10000);
+  WorkerTable workers{ longer };
+  const WorkerTable usual{ LeaseTerms() };
+  const MonotonicTime provedAt{ std::chrono::seconds(1000) };
+  CHECK(usual.EndOfRunsProvedAt(provedAt) ==
+        workers.EndOfRunsProvedAt(provedAt));
+  workers.OnOwnershipRecorded(provedAt);
+  CHECK(workers.MayStart(provedAt + Milliseconds(3200)));
+  CHECK_FALSE(workers.MayStart(provedAt + Milliseconds(3300)));
+}
+
 // Nothing is known of the former owner but that it recorded nothing after the
 // claim.
 TEST(BoundedRunsTest, ASuccessorWaitsFromItsClaimAtMost)
--- a/mulberryvalve/core/jobs/worker_table.cc
+++ b/mulberryvalve/core/jobs/worker_table.cc
@@ -14,6 +14,10 @@
 // that starts rarely extend a lease. No start carries less.
 constexpr Milliseconds kMinLeaseForStart{ 2500 };
 
+// Starts end this long before the leases may end, on a worker's clock: not long
+// after the log took its last append.
+constexpr Milliseconds kNoStartsBeforeEnd{ 6300 };
+
 // From the check of a start until it arrives.
 constexpr Milliseconds kMaxStartDelay{ 300 };
 
@@ -216,14 +220,12 @@
 {
   mLeasesEndBy =
     std::max(mLeasesEndBy,
-             aRecordedAt + MaxRealDuration(mTerms.MaxRunsAfterProof().count()));
+             aRecordedAt + MaxRealDuration(mTerms.mMaxRunsAfterProof.count()));
 }
 
 bool WorkerTable::MayStart(MonotonicTime aNow) const
 {
-  const Milliseconds longest = std::max(kMinLeaseForStart, mTerms.mMaxGranted);
-  return aNow + MaxRealDuration(longest.count()) + kMaxStartDelay <=
-         mLeasesEndBy;
+  return aNow <= mLeasesEndBy - MaxRealDuration(kNoStartsBeforeEnd.count());
 }
 
 // Returns the end of a lease of the usual length, or the last time on the
@@ -284,7 +286,7 @@
 // Covers a deviation of the owner's clock too, as long as the estimate's.
 MonotonicTime WorkerTable::EndOfRunsProvedAt(MonotonicTime aRecordedAt) const
 {
-  return aRecordedAt + MaxRealDuration(mTerms.MaxRunsAfterProof().count()) +
+  return aRecordedAt + MaxRealDuration(mTerms.mMaxRunsAfterProof.count()) +
          kClockEstimateError + mTerms.mMargin;
 }
 
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -35,12 +35,8 @@
   // Added to the end of a lease before it is considered expired.
   Milliseconds mMargin{ 150 };
   // Every lease ends by this time on the worker's clock after the owner's last
-  // recorded proof. Longer than a store outage of 9 s, and than the longest
-  // lease by the time for which starts go on without another proof.
-  Milliseconds MaxRunsAfterProof() const
-  {
-    return std::max(Milliseconds(9500), mMaxGranted + Milliseconds(3500));
-  }
+  // recorded proof. Longer than a store outage of 9 s.
+  Milliseconds mMaxRunsAfterProof{ 9500 };
 };
 
 // WorkerEntry is the owner's state of one worker.
@@ -189,7 +185,7 @@
 // its time the reading of the owner's clock before the append was first sent.
 // Every lease end that is requested is an absolute time on the worker's clock,
 // which that clock reaches by the proof's time plus the longest real time of
-// MaxRunsAfterProof:
+// mMaxRunsAfterProof:
 // - A reading of the clock was taken before it arrived, and the clock advances
 //   by at least 980 of 1000 from there. The end is computed with that slowest
 //   rate, so it holds for each permitted rate and however old the reading is.
@@ -202,11 +198,10 @@
 //   appends from the next claim on.
 // - An owner without a record on the log claimed before one that removed the
 //   record, which it does only once all runs of the former have ended.
-// - A start that reaches a new incarnation of its worker names a time on the
-//   clock of the former one, and may last for mMaxGranted from its arrival.
-//   MayStart ends starts as much earlier.
-// It does not hold for a start that is carried out by a new incarnation later
-// than MayStart allows for.
+// - A start reaches only the incarnation of its worker whose clock it names
+//   (TaskWorkerPort).
+// It does not hold for an unanswered start that a worker carries out late,
+// after it has restarted.
 //
 // WorkerTable is not synchronised.
 class WorkerTable
@@ -261,8 +256,7 @@
 
   // OnOwnershipRecorded allows leases up to the bound of a proof that was
   // recorded at aRecordedAt. Without any, no lease is requested. MayStart
-  // returns whether the longest lease that a worker grants from now on is
-  // allowed.
+  // returns whether the last proof is recent enough to start tasks.
   void OnOwnershipRecorded(MonotonicTime aRecordedAt);
   bool MayStart(MonotonicTime aNow) const;
 
