A service without room holds up no job of another service

Cause: what no worker could take in a pass was remembered by class, image and bucket of the task, not by the service whose workers had been asked, and steps of other services were passed over for it.

Change: the service is part of what is remembered.

--- a/mulberryvalve/core/jobs/placement_pass.h
+++ b/mulberryvalve/core/jobs/placement_pass.h
@@ -13,19 +13,21 @@
 
 namespace mulberryvalve {
 
-// RefusedDemands remembers, by image and class of task, the smallest demand
-// that no worker could take, of all workers or of those of a bucket, so that
-// steps with at least that demand are skipped. Not synchronised.
+// RefusedDemands remembers, by service, image and class of task, the smallest
+// demand that no worker of the service could take, of all its workers or of
+// those of a bucket, so that steps with at least that demand are skipped. Not
+// synchronised.
 class RefusedDemands
 {
 public:
   // Covers returns whether a demand no larger than that of aStep was refused.
-  bool Covers(const StepSpec& aStep,
+  bool Covers(const ServiceId& aService,
+              const StepSpec& aStep,
               bool aHasWaitedLong,
               std::optional<size_t> aBucket) const
   {
     const auto found =
-      mMinimalDemands.find(KeyOf(aStep, aHasWaitedLong, aBucket));
+      mMinimalDemands.find(KeyOf(aService, aStep, aHasWaitedLong, aBucket));
     return found != mMinimalDemands.end() &&
            found->second.FitsIn(aStep.mDemand);
   }
@@ -33,7 +35,8 @@
   // Add records that no worker could take a task of aStep. Steps with a label,
   // rack or per-worker limit are not recorded, as their refusal says nothing
   // about other steps.
-  void Add(const StepSpec& aStep,
+  void Add(const ServiceId& aService,
+           const StepSpec& aStep,
            bool aHasWaitedLong,
            std::optional<size_t> aBucket)
   {
@@ -43,7 +46,7 @@
       return;
     }
     const auto [found, isNew] = mMinimalDemands.try_emplace(
-      KeyOf(aStep, aHasWaitedLong, aBucket), aStep.mDemand);
+      KeyOf(aService, aStep, aHasWaitedLong, aBucket), aStep.mDemand);
     if (!isNew && aStep.mDemand.FitsIn(found->second)) {
       found->second = aStep.mDemand;
     }
@@ -51,17 +54,15 @@
 
 private:
   using DemandClass =
-    std::tuple<bool, bool, bool, ImageNumber, std::optional<size_t>>;
+    std::tuple<ServiceId, bool, bool, bool, ImageNumber, std::optional<size_t>>;
 
-  static DemandClass KeyOf(const StepSpec& aStep,
+  static DemandClass KeyOf(const ServiceId& aService,
+                           const StepSpec& aStep,
                            bool aHasWaitedLong,
                            std::optional<size_t> aBucket)
   {
-    return { aHasWaitedLong,
-             aStep.mBestEffort,
-             aStep.mLongRunning,
-             aStep.mImageNumber,
-             aBucket };
+    return { aService,           aHasWaitedLong,     aStep.mBestEffort,
+             aStep.mLongRunning, aStep.mImageNumber, aBucket };
   }
 
   std::map<DemandClass, Resources> mMinimalDemands;
--- a/mulberryvalve/core/jobs/shard_scheduler_placement.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_placement.cc
@@ -155,8 +155,9 @@
     LogWaitReason(aJob, StepRefOf(aJob, aStep), aNow);
   }
   const bool isOverdue = mHeldStarts.AreRecordsOverdue();
+  const ServiceId& service = RulesOf(aJob).mService;
   if (IsJobBlocked(aJob, aNow) || (isOverdue && !MayStartUnrecorded(spec)) ||
-      mPass.Refused().Covers(spec, hasWaited, std::nullopt)) {
+      mPass.Refused().Covers(service, spec, hasWaited, std::nullopt)) {
     return;
   }
   if (mWindow.IsFull()) {
@@ -186,11 +187,12 @@
                                 MonotonicTime aNow)
 {
   const StepSpec& spec = mJobTable.SpecOf(aStep);
+  const ServiceId& service = RulesOf(aJob).mService;
   const bool hasWaited = HasWaitedTooLong(aJob, mJobTable.StepOf(aStep), aNow);
   std::optional<size_t> bucket;
   if (mHeldStarts.AreRecordsOverdue()) {
     bucket = BucketOf(TaskRef{ aStep, aFirst });
-    if (mPass.Refused().Covers(spec, hasWaited, bucket)) {
+    if (mPass.Refused().Covers(service, spec, hasWaited, bucket)) {
       return true;
     }
   }
@@ -202,7 +204,7 @@
       return false;
     }
     if (mayPlace && !PlaceTask(aJob, ref, aNow)) {
-      mPass.Refused().Add(spec, hasWaited, bucket);
+      mPass.Refused().Add(service, spec, hasWaited, bucket);
       return true;
     }
   }
