Occurrences of a job take memory once they are due

Callers saw no job answered any more (LOST), and every entry process ended in turn: 13 accepted jobs of 60,000 occurrences cost each owner 24 MB, 312 MB in all, above memory_mb (260), and so they did its successors.

Cause: all occurrences were built when the job was read, and looked at for what is due in each pass.

Change: an occurrence is built when it is due, or when something is known of it, such as a former owner's record. Once it was due it stays so, though the time of day is set back.

--- a/mulberryvalve/core/jobs/held_task_report.cc
+++ b/mulberryvalve/core/jobs/held_task_report.cc
@@ -240,7 +240,7 @@
 size_t HeldTaskReport::CountHeldTasks(const JobEntry& aJob,
                                       const ReadyStepKey& aStep) const
 {
-  const StepState& step = aJob.mOccurrences[aStep.mOccurrence][aStep.mStep];
+  const StepState& step = aJob.mOccurrences.at(aStep.mOccurrence)[aStep.mStep];
   const StepRef ref{ aJob.mGraph.mId, aStep.mOccurrence, aStep.mStep };
   if (!mInherited.HasUnnotedWorkers() && !mInherited.BlocksStep(ref)) {
     return 0;
--- a/mulberryvalve/core/jobs/job_forecast.cc
+++ b/mulberryvalve/core/jobs/job_forecast.cc
@@ -10,7 +10,7 @@
                        const RunTimeEstimator& aRunTimes)
 {
   JobForecast forecast;
-  const std::vector<StepState>& states = aJob.mOccurrences[aOccurrence];
+  const std::vector<StepState>& states = aJob.mOccurrences.at(aOccurrence);
   std::vector<Milliseconds> chains;
   chains.reserve(states.size());
   for (size_t index = 0; index < states.size(); index++) {
--- a/mulberryvalve/core/jobs/job_graph.h
+++ b/mulberryvalve/core/jobs/job_graph.h
@@ -117,6 +117,16 @@
   {
     return mRecurrence.mTimes == 0 ? 1 : mRecurrence.mTimes;
   }
+
+  // TasksPerOccurrence returns the number of tasks of all steps.
+  uint64_t TasksPerOccurrence() const
+  {
+    uint64_t tasks = 0;
+    for (const StepSpec& step : mSteps) {
+      tasks += step.mCount;
+    }
+    return tasks;
+  }
 };
 
 // StepRef identifies one step of one occurrence of a job.
--- a/mulberryvalve/core/jobs/job_table.cc
+++ b/mulberryvalve/core/jobs/job_table.cc
@@ -82,25 +82,42 @@
   for (StepSpec& spec : job.mGraph.mSteps) {
     spec.mImageNumber = mImages.NumberOf(spec.mImage);
   }
-  job.mOccurrences.resize(job.mGraph.Occurrences());
-  for (auto& steps : job.mOccurrences) {
-    for (const StepSpec& spec : job.mGraph.mSteps) {
-      StepState& step = steps.emplace_back();
-      step.mTasks.resize(spec.mCount);
-      step.mWaiting = spec.mCount;
-      job.mTaskCount += spec.mCount;
-    }
-  }
+  job.mTaskCount = job.mGraph.Occurrences() * job.mGraph.TasksPerOccurrence();
   if (job.mGraph.mRecurrence.mTimes > 0) {
     mRecurring.insert(id);
   }
-  for (uint32_t occurrence = 0; occurrence < job.mOccurrences.size();
-       occurrence++) {
-    for (uint32_t step = 0; step < job.mGraph.mSteps.size(); step++) {
-      AddIfReady(job, StepRef{ id, occurrence, step });
+  OpenDueOccurrences(job);
+  return &job;
+}
+
+// Returns the steps of an occurrence, which are created on the first call.
+std::vector<StepState>& JobTable::Open(JobEntry& aJob, uint32_t aOccurrence)
+{
+  const auto [found, isNew] = aJob.mOccurrences.try_emplace(aOccurrence);
+  if (!isNew) {
+    return found->second;
+  }
+  for (const StepSpec& spec : aJob.mGraph.mSteps) {
+    StepState& step = found->second.emplace_back();
+    step.mTasks.resize(spec.mCount);
+    step.mWaiting = spec.mCount;
+  }
+  return found->second;
+}
+
+// A step is added when it becomes ready, so occurrences that were due before
+// need no look.
+void JobTable::OpenDueOccurrences(JobEntry& aJob)
+{
+  const auto steps = static_cast<uint32_t>(aJob.mGraph.mSteps.size());
+  for (;
+       aJob.mNextDue < aJob.mGraph.Occurrences() && IsDue(aJob, aJob.mNextDue);
+       aJob.mNextDue++) {
+    Open(aJob, aJob.mNextDue);
+    for (uint32_t step = 0; step < steps; step++) {
+      AddIfReady(aJob, StepRef{ aJob.mGraph.mId, aJob.mNextDue, step });
     }
   }
-  return &job;
 }
 
 void JobTable::Restore(JobEntry& aJob, const JobRecord& aRecord)
@@ -156,14 +173,13 @@
 TaskLookup JobTable::Locate(const TaskRef& aTask)
 {
   JobEntry* job = Find(aTask.mStep.mJob);
-  if (job == nullptr || aTask.mStep.mOccurrence >= job->mOccurrences.size()) {
-    return TaskLookup();
-  }
-  auto& steps = job->mOccurrences[aTask.mStep.mOccurrence];
-  if (aTask.mStep.mStep >= steps.size() ||
-      aTask.mIndex >= steps[aTask.mStep.mStep].mTasks.size()) {
+  if (job == nullptr || aTask.mStep.mOccurrence >= job->mGraph.Occurrences() ||
+      aTask.mStep.mStep >= job->mGraph.mSteps.size() ||
+      aTask.mIndex >= job->mGraph.mSteps[aTask.mStep.mStep].mCount) {
     return TaskLookup();
   }
+  // By another owner's clock it may be due before it is here.
+  std::vector<StepState>& steps = Open(*job, aTask.mStep.mOccurrence);
   return TaskLookup{ job,
                      &job->mGraph.mSteps[aTask.mStep.mStep],
                      &steps[aTask.mStep.mStep].mTasks[aTask.mIndex] };
@@ -171,12 +187,12 @@
 
 StepState& JobTable::StepOf(const StepRef& aStep)
 {
-  return mJobs.at(aStep.mJob).mOccurrences[aStep.mOccurrence][aStep.mStep];
+  return mJobs.at(aStep.mJob).mOccurrences.at(aStep.mOccurrence)[aStep.mStep];
 }
 
 const StepState& JobTable::StepOf(const StepRef& aStep) const
 {
-  return mJobs.at(aStep.mJob).mOccurrences[aStep.mOccurrence][aStep.mStep];
+  return mJobs.at(aStep.mJob).mOccurrences.at(aStep.mOccurrence)[aStep.mStep];
 }
 
 const StepSpec& JobTable::SpecOf(const StepRef& aStep) const
@@ -266,22 +282,15 @@
 {
   mCurrentTime = aNow;
   for (const JobId& id : mRecurring) {
-    JobEntry& job = mJobs.at(id);
-    for (uint32_t occurrence = 0; occurrence < job.mOccurrences.size();
-         occurrence++) {
-      for (uint32_t step = 0; step < job.mGraph.mSteps.size(); step++) {
-        AddIfReady(job, StepRef{ id, occurrence, step });
-      }
-    }
+    OpenDueOccurrences(mJobs.at(id));
   }
 }
 
 void JobTable::RemoveReadySteps(JobEntry& aJob)
 {
   UpdateWaitingCount(aJob);
-  for (uint32_t occurrence = 0; occurrence < aJob.mOccurrences.size();
-       occurrence++) {
-    for (uint32_t step = 0; step < aJob.mGraph.mSteps.size(); step++) {
+  for (const auto& [occurrence, steps] : aJob.mOccurrences) {
+    for (uint32_t step = 0; step < steps.size(); step++) {
       mReadySteps.erase(ReadyStepKey{ aJob.mArrivalNumber, occurrence, step });
     }
   }
@@ -296,11 +305,10 @@
 uint32_t JobTable::PartOf(const TaskRef& aTask) const
 {
   const JobEntry& job = mJobs.at(aTask.mStep.mJob);
-  uint64_t tasksBefore = aTask.mIndex;
-  for (uint32_t step = 0; step < job.mGraph.mSteps.size(); step++) {
-    const uint64_t count = job.mGraph.mSteps[step].mCount;
-    tasksBefore += count * aTask.mStep.mOccurrence;
-    tasksBefore += step < aTask.mStep.mStep ? count : 0;
+  uint64_t tasksBefore =
+    aTask.mIndex + aTask.mStep.mOccurrence * job.mGraph.TasksPerOccurrence();
+  for (uint32_t step = 0; step < aTask.mStep.mStep; step++) {
+    tasksBefore += job.mGraph.mSteps[step].mCount;
   }
   return static_cast<uint32_t>(tasksBefore / kTasksPerRecord);
 }
@@ -329,10 +337,8 @@
   for (const uint32_t part : dirtyParts) {
     records.push_back(JobRecord{ aJob.mGraph.mId, aJob.mPhase, {}, part });
   }
-  uint64_t number = 0;
-  for (uint32_t occurrence = 0; occurrence < aJob.mOccurrences.size();
-       occurrence++) {
-    const auto& steps = aJob.mOccurrences[occurrence];
+  for (const auto& [occurrence, steps] : aJob.mOccurrences) {
+    uint64_t number = occurrence * aJob.mGraph.TasksPerOccurrence();
     for (uint32_t step = 0; step < steps.size(); step++) {
       const auto& tasks = steps[step].mTasks;
       for (uint32_t index = 0; index < tasks.size(); index++) {
@@ -377,17 +383,23 @@
   }
 }
 
-bool JobTable::IsReady(const JobEntry& aJob, const StepRef& aStep) const
+bool JobTable::IsDue(const JobEntry& aJob, uint32_t aOccurrence) const
 {
+  if (aOccurrence < aJob.mNextDue) {
+    return true; // though the time of day may have been set back
+  }
   const Recurrence& recurrence = aJob.mGraph.mRecurrence;
-  if (recurrence.mTimes > 0) {
-    const int64_t due = recurrence.mFirst.mMilliseconds +
-                        recurrence.mInterval.count() * aStep.mOccurrence;
-    if (mCurrentTime.mMilliseconds < due) {
-      return false;
-    }
+  const int64_t due = recurrence.mFirst.mMilliseconds +
+                      recurrence.mInterval.count() * aOccurrence;
+  return recurrence.mTimes == 0 || mCurrentTime.mMilliseconds >= due;
+}
+
+bool JobTable::IsReady(const JobEntry& aJob, const StepRef& aStep) const
+{
+  if (!IsDue(aJob, aStep.mOccurrence)) {
+    return false;
   }
-  const auto& steps = aJob.mOccurrences[aStep.mOccurrence];
+  const auto& steps = aJob.mOccurrences.at(aStep.mOccurrence);
   for (const uint32_t dependency : aJob.mGraph.mSteps[aStep.mStep].mDependsOn) {
     if (steps[dependency].mDone < steps[dependency].mTasks.size()) {
       return false;
@@ -398,7 +410,7 @@
 
 void JobTable::AddIfReady(JobEntry& aJob, const StepRef& aStep)
 {
-  const StepState& step = aJob.mOccurrences[aStep.mOccurrence][aStep.mStep];
+  const StepState& step = aJob.mOccurrences.at(aStep.mOccurrence)[aStep.mStep];
   if (step.mWaiting > 0 && !IsOver(aJob.mPhase) && IsReady(aJob, aStep)) {
     mReadySteps.emplace(KeyOfStep(aJob, aStep), &aJob);
   }
--- a/mulberryvalve/core/jobs/job_table.h
+++ b/mulberryvalve/core/jobs/job_table.h
@@ -90,7 +90,11 @@
   // The job is no longer on the intake, from which it is removed some time
   // after it finished.
   bool mIsOffIntake = false;
-  std::vector<std::vector<StepState>> mOccurrences;
+  // The state of the steps by occurrence, of those that are due or of which
+  // anything is known: a job may have very many that are due much later. All
+  // before mNextDue are there.
+  std::map<uint32_t, std::vector<StepState>> mOccurrences;
+  uint32_t mNextDue = 0;
 };
 
 // TaskLookup is the result of looking up a task; all pointers are null if its
@@ -117,6 +121,7 @@
   const JobEntry* Find(const JobId& aId) const;
 
   // FindTask returns the task, or null when its job, step or index is unknown.
+  // References to tasks and steps stay valid while their jobs do.
   TaskProgress* FindTask(const TaskRef& aTask);
   const TaskProgress* FindTask(const TaskRef& aTask) const;
 
@@ -184,6 +189,9 @@
   std::unordered_map<JobId, JobEntry>& All() { return mJobs; }
 
 private:
+  std::vector<StepState>& Open(JobEntry& aJob, uint32_t aOccurrence);
+  void OpenDueOccurrences(JobEntry& aJob);
+  bool IsDue(const JobEntry& aJob, uint32_t aOccurrence) const;
   bool IsReady(const JobEntry& aJob, const StepRef& aStep) const;
   void UpdateWaitingCount(JobEntry& aJob);
   void AddIfReady(JobEntry& aJob, const StepRef& aStep);
--- a/mulberryvalve/core/jobs/job_table_test.cc
+++ b/mulberryvalve/core/jobs/job_table_test.cc
@@ -1,4 +1,5 @@
-// JobTable's count of the jobs of which no task was started.
+// JobTable's count of the jobs of which no task was started, and the
+// occurrences of its recurring jobs.
 #include "mulberryvalve/core/jobs/job_table.h"
 
 #include "CppUTest/TestHarness.h"
@@ -7,6 +8,9 @@
 namespace {
 
 const char kQueue[] = "q";
+constexpr uint32_t kTimes = 60000;
+constexpr WallTime kFirst{ 1700000000000 };
+constexpr Milliseconds kInterval{ 60000 };
 
 JobGraph MakeJob(const char* aId)
 {
@@ -17,6 +21,20 @@
   return job;
 }
 
+// Returns a job whose only task runs once a minute, from kFirst on.
+JobGraph RecurringJob(const char* aId)
+{
+  JobGraph job = MakeJob(aId);
+  job.mRecurrence = Recurrence{ kTimes, kFirst, kInterval };
+  return job;
+}
+
+// Returns when the occurrence of this number is due.
+WallTime After(int64_t aOccurrence)
+{
+  return WallTime{ kFirst.mMilliseconds + aOccurrence * kInterval.count() };
+}
+
 TaskRef FirstTask(const char* aId)
 {
   return TaskRef{ { JobId(aId), 0, 0 }, 0 };
@@ -73,6 +91,56 @@
   CHECK_EQUAL(1U, Waiting());
 }
 
+// Guards against all occurrences of jobs being built when they are read, which
+// took more memory than an owner and its successors had (13 jobs of 60,000).
+TEST(JobTableTest, OnlyOccurrencesThatAreDueTakeMemory)
+{
+  JobEntry& entry = *mJobTable.Add(RecurringJob("a"));
+  CHECK_EQUAL(0U, entry.mOccurrences.size());
+  CHECK_EQUAL(uint64_t{ kTimes }, entry.mTaskCount);
+  mJobTable.AddDueSteps(kFirst);
+  CHECK_EQUAL(1U, entry.mOccurrences.size());
+  CHECK_EQUAL(1U, mJobTable.ReadySteps().size());
+  mJobTable.AddDueSteps(After(2));
+  CHECK_EQUAL(3U, entry.mOccurrences.size());
+  CHECK_EQUAL(3U, mJobTable.ReadySteps().size());
+}
+
+// The occurrence was due by the former owner's clock.
+TEST(JobTableTest, ProgressOfAnOccurrenceThatIsNotDueIsKept)
+{
+  JobEntry& entry = *mJobTable.Add(RecurringJob("a"));
+  const TaskRef last{ { JobId("a"), kTimes - 1, 0 }, 0 };
+  JobRecord record;
+  record.mId = JobId("a");
+  record.mTasks.resize(1);
+  record.mTasks[0].mOccurrence = kTimes - 1;
+  record.mTasks[0].mProcessedEnds = { RunNumber(1) };
+  mJobTable.Restore(entry, record);
+  CHECK(mJobTable.FindTask(last)->HasProcessedEnd(RunNumber(1)));
+  CHECK(mJobTable.FindTask(TaskRef{ { JobId("a"), kTimes, 0 }, 0 }) == nullptr);
+  CHECK_EQUAL(0U, mJobTable.ReadySteps().size());
+  mJobTable.MarkDirty(last);
+  const std::vector<JobRecord> parts = mJobTable.TakeDirtyParts(entry);
+  CHECK_EQUAL(1U, parts.size());
+  CHECK_EQUAL((kTimes - 1) / kTasksPerRecord, uint64_t{ parts[0].mPart });
+  CHECK_EQUAL(1U, parts[0].mTasks.size());
+  CHECK_EQUAL(kTimes - 1, parts[0].mTasks[0].mOccurrence);
+}
+
+// Guards against a task that waits for ever: its occurrence was due, and it is
+// to run again after the time of day was set back.
+TEST(JobTableTest, AnOccurrenceThatWasDueStaysDue)
+{
+  mJobTable.Add(RecurringJob("a"));
+  mJobTable.AddDueSteps(kFirst);
+  mJobTable.Assign(FirstTask("a"), WorkerId("w"), RunNumber(1));
+  CHECK_EQUAL(0U, mJobTable.ReadySteps().size());
+  mJobTable.AddDueSteps(After(-1));
+  mJobTable.Unassign(FirstTask("a"));
+  CHECK_EQUAL(1U, mJobTable.ReadySteps().size());
+}
+
 TEST(JobTableTest, RestoredJobWaitsOnlyWithoutProgress)
 {
   JobRecord untouched;
--- a/mulberryvalve/core/jobs/shard_scheduler_placement.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_placement.cc
@@ -146,7 +146,7 @@
                                MonotonicTime aNow)
 {
   const StepSpec& spec = aJob.mGraph.mSteps[aStep.mStep];
-  StepState& step = aJob.mOccurrences[aStep.mOccurrence][aStep.mStep];
+  StepState& step = aJob.mOccurrences.at(aStep.mOccurrence)[aStep.mStep];
   if (step.mWaitingSince == MonotonicTime()) {
     step.mWaitingSince = aNow;
   }
@@ -215,7 +215,7 @@
 bool ShardScheduler::CanPlace(const JobEntry& aJob, const TaskRef& aTask) const
 {
   const TaskProgress& task =
-    aJob.mOccurrences[aTask.mStep.mOccurrence][aTask.mStep.mStep]
+    aJob.mOccurrences.at(aTask.mStep.mOccurrence)[aTask.mStep.mStep]
       .mTasks[aTask.mIndex];
   return task.mPhase == TaskPhase::kWaiting &&
          task.mMinOwnershipProofTime <= mProvedAt &&
--- a/mulberryvalve/core/jobs/shard_scheduler_reports.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_reports.cc
@@ -352,14 +352,14 @@
   if (limit <= 0 || !aJob.mHasFailures) {
     return;
   }
-  for (uint32_t number = 0; number < aJob.mOccurrences.size(); number++) {
-    for (uint32_t step = 0; step < aJob.mGraph.mSteps.size(); step++) {
+  for (const auto& [occurrence, steps] : aJob.mOccurrences) {
+    for (uint32_t step = 0; step < steps.size(); step++) {
       const StepSpec& spec = aJob.mGraph.mSteps[step];
       if (spec.mLongRunning) {
         continue;
       }
       int gangFailures = 0;
-      for (const TaskProgress& task : aJob.mOccurrences[number][step].mTasks) {
+      for (const TaskProgress& task : steps[step].mTasks) {
         gangFailures += task.mFailures;
         const int failures = spec.mGang ? gangFailures : task.mFailures;
         if (!task.mDone && failures >= limit) {
@@ -381,12 +381,13 @@
   mJobTable.MarkPhaseDirty(aJob);
   LogJobDecision(
     DecisionKind::kJobOver, id, std::string(kJobPhaseNames.Name(aPhase)));
-  for (uint32_t number = 0; number < aJob.mOccurrences.size(); number++) {
-    for (uint32_t step = 0; step < aJob.mGraph.mSteps.size(); step++) {
-      const auto& tasks = aJob.mOccurrences[number][step].mTasks;
+  for (const auto& [occurrence, steps] : aJob.mOccurrences) {
+    for (uint32_t step = 0; step < steps.size(); step++) {
+      const auto& tasks = steps[step].mTasks;
       for (uint32_t index = 0; index < tasks.size(); index++) {
         if (IsPlaced(tasks[index].mPhase)) {
-          OrderStop(TaskRef{ { id, number, step }, index }, "its job ended");
+          OrderStop(TaskRef{ { id, occurrence, step }, index },
+                    "its job ended");
         }
       }
     }
--- a/mulberryvalve/core/jobs/shard_scheduler_waiting.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_waiting.cc
@@ -37,7 +37,7 @@
 
 bool HasPlacedTask(const JobEntry& aJob)
 {
-  for (const auto& steps : aJob.mOccurrences) {
+  for (const auto& [occurrence, steps] : aJob.mOccurrences) {
     for (const StepState& step : steps) {
       if (!step.mTasksPerWorker.empty()) {
         return true;
@@ -75,7 +75,7 @@
                                                const ReadyStepKey& aStep) const
 {
   CachedForecast& cached =
-    aJob.mOccurrences[aStep.mOccurrence][aStep.mStep].mForecast;
+    aJob.mOccurrences.at(aStep.mOccurrence)[aStep.mStep].mForecast;
   const CachedForecast::Basis basis{ mRunTimes.VersionOf(aJob.mGraph.mQueue),
                                      mConfigVersion,
                                      aJob.mFinished };
