--- a/mulberryvalve/core/jobs/restarted_worker_test.cc
+++ b/mulberryvalve/core/jobs/restarted_worker_test.cc
@@ -204,12 +204,13 @@
   owner.mNextRenewalAt[worker] = starts.mSim->Now() + kNoRenewal;
   starts.Deliver();
   CHECK(starts.RunsOnWorker() > 0);
-  starts.mSim->MakeUnreachable(worker, starts.mSim->Now());
+  const MonotonicTime cutOffAt = starts.mSim->Now();
+  starts.mSim->MakeUnreachable(worker, cutOffAt);
   starts.Answer();
   starts.mSim->RunFor(Milliseconds(900));
   const RenewalReply unanswered;
-  owner.mShard->OnRenewalReply(
-    *renewal, unanswered, starts.mSim->Now(), starts.mSim->Now());
+  const MonotonicTime now = starts.mSim->Now();
+  owner.mShard->OnRenewalReply(*renewal, unanswered, now, now);
   starts.CheckOneRunEach();
 }
 
