A job whose starts were all refused counts as waiting

Cause: a job counted as begun once a start of it was sent, and no refusal took that back.

Change: the starts that were sent and not refused are counted.

Measured on x86_64: JobsWhoseStartsWereAllRefusedAreCountedAsWaiting, which needs the call that the change adds.

--- a/mulberryvalve/core/jobs/job_table.cc
+++ b/mulberryvalve/core/jobs/job_table.cc
@@ -137,7 +137,7 @@
     task->mProcessedEnds = record.mProcessedEnds;
     task->mCheckpoint = record.mCheckpoint;
     task->mFormerWorkers = record.mPossibleWorkers;
-    aJob.mHasStarted = aJob.mHasStarted || HasEnds(record);
+    aJob.mHasFormerEnds = aJob.mHasFormerEnds || HasEnds(record);
     if (record.mDone) {
       Finish(ref);
     }
@@ -233,7 +233,16 @@
 void JobTable::MarkStarted(const JobId& aJob)
 {
   JobEntry& job = mJobs.at(aJob);
-  job.mHasStarted = true;
+  job.mStartCount++;
+  UpdateWaitingCount(job);
+}
+
+void JobTable::OnStartRefused(const JobId& aJob)
+{
+  JobEntry& job = mJobs.at(aJob);
+  if (job.mStartCount > 0) {
+    job.mStartCount--;
+  }
   UpdateWaitingCount(job);
 }
 
@@ -370,7 +379,7 @@
 // Adds a job to the count of waiting jobs, or removes it.
 void JobTable::UpdateWaitingCount(JobEntry& aJob)
 {
-  const bool waits = !aJob.mHasStarted && !IsOver(aJob.mPhase);
+  const bool waits = !aJob.HasStarted() && !IsOver(aJob.mPhase);
   if (waits == aJob.mIsCountedAsWaiting) {
     return;
   }
--- a/mulberryvalve/core/jobs/job_table.h
+++ b/mulberryvalve/core/jobs/job_table.h
@@ -63,8 +63,10 @@
   JobPhase mDurablePhase = JobPhase::kQueued;
   // A former owner may have started tasks of the job.
   bool mMayHaveFormerRuns = false;
-  // A task of the job has been started.
-  bool mHasStarted = false;
+  // A run of a task of the job has ended before this owner.
+  bool mHasFormerEnds = false;
+  // The starts of its tasks that were sent and not refused, and the runs found.
+  uint64_t mStartCount = 0;
   // The job is included in the count that JobTable::Waiting returns.
   bool mIsCountedAsWaiting = false;
   // When the job was read from the log. Another owner's claim may be older than
@@ -95,6 +97,9 @@
   // before mNextDue are there.
   std::map<uint32_t, std::vector<StepState>> mOccurrences;
   uint32_t mNextDue = 0;
+
+  // Returns whether a task of the job has been started.
+  bool HasStarted() const { return mHasFormerEnds || mStartCount > 0; }
 };
 
 // TaskLookup is the result of looking up a task; all pointers are null if its
@@ -147,6 +152,10 @@
   // sent or that a run of it was found.
   void MarkStarted(const JobId& aJob);
 
+  // OnStartRefused takes back one call of MarkStarted, as the worker will never
+  // carry out that start. The job must exist.
+  void OnStartRefused(const JobId& aJob);
+
   // ReadySteps returns the steps with waiting tasks that are ready, with their
   // jobs. AddDueSteps adds those of occurrences that are due at aNow.
   const std::map<ReadyStepKey, JobEntry*>& ReadySteps() const
--- a/mulberryvalve/core/jobs/job_table_test.cc
+++ b/mulberryvalve/core/jobs/job_table_test.cc
@@ -74,6 +74,21 @@
   CHECK_EQUAL(0U, mJobTable.Waiting(QueueId("other")));
 }
 
+// Guards against jobs being left out of the count that no worker took a task of
+// (MIXED, found by the second review).
+TEST(JobTableTest, JobsWhoseStartsWereAllRefusedAreCountedAsWaiting)
+{
+  mJobTable.Add(MakeJob("a"));
+  mJobTable.MarkStarted(JobId("a"));
+  mJobTable.MarkStarted(JobId("a"));
+  mJobTable.OnStartRefused(JobId("a"));
+  CHECK_EQUAL(0U, Waiting());
+  mJobTable.OnStartRefused(JobId("a"));
+  CHECK_EQUAL(1U, Waiting());
+  mJobTable.MarkStarted(JobId("a"));
+  CHECK_EQUAL(0U, Waiting());
+}
+
 TEST(JobTableTest, FinishedJobsAreNotCountedAsWaiting)
 {
   JobEntry& cancelled = *mJobTable.Add(MakeJob("a"));
--- a/mulberryvalve/core/jobs/shard_scheduler.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler.cc
@@ -336,7 +336,7 @@
   if (IsOver(job->mDurablePhase)) {
     return job->mDurablePhase;
   }
-  return job->mHasStarted ? JobPhase::kRunning : JobPhase::kQueued;
+  return job->HasStarted() ? JobPhase::kRunning : JobPhase::kQueued;
 }
 
 std::optional<MonotonicTime> ShardScheduler::CancelledAt(
--- a/mulberryvalve/core/jobs/shard_scheduler_replies.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_replies.cc
@@ -106,6 +106,9 @@
   }
   // Either the worker will never start this run, or the run was started by an
   // earlier message. The worker's next report shows which.
+  if (outcome != OrderOutcome::kOutdated) {
+    mJobTable.OnStartRefused(aOrder.mTask.mStep.mJob);
+  }
   if (worker != nullptr) {
     const bool unhealthy = outcome == OrderOutcome::kUnhealthy;
     AvoidWorker(*worker,
--- a/mulberryvalve/core/jobs/shard_scheduler_starts.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_starts.cc
@@ -37,7 +37,7 @@
   if (!aWorker.mClock) {
     return;
   }
-  const bool first = !aJob.mHasStarted && !aJob.mMayHaveFormerRuns &&
+  const bool first = !aJob.HasStarted() && !aJob.mMayHaveFormerRuns &&
                      !mHeldStarts.HasAnyOf(aJob.mGraph.mId);
   const bool isTolerated =
     HasWaitedTooLong(aJob, mJobTable.StepOf(aTask.mStep), aNow);
