--- a/mulberryvalve/core/jobs/shard_scheduler_former_owners.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_former_owners.cc
@@ -92,8 +92,8 @@
   mEndedClaims.insert(mEndedClaims.end(), ended.begin(), ended.end());
 }
 
-// Returns whether the outcome of a start on the worker is open: a new
-// incarnation of the worker may carry it out, with a lease of its own.
+// Returns whether the outcome of a start on the worker is open: unanswered, it
+// may be carried out by a new incarnation, with a lease of its own.
 bool ShardScheduler::HasOpenStart(const WorkerEntry& aWorker) const
 {
   const auto isOpen = [this](const TaskRef& aTask) {
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -287,8 +287,8 @@
   MonotonicTime EndOfRunsProvedAt(MonotonicTime aRecordedAt) const;
 
   // EndOfRunsOrderedBy returns when all runs have certainly ended of an owner
-  // that sent its last message by aOrderedBy. A start that reaches a new
-  // incarnation of its worker may last for the longest lease.
+  // that sent its last message by aOrderedBy. An unanswered start that a new
+  // incarnation of its worker carries out may last for the longest lease.
   MonotonicTime EndOfRunsOrderedBy(MonotonicTime aOrderedBy) const;
 
   // EndOfRunsLeft returns when runs have certainly ended that went on for aLeft
