--- a/mulberryvalve/core/jobs/cluster_config.h
+++ b/mulberryvalve/core/jobs/cluster_config.h
@@ -3,9 +3,11 @@
 #ifndef MULBERRYVALVE_CORE_JOBS_CLUSTER_CONFIG_H_
 #define MULBERRYVALVE_CORE_JOBS_CLUSTER_CONFIG_H_
 
+#include "mulberryvalve/core/accounts/account_directory.h"
 #include "mulberryvalve/core/jobs/job_graph.h"
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -21,6 +23,8 @@
   std::string mHost;
   std::string mPathPrefix;
   QueueRules mRules;
+  // Callers need no key of a client account.
+  bool mIsPublic = false;
 
   // Id returns the queue's name.
   QueueId Id() const { return QueueId(mHost + mPathPrefix); }
@@ -35,6 +39,9 @@
   std::map<QueueId, QueueRules> mRules;
   // Failure domains whose workers get no new tasks.
   std::set<DomainId> mExcludedDomains;
+  // The client accounts; null if the configuration has none, so that no call
+  // needs a key and no job belongs to an account.
+  std::shared_ptr<const AccountDirectory> mAccounts;
   // The largest request body that a client may send, in bytes.
   size_t mMaxBodyBytes = 0;
 
--- a/mulberryvalve/core/jobs/job_graph.h
+++ b/mulberryvalve/core/jobs/job_graph.h
@@ -2,6 +2,7 @@
 #ifndef MULBERRYVALVE_CORE_JOBS_JOB_GRAPH_H_
 #define MULBERRYVALVE_CORE_JOBS_JOB_GRAPH_H_
 
+#include "mulberryvalve/core/accounts/client_account.h"
 #include "mulberryvalve/core/base/time.h"
 #include "mulberryvalve/core/model/ids.h"
 #include "mulberryvalve/core/model/resources.h"
@@ -104,6 +105,9 @@
   // The rules of the queue when the job was accepted. They stay in force after
   // the queue is removed.
   QueueRules mRules;
+  // The client account that submitted the job; empty if none is known. It stays
+  // with the job when the account is removed.
+  ClientAccountId mAccount;
   // Opaque to the scheduler; passed to the workers unchanged.
   std::string mSpecification;
   std::vector<StepSpec> mSteps;
