--- a/mulberryvalve/adapters/http/http_status.h
+++ b/mulberryvalve/adapters/http/http_status.h
@@ -6,6 +6,7 @@
 
 inline constexpr int kStatusOk = 200;
 inline constexpr int kStatusBadRequest = 400;
+inline constexpr int kStatusUnauthorized = 401;
 inline constexpr int kStatusForbidden = 403;
 inline constexpr int kStatusNotFound = 404;
 inline constexpr int kStatusConflict = 409;
--- a/mulberryvalve/adapters/json/job_log_json.cc
+++ b/mulberryvalve/adapters/json/job_log_json.cc
@@ -91,6 +91,7 @@
   JobGraph job;
   job.mId = JobId(aId);
   job.mQueue = QueueId(reader.Text("queue", kMaxSpecificationBytes));
+  job.mAccount = ClientAccountId(reader.TextOr("account", ""));
   job.mSpecification = reader.TextOr("text", "", kMaxSpecificationBytes);
   JsonReader rules(reader.Object("rules"));
   job.mRules = RulesFromJson(rules);
@@ -273,6 +274,7 @@
   json object{ { "queue", aJob.mQueue.Text() },
                { "rules", RulesToJson(aJob.mRules) },
                { "steps", json::array() } };
+  PutText(object, "account", aJob.mAccount.Text());
   PutText(object, "text", aJob.mSpecification);
   for (const StepSpec& step : aJob.mSteps) {
     object["steps"].push_back(StepToJson(step));
--- a/mulberryvalve/adapters/json/job_log_json_test.cc
+++ b/mulberryvalve/adapters/json/job_log_json_test.cc
@@ -32,6 +32,7 @@
   job.mRecurrence =
     Recurrence{ 3, WallTime{ 1780000000000 }, Milliseconds(2000) };
   job.mAcceptedAt = WallTime{ 1780000000500 };
+  job.mAccount = ClientAccountId("acme");
   return job;
 }
 
@@ -52,6 +53,7 @@
   STRCMP_EQUAL(entry.mValue->c_str(), codec.Encode(decoded).mValue->c_str());
   CHECK_EQUAL(3U, decoded.Occurrences());
   CHECK_EQUAL(1780000000500, decoded.mAcceptedAt.mMilliseconds);
+  STRCMP_EQUAL("acme", decoded.mAccount.Text().c_str());
   CHECK(decoded.mSteps[1].mGang);
   CHECK_EQUAL(18, decoded.mSteps[1].mTailLatencyTarget.count());
   CHECK_FALSE(decoded.mSteps[0].mGang);
--- a/mulberryvalve/core/accounts/account_directory.h
+++ b/mulberryvalve/core/accounts/account_directory.h
@@ -2,9 +2,11 @@
 #ifndef MULBERRYVALVE_CORE_ACCOUNTS_ACCOUNT_DIRECTORY_H_
 #define MULBERRYVALVE_CORE_ACCOUNTS_ACCOUNT_DIRECTORY_H_
 
+#include "mulberryvalve/core/accounts/api_key_index.h"
 #include "mulberryvalve/core/accounts/client_account.h"
 
 #include <map>
+#include <string_view>
 #include <utility>
 
 namespace mulberryvalve {
@@ -13,9 +15,18 @@
 class AccountDirectory
 {
 public:
-  explicit AccountDirectory(std::map<ClientAccountId, ClientAccount> aAccounts)
+  using Accounts = std::map<ClientAccountId, ClientAccount>;
+
+  explicit AccountDirectory(Accounts aAccounts, ApiKeyIndex aKeys = {})
     : mAccounts(std::move(aAccounts))
+    , mKeys(std::move(aKeys))
+  {
+  }
+
+  // AccountOfKey returns the account to which an API key belongs, or null.
+  const ClientAccountId* AccountOfKey(std::string_view aKey) const
   {
+    return mKeys.Find(aKey);
   }
 
   // Find returns the account, or null if this version of the configuration does
@@ -27,13 +38,11 @@
   }
 
   // All returns every account by id.
-  const std::map<ClientAccountId, ClientAccount>& All() const
-  {
-    return mAccounts;
-  }
+  const Accounts& All() const { return mAccounts; }
 
 private:
-  const std::map<ClientAccountId, ClientAccount> mAccounts;
+  const Accounts mAccounts;
+  const ApiKeyIndex mKeys;
 };
 
 } // namespace mulberryvalve
--- a/mulberryvalve/ports/out/metrics.h
+++ b/mulberryvalve/ports/out/metrics.h
@@ -87,9 +87,11 @@
   kFormerWorkersGone,
   kFormerWorkersShortened,
   kStartsUnrecorded,
+  kRequestsUnauthorized,
+  kWaitsForAccount,
 };
 
-inline constexpr MetricTable<Counter, 46> kCounterNames{ { {
+inline constexpr MetricTable<Counter, 48> kCounterNames{ { {
   { Counter::kRequestsAnswered,
     "requests_answered",
     "Requests whose answer was given to the caller" },
@@ -211,6 +213,12 @@
   { Counter::kStartsUnrecorded,
     "starts_unrecorded",
     "Starts that were sent before the log named their worker" },
+  { Counter::kRequestsUnauthorized,
+    "requests_unauthorized",
+    "Requests refused because their API key was missing or unknown" },
+  { Counter::kWaitsForAccount,
+    "waits_for_account",
+    "Steps that waited because their account was at its limit" },
 } } };
 static_assert(kCounterNames.InOrder());
 
