--- a/mulberryvalve/app/jobs/decision_metrics.cc
+++ b/mulberryvalve/app/jobs/decision_metrics.cc
@@ -60,6 +60,9 @@
     case WaitCause::kPressure:
       mMetrics.Add(Counter::kWaitsForPressure, 1);
       break;
+    case WaitCause::kAccountLimit:
+      mMetrics.Add(Counter::kWaitsForAccount, 1);
+      break;
   }
 }
 
--- a/mulberryvalve/app/jobs/shard_runtime_readers.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_readers.cc
@@ -90,6 +90,7 @@
   mWatchdog.RecordLoad(size);
   ShardSchedulerOptions options;
   options.mEpoch = mOptions.mEpoch;
+  options.mShards = mOptions.mShards;
   options.mLease = mOptions.mLease;
   options.mProofLimit = mOptions.mProofLimit;
   options.mKeepOver = mOptions.mKeepOver;
--- /dev/null
+++ b/mulberryvalve/core/jobs/account_scheduling.cc
@@ -0,0 +1,235 @@
+#include "mulberryvalve/core/jobs/account_scheduling.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace mulberryvalve {
+namespace {
+
+// A job beyond the rate of its account that is older than this many objectives
+// counts as within, so that none waits forever.
+constexpr int64_t kMaxAgeBeyondRate = 6;
+// How often the demand of inherited tasks is counted while workers of former
+// owners are awaited. Between two counts it is too high rather than too low.
+constexpr Milliseconds kInheritedInterval{ 100 };
+// At most one line an account in this time. Also the time without a refusal
+// after which an account counts as below its limit again.
+constexpr Milliseconds kReportInterval{ 1000 };
+
+std::string ToText(const Resources& aAmount)
+{
+  return "cpu " + std::to_string(aAmount.mCpuMillis) + " mem " +
+         std::to_string(aAmount.mMemoryMb) + " acc " +
+         std::to_string(aAmount.mAccelerators);
+}
+
+Resources Times(const Resources& aDemand, uint32_t aCount)
+{
+  return Resources{ aDemand.mCpuMillis * aCount,
+                    aDemand.mMemoryMb * aCount,
+                    aDemand.mAccelerators * aCount };
+}
+
+} // namespace
+
+AccountScheduling::AccountScheduling(uint32_t aShards,
+                                     const JobTable& aJobs,
+                                     const InheritedWorkers& aInherited)
+  : mJobs(aJobs)
+  , mInherited(aInherited)
+  , mUsage(aShards)
+{
+}
+
+void AccountScheduling::OnConfig(const ClusterConfig& aConfig)
+{
+  mUsage.SetAccounts(aConfig.mAccounts);
+  mVersion = aConfig.mVersion;
+}
+
+void AccountScheduling::OnJobAdded(const JobEntry& aJob)
+{
+  if (!aJob.mGraph.mAccount.Empty()) {
+    mUnratedJobs.push_back(aJob.mGraph.mId);
+  }
+}
+
+void AccountScheduling::Charge(const JobEntry& aJob, const StepSpec& aSpec)
+{
+  mUsage.Charge(aJob.mGraph.mAccount, aSpec.mDemand);
+}
+
+void AccountScheduling::Release(const JobEntry& aJob, const StepSpec& aSpec)
+{
+  mUsage.Release(aJob.mGraph.mAccount, aSpec.mDemand);
+}
+
+void AccountScheduling::BeginPass(JobTable& aJobs, MonotonicTime aNow)
+{
+  mPass++;
+  mPassBegunAt = aNow;
+  mShares.clear();
+  if (mUsage.IsInForce()) {
+    RateNewJobs(aJobs);
+    ChargeInherited(aNow);
+  }
+}
+
+// Jobs of before the claim are restored in any order, so they are rated by time
+// of acceptance; a successor then counts them as its predecessor did.
+void AccountScheduling::RateNewJobs(JobTable& aJobs)
+{
+  std::vector<JobEntry*> jobs;
+  for (const JobId& id : std::exchange(mUnratedJobs, {})) {
+    if (JobEntry* job = aJobs.Find(id)) {
+      jobs.push_back(job);
+    }
+  }
+  std::stable_sort(jobs.begin(),
+                   jobs.end(),
+                   [](const JobEntry* aLeft, const JobEntry* aRight) {
+                     return aLeft->mGraph.mAcceptedAt.mMilliseconds <
+                            aRight->mGraph.mAcceptedAt.mMilliseconds;
+                   });
+  for (JobEntry* job : jobs) {
+    const ClientAccountId& account = job->mGraph.mAccount;
+    const double rate = mUsage.Weight(account);
+    job->mIsBeyondRate =
+      rate > 0 && !mRate.Admit(account, rate, job->mGraph.mAcceptedAt);
+  }
+}
+
+// Charges the tasks that may run on workers that have not answered: by their
+// records or, if the log took none, by their bucket.
+void AccountScheduling::ChargeInherited(MonotonicTime aNow)
+{
+  const bool isPending = mInherited.PendingCount() > 0;
+  if (!isPending && !mHasInherited) {
+    return;
+  }
+  if (isPending && mHasInherited && aNow < mChargeInheritedAt) {
+    return;
+  }
+  mHasInherited = isPending;
+  mChargeInheritedAt = aNow + kInheritedInterval;
+  std::map<ClientAccountId, Resources> demand;
+  for (const auto& [task, workers] : mInherited.BlockedTasks()) {
+    const JobEntry* job = mJobs.Find(task.mStep.mJob);
+    const TaskProgress* progress = mJobs.FindTask(task);
+    if (job != nullptr && progress != nullptr &&
+        progress->mPhase == TaskPhase::kWaiting) {
+      demand[job->mGraph.mAccount] +=
+        job->mGraph.mSteps[task.mStep.mStep].mDemand;
+    }
+  }
+  for (const auto& [key, job] : mJobs.ReadySteps()) {
+    const StepRef step{ job->mGraph.mId, key.mOccurrence, key.mStep };
+    const StepSpec& spec = job->mGraph.mSteps[key.mStep];
+    for (uint32_t index = 0; index < spec.mCount; index++) {
+      if (MayRunElsewhere(*job, TaskRef{ step, index })) {
+        demand[job->mGraph.mAccount] += spec.mDemand;
+      }
+    }
+  }
+  demand.erase(ClientAccountId());
+  mUsage.SetInherited(std::move(demand));
+}
+
+// Returns whether a run of a waiting task without a record may be left.
+bool AccountScheduling::MayRunElsewhere(const JobEntry& aJob,
+                                        const TaskRef& aTask) const
+{
+  const StepSpec& spec = aJob.mGraph.mSteps[aTask.mStep.mStep];
+  return !aJob.mGraph.mAccount.Empty() && !mInherited.BlocksTask(aTask) &&
+         mInherited.MayRun(aTask, spec, aJob.mMayHaveFormerRuns) &&
+         mJobs.FindTask(aTask)->mPhase == TaskPhase::kWaiting;
+}
+
+AccountShare AccountScheduling::ShareOf(const JobEntry& aJob,
+                                        MonotonicTime aAcceptedAt,
+                                        Milliseconds aObjective,
+                                        MonotonicTime aNow)
+{
+  const ClientAccountId& account = aJob.mGraph.mAccount;
+  if (!mUsage.IsInForce() || account.Empty()) {
+    return AccountShare();
+  }
+  const auto [found, isNew] = mShares.try_emplace(account);
+  if (isNew) {
+    found->second.mAccount = static_cast<uint32_t>(mShares.size());
+    found->second.mWeight = mUsage.Weight(account);
+    found->second.mRunningCpuMillis = mUsage.Charged(account).mCpuMillis;
+  }
+  AccountShare share = found->second;
+  share.mIsBeyondRate =
+    aJob.mIsBeyondRate && aNow - aAcceptedAt < kMaxAgeBeyondRate * aObjective;
+  return share;
+}
+
+bool AccountScheduling::MayStart(const JobEntry& aJob,
+                                 const StepSpec& aSpec,
+                                 uint32_t aTasks)
+{
+  const ClientAccountId& account = aJob.mGraph.mAccount;
+  if (!mUsage.IsInForce() || account.Empty()) {
+    return true;
+  }
+  if (IsRefusedInPass(account)) {
+    return false;
+  }
+  if (mUsage.MayStart(account, Times(aSpec.mDemand, aTasks))) {
+    return true;
+  }
+  LimitState& state = mLimited[account];
+  state.mRefusedInPass = mPass;
+  state.mRefusedAt = mPassBegunAt;
+  return false;
+}
+
+bool AccountScheduling::IsRefusedInPass(const ClientAccountId& aAccount) const
+{
+  const auto limited = mLimited.find(aAccount);
+  return limited != mLimited.end() && limited->second.mRefusedInPass == mPass;
+}
+
+std::string AccountScheduling::WaitReason(const JobEntry& aJob,
+                                          const StepSpec& aSpec) const
+{
+  const ClientAccountId& account = aJob.mGraph.mAccount;
+  const bool waits =
+    mUsage.IsInForce() && !account.Empty() &&
+    (IsRefusedInPass(account) || !mUsage.MayStart(account, aSpec.mDemand));
+  return waits ? Describe(account) : std::string();
+}
+
+std::vector<JobDecision> AccountScheduling::TakeChanges(MonotonicTime aNow)
+{
+  std::vector<JobDecision> changes;
+  for (auto entry = mLimited.begin(); entry != mLimited.end();) {
+    LimitState& state = entry->second;
+    const bool isLimited = aNow < state.mRefusedAt + kReportInterval;
+    if (isLimited != state.mIsReported && aNow >= state.mReportAt) {
+      state.mIsReported = isLimited;
+      state.mReportAt = aNow + kReportInterval;
+      JobDecision decision;
+      decision.mKind = isLimited ? DecisionKind::kAccountLimited
+                                 : DecisionKind::kAccountUnlimited;
+      decision.mReason = Describe(entry->first);
+      changes.push_back(std::move(decision));
+    }
+    const bool isOver = !isLimited && !state.mIsReported;
+    entry = isOver ? mLimited.erase(entry) : std::next(entry);
+  }
+  return changes;
+}
+
+std::string AccountScheduling::Describe(const ClientAccountId& aAccount) const
+{
+  return "account " + aAccount.Text() + ", charged " +
+         ToText(mUsage.Charged(aAccount)) + ", limit " +
+         ToText(mUsage.Limit(aAccount)) + ", version " +
+         std::to_string(mVersion);
+}
+
+} // namespace mulberryvalve
--- /dev/null
+++ b/mulberryvalve/core/jobs/account_scheduling.h
@@ -0,0 +1,105 @@
+// AccountScheduling: the limits and shares of client accounts in the decisions
+// of a shard's owner.
+#ifndef MULBERRYVALVE_CORE_JOBS_ACCOUNT_SCHEDULING_H_
+#define MULBERRYVALVE_CORE_JOBS_ACCOUNT_SCHEDULING_H_
+
+#include "mulberryvalve/core/accounts/account_rate.h"
+#include "mulberryvalve/core/accounts/account_usage.h"
+#include "mulberryvalve/core/jobs/cluster_config.h"
+#include "mulberryvalve/core/jobs/inherited_workers.h"
+#include "mulberryvalve/core/jobs/job_decision.h"
+#include "mulberryvalve/core/jobs/job_table.h"
+#include "mulberryvalve/core/jobs/queueing_policy.h"
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace mulberryvalve {
+
+// Does nothing while the configuration has no accounts, but for counting what
+// their jobs have running. Not synchronised.
+class AccountScheduling
+{
+public:
+  // aShards owners divide the limits. aJobs and aInherited must outlive this
+  // object.
+  AccountScheduling(uint32_t aShards,
+                    const JobTable& aJobs,
+                    const InheritedWorkers& aInherited);
+
+  // Applies a configuration.
+  void OnConfig(const ClusterConfig& aConfig);
+
+  // Records a job that was added to the table, in any order for those of before
+  // the claim.
+  void OnJobAdded(const JobEntry& aJob);
+
+  // Charge adds a task of aJob that is to start on a worker or was found there,
+  // and Release removes it.
+  void Charge(const JobEntry& aJob, const StepSpec& aSpec);
+  void Release(const JobEntry& aJob, const StepSpec& aSpec);
+
+  // Begins a pass over the waiting steps: rates the jobs that are new in aJobs,
+  // and forgets which accounts were refused.
+  void BeginPass(JobTable& aJobs, MonotonicTime aNow);
+
+  // Returns what the order of a step of aJob depends on, at most
+  // kMaxAgeBeyondRate objectives after the job was accepted at aAcceptedAt.
+  AccountShare ShareOf(const JobEntry& aJob,
+                       MonotonicTime aAcceptedAt,
+                       Milliseconds aObjective,
+                       MonotonicTime aNow);
+
+  // Returns whether aTasks tasks of a step of aJob may start now. Once a step
+  // of an account may not, no other of the account may in the same pass, so
+  // that large tasks are not passed over forever.
+  bool MayStart(const JobEntry& aJob,
+                const StepSpec& aSpec,
+                uint32_t aTasks = 1);
+
+  // Returns limit, charge and version of the account of a job, for a log line;
+  // an empty text if the step does not wait for its account.
+  std::string WaitReason(const JobEntry& aJob, const StepSpec& aSpec) const;
+
+  // Returns the accounts that reached their limit or fell below it since the
+  // last call, each at most once a second.
+  std::vector<JobDecision> TakeChanges(MonotonicTime aNow);
+
+  const AccountUsage& Usage() const { return mUsage; }
+
+private:
+  // LimitState tells when an account was last refused and what was logged.
+  struct LimitState
+  {
+    uint64_t mRefusedInPass = 0;
+    MonotonicTime mRefusedAt;
+    MonotonicTime mReportAt;
+    bool mIsReported = false;
+  };
+
+  void RateNewJobs(JobTable& aJobs);
+  void ChargeInherited(MonotonicTime aNow);
+  bool IsRefusedInPass(const ClientAccountId& aAccount) const;
+  bool MayRunElsewhere(const JobEntry& aJob, const TaskRef& aTask) const;
+  std::string Describe(const ClientAccountId& aAccount) const;
+
+  const JobTable& mJobs;
+  const InheritedWorkers& mInherited;
+  AccountUsage mUsage;
+  AccountRate mRate;
+  uint64_t mVersion = 0;
+  std::vector<JobId> mUnratedJobs;
+  // The number of the present pass, and when it began.
+  uint64_t mPass = 0;
+  MonotonicTime mPassBegunAt;
+  // The shares of the accounts in the present pass.
+  std::unordered_map<ClientAccountId, AccountShare> mShares;
+  std::unordered_map<ClientAccountId, LimitState> mLimited;
+  bool mHasInherited = false;
+  MonotonicTime mChargeInheritedAt;
+};
+
+} // namespace mulberryvalve
+
+#endif // MULBERRYVALVE_CORE_JOBS_ACCOUNT_SCHEDULING_H_
--- a/mulberryvalve/core/jobs/job_decision.h
+++ b/mulberryvalve/core/jobs/job_decision.h
@@ -32,11 +32,13 @@
   kWorkerFenced,    // it follows a newer owner
   kWorkerPaced,     // the pace of its best-effort tasks changed
   kTasksHeld, // tasks wait for a former owner's workers, or stopped waiting
-  kWorkerReleased,  // the wait for a former owner's worker has ended
-  kStartUnrecorded, // a start was sent before the log named its worker
+  kWorkerReleased,   // the wait for a former owner's worker has ended
+  kStartUnrecorded,  // a start was sent before the log named its worker
+  kAccountLimited,   // tasks of a client account wait for its limit
+  kAccountUnlimited, // none do any more
 };
 
-inline constexpr EnumTable<DecisionKind, 21> kDecisionKindNames{ { {
+inline constexpr EnumTable<DecisionKind, 23> kDecisionKindNames{ { {
   { DecisionKind::kJobKnown, "job_known" },
   { DecisionKind::kJobCancelled, "job_cancelled" },
   { DecisionKind::kJobOver, "job_over" },
@@ -58,6 +60,8 @@
   { DecisionKind::kTasksHeld, "tasks_held" },
   { DecisionKind::kWorkerReleased, "worker_released" },
   { DecisionKind::kStartUnrecorded, "start_unrecorded" },
+  { DecisionKind::kAccountLimited, "account_limited" },
+  { DecisionKind::kAccountUnlimited, "account_unlimited" },
 } } };
 
 // WaitCause is the most frequent reason why workers are ruled out for a waiting
@@ -69,14 +73,16 @@
   kWorkers,  // their state is unknown, or they are avoided, leaving or unsuited
   kRoom,     // they have no free capacity
   kPressure, // their serving tasks would miss a latency target
+  kAccountLimit, // the client account has as much running as it may
 };
 
-inline constexpr EnumTable<WaitCause, 5> kWaitCauseNames{ { {
+inline constexpr EnumTable<WaitCause, 6> kWaitCauseNames{ { {
   { WaitCause::kNone, "none" },
   { WaitCause::kFormerOwner, "former_owner" },
   { WaitCause::kWorkers, "workers" },
   { WaitCause::kRoom, "room" },
   { WaitCause::kPressure, "pressure" },
+  { WaitCause::kAccountLimit, "account_limit" },
 } } };
 
 // JobDecision states what was decided, for which job, task and worker, and why.
--- a/mulberryvalve/core/jobs/job_table.h
+++ b/mulberryvalve/core/jobs/job_table.h
@@ -82,6 +82,8 @@
   uint64_t mFinished = 0;
   // A task of the job has failed.
   bool mHasFailures = false;
+  // The job is beyond the rate that its client account may send.
+  bool mIsBeyondRate = false;
   // The highest run number assigned in the current epoch.
   RunNumber mLastRun;
   MonotonicTime mFinishedAt;
--- a/mulberryvalve/core/jobs/queueing_policy.h
+++ b/mulberryvalve/core/jobs/queueing_policy.h
@@ -26,6 +26,19 @@
   }
 };
 
+// AccountShare is what the order of a step depends on in its client account.
+struct AccountShare
+{
+  // Number of the account within one call of Sort; zero for jobs without one.
+  uint32_t mAccount = 0;
+  // The account's weight relative to those of the others, and the CPU of its
+  // running tasks in thousandths of a core.
+  double mWeight = 0;
+  int64_t mRunningCpuMillis = 0;
+  // The job is beyond the rate that the account may send.
+  bool mIsBeyondRate = false;
+};
+
 // WaitingStep is one step with waiting tasks that are ready.
 struct WaitingStep
 {
@@ -38,6 +51,7 @@
   // Remaining work of the job in thousandths of a core times milliseconds; zero
   // for long-running tasks.
   int64_t mRemainingWork = 0;
+  AccountShare mShare;
 };
 
 // QueueingPolicy sorts the waiting steps. Implementations hold no state that
--- a/mulberryvalve/core/jobs/shard_scheduler.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler.cc
@@ -30,6 +30,7 @@
   , mClaimedAt(aClaimedAt)
   , mWorkers(aOptions.mLease)
   , mSearch(aPolicies.mPlacement, mWorkers)
+  , mAccounts(aOptions.mShards, mJobTable, mInheritedWorkers)
   , mHeldTasks(mJobTable, mWorkers, mInheritedWorkers, aClaimedAt)
   , mRefreshNotesAt(aClaimedAt + kFirstNoteRefresh)
   , mSaveLearnedAt(aClaimedAt + kSaveLearnedInterval)
@@ -44,6 +45,7 @@
     return;
   }
   job->mMayHaveFormerRuns = true;
+  mAccounts.OnJobAdded(*job);
   if (aRecord != nullptr) {
     mJobTable.Restore(*job, *aRecord);
     for (const TaskRecord& task : aRecord->mTasks) {
@@ -102,6 +104,7 @@
     return;
   }
   job->mReadAt = aNow;
+  mAccounts.OnJobAdded(*job);
   // The former owner may have started the job within its last proof of
   // ownership.
   job->mMayHaveFormerRuns = aNotBefore < mClaimedAt +
@@ -133,6 +136,7 @@
 {
   mConfig = aConfig;
   mConfigVersion++;
+  mAccounts.OnConfig(aConfig);
   mSearch.ForgetRefusals();
   mNeedsPlacement = true;
 }
@@ -361,9 +365,11 @@
     return;
   }
   WorkerEntry* workerState = mWorkers.Find(task->mWorker);
+  const StepSpec& spec = mJobTable.SpecOf(aTask.mStep);
   if (workerState != nullptr) {
-    mWorkers.Release(*workerState, aTask, mJobTable.SpecOf(aTask.mStep));
+    mWorkers.Release(*workerState, aTask, spec);
   }
+  mAccounts.Release(*mJobTable.Find(aTask.mStep.mJob), spec);
   if (mHeldStarts.Remove(aTask)) {
     mWindow.WriteOff(1);
   }
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -4,6 +4,7 @@
 #ifndef MULBERRYVALVE_CORE_JOBS_SHARD_SCHEDULER_H_
 #define MULBERRYVALVE_CORE_JOBS_SHARD_SCHEDULER_H_
 
+#include "mulberryvalve/core/jobs/account_scheduling.h"
 #include "mulberryvalve/core/jobs/cluster_config.h"
 #include "mulberryvalve/core/jobs/cluster_usage.h"
 #include "mulberryvalve/core/jobs/former_owners.h"
@@ -17,6 +18,7 @@
 #include "mulberryvalve/core/jobs/progress_batch.h"
 #include "mulberryvalve/core/jobs/queueing_policy.h"
 #include "mulberryvalve/core/jobs/run_time_estimator.h"
+#include "mulberryvalve/core/jobs/service_load.h"
 #include "mulberryvalve/core/jobs/shard_scheduler_options.h"
 #include "mulberryvalve/core/jobs/start_window.h"
 #include "mulberryvalve/core/jobs/unread_jobs.h"
@@ -198,6 +200,9 @@
   // times).
   LearnedRecord Learned() const;
 
+  // Returns what the tasks of client accounts use.
+  const AccountUsage& Accounts() const { return mAccounts.Usage(); }
+
   // Returns the current state of the workers.
   const WorkerTable& Workers() const { return mWorkers; }
 
@@ -421,15 +426,6 @@
                          const WorkerId& aWorker,
                          std::string aWhy);
 
-  // ServiceLoad is the load derived from a serving task's last latency report.
-  struct ServiceLoad
-  {
-    double mLoad = 0;
-    // The recent maximum of the load; decays slowly.
-    double mPeak = 0;
-    MonotonicTime mReportedAt;
-  };
-
   const ShardSchedulerOptions mOptions;
   const SchedulingPolicies mPolicies;
   const MonotonicTime mClaimedAt;
@@ -453,6 +449,7 @@
   bool mFormerOwnersChanged = false;
   std::vector<Epoch> mEndedClaims;
   InheritedWorkers mInheritedWorkers;
+  AccountScheduling mAccounts;
   HeldTaskReport mHeldTasks;
   HeldStarts mHeldStarts;
   UnrecordedStartList mUnrecordedStarts;
--- a/mulberryvalve/core/jobs/shard_scheduler_options.h
+++ b/mulberryvalve/core/jobs/shard_scheduler_options.h
@@ -13,6 +13,8 @@
 struct ShardSchedulerOptions
 {
   Epoch mEpoch;
+  // The number of shards, whose owners divide the limits of client accounts.
+  uint32_t mShards = 1;
   LeaseTerms mLease;
   // An owner stops acting this long after its last proof of ownership.
   Milliseconds mProofLimit{ 6000 };
--- a/mulberryvalve/core/jobs/shard_scheduler_placement.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_placement.cc
@@ -61,6 +61,9 @@
     }
   }
   ReportHeldTasks(aNow);
+  for (JobDecision& change : mAccounts.TakeChanges(aNow)) {
+    LogDecision(std::move(change));
+  }
   for (TaskOrder& order : mPendingOrders) {
     order.mDecidedAt = aNow;
   }
@@ -128,6 +131,7 @@
 {
   mNeedsPlacement = false;
   mIsMostlyUnused = mUsage.HasSpareCapacity();
+  mAccounts.BeginPass(mJobTable, aNow);
   std::vector<WaitingStep> open = CollectWaitingSteps(aNow);
   mPolicies.mOrder.Sort(open, aNow);
   mPass = PlacementPass(std::move(open), aNow);
@@ -157,7 +161,8 @@
   const bool isOverdue = mHeldStarts.AreRecordsOverdue();
   const ServiceId& service = RulesOf(aJob).mService;
   if (IsJobBlocked(aJob, aNow) || (isOverdue && !MayStartUnrecorded(spec)) ||
-      mPass.Refused().Covers(service, spec, hasWaited, std::nullopt)) {
+      mPass.Refused().Covers(service, spec, hasWaited, std::nullopt) ||
+      !mAccounts.MayStart(aJob, spec, spec.mGang ? spec.mCount : 1)) {
     return;
   }
   if (mWindow.IsFull()) {
@@ -203,6 +208,9 @@
       PausePass();
       return false;
     }
+    if (mayPlace && !mAccounts.MayStart(aJob, spec)) {
+      return true;
+    }
     if (mayPlace && !PlaceTask(aJob, ref, aNow)) {
       mPass.Refused().Add(service, spec, hasWaited, bucket);
       return true;
--- a/mulberryvalve/core/jobs/shard_scheduler_starts.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_starts.cc
@@ -24,7 +24,9 @@
   if (mJobTable.Assign(aTask, aWorker.mInfo.mId, aRun)) {
     mDirtyJobs.insert(aTask.mStep.mJob);
   }
-  mWorkers.Charge(aWorker, aTask, mJobTable.SpecOf(aTask.mStep));
+  const StepSpec& spec = mJobTable.SpecOf(aTask.mStep);
+  mWorkers.Charge(aWorker, aTask, spec);
+  mAccounts.Charge(*mJobTable.Find(aTask.mStep.mJob), spec);
 }
 
 void ShardScheduler::OrderStart(JobEntry& aJob,
--- a/mulberryvalve/core/jobs/shard_scheduler_waiting.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_waiting.cc
@@ -60,12 +60,14 @@
     step.mPriority = job.mGraph.mRules.mPriority;
     step.mAcceptedAt = AcceptedAt(job, aNow);
     step.mObjectiveAt = step.mAcceptedAt;
-    if (job.mGraph.mSteps[openStep.mStep].mLongRunning) {
-      continue;
+    Milliseconds objective{ 0 };
+    if (!job.mGraph.mSteps[openStep.mStep].mLongRunning) {
+      const CachedForecast& forecast = Forecast(job, openStep);
+      objective = forecast.mObjective;
+      step.mObjectiveAt += objective;
+      step.mRemainingWork = forecast.mRemainingWork;
     }
-    const CachedForecast& forecast = Forecast(job, openStep);
-    step.mObjectiveAt += forecast.mObjective;
-    step.mRemainingWork = forecast.mRemainingWork;
+    step.mShare = mAccounts.ShareOf(job, step.mAcceptedAt, objective, aNow);
   }
   return steps;
 }
@@ -134,6 +136,10 @@
            " workers of the former owner have not answered";
   }
   WaitCause cause = blocked ? WaitCause::kFormerOwner : WaitCause::kNone;
+  const std::string limit = mAccounts.WaitReason(aJob, mJobTable.SpecOf(aStep));
+  if (!limit.empty()) {
+    why += ", " + limit;
+  }
   int highestCount = 0;
   const PlacementQuery query = MakePlacementQuery(aJob, aStep, aNow);
   std::map<PlacementRefusal, int> counts;
@@ -149,6 +155,9 @@
       cause = WaitCauseOf(refusal);
     }
   }
+  if (!limit.empty()) {
+    cause = WaitCause::kAccountLimit;
+  }
   JobDecision decision = MakeTaskDecision(DecisionKind::kStepWaits,
                                           TaskRef{ aStep, 0 },
                                           WorkerId(),
