--- a/mulberryvalve/core/jobs/account_limit_test.cc
+++ b/mulberryvalve/core/jobs/account_limit_test.cc
@@ -1,4 +1,5 @@
 // Limits of client accounts in the decisions of a shard's owner.
+#include "mulberryvalve/core/jobs/fair_share_policy.h"
 #include "mulberryvalve/core/jobs/shard_simulation_fake.h"
 
 #include "CppUTest/TestHarness.h"
@@ -134,6 +135,46 @@
   CHECK_EQUAL(6U, mWorld.RunningOf(JobId("a")));
 }
 
+// Guards against an account that fills all workers and keeps them, as its jobs
+// are the smaller ones.
+TEST(AccountLimitTest, AnAccountAboveItsShareIsServedAfterOthers)
+{
+  const LeastRemainingWorkPolicy leastWork;
+  const FairSharePolicy fair(leastWork);
+  ShardSimulation world(4, fair);
+  // Tasks end one by one, so that there is always one to compare with.
+  world.mDurationOf = [](const TaskRef& aTask) {
+    return kTaskDuration + aTask.mIndex * kTick;
+  };
+  world.AddOwner();
+  ClusterConfig config = ConfigWithLimit(1, 0);
+  AccountDirectory::Accounts accounts = config.mAccounts->All();
+  for (int number = 0; number < 6; number++) {
+    const ClientAccountId id("other-" + std::to_string(number));
+    accounts.emplace(id, ClientAccount{ id, 100, {} });
+  }
+  config.mAccounts = std::make_shared<const AccountDirectory>(accounts);
+  world.Configure(config);
+  world.RunFor(Milliseconds(400));
+  for (int number = 0; number < 9; number++) {
+    world.Submit(JobOf(kAcme, "a" + std::to_string(number)));
+  }
+  world.RunFor(Milliseconds(300));
+  for (int number = 0; number < 6; number++) {
+    JobGraph job = JobOf(ClientAccountId("other-" + std::to_string(number)),
+                         "b" + std::to_string(number));
+    job.mSteps[0].mCount = 2 * kTasks;
+    world.Submit(job);
+  }
+  world.RunFor(Milliseconds(1500));
+  size_t others = 0;
+  for (int number = 0; number < 6; number++) {
+    others += world.RunningOf(JobId("b" + std::to_string(number)));
+  }
+  // More than half of the tasks that have ended made room for the others.
+  CHECK(others >= 12);
+}
+
 // Guards against limits where the configuration has no accounts.
 TEST(AccountLimitTest, WithoutAccountsThereIsNoLimit)
 {
--- a/mulberryvalve/core/jobs/account_scheduling.cc
+++ b/mulberryvalve/core/jobs/account_scheduling.cc
@@ -10,6 +10,9 @@
 // A job beyond the rate of its account that is older than this many objectives
 // counts as within, so that none waits forever.
 constexpr int64_t kMaxAgeBeyondRate = 6;
+// An account with this many times its share running is served after the others.
+// Jobs differ in size, so that twice the share is common for a moment.
+constexpr double kMaxOvershare = 3.0;
 // How often the demand of inherited tasks is counted while workers of former
 // owners are awaited. Between two counts it is too high rather than too low.
 constexpr Milliseconds kInheritedInterval{ 100 };
@@ -69,10 +72,41 @@
 {
   mPass++;
   mPassBegunAt = aNow;
-  mShares.clear();
+  mAboveShare.clear();
   if (mUsage.IsInForce()) {
     RateNewJobs(aJobs);
     ChargeInherited(aNow);
+    CompareShares();
+  }
+}
+
+// Compares, for each account that has something running or waiting, the CPU of
+// its running tasks with its part of that of all, by weight.
+void AccountScheduling::CompareShares()
+{
+  std::unordered_set<ClientAccountId> active;
+  for (const auto& [key, job] : mJobs.ReadySteps()) {
+    if (!job->mGraph.mAccount.Empty()) {
+      active.insert(job->mGraph.mAccount);
+    }
+  }
+  double totalWeight = 0;
+  double totalCpu = 0;
+  for (const auto& [account, charged] : mUsage.All()) {
+    active.insert(account);
+    totalCpu += static_cast<double>(charged.mCpuMillis);
+  }
+  for (const ClientAccountId& account : active) {
+    totalWeight += mUsage.Weight(account);
+  }
+  if (totalWeight <= 0) {
+    return;
+  }
+  for (const auto& [account, charged] : mUsage.All()) {
+    const double share = totalCpu * mUsage.Weight(account) / totalWeight;
+    if (static_cast<double>(charged.mCpuMillis) > kMaxOvershare * share) {
+      mAboveShare.insert(account);
+    }
   }
 }
 
@@ -149,21 +183,15 @@
 AccountShare AccountScheduling::ShareOf(const JobEntry& aJob,
                                         MonotonicTime aAcceptedAt,
                                         Milliseconds aObjective,
-                                        MonotonicTime aNow)
+                                        MonotonicTime aNow) const
 {
   const ClientAccountId& account = aJob.mGraph.mAccount;
-  if (!mUsage.IsInForce() || account.Empty()) {
-    return AccountShare();
-  }
-  const auto [found, isNew] = mShares.try_emplace(account);
-  if (isNew) {
-    found->second.mAccount = static_cast<uint32_t>(mShares.size());
-    found->second.mWeight = mUsage.Weight(account);
-    found->second.mRunningCpuMillis = mUsage.Charged(account).mCpuMillis;
+  AccountShare share;
+  if (mUsage.IsInForce() && !account.Empty()) {
+    share.mIsBeyondRate =
+      aJob.mIsBeyondRate && aNow - aAcceptedAt < kMaxAgeBeyondRate * aObjective;
+    share.mIsAboveShare = mAboveShare.count(account) != 0;
   }
-  AccountShare share = found->second;
-  share.mIsBeyondRate =
-    aJob.mIsBeyondRate && aNow - aAcceptedAt < kMaxAgeBeyondRate * aObjective;
   return share;
 }
 
--- a/mulberryvalve/core/jobs/account_scheduling.h
+++ b/mulberryvalve/core/jobs/account_scheduling.h
@@ -13,6 +13,7 @@
 
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace mulberryvalve {
@@ -41,15 +42,15 @@
   void Release(const JobEntry& aJob, const StepSpec& aSpec);
 
   // Begins a pass over the waiting steps: rates the jobs that are new in aJobs,
-  // and forgets which accounts were refused.
+  // compares the accounts, and forgets which were refused.
   void BeginPass(JobTable& aJobs, MonotonicTime aNow);
 
-  // Returns what the order of a step of aJob depends on, at most
-  // kMaxAgeBeyondRate objectives after the job was accepted at aAcceptedAt.
+  // Returns what the order of a step of aJob depends on. The job was accepted
+  // at aAcceptedAt and should be over aObjective after that.
   AccountShare ShareOf(const JobEntry& aJob,
                        MonotonicTime aAcceptedAt,
                        Milliseconds aObjective,
-                       MonotonicTime aNow);
+                       MonotonicTime aNow) const;
 
   // Returns whether aTasks tasks of a step of aJob may start now. Once a step
   // of an account may not, no other of the account may in the same pass, so
@@ -79,6 +80,7 @@
   };
 
   void RateNewJobs(JobTable& aJobs);
+  void CompareShares();
   void ChargeInherited(MonotonicTime aNow);
   bool IsRefusedInPass(const ClientAccountId& aAccount) const;
   bool MayRunElsewhere(const JobEntry& aJob, const TaskRef& aTask) const;
@@ -93,8 +95,8 @@
   // The number of the present pass, and when it began.
   uint64_t mPass = 0;
   MonotonicTime mPassBegunAt;
-  // The shares of the accounts in the present pass.
-  std::unordered_map<ClientAccountId, AccountShare> mShares;
+  // The accounts that have far more running than their share.
+  std::unordered_set<ClientAccountId> mAboveShare;
   std::unordered_map<ClientAccountId, LimitState> mLimited;
   bool mHasInherited = false;
   MonotonicTime mChargeInheritedAt;
--- a/mulberryvalve/core/jobs/fair_share_policy.h
+++ b/mulberryvalve/core/jobs/fair_share_policy.h
@@ -1,5 +1,5 @@
-// FairSharePolicy: serves the client accounts by weight when there is not room
-// for all jobs.
+// FairSharePolicy: the order between client accounts when there is not room for
+// all jobs.
 #ifndef MULBERRYVALVE_CORE_JOBS_FAIR_SHARE_POLICY_H_
 #define MULBERRYVALVE_CORE_JOBS_FAIR_SHARE_POLICY_H_
 
@@ -8,17 +8,15 @@
 namespace mulberryvalve {
 
 // FairSharePolicy refines the order of another policy. Jobs beyond the rate of
-// their account come after all others. Within a priority, accounts are merged
-// by weighted fair queueing on the remaining work of their jobs, after the work
-// that they have running; the steps of one account keep the order of the other
-// policy. Without accounts nothing is changed. Immutable and therefore
-// thread-safe.
+// their account come after all others. Within a priority, accounts far above
+// their share come after the others. Apart from that, and without accounts, the
+// order is that of the other policy. Immutable and therefore thread-safe.
 class FairSharePolicy : public QueueingPolicy
 {
 public:
-  // aWithinAccount sorts the steps of one account; it must outlive this object.
-  explicit FairSharePolicy(const QueueingPolicy& aWithinAccount)
-    : mWithinAccount(aWithinAccount)
+  // aOrder must outlive this object.
+  explicit FairSharePolicy(const QueueingPolicy& aOrder)
+    : mOrder(aOrder)
   {
   }
 
@@ -26,7 +24,7 @@
             MonotonicTime aNow) const override;
 
 private:
-  const QueueingPolicy& mWithinAccount;
+  const QueueingPolicy& mOrder;
 };
 
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/queueing_policy.h
+++ b/mulberryvalve/core/jobs/queueing_policy.h
@@ -29,14 +29,10 @@
 // AccountShare is what the order of a step depends on in its client account.
 struct AccountShare
 {
-  // Number of the account within one call of Sort; zero for jobs without one.
-  uint32_t mAccount = 0;
-  // The account's weight relative to those of the others, and the CPU of its
-  // running tasks in thousandths of a core.
-  double mWeight = 0;
-  int64_t mRunningCpuMillis = 0;
   // The job is beyond the rate that the account may send.
   bool mIsBeyondRate = false;
+  // The account has far more running than its share among those that compete.
+  bool mIsAboveShare = false;
 };
 
 // WaitingStep is one step with waiting tasks that are ready.
