--- a/mulberryvalve/app/jobs/jobs_test.cc
+++ b/mulberryvalve/app/jobs/jobs_test.cc
@@ -362,6 +362,11 @@
       mGroup.AwaitJoins(3);
       return kLearned.CostOn(aQuery, aWorker);
     }
+    PlacementRefusal RefusalOn(const PlacementQuery& aQuery,
+                               const WorkerEntry& aWorker) const override
+    {
+      return kLearned.RefusalOn(aQuery, aWorker);
+    }
 
   private:
     FakeShardGroups& mGroup;
--- a/mulberryvalve/core/jobs/job_placement_policy.cc
+++ b/mulberryvalve/core/jobs/job_placement_policy.cc
@@ -13,18 +13,11 @@
 // A pressure that raises the load of a service by a tenth costs as much as 30
 // percent of a worker's CPU usage.
 constexpr double kPressureCost = 300;
-// The first serving task on a worker, and one whose image differs from those
-// there.
+// The first serving task on a worker.
 constexpr int64_t kFirstServingTaskCost = 100;
-constexpr int64_t kMixedImagesCost = 150;
 // The worker on which a task failed may be at fault; this outweighs any
 // difference in usage.
 constexpr int64_t kFailedHereCost = 500;
-// Services are at peak load for a short part of the time, and best-effort tasks
-// are throttled then. So more pressure is admitted than is tolerable at peak
-// load.
-constexpr double kTolerableFactor = 2.0;
-constexpr double kMinPressure = 0.1;
 // A single task with this much pressure is better placed elsewhere.
 constexpr double kMaxTaskPressure = 0.25;
 // No best-effort task is added once a tail latency reaches this percentage of
@@ -103,16 +96,20 @@
 
 // Prefers few serving images per worker: then more best-effort images disturb
 // none of them.
-int64_t ImageMixCost(const StepSpec& aStep, const WorkerEntry& aWorker)
+int64_t ImageMixCost(const StepSpec& aStep,
+                     const WorkerEntry& aWorker,
+                     const PressureLimit& aLimit)
 {
   if (aWorker.mServingImages.count(aStep.mImageNumber) != 0) {
     return 0;
   }
   return aWorker.mServingImages.empty() ? kFirstServingTaskCost
-                                        : kMixedImagesCost;
+                                        : aLimit.MixedImagesCost();
 }
 
-int64_t TotalCost(const PlacementQuery& aQuery, const WorkerEntry& aWorker)
+int64_t TotalCost(const PlacementQuery& aQuery,
+                  const WorkerEntry& aWorker,
+                  const PressureLimit& aLimit)
 {
   const StepSpec& step = aQuery.mStep;
   const int64_t used = step.mLongRunning
@@ -121,7 +118,8 @@
   const bool isRemote =
     !step.mDataRack.Empty() && step.mDataRack != aWorker.mInfo.mRack;
   const double pressure = PressureIfPlaced(aQuery, aWorker);
-  const int64_t mixCost = step.mLongRunning ? ImageMixCost(step, aWorker) : 0;
+  const int64_t mixCost =
+    step.mLongRunning ? ImageMixCost(step, aWorker, aLimit) : 0;
   return mixCost + used * kPercent / aWorker.CpuCapacity() +
          (isRemote ? kRemoteDataCost : 0) +
          (aWorker.mInfo.mId == aQuery.mLastFailedWorker ? kFailedHereCost : 0) +
@@ -132,7 +130,8 @@
 // task, alone or together with those present, or whether a tail latency is
 // close to its target already.
 bool ExceedsPressureLimit(const PlacementQuery& aQuery,
-                          const WorkerEntry& aWorker)
+                          const WorkerEntry& aWorker,
+                          const PressureLimit& aLimit)
 {
   if (aWorker.mPace.mTailPercentOfTarget >= kMaxTailPercentToAdd ||
       aWorker.mPace.mPercent < kMinPaceToAdd) {
@@ -151,19 +150,21 @@
       return true;
     }
   }
-  return PressureIfPlaced(aQuery, aWorker) >
-         kTolerableFactor * aWorker.mTolerablePressure + kMinPressure;
+  return PressureIfPlaced(aQuery, aWorker) > aLimit.Admitted(aWorker);
 }
 
 // Returns whether the task is best effort and would get no CPU on the worker or
 // make serving tasks miss their target.
-bool RejectsBestEffort(const PlacementQuery& aQuery, const WorkerEntry& aWorker)
+bool RejectsBestEffort(const PlacementQuery& aQuery,
+                       const WorkerEntry& aWorker,
+                       const PressureLimit& aLimit)
 {
   const StepSpec& step = aQuery.mStep;
   if (!step.mBestEffort) {
     return false;
   }
-  if (aWorker.mServingTasks > 0 && ExceedsPressureLimit(aQuery, aWorker)) {
+  if (aWorker.mServingTasks > 0 &&
+      ExceedsPressureLimit(aQuery, aWorker, aLimit)) {
     return true;
   }
   return EstimatedCpuUsage(aWorker) + step.mDemand.mCpuMillis >
@@ -222,25 +223,6 @@
   return EligibilityRefusal(aQuery, aWorker) == PlacementRefusal::kNone;
 }
 
-PlacementRefusal RefusalOf(const PlacementQuery& aQuery,
-                           const WorkerEntry& aWorker)
-{
-  const PlacementRefusal eligibility = EligibilityRefusal(aQuery, aWorker);
-  if (eligibility != PlacementRefusal::kNone) {
-    return eligibility;
-  }
-  if (!CanPlace(aQuery, aWorker)) {
-    return PlacementRefusal::kNoRoom;
-  }
-  if (!RejectsBestEffort(aQuery, aWorker)) {
-    return PlacementRefusal::kNone;
-  }
-  const bool overPressure =
-    aWorker.mServingTasks > 0 && ExceedsPressureLimit(aQuery, aWorker);
-  return overPressure ? PlacementRefusal::kPressure
-                      : PlacementRefusal::kAllUsed;
-}
-
 bool CanPlace(const PlacementQuery& aQuery, const WorkerEntry& aWorker)
 {
   return IsEligible(aQuery, aWorker) &&
@@ -260,10 +242,31 @@
   const PlacementQuery& aQuery,
   const WorkerEntry& aWorker) const
 {
-  if (!CanPlace(aQuery, aWorker) || RejectsBestEffort(aQuery, aWorker)) {
+  if (!CanPlace(aQuery, aWorker) ||
+      RejectsBestEffort(aQuery, aWorker, mLimit)) {
     return std::nullopt;
   }
-  return TotalCost(aQuery, aWorker);
+  return TotalCost(aQuery, aWorker, mLimit);
+}
+
+PlacementRefusal LearnedPlacementPolicy::RefusalOn(
+  const PlacementQuery& aQuery,
+  const WorkerEntry& aWorker) const
+{
+  const PlacementRefusal eligibility = EligibilityRefusal(aQuery, aWorker);
+  if (eligibility != PlacementRefusal::kNone) {
+    return eligibility;
+  }
+  if (!CanPlace(aQuery, aWorker)) {
+    return PlacementRefusal::kNoRoom;
+  }
+  if (!RejectsBestEffort(aQuery, aWorker, mLimit)) {
+    return PlacementRefusal::kNone;
+  }
+  const bool overPressure =
+    aWorker.mServingTasks > 0 && ExceedsPressureLimit(aQuery, aWorker, mLimit);
+  return overPressure ? PlacementRefusal::kPressure
+                      : PlacementRefusal::kAllUsed;
 }
 
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/job_placement_policy.h
+++ b/mulberryvalve/core/jobs/job_placement_policy.h
@@ -2,6 +2,7 @@
 #ifndef MULBERRYVALVE_CORE_JOBS_JOB_PLACEMENT_POLICY_H_
 #define MULBERRYVALVE_CORE_JOBS_JOB_PLACEMENT_POLICY_H_
 
+#include "mulberryvalve/core/jobs/pressure_limit.h"
 #include "mulberryvalve/core/jobs/worker_table.h"
 
 #include <map>
@@ -63,10 +64,6 @@
   { PlacementRefusal::kAllUsed, "all_used" },
 } } };
 
-// RefusalOf returns why aWorker cannot take the task now, or kNone.
-PlacementRefusal RefusalOf(const PlacementQuery& aQuery,
-                           const WorkerEntry& aWorker);
-
 // IsEligible returns whether aWorker could take the task if it had enough
 // capacity: it checks service, state, label, domain, rack and the limit of
 // tasks per worker.
@@ -100,6 +97,14 @@
   // there. The worker with the lowest cost is chosen.
   virtual std::optional<int64_t> CostOn(const PlacementQuery& aQuery,
                                         const WorkerEntry& aWorker) const = 0;
+
+  // RefusalOn returns why aWorker cannot take the task now, or kNone.
+  virtual PlacementRefusal RefusalOn(const PlacementQuery& aQuery,
+                                     const WorkerEntry& aWorker) const = 0;
+
+  // NeedsExpectedLoad returns whether the results depend on
+  // WorkerEntry::mTolerableSoon.
+  virtual bool NeedsExpectedLoad() const { return false; }
 };
 
 // LearnedPlacementPolicy spreads tasks by estimated CPU usage and by learned
@@ -108,8 +113,20 @@
 class LearnedPlacementPolicy : public JobPlacementPolicy
 {
 public:
+  // aLimit must outlive this object.
+  explicit LearnedPlacementPolicy(const PressureLimit& aLimit = kPeakLoadLimit)
+    : mLimit(aLimit)
+  {
+  }
+
   std::optional<int64_t> CostOn(const PlacementQuery& aQuery,
                                 const WorkerEntry& aWorker) const override;
+  PlacementRefusal RefusalOn(const PlacementQuery& aQuery,
+                             const WorkerEntry& aWorker) const override;
+  bool NeedsExpectedLoad() const override { return mLimit.NeedsExpectedLoad(); }
+
+private:
+  const PressureLimit& mLimit;
 };
 
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/placement_search_cost_test.cc
+++ b/mulberryvalve/core/jobs/placement_search_cost_test.cc
@@ -20,6 +20,12 @@
     return mPolicy.CostOn(aQuery, aWorker);
   }
 
+  PlacementRefusal RefusalOn(const PlacementQuery& aQuery,
+                             const WorkerEntry& aWorker) const override
+  {
+    return mPolicy.RefusalOn(aQuery, aWorker);
+  }
+
   mutable size_t mEvaluations = 0;
 
 private:
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -442,8 +442,8 @@
   InterferenceEstimator mInterference;
   RunTimeEstimator mRunTimes;
   WallTime mWallTime;
-  // The loads of the serving tasks of each step, by task index.
-  std::map<StepRef, std::map<uint32_t, ServiceLoad>> mServiceLoads;
+  // The loads of the serving tasks of each step.
+  std::map<StepRef, ServiceLoads> mServiceLoads;
   FormerOwners mFormerOwners;
   // More is known of them than the waits reflect.
   bool mFormerOwnersChanged = false;
--- a/mulberryvalve/core/jobs/shard_scheduler_interference.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_interference.cc
@@ -24,6 +24,7 @@
 constexpr double kMinPeakLoad = 0.4;
 constexpr double kPeakDecayPerSecond = 0.01;
 constexpr double kMaxBearablePressure = 0.8;
+constexpr double kMaxTolerableSoon = 2.0;
 // A best-effort task that adds this much to the load of a service on its own
 // should run on another worker.
 constexpr double kDisturbingPressure = 0.5;
@@ -47,6 +48,7 @@
     ReportedBestEffortShares(aWorker, aRunning);
   std::vector<ServingReport> reports;
   double bearablePressure = kMaxBearablePressure;
+  double tolerableSoon = kMaxTolerableSoon;
   int worstTailPercent = 0;
   ImageNumber worstServingImage = 0;
   for (const ReportedRun& run : aRunning) {
@@ -65,6 +67,13 @@
     const double peak =
       LearnInterference(aWorker, run, report.mLoad, reportedShares, aNow);
     bearablePressure = std::min(bearablePressure, report.mLimit / peak - 1);
+    if (mPolicies.mPlacement.NeedsExpectedLoad()) {
+      const double expected = mServiceLoads[row.mTask.mStep].ExpectedLoad(
+        row.mTask.mIndex,
+        mInterference.Pressure(spec.mImageNumber, reportedShares),
+        aNow);
+      tolerableSoon = std::min(tolerableSoon, report.mLimit / expected - 1);
+    }
     report.mPressure =
       mInterference.Pressure(spec.mImageNumber, fullPaceShares);
     reports.push_back(report);
@@ -75,6 +84,7 @@
     }
   }
   aWorker.mTolerablePressure = bearablePressure;
+  aWorker.mTolerableSoon = tolerableSoon;
   aWorker.mPace.mTailPercentOfTarget = worstTailPercent;
   if (aWorker.mBestEffortTasks == 0) {
     aWorker.mPace = PaceState();
@@ -145,7 +155,7 @@
 {
   const StepSpec& spec = *aRun.mPlace.mSpec;
   const TaskRef& ref = aRun.mRow.mTask;
-  auto& reports = mServiceLoads[ref.mStep];
+  auto& reports = mServiceLoads[ref.mStep].Tasks();
   const double pressure =
     mInterference.Pressure(spec.mImageNumber, aBestEffortShares);
   ServiceLoad& ownLoad = reports[ref.mIndex];
--- a/mulberryvalve/core/jobs/shard_scheduler_waiting.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_waiting.cc
@@ -145,7 +145,7 @@
   std::map<PlacementRefusal, int> counts;
   mSearch.AddEvaluations(mWorkers.All().size());
   for (const auto& [id, worker] : mWorkers.All()) {
-    counts[RefusalOf(query, worker)]++;
+    counts[mPolicies.mPlacement.RefusalOn(query, worker)]++;
   }
   for (const auto& [refusal, count] : counts) {
     why += ", " + std::string(kPlacementRefusalNames.Name(refusal)) + " " +
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -122,6 +122,8 @@
   MonotonicTime mBestEffortChangedAt;
   // The pressure that all serving tasks tolerate at peak load.
   double mTolerablePressure = 0;
+  // The same at the load that is expected in the next second.
+  double mTolerableSoon = 0;
   // The pace of the best-effort tasks beside serving tasks.
   PaceState mPace;
   // Capacity is being freed for a long-running task; until then no others are
