--- a/mulberryvalve/core/jobs/load_trend.cc
+++ b/mulberryvalve/core/jobs/load_trend.cc
@@ -9,12 +9,18 @@
 // The time after which a report counts for 1/e. Shorter than the time in which
 // loads swing, longer than the interval of the reports of one task.
 constexpr double kMemorySeconds = 1.0;
-// Fewer reports than this, by weight, tell no trend.
+// Fewer reports than this, by weight, give no estimate.
 constexpr double kMinWeight = 3.0;
+// Loads that swing by half of their mean within 10 s change by less than half
+// of this; a steeper slope is noise.
 constexpr double kMaxSlopePerSecond = 0.2;
+// Loads are from 0 to 1. An estimate is above zero, so that it may be divided
+// by.
 constexpr double kMinLoad = 0.05;
 constexpr double kMaxLoad = 1.0;
-constexpr double kMinVariance = 1e-6;
+// In square seconds. The differences of reports that arrived within about 0.2 s
+// are those between tasks, not a trend.
+constexpr double kMinVariance = 0.01;
 
 double SecondsBetween(MonotonicTime aFrom, MonotonicTime aTo)
 {
--- a/mulberryvalve/core/jobs/load_trend.h
+++ b/mulberryvalve/core/jobs/load_trend.h
@@ -13,12 +13,15 @@
 class LoadTrend
 {
 public:
-  // Adds a report that arrived at aNow of the load that a task has without the
-  // best-effort tasks beside it. aWeight tells how much it counts; reports of
-  // tasks that are hardly disturbed are more reliable.
+  // Add adds a report, received at aNow, of the load (0 to 1) that a task has
+  // without the best-effort tasks beside it. aWeight, above 0, tells how much
+  // it counts; reports of tasks that are hardly disturbed are more reliable.
+  // Times must not decrease from call to call.
   void Add(double aLoad, double aWeight, MonotonicTime aNow);
 
-  // LoadAt returns the load at aTime, or nothing if too few reports are recent.
+  // LoadAt returns the load at aTime, always above 0, or nothing if there were
+  // too few reports shortly before the last one. The estimate does not age
+  // after the last report.
   std::optional<double> LoadAt(MonotonicTime aTime) const;
 
 private:
--- a/mulberryvalve/core/jobs/pressure_limit.h
+++ b/mulberryvalve/core/jobs/pressure_limit.h
@@ -29,7 +29,7 @@
   virtual ~PressureLimit() = default;
 
   // Admitted returns the pressure up to which best-effort tasks are added to a
-  // worker.
+  // worker, as InterferenceEstimator defines pressure. It may be negative.
   virtual double Admitted(const WorkerEntry& aWorker) const = 0;
 
   // NeedsExpectedLoad returns whether Admitted depends on
@@ -54,8 +54,8 @@
 };
 
 // ExpectedLoadPressureLimit admits what the services bear at the load that is
-// expected soon, less a margin. Best-effort tasks run for about as long as the
-// load of a service takes to rise.
+// expected in the next second, less a margin. Services with too few reports
+// count with their peak, and with the same margin.
 class ExpectedLoadPressureLimit : public PressureLimit
 {
 public:
--- a/mulberryvalve/core/jobs/shard_scheduler.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler.cc
@@ -288,6 +288,7 @@
   }
   for (const RetiredJob& job : aBatch.mRetired) {
     mJobTable.Forget(job.mId);
+    mServiceLoads.Forget(job.mId);
   }
   for (const UsedWorkerRecord& worker : aBatch.mWorkers) {
     OnWorkerRecordDurable(worker);
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -442,8 +442,7 @@
   InterferenceEstimator mInterference;
   RunTimeEstimator mRunTimes;
   WallTime mWallTime;
-  // The loads of the serving tasks of each step.
-  std::map<StepRef, ServiceLoads> mServiceLoads;
+  ServiceLoadTable mServiceLoads;
   FormerOwners mFormerOwners;
   // More is known of them than the waits reflect.
   bool mFormerOwnersChanged = false;
--- a/mulberryvalve/core/jobs/shard_scheduler_interference.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_interference.cc
@@ -4,6 +4,7 @@
 #include "mulberryvalve/core/jobs/shard_scheduler.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <utility>
 #include <vector>
@@ -24,7 +25,11 @@
 constexpr double kMinPeakLoad = 0.4;
 constexpr double kPeakDecayPerSecond = 0.01;
 constexpr double kMaxBearablePressure = 0.8;
+// With this, both implementations of PressureLimit admit the same at most.
 constexpr double kMaxTolerableSoon = 2.0;
+// The tolerable pressure is rounded to steps, so that a small change of the
+// expected load does not make the search evaluate a worker again.
+constexpr double kToleranceStepsPerUnit = 10;
 // A best-effort task that adds this much to the load of a service on its own
 // should run on another worker.
 constexpr double kDisturbingPressure = 0.5;
@@ -39,6 +44,7 @@
 {
   if (aWorker.mServingTasks == 0) {
     aWorker.mPace = PaceState();
+    aWorker.mTolerableSoon = 0;
     QueuePaceOrders(aWorker, aRunning);
     return;
   }
@@ -68,10 +74,12 @@
       LearnInterference(aWorker, run, report.mLoad, reportedShares, aNow);
     bearablePressure = std::min(bearablePressure, report.mLimit / peak - 1);
     if (mPolicies.mPlacement.NeedsExpectedLoad()) {
-      const double expected = mServiceLoads[row.mTask.mStep].ExpectedLoad(
-        row.mTask.mIndex,
-        mInterference.Pressure(spec.mImageNumber, reportedShares),
-        aNow);
+      const double expected =
+        mServiceLoads.Of(row.mTask.mStep)
+          .ExpectedLoad(
+            row.mTask.mIndex,
+            mInterference.Pressure(spec.mImageNumber, reportedShares),
+            aNow);
       tolerableSoon = std::min(tolerableSoon, report.mLimit / expected - 1);
     }
     report.mPressure =
@@ -84,7 +92,11 @@
     }
   }
   aWorker.mTolerablePressure = bearablePressure;
-  aWorker.mTolerableSoon = tolerableSoon;
+  if (mPolicies.mPlacement.NeedsExpectedLoad()) {
+    aWorker.mTolerableSoon =
+      std::round(tolerableSoon * kToleranceStepsPerUnit) /
+      kToleranceStepsPerUnit;
+  }
   aWorker.mPace.mTailPercentOfTarget = worstTailPercent;
   if (aWorker.mBestEffortTasks == 0) {
     aWorker.mPace = PaceState();
@@ -155,7 +167,7 @@
 {
   const StepSpec& spec = *aRun.mPlace.mSpec;
   const TaskRef& ref = aRun.mRow.mTask;
-  auto& reports = mServiceLoads[ref.mStep].Tasks();
+  auto& reports = mServiceLoads.Of(ref.mStep).Tasks();
   const double pressure =
     mInterference.Pressure(spec.mImageNumber, aBestEffortShares);
   ServiceLoad& ownLoad = reports[ref.mIndex];
--- a/mulberryvalve/core/jobs/shard_scheduler_reports.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_reports.cc
@@ -18,14 +18,6 @@
 // The stop of a run that is not wanted is repeated at this interval.
 constexpr Milliseconds kUnwantedStopInterval{ 1000 };
 
-// Smaller changes of the expected load do not make a worker another choice.
-constexpr double kToleranceStep = 0.1;
-
-int64_t StepsOfTolerance(double aPressure)
-{
-  return static_cast<int64_t>(aPressure / kToleranceStep);
-}
-
 } // namespace
 
 std::optional<RenewalRequest> ShardScheduler::NextRenewal(
@@ -118,7 +110,7 @@
                            aWorker.mPace.mPercent,
                            aWorker.mPace.mTailPercentOfTarget,
                            aWorker.mTolerablePressure,
-                           StepsOfTolerance(aWorker.mTolerableSoon));
+                           aWorker.mTolerableSoon);
   };
   const auto before = placementInputs();
   for (const RunEndReport& row : aReply.mEnded) {
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -122,7 +122,8 @@
   MonotonicTime mBestEffortChangedAt;
   // The pressure that all serving tasks tolerate at peak load.
   double mTolerablePressure = 0;
-  // The same at the load that is expected in the next second.
+  // The same at the load that is expected in the next second, in steps of 0.1.
+  // 0 unless the placement policy needs it.
   double mTolerableSoon = 0;
   // The pace of the best-effort tasks beside serving tasks.
   PaceState mPace;
