--- a/mulberryvalve/core/jobs/shard_scheduler_reports.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_reports.cc
@@ -109,7 +109,8 @@
                            aWorker.mForeignDemandUnknown,
                            aWorker.mPace.mPercent,
                            aWorker.mPace.mTailPercentOfTarget,
-                           aWorker.mTolerablePressure);
+                           aWorker.mTolerablePressure,
+                           aWorker.mTolerableSoon);
   };
   const auto before = placementInputs();
   for (const RunEndReport& row : aReply.mEnded) {
