--- a/mulberryvalve/adapters/ws_call/peer_query_codec.cc
+++ b/mulberryvalve/adapters/ws_call/peer_query_codec.cc
@@ -20,6 +20,9 @@
 constexpr size_t kMaxQueueBytes = 2048;
 // A century. Sums of such times stay within the range of every time type.
 constexpr int64_t kMaxActiveMs = 3'155'760'000'000;
+// An hour. No wait or append lasts longer.
+constexpr int64_t kMaxIntakeMs = 3'600'000;
+constexpr size_t kMaxIntakeKeyBytes = 255;
 
 std::string EncodeCbor(const json& aObject)
 {
@@ -58,6 +61,46 @@
   return frame.size() > kMaxResultBytes ? EncodeCbor(aObject) : frame;
 }
 
+void AddRelayed(json& aObject, const RelayedEntry& aRelayed)
+{
+  aObject["key"] = aRelayed.mEntry.mKey;
+  if (aRelayed.mEntry.mValue) {
+    aObject["value"] = *aRelayed.mEntry.mValue;
+  }
+  aObject["left_ms"] = aRelayed.mTimeLeft.count();
+}
+
+RelayedEntry DecodeRelayed(JsonReader& aReader)
+{
+  RelayedEntry relayed;
+  relayed.mEntry.mKey = aReader.Text("key", kMaxIntakeKeyBytes);
+  if (aReader.Has("value")) {
+    relayed.mEntry.mValue = aReader.Text("value", kMaxRelayedBytes);
+  }
+  relayed.mTimeLeft = Milliseconds(aReader.Number("left_ms", 0, kMaxIntakeMs));
+  if (RecordBytes(relayed.mEntry) > kMaxRelayedBytes) {
+    aReader.RecordFault(Fail(FailureKind::kTooLarge, "value"));
+  }
+  return relayed;
+}
+
+void AddIntakeResult(json& aObject, const IntakeResult& aResult)
+{
+  aObject["intake"] = kIntakeOutcomeNames.Name(aResult.mOutcome);
+  aObject["append_ms"] = aResult.mAppendTime.count();
+  aObject["retry_ms"] = aResult.mRetryIn.count();
+}
+
+IntakeResult DecodeIntakeResult(JsonReader& aReader)
+{
+  IntakeResult result;
+  result.mOutcome = aReader.Enum("intake", kIntakeOutcomeNames);
+  result.mAppendTime =
+    Milliseconds(aReader.Number("append_ms", 0, kMaxIntakeMs));
+  result.mRetryIn = Milliseconds(aReader.Number("retry_ms", 0, kMaxIntakeMs));
+  return result;
+}
+
 } // namespace
 
 std::string EncodeQuery(const QueryFrame& aFrame)
@@ -70,6 +113,9 @@
                { "queue", query.mQueue.Text() },
                { "epoch", query.mEpoch.Value() },
                { "process", query.mProcess.Value() } };
+  if (query.mRelayed) {
+    AddRelayed(object, *query.mRelayed);
+  }
   if (!query.mWorkers.empty()) {
     object["workers"] = EncodeNames(query.mWorkers, kMaxNamesBytes);
   }
@@ -91,6 +137,9 @@
     object["owner_epoch"] = aFrame.mResult.mOwner->mEpoch.Value();
     object["active_for_ms"] = aFrame.mResult.mOwner->mActiveFor.count();
   }
+  if (aFrame.mResult.mIntake) {
+    AddIntakeResult(object, *aFrame.mResult.mIntake);
+  }
   if (!aFrame.mResult.mTold) {
     return EncodeCbor(object);
   }
@@ -100,7 +149,7 @@
 Result<QueryFrame> DecodeQuery(std::string_view aBytes)
 {
   const Result<json> object =
-    DecodeCborMap(aBytes, kMaxCallBytes, kMaxNestingDepth);
+    DecodeCborMap(aBytes, kMaxIntakeCallBytes, kMaxNestingDepth);
   if (!object) {
     return object.error();
   }
@@ -108,6 +157,10 @@
   QueryFrame frame;
   frame.mCallId = static_cast<uint64_t>(reader.Number("call"));
   frame.mQuery.mKind = reader.Enum("kind", kPeerQueryKindNames);
+  const bool isIntake = frame.mQuery.mKind == PeerQueryKind::kAppendIntake;
+  if (!isIntake && aBytes.size() > kMaxCallBytes) {
+    return Fail(FailureKind::kTooLarge, "frame");
+  }
   frame.mQuery.mShard =
     static_cast<ShardNumber>(reader.Number("shard", 0, UINT32_MAX));
   frame.mQuery.mJob = JobId(reader.Text("job"));
@@ -116,6 +169,9 @@
     Epoch(static_cast<uint64_t>(reader.NumberOr("epoch", 0)));
   frame.mQuery.mProcess =
     Incarnation(static_cast<uint64_t>(reader.NumberOr("process", 0)));
+  if (isIntake) {
+    frame.mQuery.mRelayed = DecodeRelayed(reader);
+  }
   if (reader.Has("workers")) {
     frame.mQuery.mWorkers = DecodeNames(reader);
   }
@@ -151,6 +207,9 @@
       Milliseconds(reader.Number("active_for_ms", 0, kMaxActiveMs));
     frame.mResult.mOwner = owner;
   }
+  if (reader.Has("intake")) {
+    frame.mResult.mIntake = DecodeIntakeResult(reader);
+  }
   if (reader.Has("told_workers")) {
     frame.mResult.mTold = DecodeTold(reader);
   }
--- a/mulberryvalve/adapters/ws_call/peer_query_codec.h
+++ b/mulberryvalve/adapters/ws_call/peer_query_codec.h
@@ -12,8 +12,10 @@
 
 // kMaxCallBytes is the maximum size of a query frame, and of a result frame to
 // an instance of an earlier version; such an instance names no workers.
-// kMaxResultBytes is that of other result frames.
+// kMaxIntakeCallBytes is that of a query frame with a relayed entry, and
+// kMaxResultBytes that of other result frames.
 inline constexpr size_t kMaxCallBytes = 4096;
+inline constexpr size_t kMaxIntakeCallBytes = 65536;
 inline constexpr size_t kMaxResultBytes = 32768;
 
 // QueryFrame is a query with its call id, which the result frame repeats.
--- a/mulberryvalve/adapters/ws_call/ws_peer_query_transport.cc
+++ b/mulberryvalve/adapters/ws_call/ws_peer_query_transport.cc
@@ -77,7 +77,7 @@
     , mLog(aLog)
     , mWork(asio::make_work_guard(mIo))
   {
-    ConfigureEndpoint(mServer, mIo, kMaxCallBytes);
+    ConfigureEndpoint(mServer, mIo, kMaxIntakeCallBytes);
     ConfigureEndpoint(mClient, mIo, kMaxResultBytes);
     mServer.set_reuse_addr(true);
     mServer.set_listen_backlog(kBacklog);
@@ -98,9 +98,10 @@
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
 
-  Result<void> Start(PeerQueryHandler& aHandler)
+  Result<void> Start(PeerQueryHandler& aHandler, PeerIntakeHandler* aIntake)
   {
     mHandler = &aHandler;
+    mIntakeHandler = aIntake;
     std::error_code error;
     const auto address = asio::ip::make_address(mListen.mAddress, error);
     if (!error) {
@@ -310,10 +311,29 @@
         aHandle, websocketpp::close::status::invalid_payload, "", error);
       return;
     }
-    ResultFrame result;
-    result.mCallId = frame.value().mCallId;
-    result.mResult = mHandler->OnQuery(frame.value().mQuery);
-    mServer.send(aHandle, EncodeResult(result), opcode::binary, error);
+    const uint64_t callId = frame.value().mCallId;
+    const PeerQuery& query = frame.value().mQuery;
+    if (query.mKind != PeerQueryKind::kAppendIntake) {
+      SendResult(aHandle, { callId, mHandler->OnQuery(query) });
+    } else if (mIntakeHandler != nullptr) {
+      mIntakeHandler->OnIntake(
+        query, [this, aHandle, callId](const PeerQueryResult& aResult) {
+          const ResultFrame result{ callId, aResult };
+          asio::post(mIo,
+                     [this, aHandle, result] { SendResult(aHandle, result); });
+        });
+    } else {
+      PeerQueryResult refused;
+      refused.mIntake = IntakeResult();
+      SendResult(aHandle, { callId, refused });
+    }
+  }
+
+  void SendResult(const ConnectionHandle& aHandle, const ResultFrame& aResult)
+  {
+    // The connection may have been closed meanwhile.
+    std::error_code ignored;
+    mServer.send(aHandle, EncodeResult(aResult), opcode::binary, ignored);
   }
 
   void CloseAllConnections()
@@ -345,6 +365,8 @@
   asio::io_context mIo;
   asio::executor_work_guard<asio::io_context::executor_type> mWork;
   PeerQueryHandler* mHandler = nullptr;
+  // Null if this instance takes no relayed entries.
+  PeerIntakeHandler* mIntakeHandler = nullptr;
   Server mServer;
   Client mClient;
   std::map<const void*, ConnectionHandle> mInboundConnections;
@@ -361,7 +383,13 @@
 
 Result<void> WsPeerQueryTransport::Start(PeerQueryHandler& aHandler)
 {
-  return mImpl->Start(aHandler);
+  return mImpl->Start(aHandler, nullptr);
+}
+
+Result<void> WsPeerQueryTransport::Start(PeerQueryHandler& aHandler,
+                                         PeerIntakeHandler& aIntake)
+{
+  return mImpl->Start(aHandler, &aIntake);
 }
 
 void WsPeerQueryTransport::Stop()
--- a/mulberryvalve/adapters/ws_call/ws_peer_query_transport.h
+++ b/mulberryvalve/adapters/ws_call/ws_peer_query_transport.h
@@ -28,8 +28,13 @@
 
   // Start listens and serves queries through aHandler, which must outlive this
   // object. Errors: kInvalidInput when the endpoint can't be bound.
+  // Relayed entries are refused.
   Result<void> Start(PeerQueryHandler& aHandler);
 
+  // Start that serves relayed entries through aIntake, which may reply as long
+  // as this object exists; replies after Stop are dropped.
+  Result<void> Start(PeerQueryHandler& aHandler, PeerIntakeHandler& aIntake);
+
   // Stop closes all connections and joins the thread. A repeated call has no
   // effect.
   void Stop();
--- a/mulberryvalve/app/jobs/shard_runtime.cc
+++ b/mulberryvalve/app/jobs/shard_runtime.cc
@@ -116,6 +116,9 @@
       break;
     case PeerQueryKind::kOwnershipEnd:
       break; // answered by ShardMembership, which knows former epochs too
+    case PeerQueryKind::kAppendIntake:
+      answer.mOwns = true;
+      break;
   }
   return answer;
 }
--- a/mulberryvalve/ports/out/metrics.h
+++ b/mulberryvalve/ports/out/metrics.h
@@ -89,9 +89,12 @@
   kStartsUnrecorded,
   kRequestsUnauthorized,
   kWaitsForAccount,
+  kIntakeRelayed,
+  kIntakeRelayRefused,
+  kIntakeRelayUnknown,
 };
 
-inline constexpr MetricTable<Counter, 48> kCounterNames{ { {
+inline constexpr MetricTable<Counter, 51> kCounterNames{ { {
   { Counter::kRequestsAnswered,
     "requests_answered",
     "Requests whose answer was given to the caller" },
@@ -219,6 +222,15 @@
   { Counter::kWaitsForAccount,
     "waits_for_account",
     "Steps that waited because their account was at its limit" },
+  { Counter::kIntakeRelayed,
+    "intake_relayed",
+    "Submissions and cancellations that the owner of the shard appended" },
+  { Counter::kIntakeRelayRefused,
+    "intake_relay_refused",
+    "Relayed submissions and cancellations that the owner did not append" },
+  { Counter::kIntakeRelayUnknown,
+    "intake_relay_unknown",
+    "Relayed submissions and cancellations without a clear answer" },
 } } };
 static_assert(kCounterNames.InOrder());
 
