--- a/mulberryvalve/adapters/ws_call/ws_call_test.cc
+++ b/mulberryvalve/adapters/ws_call/ws_call_test.cc
@@ -5,6 +5,7 @@
 
 #include <asio.hpp>
 #include <atomic>
+#include <future>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <thread>
@@ -44,6 +45,44 @@
   std::atomic<uint64_t> mQueries{ 0 };
 };
 
+// Answers relayed entries on a thread of its own, the first only once the test
+// lets it.
+class DelayingIntakeHandler : public PeerIntakeHandler
+{
+public:
+  ~DelayingIntakeHandler() override
+  {
+    for (std::thread& answer : mAnswers) {
+      answer.join();
+    }
+  }
+  void OnIntake(const PeerQuery& aQuery, Reply aReply) override
+  {
+    mAnswers.emplace_back([this, aQuery, aReply] {
+      mMayAnswer.get_future().wait();
+      PeerQueryResult answer;
+      answer.mOwns = true;
+      answer.mIntake = IntakeResult{ IntakeOutcome::kDone, Milliseconds(4) };
+      answer.mWaiting = aQuery.mRelayed.value().mEntry.mValue.value().size();
+      aReply(answer);
+    });
+  }
+  std::promise<void> mMayAnswer;
+
+private:
+  std::vector<std::thread> mAnswers;
+};
+
+PeerQuery QueryToAppend(std::string aValue)
+{
+  PeerQuery query;
+  query.mKind = PeerQueryKind::kAppendIntake;
+  query.mShard = 1;
+  query.mRelayed =
+    RelayedEntry{ { "key", std::move(aValue) }, Milliseconds(900) };
+  return query;
+}
+
 PeerQuery QueryForJob(const char* aJob)
 {
   PeerQuery query;
@@ -221,6 +260,90 @@
   CHECK(!asked.empty() && asked.size() < question.mQuery.mWorkers.size());
 }
 
+TEST(WsCallTest, RelayedEntriesRoundTrip)
+{
+  const QueryFrame frame{ 9, QueryToAppend("value") };
+  const auto query = DecodeQuery(EncodeQuery(frame)).value().mQuery;
+  CHECK(PeerQueryKind::kAppendIntake == query.mKind);
+  CHECK_EQUAL(std::string("key"), query.mRelayed.value().mEntry.mKey);
+  CHECK_EQUAL(std::string("value"),
+              query.mRelayed.value().mEntry.mValue.value());
+  CHECK(Milliseconds(900) == query.mRelayed.value().mTimeLeft);
+  QueryFrame tombstone = frame;
+  tombstone.mQuery.mRelayed->mEntry.mValue.reset();
+  CHECK_FALSE(DecodeQuery(EncodeQuery(tombstone))
+                .value()
+                .mQuery.mRelayed.value()
+                .mEntry.mValue.has_value());
+  for (const auto& row : kIntakeOutcomeNames.mRows) {
+    ResultFrame answer{ 9, PeerQueryResult() };
+    answer.mResult.mIntake =
+      IntakeResult{ row.mValue, Milliseconds(200), Milliseconds(1500) };
+    const auto decoded = DecodeResult(EncodeResult(answer)).value().mResult;
+    CHECK(row.mValue == decoded.mIntake.value().mOutcome);
+    CHECK(Milliseconds(200) == decoded.mIntake.value().mAppendTime);
+    CHECK(Milliseconds(1500) == decoded.mIntake.value().mRetryIn);
+  }
+}
+
+// Guards against an owner that appends what it cannot check, and against large
+// frames of the kinds that need none.
+TEST(WsCallTest, MalformedRelayedEntriesAreRejected)
+{
+  const size_t most = kMaxRelayedBytes - std::string("key").size() - 1;
+  const QueryFrame largest{ 9, QueryToAppend(std::string(most, 'v')) };
+  CHECK(DecodeQuery(EncodeQuery(largest)).has_value());
+  const QueryFrame tooLarge{ 9, QueryToAppend(std::string(most + 1, 'v')) };
+  CHECK_FALSE(DecodeQuery(EncodeQuery(tooLarge)).has_value());
+  QueryFrame wrong{ 9, QueryToAppend("value") };
+  wrong.mQuery.mRelayed->mTimeLeft = Milliseconds(-1);
+  CHECK_FALSE(DecodeQuery(EncodeQuery(wrong)).has_value());
+  wrong = { 9, QueryToAppend("value") };
+  wrong.mQuery.mRelayed->mEntry.mKey.assign(256, 'k');
+  CHECK_FALSE(DecodeQuery(EncodeQuery(wrong)).has_value());
+  wrong.mQuery.mRelayed.reset();
+  CHECK_FALSE(DecodeQuery(EncodeQuery(wrong)).has_value());
+  QueryFrame otherKind{ 9, QueryToAppend(std::string(kMaxCallBytes, 'v')) };
+  otherKind.mQuery.mKind = PeerQueryKind::kWaitingJobs;
+  CHECK_FALSE(DecodeQuery(EncodeQuery(otherKind)).has_value());
+  ResultFrame answer;
+  answer.mResult.mIntake = IntakeResult();
+  answer.mResult.mIntake->mAppendTime = Milliseconds::max();
+  CHECK_FALSE(DecodeResult(EncodeResult(answer)).has_value());
+  const std::string frame = EncodeQuery(largest);
+  for (const size_t length : { frame.size() - 1, frame.size() / 2 }) {
+    CHECK_FALSE(DecodeQuery(frame.substr(0, length)).has_value());
+  }
+}
+
+// Guards against an append that holds up the thread of the links: other queries
+// are answered while it lasts. An instance without relaying refuses.
+TEST(WsCallTest, ARelayedEntryDelaysNoOtherQuery)
+{
+  NullEventLog log;
+  CountingQueryHandler handler;
+  DelayingIntakeHandler intake;
+  const Endpoint first{ "127.0.0.1", FreePort() };
+  const Endpoint second{ "127.0.0.1", FreePort() };
+  WsPeerQueryTransport one(first, log);
+  WsPeerQueryTransport two(second, log);
+  CHECK(one.Start(handler).has_value());
+  CHECK(two.Start(handler, intake).has_value());
+  const std::string value(30000, 'v');
+  std::promise<Result<PeerQueryResult>> appended;
+  std::thread caller([&] {
+    appended.set_value(one.Ask(second, QueryToAppend(value), kLongTimeout));
+  });
+  CHECK(one.Ask(second, QueryForJob("known"), kLongTimeout).has_value());
+  intake.mMayAnswer.set_value();
+  const Result<PeerQueryResult> answer = appended.get_future().get();
+  caller.join();
+  CHECK(IntakeOutcome::kDone == answer.value().mIntake.value().mOutcome);
+  CHECK_EQUAL(value.size(), answer.value().mWaiting);
+  const auto refused = two.Ask(first, QueryToAppend("v"), kLongTimeout);
+  CHECK(IntakeOutcome::kRefused == refused.value().mIntake.value().mOutcome);
+}
+
 TEST(WsCallTest, PeerAnswersQuery)
 {
   NullEventLog log;
--- a/mulberryvalve/app/jobs/append_batcher.cc
+++ b/mulberryvalve/app/jobs/append_batcher.cc
@@ -31,15 +31,26 @@
                 aEntry.mKey,
                 std::to_string(RecordBytes(aEntry)) + " bytes");
   }
-  const size_t bytes = RecordBytes(aEntry) + kRecordOverhead;
+  return AppendAll({ aEntry }, aHeardAt);
+}
+
+Result<void> AppendBatcher::AppendAll(const std::vector<KeyedEntry>& aEntries,
+                                      MonotonicTime aHeardAt)
+{
+  size_t bytes = 0;
+  for (const KeyedEntry& entry : aEntries) {
+    bytes += RecordBytes(entry) + kRecordOverhead;
+  }
+  const size_t maxBytes = mLog.Limits().mRequestBytes;
   MutexLock lock(mMutex);
   mAvailability.OnOtherAnswer(aHeardAt);
-  WaitForRoom(bytes, limits.mRequestBytes);
+  WaitForRoom(bytes, maxBytes);
   if (mOpenBatch == nullptr) {
     mOpenBatch = std::make_shared<Batch>();
   }
   const std::shared_ptr<Batch> batch = mOpenBatch;
-  batch->mEntries.push_back(aEntry);
+  batch->mEntries.insert(
+    batch->mEntries.end(), aEntries.begin(), aEntries.end());
   batch->mBytes += bytes;
   if (WaitForTurn(*batch)) {
     Send(*batch);
@@ -47,7 +58,19 @@
   return OutcomeOf(*batch);
 }
 
-// If an entry of aBytes does not fit into the open batch, which may have
+Milliseconds AppendBatcher::LastCallTime()
+{
+  MutexLock lock(mMutex);
+  return mLastCallTime;
+}
+
+MonotonicTime AppendBatcher::RetryAt()
+{
+  MutexLock lock(mMutex);
+  return mAvailability.RetryAt(mClock.Now(), mNextSpread += kSpreadStep);
+}
+
+// If entries of aBytes do not fit into the open batch, which may have
 // aMaxBytes, waits until that batch is sent or refused.
 void AppendBatcher::WaitForRoom(size_t aBytes, size_t aMaxBytes)
 {
@@ -96,7 +119,11 @@
   mMutex.Unlock();
   Result<void> outcome = mLog.Append(mPlace, aBatch.mEntries);
   mMutex.Lock();
-  mAvailability.OnCallEnded(begunAt, EndOf(outcome), mClock.Now());
+  const MonotonicTime now = mClock.Now();
+  mAvailability.OnCallEnded(begunAt, EndOf(outcome), now);
+  if (outcome) {
+    mLastCallTime = std::chrono::ceil<Milliseconds>(now - begunAt);
+  }
   Finish(aBatch, std::move(outcome));
 }
 
--- a/mulberryvalve/app/jobs/append_batcher.h
+++ b/mulberryvalve/app/jobs/append_batcher.h
@@ -36,6 +36,19 @@
   // sent. Failures say with mRetryAt when to come back.
   Result<void> Append(const KeyedEntry& aEntry, MonotonicTime aHeardAt);
 
+  // Append for several entries, which share one call. Precondition: each of
+  // aEntries is within the record limit, and all together are within the limit
+  // of a call.
+  Result<void> AppendAll(const std::vector<KeyedEntry>& aEntries,
+                         MonotonicTime aHeardAt);
+
+  // Returns the duration of the newest call that was answered, rounded up, or
+  // zero before the first.
+  Milliseconds LastCallTime();
+
+  // Returns when a caller that is refused now should come back.
+  MonotonicTime RetryAt();
+
 private:
   // The entries of one call and, once it has returned, its outcome.
   struct Batch
@@ -60,6 +73,7 @@
   CondVar mCond;
   std::shared_ptr<Batch> mOpenBatch MV_GUARDED_BY(mMutex);
   LogAvailability mAvailability MV_GUARDED_BY(mMutex);
+  Milliseconds mLastCallTime MV_GUARDED_BY(mMutex){};
   // Spreads the return of refused callers.
   uint64_t mNextSpread MV_GUARDED_BY(mMutex) = 0;
 };
--- a/mulberryvalve/app/jobs/job_graph_service.cc
+++ b/mulberryvalve/app/jobs/job_graph_service.cc
@@ -1,17 +1,12 @@
 #include "mulberryvalve/app/jobs/job_graph_service.h"
 
+#include "mulberryvalve/app/jobs/shard_runtime.h"
+
 #include <algorithm>
 
 namespace mulberryvalve {
 namespace {
 
-// An append is repeated only while the caller has more time than this left: for
-// the longest call to the log, or, if the log has answered other calls, for one
-// that it answers. A caller that learns early that the outcome is unknown can
-// ask another instance.
-constexpr Milliseconds kMinTimeToRepeat{ 1650 };
-constexpr Milliseconds kMinTimeIfHeard{ 650 };
-constexpr Milliseconds kRetryDelay{ 100 };
 constexpr Milliseconds kPeerTimeout{ 600 };
 // A query is retried only while its caller has at least this much time
 // remaining.
@@ -20,16 +15,19 @@
 } // namespace
 
 JobGraphService::JobGraphService(ShardNumber aShards,
-                                 JobGraphServicePorts aPorts)
+                                 JobGraphServicePorts aPorts,
+                                 IntakeRelaying aRelaying)
   : mShards(aShards)
   , mPorts(aPorts)
+  , mAppender(aShards,
+              IntakeAppenderPorts{ aPorts.mLog,
+                                   { aPorts.mPeers,
+                                     aPorts.mMemberships,
+                                     aPorts.mClock,
+                                     aPorts.mMetrics,
+                                     aPorts.mEvents } },
+              aRelaying)
 {
-  for (ShardNumber shard = 0; shard < mShards; shard++) {
-    mIntakeBatchers.push_back(std::make_unique<AppendBatcher>(
-      mPorts.mLog,
-      mPorts.mClock,
-      TopicPartition{ KeyedTopic::kIntake, shard }));
-  }
 }
 
 Result<void> JobGraphService::Submit(const JobGraph& aJob,
@@ -73,10 +71,8 @@
   int attempts = 0;
   do {
     attempts++;
-    mPorts.mMetrics.Add(Counter::kLogAppends, 1);
     const MonotonicTime attemptedAt = mPorts.mClock.Now();
-    const Result<void> done =
-      mIntakeBatchers[shard]->Append(aEntry, mPorts.mMemberships.LastContact());
+    const Result<void> done = mAppender.Attempt(shard, aEntry, aDeadline);
     if (done) {
       mPorts.mMetrics.Record(Timing::kAppendUs, mPorts.mClock.Now() - begin);
       mPorts.mEvents.Write(EventLevel::kInfo,
@@ -88,11 +84,11 @@
       return Done();
     }
     last = done.error();
-    mPorts.mMetrics.Add(Counter::kLogFailures, 1);
     mayHaveTakenEffect =
       mayHaveTakenEffect || last.mKind == FailureKind::kLogAnswerLost;
     // If nothing was appended, the caller can safely come back later.
-    shouldRepeat = mayHaveTakenEffect && IsTimeToRepeat(attemptedAt, aDeadline);
+    shouldRepeat =
+      mayHaveTakenEffect && mAppender.IsTimeToRepeat(attemptedAt, aDeadline);
     if (shouldRepeat) {
       Pause();
     }
@@ -117,14 +113,6 @@
   return refused;
 }
 
-bool JobGraphService::IsTimeToRepeat(MonotonicTime aAttemptedAt,
-                                     MonotonicTime aDeadline) const
-{
-  const bool heard = mPorts.mMemberships.LastContact() > aAttemptedAt;
-  const Milliseconds needed = heard ? kMinTimeIfHeard : kMinTimeToRepeat;
-  return mPorts.mClock.Now() + kRetryDelay + needed < aDeadline;
-}
-
 Result<std::optional<JobPhase>> JobGraphService::Phase(const JobId& aJob,
                                                        MonotonicTime aDeadline)
 {
@@ -199,7 +187,8 @@
 
 void JobGraphService::Pause()
 {
-  mStop.WaitUntil(std::chrono::steady_clock::now() + kRetryDelay);
+  mStop.WaitUntil(std::chrono::steady_clock::now() +
+                  IntakeAppender::kRetryDelay);
 }
 
 } // namespace mulberryvalve
--- a/mulberryvalve/app/jobs/jobs_fake.h
+++ b/mulberryvalve/app/jobs/jobs_fake.h
@@ -4,6 +4,7 @@
 #define MULBERRYVALVE_APP_JOBS_JOBS_FAKE_H_
 
 #include "mulberryvalve/app/jobs/job_graph_service.h"
+#include "mulberryvalve/app/jobs/shard_membership_manager.h"
 #include "mulberryvalve/core/base/mutex.h"
 
 #include <deque>
--- a/mulberryvalve/app/jobs/shard_membership_manager.h
+++ b/mulberryvalve/app/jobs/shard_membership_manager.h
@@ -6,7 +6,7 @@
 
 #include "mulberryvalve/app/jobs/shard_balancer.h"
 #include "mulberryvalve/app/jobs/shard_membership.h"
-#include "mulberryvalve/ports/out/peer_query.h"
+#include "mulberryvalve/app/jobs/shard_owners.h"
 #include "mulberryvalve/ports/out/random_source.h"
 
 #include <memory>
@@ -16,7 +16,7 @@
 namespace mulberryvalve {
 
 // Thread-safe. Holds one membership per shard, each with its own mutex.
-class ShardMembershipManager : public PeerQueryHandler
+class ShardMembershipManager : public ShardOwners
 {
 public:
   // All references, including those in aPorts, must outlive this object.
@@ -35,22 +35,12 @@
   void BeginStop();
   void Stop();
 
-  // Returns when the last call to any group that was answered had been sent.
-  MonotonicTime LastContact() const;
-
-  // Returns the peer endpoint of the shard's owner, or nothing if no owner is
-  // known.
-  std::optional<Endpoint> OwnerOf(ShardNumber aShard) const;
-
-  // Marks the known owner of a shard as outdated because it did not answer as
-  // owner. The group is polled again soon.
-  void InvalidateOwner(ShardNumber aShard);
-
-  // Records what the answer of a peer about a shard, which arrived just now,
-  // tells of an owner.
-  void OnPeerAnswer(ShardNumber aShard, const PeerQueryResult& aAnswer);
-
-  // Answers questions about the shards that this instance owns.
+  MonotonicTime LastContact() const override;
+  std::optional<Endpoint> OwnerOf(ShardNumber aShard) const override;
+  // The group is polled again soon.
+  void InvalidateOwner(ShardNumber aShard) override;
+  void OnPeerAnswer(ShardNumber aShard,
+                    const PeerQueryResult& aAnswer) override;
   PeerQueryResult OnQuery(const PeerQuery& aQuestion) override;
 
 private:
