--- a/mulberryvalve/adapters/ws_call/ws_call_test.cc
+++ b/mulberryvalve/adapters/ws_call/ws_call_test.cc
@@ -45,8 +45,7 @@
   std::atomic<uint64_t> mQueries{ 0 };
 };
 
-// Answers relayed entries on a thread of its own, the first only once the test
-// lets it.
+// Answers one relayed entry, on a thread of its own, once the test lets it.
 class DelayingIntakeHandler : public PeerIntakeHandler
 {
 public:
@@ -58,6 +57,7 @@
   }
   void OnIntake(const PeerQuery& aQuery, Reply aReply) override
   {
+    mReceived.set_value();
     mAnswers.emplace_back([this, aQuery, aReply] {
       mMayAnswer.get_future().wait();
       PeerQueryResult answer;
@@ -67,6 +67,7 @@
       aReply(answer);
     });
   }
+  std::promise<void> mReceived;
   std::promise<void> mMayAnswer;
 
 private:
@@ -334,6 +335,7 @@
   std::thread caller([&] {
     appended.set_value(one.Ask(second, QueryToAppend(value), kLongTimeout));
   });
+  intake.mReceived.get_future().wait();
   CHECK(one.Ask(second, QueryForJob("known"), kLongTimeout).has_value());
   intake.mMayAnswer.set_value();
   const Result<PeerQueryResult> answer = appended.get_future().get();
--- a/mulberryvalve/app/jobs/intake_relaying_test.cc
+++ b/mulberryvalve/app/jobs/intake_relaying_test.cc
@@ -246,9 +246,11 @@
 {
   StartRelaying();
   JobGraph job = SmallJob("large");
-  job.mSteps.resize(1000, job.mSteps.front());
+  job.mQueue = QueueId(std::string(kMaxRelayedBytes / 2, 'q'));
+  job.mSpecification = std::string(kMaxRelayedBytes / 2, 's');
   const int before = mInstance.mLink.mQueries;
-  (void)mInstance.mJobs.Submit(job, mInstance.mClock.Now() + kTestTimeout);
+  const MonotonicTime until = mInstance.mClock.Now() + kTestTimeout;
+  CHECK(mInstance.mJobs.Submit(job, until).has_value());
   CHECK_EQUAL(before, mInstance.mLink.mQueries.load());
   CHECK_EQUAL(1U, OwnFailures());
   CHECK_EQUAL(2U, Appends());
