--- a/mulberryvalve/adapters/ws_call/ws_call_test.cc
+++ b/mulberryvalve/adapters/ws_call/ws_call_test.cc
@@ -404,6 +404,26 @@
   CHECK(FailureKind::kPeerNotListening == answer.error().mKind);
 }
 
+// A query that was never sent is told from one that may have had an effect: the
+// peer accepts the connection and ends it before the links are set up.
+TEST(WsCallTest, AQueryThatWasNotSentIsTold)
+{
+  NullEventLog log;
+  CountingQueryHandler handler;
+  WsPeerQueryTransport link(Endpoint{ "127.0.0.1", FreePort() }, log);
+  CHECK(link.Start(handler).has_value());
+  asio::io_context io;
+  asio::ip::tcp::acceptor acceptor(
+    io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  std::thread peer([&] { acceptor.accept().close(); });
+  const auto answer =
+    link.Ask(Endpoint{ "127.0.0.1", acceptor.local_endpoint().port() },
+             QueryToAppend("value"),
+             kLongTimeout);
+  peer.join();
+  CHECK(FailureKind::kNotReady == answer.error().mKind);
+}
+
 // Guards against reconnect storms: one query that times out at a busy shard
 // owner must not make other instances reconnect to it.
 TEST(WsCallTest, SlowPeerKeepsItsConnection)
--- a/mulberryvalve/adapters/ws_call/ws_peer_query_transport.cc
+++ b/mulberryvalve/adapters/ws_call/ws_peer_query_transport.cc
@@ -290,8 +290,11 @@
     const PeerConnection& peer = node.mapped();
     mLog.Write(
       EventLevel::kInfo, "peer_lost", { { "peer", aKey }, { "why", aReason } });
+    // Frames are sent once the connection is open.
+    const bool isUnsent = !peer.mOpen && aKind == FailureKind::kPeerUnreachable;
+    const FailureKind kind = isUnsent ? FailureKind::kNotReady : aKind;
     for (const auto& [callId, call] : peer.mCalls) {
-      call.mPromise->set_value(Fail(aKind, "peer", aReason));
+      call.mPromise->set_value(Fail(kind, "peer", aReason));
     }
     if (peer.mConnection != nullptr) {
       std::error_code ignored;
--- a/mulberryvalve/app/jobs/append_batcher.cc
+++ b/mulberryvalve/app/jobs/append_batcher.cc
@@ -64,6 +64,12 @@
   return mLastCallTime;
 }
 
+std::optional<MonotonicTime> AppendBatcher::PendingSince()
+{
+  MutexLock lock(mMutex);
+  return mAvailability.PendingSince();
+}
+
 MonotonicTime AppendBatcher::RetryAt()
 {
   MutexLock lock(mMutex);
--- a/mulberryvalve/app/jobs/append_batcher.h
+++ b/mulberryvalve/app/jobs/append_batcher.h
@@ -9,6 +9,7 @@
 #include "mulberryvalve/ports/out/keyed_log.h"
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace mulberryvalve {
@@ -46,6 +47,9 @@
   // zero before the first.
   Milliseconds LastCallTime();
 
+  // Returns when the oldest call in flight began, or nothing if none is.
+  std::optional<MonotonicTime> PendingSince();
+
   // Returns when a caller that is refused now should come back.
   MonotonicTime RetryAt();
 
--- a/mulberryvalve/app/jobs/intake_appender.cc
+++ b/mulberryvalve/app/jobs/intake_appender.cc
@@ -38,7 +38,7 @@
     return AppendHere(aShard, aEntry);
   }
   const MonotonicTime attemptedAt = mPorts.mRelay.mClock.Now();
-  const IntakePath path = mRelay->NextPath(aShard, aEntry);
+  const IntakePath path = NextPath(aShard, aEntry);
   Result<void> first = AttemptOn(path, aShard, aEntry, aDeadline);
   if (first || first.error().mKind == FailureKind::kTooLarge) {
     return first;
@@ -55,6 +55,12 @@
   return isFirstTold ? first : second;
 }
 
+IntakePath IntakeAppender::NextPath(ShardNumber aShard,
+                                    const KeyedEntry& aEntry)
+{
+  return mRelay->NextPath(aShard, aEntry, mBatchers.Of(aShard).PendingSince());
+}
+
 // The instance's own append has no deadline, so it follows an attempt of the
 // owner only if that took no time, or if there is time for the longest call.
 bool IntakeAppender::IsWorthTrying(IntakePath aPath,
@@ -66,7 +72,7 @@
 {
   const MonotonicTime now = mPorts.mRelay.mClock.Now();
   if (aPath == IntakePath::kRelay) {
-    return mRelay->NextPath(aShard, aEntry) == IntakePath::kRelay &&
+    return NextPath(aShard, aEntry) == IntakePath::kRelay &&
            now + kMinTimeToRelay < aDeadline;
   }
   const bool wasQuick = !IsUnclear(aFirst) && now < aAttemptedAt + kRetryDelay;
@@ -86,7 +92,12 @@
     return refused;
   }
   if (aPath == IntakePath::kRelay) {
-    return mRelay->Relay(aShard, aEntry, aDeadline);
+    Result<void> relayed = mRelay->Relay(aShard, aEntry, aDeadline);
+    // Nobody at the owner's endpoint told a time to come back.
+    if (!relayed && relayed.error().mRetryAt == MonotonicTime()) {
+      relayed.error().mRetryAt = mBatchers.Of(aShard).RetryAt();
+    }
+    return relayed;
   }
   Result<void> done = AppendHere(aShard, aEntry);
   mRelay->OnOwnAppend(aShard, done, mBatchers.Of(aShard).LastCallTime());
--- a/mulberryvalve/app/jobs/intake_appender.h
+++ b/mulberryvalve/app/jobs/intake_appender.h
@@ -56,6 +56,7 @@
   IntakeBatchers& Batchers() { return mBatchers; }
 
 private:
+  IntakePath NextPath(ShardNumber aShard, const KeyedEntry& aEntry);
   Result<void> AttemptOn(IntakePath aPath,
                          ShardNumber aShard,
                          const KeyedEntry& aEntry,
--- a/mulberryvalve/app/jobs/intake_relay_client.cc
+++ b/mulberryvalve/app/jobs/intake_relay_client.cc
@@ -39,25 +39,30 @@
   }
 }
 
-IntakePath IntakeRelayClient::NextPath(ShardNumber aShard,
-                                       const KeyedEntry& aEntry)
+IntakePath IntakeRelayClient::NextPath(
+  ShardNumber aShard,
+  const KeyedEntry& aEntry,
+  std::optional<MonotonicTime> aPendingSince)
 {
   if (RecordBytes(aEntry) > kMaxRelayedBytes) {
     return IntakePath::kOwnAppend;
   }
-  {
-    MutexLock lock(mShards[aShard]->mMutex);
-    if (mShards[aShard]->mRelay.NextPath(mPorts.mClock.Now()) ==
-        IntakePath::kOwnAppend) {
-      return IntakePath::kOwnAppend;
-    }
+  const MonotonicTime now = mPorts.mClock.Now();
+  const auto pendingFor = std::chrono::floor<Milliseconds>(
+    aPendingSince ? now - *aPendingSince : Microseconds::zero());
+  IntakePath path = IntakePath::kOwnAppend;
+  Apply(aShard, pendingFor, [&](IntakeRelay& aRelay) {
+    aRelay.OnPending(aPendingSince, now);
+    path = aRelay.NextPath(now);
+  });
+  if (path == IntakePath::kOwnAppend) {
+    return path;
   }
   if (mPorts.mOwners.OwnerOf(aShard) && !IsOwnedHere(aShard)) {
     return IntakePath::kRelay;
   }
-  Apply(aShard, Milliseconds::zero(), [this](IntakeRelay& aRelay) {
-    aRelay.OnNoOwner(mPorts.mClock.Now());
-  });
+  Apply(
+    aShard, pendingFor, [now](IntakeRelay& aRelay) { aRelay.OnNoOwner(now); });
   return IntakePath::kOwnAppend;
 }
 
@@ -159,7 +164,10 @@
       aRelay.OnOwnerSilent(mPorts.mClock.Now());
     });
   }
-  if (aFailure.mKind == FailureKind::kPeerNotListening) {
+  const bool isUnsent = aFailure.mKind == FailureKind::kPeerNotListening ||
+                        aFailure.mKind == FailureKind::kNotReady ||
+                        aFailure.mKind == FailureKind::kShuttingDown;
+  if (isUnsent) {
     return Refused(aFailure.mDetail, MonotonicTime());
   }
   return Unclear(aFailure.mDetail);
--- a/mulberryvalve/app/jobs/intake_relay_client.h
+++ b/mulberryvalve/app/jobs/intake_relay_client.h
@@ -36,8 +36,11 @@
 
   IntakeRelayClient(ShardNumber aShards, IntakeRelayClientPorts aPorts);
 
-  // Returns the path that aEntry takes first.
-  IntakePath NextPath(ShardNumber aShard, const KeyedEntry& aEntry);
+  // Returns the path that aEntry takes next. aPendingSince is when the oldest
+  // append in flight of this instance began, if one is.
+  IntakePath NextPath(ShardNumber aShard,
+                      const KeyedEntry& aEntry,
+                      std::optional<MonotonicTime> aPendingSince);
 
   // Returns false if an append on aPath takes longer now than until aDeadline.
   bool IsInTime(ShardNumber aShard, IntakePath aPath, MonotonicTime aDeadline);
--- a/mulberryvalve/app/jobs/intake_relaying_fake.h
+++ b/mulberryvalve/app/jobs/intake_relaying_fake.h
@@ -16,7 +16,8 @@
 enum class LinkState
 {
   kUp,
-  kCut,          // nothing arrives
+  kCut,          // the connection breaks, and nothing arrives
+  kNoConnection, // nothing can be sent
   kAnswerLost,   // the query arrives, its answer does not
   kNotListening, // the owner's process has ended
 };
@@ -65,6 +66,9 @@
     if (mState == LinkState::kNotListening) {
       return Fail(FailureKind::kPeerNotListening);
     }
+    if (mState == LinkState::kNoConnection) {
+      return Fail(FailureKind::kNotReady);
+    }
     if (mState == LinkState::kCut) {
       return Fail(FailureKind::kPeerUnreachable);
     }
--- a/mulberryvalve/app/jobs/intake_relaying_test.cc
+++ b/mulberryvalve/app/jobs/intake_relaying_test.cc
@@ -129,6 +129,25 @@
   }
 }
 
+// Guards against callers that wait for an append which has no answer yet: the
+// next ones are relayed before it ends.
+TEST(IntakeRelaying, CallersDoNotWaitBehindASlowAppend)
+{
+  MemoryLog slow;
+  slow.SetAppendTime(Milliseconds(600));
+  RelayingInstance instance(slow, mOwner.mCommit);
+  std::atomic<bool> isFirstDone{ false };
+  std::thread first(
+    [&] { isFirstDone = instance.Submit("first").has_value(); });
+  std::this_thread::sleep_for(2 * IntakeRelay::kSlowAppend);
+  CHECK(instance.Submit("second").has_value());
+  CHECK(instance.Submit("third").has_value());
+  CHECK_FALSE(isFirstDone);
+  first.join();
+  CHECK(isFirstDone);
+  CHECK_EQUAL(2, instance.mLink.mQueries.load());
+}
+
 // Guards against an instance that keeps appending to a slow log, and against
 // one that keeps relaying once the log is fast.
 TEST(IntakeRelaying, ASlowAppendIsFollowedByRelayingUntilTheOwnerIsFast)
@@ -149,8 +168,10 @@
 // though the instance reaches the log, and against a second record key.
 TEST(IntakeRelaying, TheInstanceAppendsItselfIfTheOwnerFails)
 {
-  for (const LinkState state :
-       { LinkState::kAnswerLost, LinkState::kCut, LinkState::kNotListening }) {
+  for (const LinkState state : { LinkState::kAnswerLost,
+                                 LinkState::kCut,
+                                 LinkState::kNoConnection,
+                                 LinkState::kNotListening }) {
     RelayingInstance instance(mLog, mOwner.mCommit);
     instance.mLog.FailCalls(LogCall::kAppend, FailureKind::kLogUnavailable);
     CHECK(instance.Submit("first").has_value());
@@ -183,6 +204,7 @@
   const FailureKind unknown = FailureKind::kUnknownOutcome;
   const std::vector<Row> rows{
     { refused, LinkState::kNotListening, refused },
+    { refused, LinkState::kNoConnection, refused },
     { refused, LinkState::kAnswerLost, unknown },
     { refused, LinkState::kCut, unknown },
     { lost, LinkState::kNotListening, unknown },
@@ -194,7 +216,7 @@
     instance.mLink.mState = row.mLink;
     const Result<void> told = instance.Submit("job", Milliseconds(1000));
     CHECK(row.mTold == told.error().mKind);
-    CHECK(told.error().mRetryAt == MonotonicTime() || row.mTold == refused);
+    CHECK_EQUAL(row.mTold == refused, told.error().mRetryAt > MonotonicTime());
   }
 }
 
--- a/mulberryvalve/core/jobs/intake_relay.cc
+++ b/mulberryvalve/core/jobs/intake_relay.cc
@@ -18,6 +18,15 @@
   return !isValid || newest.mTook <= aLeft;
 }
 
+void IntakeRelay::OnPending(std::optional<MonotonicTime> aSince,
+                            MonotonicTime aNow)
+{
+  mIsPending = aSince && aNow > *aSince + kSlowAppend;
+  if (mIsPending && !mCause) {
+    Begin(RelayCause::kSlowAppend, aNow);
+  }
+}
+
 void IntakeRelay::OnOwnAppend(LogCallEnd aEnd,
                               Milliseconds aTook,
                               MonotonicTime aNow)
@@ -54,7 +63,7 @@
   const bool isLogBack = mCause == RelayCause::kSlowAppend ||
                          (hasRelayedLong && (mCause != RelayCause::kNoAnswer ||
                                              aHeardAt > mCausedAt));
-  if (aTook < kFastAppend && isLogBack) {
+  if (aTook < kFastAppend && isLogBack && !mIsPending) {
     End(RelayEnd::kOwnerFast);
   }
 }
--- a/mulberryvalve/core/jobs/intake_relay.h
+++ b/mulberryvalve/core/jobs/intake_relay.h
@@ -78,6 +78,11 @@
   // aLeft.
   bool IsInTime(IntakePath aPath, Milliseconds aLeft, MonotonicTime aNow) const;
 
+  // Records since when the oldest append in flight of this instance has had no
+  // answer, or that none is in flight. A slow one counts before it ends, so
+  // that callers do not wait for a log that may never answer.
+  void OnPending(std::optional<MonotonicTime> aSince, MonotonicTime aNow);
+
   // Records an append of this instance that ended just now. aTook is the
   // duration of its call, used if it was answered.
   void OnOwnAppend(LogCallEnd aEnd, Milliseconds aTook, MonotonicTime aNow);
@@ -118,6 +123,8 @@
   std::optional<RelayCause> mCause;
   // When the newest append of this instance that is a cause ended.
   MonotonicTime mCausedAt;
+  // An append of this instance is in flight for longer than kSlowAppend.
+  bool mIsPending = false;
   RelayEnd mLastEnd = RelayEnd::kOwnAppendFast;
   // Until then the owner is not asked.
   std::optional<MonotonicTime> mPausedUntil;
--- a/mulberryvalve/core/jobs/intake_relay_test.cc
+++ b/mulberryvalve/core/jobs/intake_relay_test.cc
@@ -15,6 +15,8 @@
   kOwner,
   kNoOwner,
   kOwnerSilent,
+  kPending, // since mTook
+  kNotPending,
 };
 
 // An event at mAt; mTook is the duration of an append, all in milliseconds.
@@ -50,6 +52,12 @@
       case Step::kOwner:
         relay.OnOwnerAnswer(took, At(event.mHeardAt), now);
         break;
+      case Step::kPending:
+        relay.OnPending(At(event.mTook), now);
+        break;
+      case Step::kNotPending:
+        relay.OnPending(std::nullopt, now);
+        break;
       case Step::kNoOwner:
         relay.OnNoOwner(now);
         break;
@@ -128,6 +136,21 @@
         { 9000, Step::kOwner, 4, 100 } },
       9000,
       relay },
+    { "in flight for the usual time",
+      { { 160, Step::kPending, 100 } },
+      160,
+      own },
+    { "in flight for long", { { 161, Step::kPending, 100 } }, 161, relay },
+    { "in flight for long, owner fast",
+      { { 161, Step::kPending, 100 }, { 170, Step::kOwner, 4 } },
+      170,
+      relay },
+    { "no longer in flight, owner fast",
+      { { 161, Step::kPending, 100 },
+        { 165, Step::kNotPending },
+        { 170, Step::kOwner, 4 } },
+      170,
+      own },
     { "no owner", { { 100, Step::kLost }, { 200, Step::kNoOwner } }, 201, own },
     { "owner silent, log slow again",
       { { 100, Step::kAnswered, 200 },
--- a/mulberryvalve/core/jobs/log_availability.h
+++ b/mulberryvalve/core/jobs/log_availability.h
@@ -67,6 +67,12 @@
   // has returned kWait.
   MonotonicTime WaitUntil() const { return *mBegun.rbegin() + kOverdueAfter; }
 
+  // Returns when the oldest call in flight began, or nothing if none is.
+  std::optional<MonotonicTime> PendingSince() const
+  {
+    return mBegun.empty() ? std::nullopt : std::make_optional(*mBegun.begin());
+  }
+
   // Records the begin of a call, and its end. aBegunAt is the time that was
   // passed to OnCallBegan.
   void OnCallBegan(MonotonicTime aNow);
--- a/mulberryvalve/ports/out/peer_query.h
+++ b/mulberryvalve/ports/out/peer_query.h
@@ -106,7 +106,9 @@
 
 // PeerQueryClient sends queries to other instances. Thread-safe; blocks up to
 // aTimeout. Errors: kPeerUnreachable, kPeerNotListening (the peer's machine
-// answered that no process listens there), kMalformed.
+// answered that no process listens there), kMalformed; kNotReady and
+// kShuttingDown (there was no connection to send the query on). The query may
+// have had an effect after kPeerUnreachable and kMalformed only.
 class PeerQueryClient
 {
 public:
