--- a/mulberryvalve/core/jobs/job_forecast.h
+++ b/mulberryvalve/core/jobs/job_forecast.h
@@ -12,6 +12,9 @@
 {
   // Duration of the critical path, assuming that no task waits.
   Milliseconds mLongestChain{ 0 };
+  // The same for the steps that have not completed. A step with running tasks
+  // counts in full.
+  Milliseconds mRemainingChain{ 0 };
   // Work of the tasks that have not completed, in thousandths of a core times
   // milliseconds.
   int64_t mRemainingWork = 0;
--- a/mulberryvalve/core/jobs/job_table.h
+++ b/mulberryvalve/core/jobs/job_table.h
@@ -36,6 +36,8 @@
   std::optional<Basis> mBasis;
   // Time from the acceptance of the job to its objective.
   Milliseconds mObjective{ 0 };
+  // Duration of the steps of the critical path that have not completed.
+  Milliseconds mRemainingChain{ 0 };
   int64_t mRemainingWork = 0;
 };
 
--- a/mulberryvalve/core/jobs/queueing_policy.h
+++ b/mulberryvalve/core/jobs/queueing_policy.h
@@ -42,11 +42,18 @@
   // Lower numbers are served first.
   int mPriority = 0;
   MonotonicTime mAcceptedAt;
+  // Since when the step's occurrence could be served: the acceptance of the
+  // job, or a later due time if the job recurs.
+  MonotonicTime mDueAt;
   // When the job must be finished to meet its objective.
   MonotonicTime mObjectiveAt;
   // Remaining work of the job in thousandths of a core times milliseconds; zero
   // for long-running tasks.
   int64_t mRemainingWork = 0;
+  // Duration of the steps of the job's critical path that have not completed;
+  // zero for long-running tasks.
+  Milliseconds mRemainingChain{ 0 };
+  bool mIsLongRunning = false;
   AccountShare mShare;
 };
 
--- a/mulberryvalve/core/jobs/shard_scheduler_waiting.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_waiting.cc
@@ -35,6 +35,23 @@
   }
 }
 
+// Returns since when an occurrence of a job could be served. Every occurrence
+// of a recurring job is accepted with the first one and due later.
+MonotonicTime DueAtOf(const JobEntry& aJob,
+                      uint32_t aOccurrence,
+                      WallTime aWallNow,
+                      MonotonicTime aNow)
+{
+  const Recurrence& recurrence = aJob.mGraph.mRecurrence;
+  if (recurrence.mTimes == 0) {
+    return aJob.mAcceptedAt;
+  }
+  const Milliseconds overdue(aWallNow.mMilliseconds -
+                             recurrence.mFirst.mMilliseconds -
+                             recurrence.mInterval.count() * aOccurrence);
+  return std::max(aJob.mAcceptedAt, aNow - std::max(overdue, Milliseconds(0)));
+}
+
 bool HasPlacedTask(const JobEntry& aJob)
 {
   for (const auto& [occurrence, steps] : aJob.mOccurrences) {
@@ -59,13 +76,16 @@
     step.mStep = openStep;
     step.mPriority = job.mGraph.mRules.mPriority;
     step.mAcceptedAt = AcceptedAt(job, aNow);
+    step.mDueAt = DueAtOf(job, openStep.mOccurrence, mWallTime, aNow);
     step.mObjectiveAt = step.mAcceptedAt;
     Milliseconds objective{ 0 };
-    if (!job.mGraph.mSteps[openStep.mStep].mLongRunning) {
+    step.mIsLongRunning = job.mGraph.mSteps[openStep.mStep].mLongRunning;
+    if (!step.mIsLongRunning) {
       const CachedForecast& forecast = Forecast(job, openStep);
       objective = forecast.mObjective;
       step.mObjectiveAt += objective;
       step.mRemainingWork = forecast.mRemainingWork;
+      step.mRemainingChain = forecast.mRemainingChain;
     }
     step.mShare = mAccounts.ShareOf(job, step.mAcceptedAt, objective, aNow);
   }
@@ -89,6 +109,7 @@
   cached.mBasis = basis;
   cached.mObjective =
     rules.mSlack + forecast.mLongestChain * rules.mStretchPercent / kPercent;
+  cached.mRemainingChain = forecast.mRemainingChain;
   cached.mRemainingWork = forecast.mRemainingWork;
   return cached;
 }
