--- a/mulberryvalve/core/accounts/account_rate.cc
+++ b/mulberryvalve/core/accounts/account_rate.cc
@@ -1,6 +1,7 @@
 #include "mulberryvalve/core/accounts/account_rate.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace mulberryvalve {
 
@@ -15,6 +16,12 @@
   const auto [found, isNew] =
     mBuckets.try_emplace(aAccount, Bucket{ size, aAcceptedAt });
   Bucket& bucket = found->second;
+  // The clock that accepted the job before was far ahead. Without this, no
+  // tokens would be added until the other clocks have reached that time.
+  if (aAcceptedAt.mMilliseconds + kBurst.count() <
+      bucket.mUpdatedAt.mMilliseconds) {
+    bucket.mUpdatedAt = aAcceptedAt;
+  }
   const int64_t elapsedMs = std::max<int64_t>(
     0, aAcceptedAt.mMilliseconds - bucket.mUpdatedAt.mMilliseconds);
   bucket.mTokens = std::min(
@@ -27,4 +34,12 @@
   return true;
 }
 
+void AccountRate::RetainOnly(const AccountDirectory& aAccounts)
+{
+  for (auto bucket = mBuckets.begin(); bucket != mBuckets.end();) {
+    const bool isKept = aAccounts.Find(bucket->first) != nullptr;
+    bucket = isKept ? std::next(bucket) : mBuckets.erase(bucket);
+  }
+}
+
 } // namespace mulberryvalve
--- a/mulberryvalve/core/accounts/account_usage.cc
+++ b/mulberryvalve/core/accounts/account_usage.cc
@@ -78,17 +78,17 @@
 }
 
 bool AccountUsage::MayStart(const ClientAccountId& aAccount,
-                            const Resources& aDemand) const
+                            const Resources& aDemand,
+                            uint32_t aTasks) const
 {
-  const Resources limit = Limit(aAccount);
-  if (limit == Resources()) {
-    return true;
-  }
-  const Resources charged = Charged(aAccount);
-  return FitsLimit(charged.mCpuMillis, aDemand.mCpuMillis, limit.mCpuMillis) &&
-         FitsLimit(charged.mMemoryMb, aDemand.mMemoryMb, limit.mMemoryMb) &&
-         FitsLimit(
-           charged.mAccelerators, aDemand.mAccelerators, limit.mAccelerators);
+  return FitsBeside(aAccount, Charged(aAccount), aDemand, aTasks);
+}
+
+bool AccountUsage::FitsAlone(const ClientAccountId& aAccount,
+                             const Resources& aDemand,
+                             uint32_t aTasks) const
+{
+  return FitsBeside(aAccount, Resources(), aDemand, aTasks);
 }
 
 const ClientAccount* AccountUsage::Find(const ClientAccountId& aAccount) const
@@ -96,12 +96,24 @@
   return mAccounts == nullptr ? nullptr : mAccounts->Find(aAccount);
 }
 
-bool AccountUsage::FitsLimit(int64_t aCharged,
-                             int64_t aDemand,
-                             int64_t aLimit) const
+bool AccountUsage::FitsBeside(const ClientAccountId& aAccount,
+                              const Resources& aCharged,
+                              const Resources& aDemand,
+                              uint32_t aTasks) const
 {
-  const bool isAlone = aCharged == 0 && mShards == 1;
-  return aLimit == 0 || aDemand == 0 || isAlone || aCharged + aDemand <= aLimit;
+  const Resources limit = Limit(aAccount);
+  if (limit == Resources()) {
+    return true;
+  }
+  const auto fits = [&](int64_t aUsed, int64_t aOfTask, int64_t aLimit) {
+    const bool mayExceed = aUsed == 0 && mShards == 1;
+    const int64_t mustFit = aOfTask * (mayExceed ? aTasks - 1 : aTasks);
+    return aLimit == 0 || aOfTask == 0 || aUsed + mustFit <= aLimit;
+  };
+  return fits(aCharged.mCpuMillis, aDemand.mCpuMillis, limit.mCpuMillis) &&
+         fits(aCharged.mMemoryMb, aDemand.mMemoryMb, limit.mMemoryMb) &&
+         fits(
+           aCharged.mAccelerators, aDemand.mAccelerators, limit.mAccelerators);
 }
 
 } // namespace mulberryvalve
--- a/mulberryvalve/core/accounts/account_usage.h
+++ b/mulberryvalve/core/accounts/account_usage.h
@@ -46,12 +46,20 @@
   // not in force.
   double Weight(const ClientAccountId& aAccount) const;
 
-  // MayStart returns whether a demand fits within the limit. In a component of
-  // which the account uses nothing it always fits, since a task that alone
-  // exceeds the limit would never run otherwise; not with several shards, whose
-  // owners could each start one.
+  // MayStart returns whether aTasks tasks with a demand of aDemand each, which
+  // start together, fit within the limit. In a component of which the account
+  // uses nothing it is enough that all but one of them fit, since a task that
+  // alone exceeds the limit would never run otherwise; not with several shards,
+  // whose owners could each start one.
   bool MayStart(const ClientAccountId& aAccount,
-                const Resources& aDemand) const;
+                const Resources& aDemand,
+                uint32_t aTasks = 1) const;
+
+  // FitsAlone returns whether MayStart would be true if the account used
+  // nothing.
+  bool FitsAlone(const ClientAccountId& aAccount,
+                 const Resources& aDemand,
+                 uint32_t aTasks = 1) const;
 
   // All returns what the known tasks of each account use. It does not include
   // inherited demand.
@@ -62,7 +70,10 @@
 
 private:
   const ClientAccount* Find(const ClientAccountId& aAccount) const;
-  bool FitsLimit(int64_t aCharged, int64_t aDemand, int64_t aLimit) const;
+  bool FitsBeside(const ClientAccountId& aAccount,
+                  const Resources& aCharged,
+                  const Resources& aDemand,
+                  uint32_t aTasks) const;
 
   const uint32_t mShards;
   std::shared_ptr<const AccountDirectory> mAccounts;
--- a/mulberryvalve/core/accounts/account_usage_test.cc
+++ b/mulberryvalve/core/accounts/account_usage_test.cc
@@ -82,6 +82,32 @@
   CHECK_FALSE(usage.MayStart(kAcme, Resources{ 0, 2, 0 }));
 }
 
+// Guards against a gang that exceeds the limit by more than one task because
+// nothing of the account runs.
+TEST(AccountUsageTest, AGangNeedsRoomForAllMembers)
+{
+  const struct
+  {
+    int64_t mCharged;
+    uint32_t mTasks;
+    bool mMayStart;
+    bool mFitsAlone;
+  } rows[] = {
+    { 0, 4, true, true },                         // exactly the limit
+    { 25, 4, false, true },                       // wider than what is left
+    { 25, 3, true, true },  { 0, 5, true, true }, // one task over, alone
+    { 25, 5, false, true }, { 0, 6, false, false }, { 25, 6, false, false },
+  };
+  for (const auto& row : rows) {
+    AccountUsage usage(1);
+    usage.SetAccounts(AcmeWith(Resources{ 100, 0, 0 }));
+    usage.Charge(kAcme, Resources{ row.mCharged, 0, 0 });
+    const Resources demand{ 25, 0, 0 };
+    CHECK_EQUAL(row.mMayStart, usage.MayStart(kAcme, demand, row.mTasks));
+    CHECK_EQUAL(row.mFitsAlone, usage.FitsAlone(kAcme, demand, row.mTasks));
+  }
+}
+
 TEST_GROUP(AccountRateTest)
 {
   AccountRate mRate;
@@ -139,4 +165,25 @@
   CHECK_EQUAL(10, backwards);
 }
 
+// Guards against an account that is beyond its rate for an hour because one of
+// its jobs was accepted by an instance whose clock is ahead by that.
+TEST(AccountRateTest, AClockThatIsFarAheadDelaysNoFurtherJobs)
+{
+  CHECK(mRate.Admit(kAcme, 2, WallTime{ mNowMs + int64_t{ 3600 } * 1000 }));
+  const int steady = Admitted(40, 500);
+  CHECK_EQUAL(40, steady);
+}
+
+// Guards against memory that grows with every account that ever was.
+TEST(AccountRateTest, RemovedAccountsAreForgotten)
+{
+  mRate.Admit(kAcme, 2, WallTime{ mNowMs });
+  mRate.Admit(kApex, 2, WallTime{ mNowMs });
+  CHECK_EQUAL(2U, mRate.Size());
+  mRate.RetainOnly(*AcmeWith({}));
+  CHECK_EQUAL(1U, mRate.Size());
+  const int burst = Admitted(20, 0);
+  CHECK_EQUAL(9, burst);
+}
+
 } // namespace mulberryvalve
