--- a/mulberryvalve/core/jobs/account_scheduling.cc
+++ b/mulberryvalve/core/jobs/account_scheduling.cc
@@ -27,11 +27,10 @@
          std::to_string(aAmount.mAccelerators);
 }
 
-Resources Times(const Resources& aDemand, uint32_t aCount)
+// The members of a gang start together.
+uint32_t TasksAtOnce(const StepSpec& aSpec)
 {
-  return Resources{ aDemand.mCpuMillis * aCount,
-                    aDemand.mMemoryMb * aCount,
-                    aDemand.mAccelerators * aCount };
+  return aSpec.mGang ? aSpec.mCount : 1;
 }
 
 } // namespace
@@ -49,11 +48,19 @@
 {
   mUsage.SetAccounts(aConfig.mAccounts);
   mVersion = aConfig.mVersion;
+  if (aConfig.mAccounts != nullptr) {
+    mRate.RetainOnly(*aConfig.mAccounts);
+  } else if (mVersion > 0) {
+    // No rate applies to jobs of before the accounts, and a deployment without
+    // accounts remembers none.
+    mUnratedJobs.clear();
+  }
 }
 
 void AccountScheduling::OnJobAdded(const JobEntry& aJob)
 {
-  if (!aJob.mGraph.mAccount.Empty()) {
+  const bool mayHaveRate = mUsage.IsInForce() || mVersion == 0;
+  if (mayHaveRate && !aJob.mGraph.mAccount.Empty()) {
     mUnratedJobs.push_back(aJob.mGraph.mId);
   }
 }
@@ -195,9 +202,7 @@
   return share;
 }
 
-bool AccountScheduling::MayStart(const JobEntry& aJob,
-                                 const StepSpec& aSpec,
-                                 uint32_t aTasks)
+bool AccountScheduling::MayStart(const JobEntry& aJob, const StepSpec& aSpec)
 {
   const ClientAccountId& account = aJob.mGraph.mAccount;
   if (!mUsage.IsInForce() || account.Empty()) {
@@ -206,12 +211,15 @@
   if (IsRefusedInPass(account)) {
     return false;
   }
-  if (mUsage.MayStart(account, Times(aSpec.mDemand, aTasks))) {
+  const uint32_t tasks = TasksAtOnce(aSpec);
+  if (mUsage.MayStart(account, aSpec.mDemand, tasks)) {
     return true;
   }
   LimitState& state = mLimited[account];
-  state.mRefusedInPass = mPass;
   state.mRefusedAt = mPassBegunAt;
+  if (mUsage.FitsAlone(account, aSpec.mDemand, tasks)) {
+    state.mRefusedInPass = mPass;
+  }
   return false;
 }
 
@@ -227,7 +235,8 @@
   const ClientAccountId& account = aJob.mGraph.mAccount;
   const bool waits =
     mUsage.IsInForce() && !account.Empty() &&
-    (IsRefusedInPass(account) || !mUsage.MayStart(account, aSpec.mDemand));
+    (IsRefusedInPass(account) ||
+     !mUsage.MayStart(account, aSpec.mDemand, TasksAtOnce(aSpec)));
   return waits ? Describe(account) : std::string();
 }
 
--- a/mulberryvalve/core/jobs/account_scheduling.h
+++ b/mulberryvalve/core/jobs/account_scheduling.h
@@ -52,12 +52,11 @@
                        Milliseconds aObjective,
                        MonotonicTime aNow) const;
 
-  // Returns whether aTasks tasks of a step of aJob may start now. Once a step
-  // of an account may not, no other of the account may in the same pass, so
-  // that large tasks are not passed over forever.
-  bool MayStart(const JobEntry& aJob,
-                const StepSpec& aSpec,
-                uint32_t aTasks = 1);
+  // Returns whether a task of a step of aJob may start now, or all of a gang.
+  // Once a step of an account may not, no other of the account may in the same
+  // pass, so that large tasks are not passed over forever. A step that would
+  // not fit if nothing of its account ran holds up no other.
+  bool MayStart(const JobEntry& aJob, const StepSpec& aSpec);
 
   // Returns limit, charge and version of the account of a job, for a log line;
   // an empty text if the step does not wait for its account.
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -200,8 +200,10 @@
   // times).
   LearnedRecord Learned() const;
 
-  // Returns what the tasks of client accounts use.
+  // Accounts returns what the tasks of client accounts use, and
+  // PlacementEvaluations how many workers were evaluated for tasks.
   const AccountUsage& Accounts() const { return mAccounts.Usage(); }
+  size_t PlacementEvaluations() const { return mSearch.EvaluationCount(); }
 
   // Returns the current state of the workers.
   const WorkerTable& Workers() const { return mWorkers; }
--- a/mulberryvalve/core/jobs/shard_scheduler_placement.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_placement.cc
@@ -162,7 +162,7 @@
   const ServiceId& service = RulesOf(aJob).mService;
   if (IsJobBlocked(aJob, aNow) || (isOverdue && !MayStartUnrecorded(spec)) ||
       mPass.Refused().Covers(service, spec, hasWaited, std::nullopt) ||
-      !mAccounts.MayStart(aJob, spec, spec.mGang ? spec.mCount : 1)) {
+      !mAccounts.MayStart(aJob, spec)) {
     return;
   }
   if (mWindow.IsFull()) {
