--- a/mulberryvalve/core/accounts/account_usage.h
+++ b/mulberryvalve/core/accounts/account_usage.h
@@ -31,8 +31,8 @@
   void Charge(const ClientAccountId& aAccount, const Resources& aDemand);
   void Release(const ClientAccountId& aAccount, const Resources& aDemand);
 
-  // SetInherited replaces the demand of the tasks that may run on workers that
-  // former owners used and that have not answered.
+  // SetInherited replaces the demand of what former owners started: tasks that
+  // may run on workers that have not answered, and runs that are being stopped.
   void SetInherited(std::map<ClientAccountId, Resources> aInherited);
 
   // Charged returns what the account's tasks use or may use.
--- a/mulberryvalve/core/jobs/account_faults_test.cc
+++ b/mulberryvalve/core/jobs/account_faults_test.cc
@@ -5,6 +5,8 @@
 
 #include "CppUTest/TestHarness.h"
 
+#include <random>
+
 namespace mulberryvalve {
 namespace {
 
@@ -122,6 +124,24 @@
   }
 }
 
+// Guards against a successor that starts tasks beside runs that it finds and
+// stops, because their job is over.
+TEST(AccountFaultsTest, RunsThatASuccessorStopsCount)
+{
+  mWorld.mDurationOf = [](const TaskRef&) { return Milliseconds(60000); };
+  LimitTo(kLimitTasks);
+  mWorld.Submit(JobOf("a", kLimitTasks));
+  mWorld.RunFor(Milliseconds(500));
+  CHECK_EQUAL(kLimitTasks, mWorld.RunningOf(JobId("a")));
+  mWorld.Submit(JobOf("b", kLimitTasks));
+  mWorld.Cancel(JobId("a"));
+  mWorld.Kill(0);
+  mWorld.AddOwner();
+  const size_t most = MostRunning(mWorld, Milliseconds(10000));
+  CHECK_EQUAL(kLimitTasks, most);
+  CHECK_EQUAL(kLimitTasks, mWorld.RunningOf(JobId("b")));
+}
+
 // Guards against a gang that starts into what is left of a limit.
 TEST(AccountFaultsTest, AGangWaitsForRoomForAllMembers)
 {
@@ -134,7 +154,8 @@
   mWorld.Submit(gang);
   mWorld.RunFor(Milliseconds(300));
   CHECK_EQUAL(0U, mWorld.RunningOf(JobId("gang")));
-  CHECK_EQUAL(3U, MostRunning(mWorld, Milliseconds(3000)));
+  const size_t most = MostRunning(mWorld, Milliseconds(3000));
+  CHECK_EQUAL(3U, most);
   CHECK(mWorld.Owner(0).mShard->Phase(JobId("gang")) == JobPhase::kCompleted);
 }
 
@@ -252,7 +273,8 @@
     job.mSteps[0].mBestEffort = row.mBestEffort;
     job.mSteps[0].mCheckpointing = row.mCheckpointing;
     world.Submit(job);
-    CHECK_EQUAL(kLimitTasks, MostRunning(world, Milliseconds(3000)));
+    const size_t most = MostRunning(world, Milliseconds(3000));
+    CHECK_EQUAL(kLimitTasks, most);
     const AccountUsage& usage = world.Owner(0).mShard->Accounts();
     CHECK_EQUAL(static_cast<int64_t>(kLimitTasks) * kTaskCpu,
                 usage.Charged(kAcme).mCpuMillis);
@@ -338,4 +360,89 @@
   CHECK(evaluations[1] < 2 * evaluations[0]);
 }
 
+// Guards against a limit that is exceeded in some sequence of faults: owners
+// killed, frozen out of the log or cut off, workers restarted or unreachable,
+// late orders and cancelled jobs.
+TEST(AccountFaultsTest, RandomFaultsExceedNoLimit)
+{
+  constexpr uint32_t kSeeds = 60;
+  constexpr int kRounds = 25;
+  for (uint32_t seed = 1; seed <= kSeeds; seed++) {
+    std::mt19937 random(seed);
+    const auto pick = [&random](uint32_t aBound) { return random() % aBound; };
+    ShardSimulation world(kWorkers);
+    world.mDurationOf = [](const TaskRef& aTask) {
+      return kTaskDuration * (1 + aTask.mIndex % 3);
+    };
+    world.mDelayOf = [&](const TaskOrder&) -> std::optional<Milliseconds> {
+      return pick(20) == 0 ? std::optional(Milliseconds(100 * pick(20)))
+                           : std::nullopt;
+    };
+    world.Configure(ConfigOf({ kAcme }, kLimitTasks * kTaskCpu));
+    world.AddOwner();
+    size_t owner = 0;
+    size_t most = 0;
+    std::vector<std::string> jobs;
+    const auto run = [&](Milliseconds aLength) {
+      for (const MonotonicTime end = world.Now() + aLength;
+           world.Now() < end;) {
+        world.Step();
+        size_t running = 0;
+        for (const std::string& job : jobs) {
+          // Runs of a job that is over are being stopped; a successor does not
+          // charge them.
+          const auto phase = world.Owner(owner).mShard->Phase(JobId(job));
+          running += phase && IsOver(*phase) ? 0 : world.RunningOf(JobId(job));
+        }
+        most = std::max(most, running);
+      }
+    };
+    run(kStartupTime);
+    for (int round = 0; round < kRounds; round++) {
+      const std::string id = "j" + std::to_string(round);
+      JobGraph job = JobOf(id, 1 + pick(4));
+      job.mSteps[0].mGang = pick(4) == 0;
+      job.mSteps[0].mBestEffort = !job.mSteps[0].mGang && pick(4) == 0;
+      world.Submit(job);
+      jobs.push_back(id);
+      const WorkerId worker = world.Worker(pick(kWorkers)).mInfo.mId;
+      switch (pick(6)) {
+        case 0:
+          world.Kill(owner);
+          run(Milliseconds(100 * pick(30)));
+          world.AddOwner();
+          owner++;
+          break;
+        case 1:
+          world.RestartWorker(worker);
+          break;
+        case 2:
+          world.MakeUnreachable(worker);
+          break;
+        case 3:
+          world.MakeReachable(worker);
+          break;
+        case 4:
+          world.Owner(owner).mAppendsFail = !world.Owner(owner).mAppendsFail;
+          break;
+        default:
+          break;
+      }
+      run(Milliseconds(100 * pick(12)));
+    }
+    CHECK_EQUAL_TEXT(true, most <= kLimitTasks, std::to_string(seed).c_str());
+    CHECK_EQUAL(0U, world.Violations().size());
+    world.Owner(owner).mAppendsFail = false;
+    for (size_t index = 0; index < kWorkers; index++) {
+      world.MakeReachable(world.Worker(index).mInfo.mId);
+    }
+    run(Milliseconds(60000));
+    for (const std::string& job : jobs) {
+      CHECK(world.Owner(owner).mShard->Phase(JobId(job)) ==
+            JobPhase::kCompleted);
+    }
+    CHECK(world.Owner(owner).mShard->Accounts().All().empty());
+  }
+}
+
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/account_scheduling.cc
+++ b/mulberryvalve/core/jobs/account_scheduling.cc
@@ -1,7 +1,6 @@
 #include "mulberryvalve/core/jobs/account_scheduling.h"
 
 #include <algorithm>
-#include <map>
 #include <utility>
 
 namespace mulberryvalve {
@@ -37,8 +36,10 @@
 
 AccountScheduling::AccountScheduling(uint32_t aShards,
                                      const JobTable& aJobs,
+                                     const WorkerTable& aWorkers,
                                      const InheritedWorkers& aInherited)
   : mJobs(aJobs)
+  , mWorkers(aWorkers)
   , mInherited(aInherited)
   , mUsage(aShards)
 {
@@ -141,20 +142,49 @@
   }
 }
 
-// Charges the tasks that may run on workers that have not answered: by their
-// records or, if the log took none, by their bucket.
+// Charges what runs or may run beside the tasks that are placed.
 void AccountScheduling::ChargeInherited(MonotonicTime aNow)
 {
-  const bool isPending = mInherited.PendingCount() > 0;
-  if (!isPending && !mHasInherited) {
-    return;
+  if (mInherited.PendingCount() == 0) {
+    mInheritedDemand.clear();
+  } else if (aNow >= mCountInheritedAt) {
+    mInheritedDemand = InheritedDemand();
+    mCountInheritedAt = aNow + kInheritedInterval;
   }
-  if (isPending && mHasInherited && aNow < mChargeInheritedAt) {
-    return;
+  Demand demand = ForeignDemand(aNow);
+  for (const auto& [account, inherited] : mInheritedDemand) {
+    demand[account] += inherited;
+  }
+  demand.erase(ClientAccountId());
+  mUsage.SetInherited(std::move(demand));
+}
+
+// Returns the demand of the runs that workers listed and that are being
+// stopped, until they are no longer listed or their leases have expired.
+AccountScheduling::Demand AccountScheduling::ForeignDemand(
+  MonotonicTime aNow) const
+{
+  Demand demand;
+  for (const auto& [id, worker] : mWorkers.All()) {
+    if (worker.mSilent && aNow >= worker.mLeasesExpiredAt) {
+      continue;
+    }
+    for (const TaskRef& task : worker.mForeignRuns) {
+      if (mJobs.FindTask(task) != nullptr) {
+        const JobEntry& job = *mJobs.Find(task.mStep.mJob);
+        demand[job.mGraph.mAccount] +=
+          job.mGraph.mSteps[task.mStep.mStep].mDemand;
+      }
+    }
   }
-  mHasInherited = isPending;
-  mChargeInheritedAt = aNow + kInheritedInterval;
-  std::map<ClientAccountId, Resources> demand;
+  return demand;
+}
+
+// Returns the demand of the tasks that may run on workers that have not
+// answered: by their records or, if the log took none, by their bucket.
+AccountScheduling::Demand AccountScheduling::InheritedDemand() const
+{
+  Demand demand;
   for (const auto& [task, workers] : mInherited.BlockedTasks()) {
     const JobEntry* job = mJobs.Find(task.mStep.mJob);
     const TaskProgress* progress = mJobs.FindTask(task);
@@ -173,8 +203,7 @@
       }
     }
   }
-  demand.erase(ClientAccountId());
-  mUsage.SetInherited(std::move(demand));
+  return demand;
 }
 
 // Returns whether a run of a waiting task without a record may be left.
--- a/mulberryvalve/core/jobs/account_scheduling.h
+++ b/mulberryvalve/core/jobs/account_scheduling.h
@@ -10,7 +10,9 @@
 #include "mulberryvalve/core/jobs/job_decision.h"
 #include "mulberryvalve/core/jobs/job_table.h"
 #include "mulberryvalve/core/jobs/queueing_policy.h"
+#include "mulberryvalve/core/jobs/worker_table.h"
 
+#include <map>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -23,10 +25,10 @@
 class AccountScheduling
 {
 public:
-  // aShards owners divide the limits. aJobs and aInherited must outlive this
-  // object.
+  // aShards owners divide the limits. The references must outlive this object.
   AccountScheduling(uint32_t aShards,
                     const JobTable& aJobs,
+                    const WorkerTable& aWorkers,
                     const InheritedWorkers& aInherited);
 
   // Applies a configuration.
@@ -81,11 +83,15 @@
   void RateNewJobs(JobTable& aJobs);
   void CompareShares();
   void ChargeInherited(MonotonicTime aNow);
+  using Demand = std::map<ClientAccountId, Resources>;
+  Demand ForeignDemand(MonotonicTime aNow) const;
+  Demand InheritedDemand() const;
   bool IsRefusedInPass(const ClientAccountId& aAccount) const;
   bool MayRunElsewhere(const JobEntry& aJob, const TaskRef& aTask) const;
   std::string Describe(const ClientAccountId& aAccount) const;
 
   const JobTable& mJobs;
+  const WorkerTable& mWorkers;
   const InheritedWorkers& mInherited;
   AccountUsage mUsage;
   AccountRate mRate;
@@ -97,8 +103,9 @@
   // The accounts that have far more running than their share.
   std::unordered_set<ClientAccountId> mAboveShare;
   std::unordered_map<ClientAccountId, LimitState> mLimited;
-  bool mHasInherited = false;
-  MonotonicTime mChargeInheritedAt;
+  // What inherited tasks may use, and when it is counted next.
+  Demand mInheritedDemand;
+  MonotonicTime mCountInheritedAt;
 };
 
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/shard_scheduler.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler.cc
@@ -30,7 +30,7 @@
   , mClaimedAt(aClaimedAt)
   , mWorkers(aOptions.mLease)
   , mSearch(aPolicies.mPlacement, mWorkers)
-  , mAccounts(aOptions.mShards, mJobTable, mInheritedWorkers)
+  , mAccounts(aOptions.mShards, mJobTable, mWorkers, mInheritedWorkers)
   , mHeldTasks(mJobTable, mWorkers, mInheritedWorkers, aClaimedAt)
   , mRefreshNotesAt(aClaimedAt + kFirstNoteRefresh)
   , mSaveLearnedAt(aClaimedAt + kSaveLearnedInterval)
