--- a/mulberryvalve/app/jobs/jobs_instance_fake.h
+++ b/mulberryvalve/app/jobs/jobs_instance_fake.h
@@ -76,6 +76,7 @@
                                       mClock,
                                       mMetrics,
                                       mHeldTasks,
+                                      mAccountMetrics,
                                       mEvents })
     , mJobs(aOptions.mOwner.mShards,
             JobGraphServicePorts{ aLog,
@@ -155,6 +156,7 @@
   RealClock mClock;
   NoMetrics mMetrics;
   HeldTaskMetrics mHeldTasks{ mMetrics };
+  AccountMetrics mAccountMetrics;
   SilentEvents mEvents;
   NoPeers mPeers;
   JobLogJson mCodec;
--- a/mulberryvalve/app/jobs/owner_observation_test.cc
+++ b/mulberryvalve/app/jobs/owner_observation_test.cc
@@ -129,6 +129,7 @@
                                       mClock,
                                       mMetrics,
                                       mHeldTasks,
+                                      mAccountMetrics,
                                       mEvents })
   {
     ClusterConfig config;
@@ -140,6 +141,7 @@
   RealClock mClock;
   NoMetrics mMetrics;
   HeldTaskMetrics mHeldTasks{ mMetrics };
+  AccountMetrics mAccountMetrics;
   FormerRunsEvents mEvents;
   FormerOwnerPeer mPeers;
   JobLogJson mCodec;
--- a/mulberryvalve/app/jobs/ownership_record_test.cc
+++ b/mulberryvalve/app/jobs/ownership_record_test.cc
@@ -178,6 +178,7 @@
                                   mClock,
                                   mMetrics,
                                   mHeldTasks,
+                                  mAccountMetrics,
                                   mEvents })
   {
     ClusterConfig config;
@@ -200,6 +201,7 @@
 
   NoMetrics mMetrics;
   HeldTaskMetrics mHeldTasks{ mMetrics };
+  AccountMetrics mAccountMetrics;
   SilentEvents mEvents;
   NoPeers mPeers;
   JobLogJson mCodec;
--- a/mulberryvalve/app/jobs/shard_runtime.cc
+++ b/mulberryvalve/app/jobs/shard_runtime.cc
@@ -178,6 +178,7 @@
     ReportStall();
   }
   mPorts.mHeldTasks.OnOwnershipOver(mOptions.mShard, mOptions.mEpoch);
+  mPorts.mAccounts.OnOwnershipOver(mOptions.mShard, mOptions.mEpoch);
 }
 
 // Waits until aEarliest if a pass is requested, otherwise until aDecisionDue.
--- a/mulberryvalve/app/jobs/shard_runtime.h
+++ b/mulberryvalve/app/jobs/shard_runtime.h
@@ -4,6 +4,7 @@
 #ifndef MULBERRYVALVE_APP_JOBS_SHARD_RUNTIME_H_
 #define MULBERRYVALVE_APP_JOBS_SHARD_RUNTIME_H_
 
+#include "mulberryvalve/app/jobs/account_metrics.h"
 #include "mulberryvalve/app/jobs/append_pace.h"
 #include "mulberryvalve/app/jobs/append_splitting.h"
 #include "mulberryvalve/app/jobs/config_view.h"
@@ -86,6 +87,7 @@
   const Clock& mClock;
   Metrics& mMetrics;
   HeldTaskMetrics& mHeldTasks;
+  AccountMetrics& mAccounts;
   EventLog& mEvents;
 };
 
@@ -272,6 +274,8 @@
   std::unique_ptr<ShardScheduler> mShard MV_GUARDED_BY(mMutex);
   std::shared_ptr<const ClusterConfig> mConfig MV_GUARDED_BY(mMutex);
   MonotonicTime mIntakeReadAt MV_GUARDED_BY(mMutex);
+  // When the metrics by account are updated next.
+  MonotonicTime mReportAccountsAt MV_GUARDED_BY(mMutex);
   // The state has changed since the last decision pass.
   bool mIsPassRequested MV_GUARDED_BY(mMutex) = false;
   bool mStopping MV_GUARDED_BY(mMutex) = false;
--- a/mulberryvalve/app/jobs/shard_runtime_reporting.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_reporting.cc
@@ -6,6 +6,13 @@
 #include <utility>
 
 namespace mulberryvalve {
+namespace {
+
+// How often the metrics by account are updated. It takes a look at each waiting
+// step.
+constexpr Milliseconds kAccountsInterval{ 1000 };
+
+} // namespace
 
 void ShardRuntime::LogDecisions(const std::vector<JobDecision>& aDecisions)
 {
@@ -32,6 +39,11 @@
   mPorts.mMetrics.Add(Counter::kStartsHeldBack, window.mDeferrals);
   mPorts.mHeldTasks.Observe(
     mOptions.mShard, mOptions.mEpoch, mShard->TakeHeldTaskStats(now));
+  if (now >= mReportAccountsAt) {
+    mReportAccountsAt = now + kAccountsInterval;
+    mPorts.mAccounts.Observe(
+      mOptions.mShard, mOptions.mEpoch, mShard->AccountLoads());
+  }
   auto fields = mDelays.Report(now);
   if (fields) {
     fields->push_back(
--- a/mulberryvalve/app/jobs/shard_runtime_test.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_test.cc
@@ -204,6 +204,7 @@
                                   mClock,
                                   mMetrics,
                                   mHeldTasks,
+                                  mAccountMetrics,
                                   mEvents })
   {
     ClusterConfig config;
@@ -249,6 +250,7 @@
   PausableClock mClock;
   GaugeRecorder mMetrics;
   HeldTaskMetrics mHeldTasks{ mMetrics };
+  AccountMetrics mAccountMetrics;
   EventWaiter mEvents;
   CountingCodec mCodec;
   SingleWorkerFeedFactory mFeeds;
--- a/mulberryvalve/core/accounts/account_usage.h
+++ b/mulberryvalve/core/accounts/account_usage.h
@@ -68,6 +68,12 @@
     return mCharged;
   }
 
+  // Inherited returns what SetInherited was given last.
+  const std::map<ClientAccountId, Resources>& Inherited() const
+  {
+    return mInherited;
+  }
+
 private:
   const ClientAccount* Find(const ClientAccountId& aAccount) const;
   bool FitsBeside(const ClientAccountId& aAccount,
--- a/mulberryvalve/core/jobs/account_faults_test.cc
+++ b/mulberryvalve/core/jobs/account_faults_test.cc
@@ -281,6 +281,26 @@
   }
 }
 
+// Guards against a report that hides what waits or what is charged.
+TEST(AccountFaultsTest, TheReportHasChargeLimitAndWaitingJobs)
+{
+  mWorld.mDurationOf = [](const TaskRef&) { return Milliseconds(60000); };
+  mWorld.Submit(JobOf("a", kLimitTasks));
+  mWorld.RunFor(kStartupTime);
+  CHECK(mWorld.Owner(0).mShard->AccountLoads().empty());
+  LimitTo(kLimitTasks);
+  mWorld.Submit(JobOf("b", 2));
+  mWorld.Submit(JobOf("c", 2));
+  mWorld.RunFor(kStartupTime);
+  const std::vector<AccountLoad> loads = mWorld.Owner(0).mShard->AccountLoads();
+  CHECK_EQUAL(1U, loads.size());
+  CHECK(loads[0].mAccount == kAcme);
+  const int64_t limit = kLimitTasks * kTaskCpu;
+  CHECK_EQUAL(limit, loads[0].mCharged.mCpuMillis);
+  CHECK_EQUAL(limit, loads[0].mLimit.mCpuMillis);
+  CHECK_EQUAL(2, loads[0].mWaitingJobs);
+}
+
 // Guards against jobs that are delayed for a rate that was not in force when
 // they were accepted.
 TEST(AccountFaultsTest, JobsOfBeforeTheAccountsAreWithinTheRate)
--- a/mulberryvalve/core/jobs/account_scheduling.cc
+++ b/mulberryvalve/core/jobs/account_scheduling.cc
@@ -290,6 +290,35 @@
   return changes;
 }
 
+std::vector<AccountLoad> AccountScheduling::Loads() const
+{
+  std::vector<AccountLoad> loads;
+  if (!mUsage.IsInForce()) {
+    return loads;
+  }
+  std::unordered_map<ClientAccountId, int64_t> waiting;
+  for (const auto& [account, charged] : mUsage.All()) {
+    waiting.try_emplace(account);
+  }
+  for (const auto& [account, charged] : mUsage.Inherited()) {
+    waiting.try_emplace(account);
+  }
+  // The steps of a job follow each other.
+  const JobEntry* counted = nullptr;
+  for (const auto& [key, job] : mJobs.ReadySteps()) {
+    if (job != counted && !job->mGraph.mAccount.Empty()) {
+      waiting[job->mGraph.mAccount]++;
+    }
+    counted = job;
+  }
+  loads.reserve(waiting.size());
+  for (const auto& [account, jobs] : waiting) {
+    loads.push_back(AccountLoad{
+      account, mUsage.Charged(account), mUsage.Limit(account), jobs });
+  }
+  return loads;
+}
+
 std::string AccountScheduling::Describe(const ClientAccountId& aAccount) const
 {
   return "account " + aAccount.Text() + ", charged " +
--- a/mulberryvalve/core/jobs/account_scheduling.h
+++ b/mulberryvalve/core/jobs/account_scheduling.h
@@ -3,6 +3,7 @@
 #ifndef MULBERRYVALVE_CORE_JOBS_ACCOUNT_SCHEDULING_H_
 #define MULBERRYVALVE_CORE_JOBS_ACCOUNT_SCHEDULING_H_
 
+#include "mulberryvalve/core/accounts/account_load.h"
 #include "mulberryvalve/core/accounts/account_rate.h"
 #include "mulberryvalve/core/accounts/account_usage.h"
 #include "mulberryvalve/core/jobs/cluster_config.h"
@@ -70,6 +71,10 @@
 
   const AccountUsage& Usage() const { return mUsage; }
 
+  // Returns the accounts that have something charged or waiting, in no order;
+  // none while the configuration has no accounts. Looks at every ready step.
+  std::vector<AccountLoad> Loads() const;
+
 private:
   // LimitState tells when an account was last refused and what was logged.
   struct LimitState
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -200,9 +200,10 @@
   // times).
   LearnedRecord Learned() const;
 
-  // Accounts returns what the tasks of client accounts use, and
-  // PlacementEvaluations how many workers were evaluated for tasks.
+  // What the tasks of client accounts use, a report of it by account, and how
+  // many workers were evaluated for tasks.
   const AccountUsage& Accounts() const { return mAccounts.Usage(); }
+  std::vector<AccountLoad> AccountLoads() const { return mAccounts.Loads(); }
   size_t PlacementEvaluations() const { return mSearch.EvaluationCount(); }
 
   // Returns the current state of the workers.
