--- a/mulberryvalve/core/jobs/account_faults_test.cc
+++ b/mulberryvalve/core/jobs/account_faults_test.cc
@@ -142,6 +142,32 @@
   CHECK_EQUAL(kLimitTasks, mWorld.RunningOf(JobId("b")));
 }
 
+// Guards against an owner that was just restarted, has read no configuration
+// yet and starts tasks of an account beyond its limit.
+TEST(AccountFaultsTest, NothingOfAnAccountStartsBeforeItsLimitIsKnown)
+{
+  mWorld.mDurationOf = [](const TaskRef&) { return Milliseconds(60000); };
+  mWorld.Configure(ClusterConfig());
+  mWorld.Submit(JobOf("a", 2 * kLimitTasks));
+  JobGraph open = JobOf("open", 2);
+  open.mAccount = ClientAccountId();
+  mWorld.Submit(open);
+  bool isNamed = false;
+  for (int tick = 0; tick < 20; tick++) {
+    mWorld.RunFor(kTick);
+    for (const JobDecision& decision :
+         mWorld.Owner(0).mShard->TakeDecisions()) {
+      isNamed = isNamed || decision.mWaitCause == WaitCause::kAccountLimit;
+    }
+  }
+  CHECK(isNamed);
+  CHECK_EQUAL(0U, mWorld.RunningOf(JobId("a")));
+  CHECK_EQUAL(2U, mWorld.RunningOf(JobId("open")));
+  LimitTo(kLimitTasks);
+  mWorld.RunFor(Milliseconds(500));
+  CHECK_EQUAL(kLimitTasks, mWorld.RunningOf(JobId("a")));
+}
+
 // Guards against a gang that starts into what is left of a limit.
 TEST(AccountFaultsTest, AGangWaitsForRoomForAllMembers)
 {
@@ -234,9 +260,11 @@
       case Event::kAccountRemoved:
         world.Configure(ConfigOf({}, 0));
         break;
-      case Event::kAccountsRemoved:
-        world.Configure(ClusterConfig());
-        break;
+      case Event::kAccountsRemoved: {
+        ClusterConfig config;
+        config.mVersion = 2;
+        world.Configure(config);
+      } break;
     }
     // What the restart ended starts again first.
     const JobId woken(event == Event::kWorkerRestart ? "a" : "b");
--- a/mulberryvalve/core/jobs/account_scheduling.cc
+++ b/mulberryvalve/core/jobs/account_scheduling.cc
@@ -51,7 +51,7 @@
   mVersion = aConfig.mVersion;
   if (aConfig.mAccounts != nullptr) {
     mRate.RetainOnly(*aConfig.mAccounts);
-  } else if (mVersion > 0) {
+  } else if (IsConfigKnown()) {
     // No rate applies to jobs of before the accounts, and a deployment without
     // accounts remembers none.
     mUnratedJobs.clear();
@@ -60,7 +60,7 @@
 
 void AccountScheduling::OnJobAdded(const JobEntry& aJob)
 {
-  const bool mayHaveRate = mUsage.IsInForce() || mVersion == 0;
+  const bool mayHaveRate = mUsage.IsInForce() || !IsConfigKnown();
   if (mayHaveRate && !aJob.mGraph.mAccount.Empty()) {
     mUnratedJobs.push_back(aJob.mGraph.mId);
   }
@@ -234,9 +234,12 @@
 bool AccountScheduling::MayStart(const JobEntry& aJob, const StepSpec& aSpec)
 {
   const ClientAccountId& account = aJob.mGraph.mAccount;
-  if (!mUsage.IsInForce() || account.Empty()) {
+  if (account.Empty()) {
     return true;
   }
+  if (!mUsage.IsInForce()) {
+    return IsConfigKnown();
+  }
   if (IsRefusedInPass(account)) {
     return false;
   }
@@ -262,10 +265,14 @@
                                           const StepSpec& aSpec) const
 {
   const ClientAccountId& account = aJob.mGraph.mAccount;
+  if (account.Empty()) {
+    return "";
+  }
   const bool waits =
-    mUsage.IsInForce() && !account.Empty() &&
-    (IsRefusedInPass(account) ||
-     !mUsage.MayStart(account, aSpec.mDemand, TasksAtOnce(aSpec)));
+    !IsConfigKnown() ||
+    (mUsage.IsInForce() &&
+     (IsRefusedInPass(account) ||
+      !mUsage.MayStart(account, aSpec.mDemand, TasksAtOnce(aSpec))));
   return waits ? Describe(account) : std::string();
 }
 
--- a/mulberryvalve/core/jobs/account_scheduling.h
+++ b/mulberryvalve/core/jobs/account_scheduling.h
@@ -58,7 +58,8 @@
   // Returns whether a task of a step of aJob may start now, or all of a gang.
   // Once a step of an account may not, no other of the account may in the same
   // pass, so that large tasks are not passed over forever. A step that would
-  // not fit if nothing of its account ran holds up no other.
+  // not fit if nothing of its account ran holds up no other. Before the first
+  // configuration no task of an account may, as its limit is not known.
   bool MayStart(const JobEntry& aJob, const StepSpec& aSpec);
 
   // Returns limit, charge and version of the account of a job, for a log line;
@@ -85,6 +86,7 @@
     bool mIsReported = false;
   };
 
+  bool IsConfigKnown() const { return mVersion > 0; }
   void RateNewJobs(JobTable& aJobs);
   void CompareShares();
   void ChargeInherited(MonotonicTime aNow);
