--- a/bench/jobs/job_shard_cost.cc
+++ b/bench/jobs/job_shard_cost.cc
@@ -11,7 +11,7 @@
 constexpr double kJobsPerSecondAndWorker = 25.0 / 350;
 constexpr double kLastingPerSecondAndWorker = 0.65 / 350;
 
-void MeasureRun(size_t aWorkers, double aBurst)
+void MeasureRun(size_t aWorkers, double aBurst, size_t aAccounts = 0)
 {
   ShardLoadSimulationOptions options;
   options.mWorkers = aWorkers;
@@ -19,6 +19,7 @@
   options.mJobsPerSecond = kJobsPerSecondAndWorker * workers;
   options.mLongRunningJobsPerSecond = kLastingPerSecondAndWorker * workers;
   options.mBurstFactor = aBurst;
+  options.mAccounts = aAccounts;
   ShardLoadSimulation world(options);
   const ShardCosts costs = world.Play();
   double sum = 0;
@@ -27,10 +28,11 @@
   }
   const double seconds =
     std::chrono::duration<double>(options.mDuration).count();
-  std::printf("workers=%zu burst=%.0f us_a_run=%.1f cores=%.3f "
+  std::printf("workers=%zu burst=%.0f accounts=%zu us_a_run=%.1f cores=%.3f "
               "longest_decide_ms=%.2f runs=%zu jobs=%zu over=%zu",
               aWorkers,
               aBurst,
+              aAccounts,
               sum / static_cast<double>(costs.mRuns),
               sum / 1e6 / seconds,
               costs.mMaxDecideMicroseconds / 1e3,
@@ -50,12 +52,14 @@
 } // namespace
 } // namespace mulberryvalve
 
-// job_shard_cost [WORKERS BURST]
+// job_shard_cost [WORKERS BURST [ACCOUNTS]]
 int main(int aCount, char** aArguments)
 {
-  if (aCount == 3) {
-    mulberryvalve::MeasureRun(std::strtoul(aArguments[1], nullptr, 10),
-                              std::strtod(aArguments[2], nullptr));
+  if (aCount >= 3) {
+    mulberryvalve::MeasureRun(
+      std::strtoul(aArguments[1], nullptr, 10),
+      std::strtod(aArguments[2], nullptr),
+      aCount > 3 ? std::strtoul(aArguments[3], nullptr, 10) : 0);
     return 0;
   }
   for (const double burst : { 1.0, 4.0 }) {
--- a/bench/jobs/shard_load_simulation.cc
+++ b/bench/jobs/shard_load_simulation.cc
@@ -32,6 +32,12 @@
 constexpr double kMillisecondsASecond = 1000;
 constexpr int kPhases = 3;
 const ServiceId kService("service");
+const Resources kAccountLimit{ 100'000, 0, 0 };
+
+ClientAccountId AccountOf(size_t aNumber)
+{
+  return ClientAccountId("account-" + std::to_string(aNumber));
+}
 
 } // namespace
 
@@ -47,6 +53,15 @@
     options, SchedulingPolicies{ mPlacement, mOrder }, mNow);
   ClusterConfig config;
   config.mVersion = 1;
+  if (aOptions.mAccounts > 0) {
+    AccountDirectory::Accounts accounts;
+    for (size_t number = 0; number < aOptions.mAccounts; number++) {
+      const ClientAccountId id = AccountOf(number);
+      accounts.emplace(id, ClientAccount{ id, 1, kAccountLimit });
+    }
+    config.mAccounts =
+      std::make_shared<const AccountDirectory>(std::move(accounts));
+  }
   mShard->OnConfig(config);
   AddWorkers();
 }
@@ -133,6 +148,9 @@
        RandomInterval(mOptions.mJobsPerSecond *
                       (middle ? mOptions.mBurstFactor : 1)));
   JobGraph job = MakeBatchJob();
+  if (mOptions.mAccounts > 0) {
+    job.mAccount = AccountOf(mSubmittedJobs++ % mOptions.mAccounts);
+  }
   mSpecs[job.mId] = job.mSteps;
   mCosts.mJobs++;
   MeasureCost(CostCategory::kIntake,
--- a/bench/jobs/shard_load_simulation.h
+++ b/bench/jobs/shard_load_simulation.h
@@ -5,6 +5,7 @@
 #define MULBERRYVALVE_BENCH_JOBS_SHARD_LOAD_SIMULATION_H_
 
 #include "mulberryvalve/core/base/enum_table.h"
+#include "mulberryvalve/core/jobs/fair_share_policy.h"
 #include "mulberryvalve/core/jobs/shard_scheduler.h"
 
 #include <array>
@@ -51,6 +52,8 @@
   double mBurstFactor = 1;
   Milliseconds mDuration{ 20000 };
   uint64_t mSeed = 1;
+  // The number of client accounts, which send the jobs in turn; zero for none.
+  size_t mAccounts = 0;
 };
 
 // ShardCosts are the results of one simulation; times are in microseconds.
@@ -150,8 +153,10 @@
   void MeasureCost(CostCategory aCategory, Call aCall);
 
   const ShardLoadSimulationOptions mOptions;
+  size_t mSubmittedJobs = 0;
   LearnedPlacementPolicy mPlacement;
-  LeastRemainingWorkPolicy mOrder;
+  LeastRemainingWorkPolicy mLeastWork;
+  FairSharePolicy mOrder{ mLeastWork };
   std::unique_ptr<ShardScheduler> mShard;
   std::mt19937_64 mRandom;
   MonotonicTime mNow;
--- a/mulberryvalve/core/jobs/account_scheduling.cc
+++ b/mulberryvalve/core/jobs/account_scheduling.cc
@@ -49,6 +49,9 @@
 {
   mUsage.SetAccounts(aConfig.mAccounts);
   mVersion = aConfig.mVersion;
+  for (const auto& [account, number] : mNumbers) {
+    mPassStates[number].mWeight = mUsage.Weight(account);
+  }
   if (aConfig.mAccounts != nullptr) {
     mRate.RetainOnly(*aConfig.mAccounts);
   } else if (IsConfigKnown()) {
@@ -58,8 +61,16 @@
   }
 }
 
-void AccountScheduling::OnJobAdded(const JobEntry& aJob)
+void AccountScheduling::OnJobAdded(JobEntry& aJob)
 {
+  if (!aJob.mGraph.mAccount.Empty()) {
+    const auto [found, isNew] = mNumbers.try_emplace(
+      aJob.mGraph.mAccount, static_cast<uint32_t>(mPassStates.size()));
+    if (isNew) {
+      mPassStates.emplace_back().mWeight = mUsage.Weight(aJob.mGraph.mAccount);
+    }
+    aJob.mAccountNumber = found->second;
+  }
   const bool mayHaveRate = mUsage.IsInForce() || !IsConfigKnown();
   if (mayHaveRate && !aJob.mGraph.mAccount.Empty()) {
     mUnratedJobs.push_back(aJob.mGraph.mId);
@@ -80,7 +91,6 @@
 {
   mPass++;
   mPassBegunAt = aNow;
-  mAboveShare.clear();
   if (mUsage.IsInForce()) {
     RateNewJobs(aJobs);
     ChargeInherited(aNow);
@@ -92,28 +102,34 @@
 // its running tasks with its part of that of all, by weight.
 void AccountScheduling::CompareShares()
 {
-  std::unordered_set<ClientAccountId> active;
+  double totalWeight = 0;
+  double totalCpu = 0;
+  const auto addWeight = [&](PassState& aState) {
+    if (aState.mActiveInPass != mPass) {
+      aState.mActiveInPass = mPass;
+      totalWeight += aState.mWeight;
+    }
+  };
   for (const auto& [key, job] : mJobs.ReadySteps()) {
-    if (!job->mGraph.mAccount.Empty()) {
-      active.insert(job->mGraph.mAccount);
+    if (job->mAccountNumber != 0) {
+      addWeight(mPassStates[job->mAccountNumber]);
     }
   }
-  double totalWeight = 0;
-  double totalCpu = 0;
+  std::vector<std::pair<PassState*, double>> running;
+  running.reserve(mUsage.All().size());
   for (const auto& [account, charged] : mUsage.All()) {
-    active.insert(account);
-    totalCpu += static_cast<double>(charged.mCpuMillis);
-  }
-  for (const ClientAccountId& account : active) {
-    totalWeight += mUsage.Weight(account);
+    PassState& state = mPassStates[mNumbers.at(account)];
+    const auto cpu = static_cast<double>(charged.mCpuMillis);
+    running.emplace_back(&state, cpu);
+    addWeight(state);
+    totalCpu += cpu;
   }
   if (totalWeight <= 0) {
     return;
   }
-  for (const auto& [account, charged] : mUsage.All()) {
-    const double share = totalCpu * mUsage.Weight(account) / totalWeight;
-    if (static_cast<double>(charged.mCpuMillis) > kMaxOvershare * share) {
-      mAboveShare.insert(account);
+  for (const auto& [state, cpu] : running) {
+    if (cpu > kMaxOvershare * totalCpu * state->mWeight / totalWeight) {
+      state->mAboveShareInPass = mPass;
     }
   }
 }
@@ -221,12 +237,12 @@
                                         Milliseconds aObjective,
                                         MonotonicTime aNow) const
 {
-  const ClientAccountId& account = aJob.mGraph.mAccount;
   AccountShare share;
-  if (mUsage.IsInForce() && !account.Empty()) {
+  if (mUsage.IsInForce() && aJob.mAccountNumber != 0) {
     share.mIsBeyondRate =
       aJob.mIsBeyondRate && aNow - aAcceptedAt < kMaxAgeBeyondRate * aObjective;
-    share.mIsAboveShare = mAboveShare.count(account) != 0;
+    share.mIsAboveShare =
+      mPassStates[aJob.mAccountNumber].mAboveShareInPass == mPass;
   }
   return share;
 }
@@ -240,7 +256,7 @@
   if (!mUsage.IsInForce()) {
     return IsConfigKnown();
   }
-  if (IsRefusedInPass(account)) {
+  if (IsRefusedInPass(aJob)) {
     return false;
   }
   const uint32_t tasks = TasksAtOnce(aSpec);
@@ -250,15 +266,14 @@
   LimitState& state = mLimited[account];
   state.mRefusedAt = mPassBegunAt;
   if (mUsage.FitsAlone(account, aSpec.mDemand, tasks)) {
-    state.mRefusedInPass = mPass;
+    mPassStates[aJob.mAccountNumber].mRefusedInPass = mPass;
   }
   return false;
 }
 
-bool AccountScheduling::IsRefusedInPass(const ClientAccountId& aAccount) const
+bool AccountScheduling::IsRefusedInPass(const JobEntry& aJob) const
 {
-  const auto limited = mLimited.find(aAccount);
-  return limited != mLimited.end() && limited->second.mRefusedInPass == mPass;
+  return mPassStates[aJob.mAccountNumber].mRefusedInPass == mPass;
 }
 
 std::string AccountScheduling::WaitReason(const JobEntry& aJob,
@@ -271,7 +286,7 @@
   const bool waits =
     !IsConfigKnown() ||
     (mUsage.IsInForce() &&
-     (IsRefusedInPass(account) ||
+     (IsRefusedInPass(aJob) ||
       !mUsage.MayStart(account, aSpec.mDemand, TasksAtOnce(aSpec))));
   return waits ? Describe(account) : std::string();
 }
--- a/mulberryvalve/core/jobs/account_scheduling.h
+++ b/mulberryvalve/core/jobs/account_scheduling.h
@@ -16,7 +16,6 @@
 #include <map>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 namespace mulberryvalve {
@@ -37,7 +36,7 @@
 
   // Records a job that was added to the table, in any order for those of before
   // the claim.
-  void OnJobAdded(const JobEntry& aJob);
+  void OnJobAdded(JobEntry& aJob);
 
   // Charge adds a task of aJob that is to start on a worker or was found there,
   // and Release removes it.
@@ -77,10 +76,20 @@
   std::vector<AccountLoad> Loads() const;
 
 private:
+  // PassState is what the passes over the waiting steps know of an account: its
+  // weight, and the last pass in which something was so. Steps find it by a
+  // number, as looking up the name for each step of a backlog is expensive.
+  struct PassState
+  {
+    double mWeight = 0;
+    uint64_t mActiveInPass = 0;
+    uint64_t mAboveShareInPass = 0;
+    uint64_t mRefusedInPass = 0;
+  };
+
   // LimitState tells when an account was last refused and what was logged.
   struct LimitState
   {
-    uint64_t mRefusedInPass = 0;
     MonotonicTime mRefusedAt;
     MonotonicTime mReportAt;
     bool mIsReported = false;
@@ -93,7 +102,7 @@
   using Demand = std::map<ClientAccountId, Resources>;
   Demand ForeignDemand(MonotonicTime aNow) const;
   Demand InheritedDemand() const;
-  bool IsRefusedInPass(const ClientAccountId& aAccount) const;
+  bool IsRefusedInPass(const JobEntry& aJob) const;
   bool MayRunElsewhere(const JobEntry& aJob, const TaskRef& aTask) const;
   std::string Describe(const ClientAccountId& aAccount) const;
 
@@ -107,8 +116,9 @@
   // The number of the present pass, and when it began.
   uint64_t mPass = 0;
   MonotonicTime mPassBegunAt;
-  // The accounts that have far more running than their share.
-  std::unordered_set<ClientAccountId> mAboveShare;
+  // By number. The accounts of all jobs of this ownership have one.
+  std::unordered_map<ClientAccountId, uint32_t> mNumbers;
+  std::vector<PassState> mPassStates{ PassState() };
   std::unordered_map<ClientAccountId, LimitState> mLimited;
   // What inherited tasks may use, and when it is counted next.
   Demand mInheritedDemand;
--- a/mulberryvalve/core/jobs/job_table.h
+++ b/mulberryvalve/core/jobs/job_table.h
@@ -82,6 +82,9 @@
   uint64_t mFinished = 0;
   // A task of the job has failed.
   bool mHasFailures = false;
+  // The number that AccountScheduling has given to the job's client account;
+  // zero if it has none.
+  uint32_t mAccountNumber = 0;
   // The job is beyond the rate that its client account may send.
   bool mIsBeyondRate = false;
   // The highest run number assigned in the current epoch.
