--- a/mulberryvalve/core/accounts/account_usage.h
+++ b/mulberryvalve/core/accounts/account_usage.h
@@ -31,8 +31,8 @@
   void Charge(const ClientAccountId& aAccount, const Resources& aDemand);
   void Release(const ClientAccountId& aAccount, const Resources& aDemand);
 
-  // SetInherited replaces the demand of the tasks that may run on workers that
-  // former owners used and that have not answered.
+  // SetInherited replaces the demand of what former owners started: tasks that
+  // may run on workers that have not answered, and runs that are being stopped.
   void SetInherited(std::map<ClientAccountId, Resources> aInherited);
 
   // Charged returns what the account's tasks use or may use.
@@ -46,12 +46,20 @@
   // not in force.
   double Weight(const ClientAccountId& aAccount) const;
 
-  // MayStart returns whether a demand fits within the limit. In a component of
-  // which the account uses nothing it always fits, since a task that alone
-  // exceeds the limit would never run otherwise; not with several shards, whose
-  // owners could each start one.
+  // MayStart returns whether aTasks tasks with a demand of aDemand each, which
+  // start together, fit within the limit. In a component of which the account
+  // uses nothing it is enough that all but one of them fit, since a task that
+  // alone exceeds the limit would never run otherwise; not with several shards,
+  // whose owners could each start one.
   bool MayStart(const ClientAccountId& aAccount,
-                const Resources& aDemand) const;
+                const Resources& aDemand,
+                uint32_t aTasks = 1) const;
+
+  // FitsAlone returns whether MayStart would be true if the account used
+  // nothing.
+  bool FitsAlone(const ClientAccountId& aAccount,
+                 const Resources& aDemand,
+                 uint32_t aTasks = 1) const;
 
   // All returns what the known tasks of each account use. It does not include
   // inherited demand.
@@ -60,9 +68,18 @@
     return mCharged;
   }
 
+  // Inherited returns what SetInherited was given last.
+  const std::map<ClientAccountId, Resources>& Inherited() const
+  {
+    return mInherited;
+  }
+
 private:
   const ClientAccount* Find(const ClientAccountId& aAccount) const;
-  bool FitsLimit(int64_t aCharged, int64_t aDemand, int64_t aLimit) const;
+  bool FitsBeside(const ClientAccountId& aAccount,
+                  const Resources& aCharged,
+                  const Resources& aDemand,
+                  uint32_t aTasks) const;
 
   const uint32_t mShards;
   std::shared_ptr<const AccountDirectory> mAccounts;
--- a/mulberryvalve/core/jobs/account_scheduling.cc
+++ b/mulberryvalve/core/jobs/account_scheduling.cc
@@ -1,7 +1,6 @@
 #include "mulberryvalve/core/jobs/account_scheduling.h"
 
 #include <algorithm>
-#include <map>
 #include <utility>
 
 namespace mulberryvalve {
@@ -27,19 +26,20 @@
          std::to_string(aAmount.mAccelerators);
 }
 
-Resources Times(const Resources& aDemand, uint32_t aCount)
+// The members of a gang start together.
+uint32_t TasksAtOnce(const StepSpec& aSpec)
 {
-  return Resources{ aDemand.mCpuMillis * aCount,
-                    aDemand.mMemoryMb * aCount,
-                    aDemand.mAccelerators * aCount };
+  return aSpec.mGang ? aSpec.mCount : 1;
 }
 
 } // namespace
 
 AccountScheduling::AccountScheduling(uint32_t aShards,
                                      const JobTable& aJobs,
+                                     const WorkerTable& aWorkers,
                                      const InheritedWorkers& aInherited)
   : mJobs(aJobs)
+  , mWorkers(aWorkers)
   , mInherited(aInherited)
   , mUsage(aShards)
 {
@@ -49,11 +49,30 @@
 {
   mUsage.SetAccounts(aConfig.mAccounts);
   mVersion = aConfig.mVersion;
+  for (const auto& [account, number] : mNumbers) {
+    mPassStates[number].mWeight = mUsage.Weight(account);
+  }
+  if (aConfig.mAccounts != nullptr) {
+    mRate.RetainOnly(*aConfig.mAccounts);
+  } else if (IsConfigKnown()) {
+    // No rate applies to jobs of before the accounts, and a deployment without
+    // accounts remembers none.
+    mUnratedJobs.clear();
+  }
 }
 
-void AccountScheduling::OnJobAdded(const JobEntry& aJob)
+void AccountScheduling::OnJobAdded(JobEntry& aJob)
 {
   if (!aJob.mGraph.mAccount.Empty()) {
+    const auto [found, isNew] = mNumbers.try_emplace(
+      aJob.mGraph.mAccount, static_cast<uint32_t>(mPassStates.size()));
+    if (isNew) {
+      mPassStates.emplace_back().mWeight = mUsage.Weight(aJob.mGraph.mAccount);
+    }
+    aJob.mAccountNumber = found->second;
+  }
+  const bool mayHaveRate = mUsage.IsInForce() || !IsConfigKnown();
+  if (mayHaveRate && !aJob.mGraph.mAccount.Empty()) {
     mUnratedJobs.push_back(aJob.mGraph.mId);
   }
 }
@@ -72,7 +91,6 @@
 {
   mPass++;
   mPassBegunAt = aNow;
-  mAboveShare.clear();
   if (mUsage.IsInForce()) {
     RateNewJobs(aJobs);
     ChargeInherited(aNow);
@@ -84,28 +102,34 @@
 // its running tasks with its part of that of all, by weight.
 void AccountScheduling::CompareShares()
 {
-  std::unordered_set<ClientAccountId> active;
+  double totalWeight = 0;
+  double totalCpu = 0;
+  const auto addWeight = [&](PassState& aState) {
+    if (aState.mActiveInPass != mPass) {
+      aState.mActiveInPass = mPass;
+      totalWeight += aState.mWeight;
+    }
+  };
   for (const auto& [key, job] : mJobs.ReadySteps()) {
-    if (!job->mGraph.mAccount.Empty()) {
-      active.insert(job->mGraph.mAccount);
+    if (job->mAccountNumber != 0) {
+      addWeight(mPassStates[job->mAccountNumber]);
     }
   }
-  double totalWeight = 0;
-  double totalCpu = 0;
+  std::vector<std::pair<PassState*, double>> running;
+  running.reserve(mUsage.All().size());
   for (const auto& [account, charged] : mUsage.All()) {
-    active.insert(account);
-    totalCpu += static_cast<double>(charged.mCpuMillis);
-  }
-  for (const ClientAccountId& account : active) {
-    totalWeight += mUsage.Weight(account);
+    PassState& state = mPassStates[mNumbers.at(account)];
+    const auto cpu = static_cast<double>(charged.mCpuMillis);
+    running.emplace_back(&state, cpu);
+    addWeight(state);
+    totalCpu += cpu;
   }
   if (totalWeight <= 0) {
     return;
   }
-  for (const auto& [account, charged] : mUsage.All()) {
-    const double share = totalCpu * mUsage.Weight(account) / totalWeight;
-    if (static_cast<double>(charged.mCpuMillis) > kMaxOvershare * share) {
-      mAboveShare.insert(account);
+  for (const auto& [state, cpu] : running) {
+    if (cpu > kMaxOvershare * totalCpu * state->mWeight / totalWeight) {
+      state->mAboveShareInPass = mPass;
     }
   }
 }
@@ -134,20 +158,49 @@
   }
 }
 
-// Charges the tasks that may run on workers that have not answered: by their
-// records or, if the log took none, by their bucket.
+// Charges what runs or may run beside the tasks that are placed.
 void AccountScheduling::ChargeInherited(MonotonicTime aNow)
 {
-  const bool isPending = mInherited.PendingCount() > 0;
-  if (!isPending && !mHasInherited) {
-    return;
+  if (mInherited.PendingCount() == 0) {
+    mInheritedDemand.clear();
+  } else if (aNow >= mCountInheritedAt) {
+    mInheritedDemand = InheritedDemand();
+    mCountInheritedAt = aNow + kInheritedInterval;
   }
-  if (isPending && mHasInherited && aNow < mChargeInheritedAt) {
-    return;
+  Demand demand = ForeignDemand(aNow);
+  for (const auto& [account, inherited] : mInheritedDemand) {
+    demand[account] += inherited;
+  }
+  demand.erase(ClientAccountId());
+  mUsage.SetInherited(std::move(demand));
+}
+
+// Returns the demand of the runs that workers listed and that are being
+// stopped, until they are no longer listed or their leases have expired.
+AccountScheduling::Demand AccountScheduling::ForeignDemand(
+  MonotonicTime aNow) const
+{
+  Demand demand;
+  for (const auto& [id, worker] : mWorkers.All()) {
+    if (worker.mSilent && aNow >= worker.mLeasesExpiredAt) {
+      continue;
+    }
+    for (const TaskRef& task : worker.mForeignRuns) {
+      if (mJobs.FindTask(task) != nullptr) {
+        const JobEntry& job = *mJobs.Find(task.mStep.mJob);
+        demand[job.mGraph.mAccount] +=
+          job.mGraph.mSteps[task.mStep.mStep].mDemand;
+      }
+    }
   }
-  mHasInherited = isPending;
-  mChargeInheritedAt = aNow + kInheritedInterval;
-  std::map<ClientAccountId, Resources> demand;
+  return demand;
+}
+
+// Returns the demand of the tasks that may run on workers that have not
+// answered: by their records or, if the log took none, by their bucket.
+AccountScheduling::Demand AccountScheduling::InheritedDemand() const
+{
+  Demand demand;
   for (const auto& [task, workers] : mInherited.BlockedTasks()) {
     const JobEntry* job = mJobs.Find(task.mStep.mJob);
     const TaskProgress* progress = mJobs.FindTask(task);
@@ -166,8 +219,7 @@
       }
     }
   }
-  demand.erase(ClientAccountId());
-  mUsage.SetInherited(std::move(demand));
+  return demand;
 }
 
 // Returns whether a run of a waiting task without a record may be left.
@@ -185,49 +237,57 @@
                                         Milliseconds aObjective,
                                         MonotonicTime aNow) const
 {
-  const ClientAccountId& account = aJob.mGraph.mAccount;
   AccountShare share;
-  if (mUsage.IsInForce() && !account.Empty()) {
+  if (mUsage.IsInForce() && aJob.mAccountNumber != 0) {
     share.mIsBeyondRate =
       aJob.mIsBeyondRate && aNow - aAcceptedAt < kMaxAgeBeyondRate * aObjective;
-    share.mIsAboveShare = mAboveShare.count(account) != 0;
+    share.mIsAboveShare =
+      mPassStates[aJob.mAccountNumber].mAboveShareInPass == mPass;
   }
   return share;
 }
 
-bool AccountScheduling::MayStart(const JobEntry& aJob,
-                                 const StepSpec& aSpec,
-                                 uint32_t aTasks)
+bool AccountScheduling::MayStart(const JobEntry& aJob, const StepSpec& aSpec)
 {
   const ClientAccountId& account = aJob.mGraph.mAccount;
-  if (!mUsage.IsInForce() || account.Empty()) {
+  if (account.Empty()) {
     return true;
   }
-  if (IsRefusedInPass(account)) {
+  if (!mUsage.IsInForce()) {
+    return IsConfigKnown();
+  }
+  if (IsRefusedInPass(aJob)) {
     return false;
   }
-  if (mUsage.MayStart(account, Times(aSpec.mDemand, aTasks))) {
+  const uint32_t tasks = TasksAtOnce(aSpec);
+  if (mUsage.MayStart(account, aSpec.mDemand, tasks)) {
     return true;
   }
   LimitState& state = mLimited[account];
-  state.mRefusedInPass = mPass;
   state.mRefusedAt = mPassBegunAt;
+  if (mUsage.FitsAlone(account, aSpec.mDemand, tasks)) {
+    mPassStates[aJob.mAccountNumber].mRefusedInPass = mPass;
+  }
   return false;
 }
 
-bool AccountScheduling::IsRefusedInPass(const ClientAccountId& aAccount) const
+bool AccountScheduling::IsRefusedInPass(const JobEntry& aJob) const
 {
-  const auto limited = mLimited.find(aAccount);
-  return limited != mLimited.end() && limited->second.mRefusedInPass == mPass;
+  return mPassStates[aJob.mAccountNumber].mRefusedInPass == mPass;
 }
 
 std::string AccountScheduling::WaitReason(const JobEntry& aJob,
                                           const StepSpec& aSpec) const
 {
   const ClientAccountId& account = aJob.mGraph.mAccount;
+  if (account.Empty()) {
+    return "";
+  }
   const bool waits =
-    mUsage.IsInForce() && !account.Empty() &&
-    (IsRefusedInPass(account) || !mUsage.MayStart(account, aSpec.mDemand));
+    !IsConfigKnown() ||
+    (mUsage.IsInForce() &&
+     (IsRefusedInPass(aJob) ||
+      !mUsage.MayStart(account, aSpec.mDemand, TasksAtOnce(aSpec))));
   return waits ? Describe(account) : std::string();
 }
 
@@ -252,6 +312,35 @@
   return changes;
 }
 
+std::vector<AccountLoad> AccountScheduling::Loads() const
+{
+  std::vector<AccountLoad> loads;
+  if (!mUsage.IsInForce()) {
+    return loads;
+  }
+  std::unordered_map<ClientAccountId, int64_t> waiting;
+  for (const auto& [account, charged] : mUsage.All()) {
+    waiting.try_emplace(account);
+  }
+  for (const auto& [account, charged] : mUsage.Inherited()) {
+    waiting.try_emplace(account);
+  }
+  // The steps of a job follow each other.
+  const JobEntry* counted = nullptr;
+  for (const auto& [key, job] : mJobs.ReadySteps()) {
+    if (job != counted && !job->mGraph.mAccount.Empty()) {
+      waiting[job->mGraph.mAccount]++;
+    }
+    counted = job;
+  }
+  loads.reserve(waiting.size());
+  for (const auto& [account, jobs] : waiting) {
+    loads.push_back(AccountLoad{
+      account, mUsage.Charged(account), mUsage.Limit(account), jobs });
+  }
+  return loads;
+}
+
 std::string AccountScheduling::Describe(const ClientAccountId& aAccount) const
 {
   return "account " + aAccount.Text() + ", charged " +
--- a/mulberryvalve/core/jobs/account_scheduling.h
+++ b/mulberryvalve/core/jobs/account_scheduling.h
@@ -3,6 +3,7 @@
 #ifndef MULBERRYVALVE_CORE_JOBS_ACCOUNT_SCHEDULING_H_
 #define MULBERRYVALVE_CORE_JOBS_ACCOUNT_SCHEDULING_H_
 
+#include "mulberryvalve/core/accounts/account_load.h"
 #include "mulberryvalve/core/accounts/account_rate.h"
 #include "mulberryvalve/core/accounts/account_usage.h"
 #include "mulberryvalve/core/jobs/cluster_config.h"
@@ -10,10 +11,11 @@
 #include "mulberryvalve/core/jobs/job_decision.h"
 #include "mulberryvalve/core/jobs/job_table.h"
 #include "mulberryvalve/core/jobs/queueing_policy.h"
+#include "mulberryvalve/core/jobs/worker_table.h"
 
+#include <map>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 namespace mulberryvalve {
@@ -23,10 +25,10 @@
 class AccountScheduling
 {
 public:
-  // aShards owners divide the limits. aJobs and aInherited must outlive this
-  // object.
+  // aShards owners divide the limits. The references must outlive this object.
   AccountScheduling(uint32_t aShards,
                     const JobTable& aJobs,
+                    const WorkerTable& aWorkers,
                     const InheritedWorkers& aInherited);
 
   // Applies a configuration.
@@ -34,7 +36,7 @@
 
   // Records a job that was added to the table, in any order for those of before
   // the claim.
-  void OnJobAdded(const JobEntry& aJob);
+  void OnJobAdded(JobEntry& aJob);
 
   // Charge adds a task of aJob that is to start on a worker or was found there,
   // and Release removes it.
@@ -52,12 +54,12 @@
                        Milliseconds aObjective,
                        MonotonicTime aNow) const;
 
-  // Returns whether aTasks tasks of a step of aJob may start now. Once a step
-  // of an account may not, no other of the account may in the same pass, so
-  // that large tasks are not passed over forever.
-  bool MayStart(const JobEntry& aJob,
-                const StepSpec& aSpec,
-                uint32_t aTasks = 1);
+  // Returns whether a task of a step of aJob may start now, or all of a gang.
+  // Once a step of an account may not, no other of the account may in the same
+  // pass, so that large tasks are not passed over forever. A step that would
+  // not fit if nothing of its account ran holds up no other. Before the first
+  // configuration no task of an account may, as its limit is not known.
+  bool MayStart(const JobEntry& aJob, const StepSpec& aSpec);
 
   // Returns limit, charge and version of the account of a job, for a log line;
   // an empty text if the step does not wait for its account.
@@ -69,24 +71,43 @@
 
   const AccountUsage& Usage() const { return mUsage; }
 
+  // Returns the accounts that have something charged or waiting, in no order;
+  // none while the configuration has no accounts. Looks at every ready step.
+  std::vector<AccountLoad> Loads() const;
+
 private:
+  // PassState is what the passes over the waiting steps know of an account: its
+  // weight, and the last pass in which something was so. Steps find it by a
+  // number, as looking up the name for each step of a backlog is expensive.
+  struct PassState
+  {
+    double mWeight = 0;
+    uint64_t mActiveInPass = 0;
+    uint64_t mAboveShareInPass = 0;
+    uint64_t mRefusedInPass = 0;
+  };
+
   // LimitState tells when an account was last refused and what was logged.
   struct LimitState
   {
-    uint64_t mRefusedInPass = 0;
     MonotonicTime mRefusedAt;
     MonotonicTime mReportAt;
     bool mIsReported = false;
   };
 
+  bool IsConfigKnown() const { return mVersion > 0; }
   void RateNewJobs(JobTable& aJobs);
   void CompareShares();
   void ChargeInherited(MonotonicTime aNow);
-  bool IsRefusedInPass(const ClientAccountId& aAccount) const;
+  using Demand = std::map<ClientAccountId, Resources>;
+  Demand ForeignDemand(MonotonicTime aNow) const;
+  Demand InheritedDemand() const;
+  bool IsRefusedInPass(const JobEntry& aJob) const;
   bool MayRunElsewhere(const JobEntry& aJob, const TaskRef& aTask) const;
   std::string Describe(const ClientAccountId& aAccount) const;
 
   const JobTable& mJobs;
+  const WorkerTable& mWorkers;
   const InheritedWorkers& mInherited;
   AccountUsage mUsage;
   AccountRate mRate;
@@ -95,11 +116,13 @@
   // The number of the present pass, and when it began.
   uint64_t mPass = 0;
   MonotonicTime mPassBegunAt;
-  // The accounts that have far more running than their share.
-  std::unordered_set<ClientAccountId> mAboveShare;
+  // By number. The accounts of all jobs of this ownership have one.
+  std::unordered_map<ClientAccountId, uint32_t> mNumbers;
+  std::vector<PassState> mPassStates{ PassState() };
   std::unordered_map<ClientAccountId, LimitState> mLimited;
-  bool mHasInherited = false;
-  MonotonicTime mChargeInheritedAt;
+  // What inherited tasks may use, and when it is counted next.
+  Demand mInheritedDemand;
+  MonotonicTime mCountInheritedAt;
 };
 
 } // namespace mulberryvalve
