--- a/mulberryvalve/app/jobs/intake_appender.cc
+++ b/mulberryvalve/app/jobs/intake_appender.cc
@@ -108,7 +108,7 @@
                                         const KeyedEntry& aEntry)
 {
   mPorts.mRelay.mMetrics.Add(Counter::kLogAppends, 1);
-  const Result<void> done =
+  Result<void> done =
     mBatchers.Of(aShard).Append(aEntry, mPorts.mRelay.mOwners.LastContact());
   if (!done) {
     mPorts.mRelay.mMetrics.Add(Counter::kLogFailures, 1);
