--- a/mulberryvalve/app/jobs/intake_appender.cc
+++ b/mulberryvalve/app/jobs/intake_appender.cc
@@ -75,6 +75,9 @@
     return NextPath(aShard, aEntry) == IntakePath::kRelay &&
            now + kMinTimeToRelay < aDeadline;
   }
+  if (!mRelay->MayFallBack(aShard)) {
+    return false;
+  }
   const bool wasQuick = !IsUnclear(aFirst) && now < aAttemptedAt + kRetryDelay;
   return wasQuick || IsTimeToRepeat(aAttemptedAt, aDeadline);
 }
--- a/mulberryvalve/app/jobs/intake_relay_client.cc
+++ b/mulberryvalve/app/jobs/intake_relay_client.cc
@@ -84,6 +84,13 @@
     aPath, std::chrono::floor<Milliseconds>(aDeadline - now), now);
 }
 
+bool IntakeRelayClient::MayFallBack(ShardNumber aShard)
+{
+  const MonotonicTime now = mPorts.mClock.Now();
+  MutexLock lock(mShards[aShard]->mMutex);
+  return mShards[aShard]->mRelay.MayFallBack(now);
+}
+
 void IntakeRelayClient::OnOwnAppend(ShardNumber aShard,
                                     const Result<void>& aOutcome,
                                     Milliseconds aTook)
@@ -120,7 +127,12 @@
                             ? Fail(FailureKind::kMalformed, "peer", "no result")
                             : answer.error();
   const bool hasTimedOut = mPorts.mClock.Now() >= now + timeout;
-  return OnNoAnswer(aShard, failure, !hasTimedOut || timeout == kTimeout);
+  if (hasTimedOut && timeout == kTimeout) {
+    Apply(aShard, Milliseconds::zero(), [this](IntakeRelay& aRelay) {
+      aRelay.OnOwnerTimeout(mPorts.mClock.Now());
+    });
+  }
+  return OnNoAnswer(aShard, failure, !hasTimedOut);
 }
 
 Result<void> IntakeRelayClient::OnAnswer(ShardNumber aShard,
@@ -152,13 +164,13 @@
   return Unclear("the owner got no answer");
 }
 
-// A link that fails, or an owner that is given its full time, ends relaying; a
-// caller who could not wait longer says nothing about the owner.
+// A link that fails ends relaying; a caller who could not wait longer says
+// nothing about the owner.
 Result<void> IntakeRelayClient::OnNoAnswer(ShardNumber aShard,
                                            const Failure& aFailure,
-                                           bool aHasWaitedLong)
+                                           bool aHasFailed)
 {
-  if (aHasWaitedLong) {
+  if (aHasFailed) {
     mPorts.mOwners.InvalidateOwner(aShard);
     Apply(aShard, Milliseconds::zero(), [this](IntakeRelay& aRelay) {
       aRelay.OnOwnerSilent(mPorts.mClock.Now());
--- a/mulberryvalve/app/jobs/intake_relay_client.h
+++ b/mulberryvalve/app/jobs/intake_relay_client.h
@@ -45,6 +45,10 @@
   // Returns false if an append on aPath takes longer now than until aDeadline.
   bool IsInTime(ShardNumber aShard, IntakePath aPath, MonotonicTime aDeadline);
 
+  // Returns whether this instance should append itself what the owner did not
+  // append.
+  bool MayFallBack(ShardNumber aShard);
+
   // Records an append of this instance that ended just now. aTook is the
   // duration of its call, used if it was answered.
   void OnOwnAppend(ShardNumber aShard,
@@ -77,7 +81,7 @@
   Result<void> OnAnswer(ShardNumber aShard, const PeerQueryResult& aAnswer);
   Result<void> OnNoAnswer(ShardNumber aShard,
                           const Failure& aFailure,
-                          bool aHasWaitedLong);
+                          bool aHasFailed);
   Result<void> Unclear(std::string aDetail);
   Result<void> Refused(std::string aDetail, MonotonicTime aRetryAt);
 
--- a/mulberryvalve/core/jobs/intake_relay.cc
+++ b/mulberryvalve/core/jobs/intake_relay.cc
@@ -55,6 +55,7 @@
                                 MonotonicTime aHeardAt,
                                 MonotonicTime aNow)
 {
+  mUnansweredSince.reset();
   if (aTook == Milliseconds::zero()) {
     return;
   }
@@ -68,6 +69,21 @@
   }
 }
 
+void IntakeRelay::OnOwnerTimeout(MonotonicTime aNow)
+{
+  if (!mUnansweredSince) {
+    mUnansweredSince = aNow;
+  } else if (aNow >= *mUnansweredSince + kOwnerPause) {
+    OnOwnerSilent(aNow);
+  }
+}
+
+bool IntakeRelay::MayFallBack(MonotonicTime aNow) const
+{
+  return mCause != RelayCause::kNoAnswer ||
+         aNow >= mCausedAt + kOwnTrialInterval;
+}
+
 void IntakeRelay::Begin(RelayCause aCause, MonotonicTime aNow)
 {
   // While a lost log is not tried, appends are refused without a call: that is
@@ -91,6 +107,7 @@
 void IntakeRelay::Pause(RelayEnd aEnd, MonotonicTime aNow)
 {
   End(aEnd);
+  mUnansweredSince.reset();
   mPausedUntil = aNow + kOwnerPause;
 }
 
--- a/mulberryvalve/core/jobs/intake_relay.h
+++ b/mulberryvalve/core/jobs/intake_relay.h
@@ -68,6 +68,10 @@
   static constexpr Milliseconds kMinRelayTime{ 2000 };
   // How long an owner that is lost, or an earlier version, is not asked again.
   static constexpr Milliseconds kOwnerPause{ 2000 };
+  // How often at most an instance whose append had no answer appends itself
+  // when the owner has failed it. One partition performs 5 appends of 200 ms
+  // each second; trials of 40 instances leave the owner one of them.
+  static constexpr Milliseconds kOwnTrialInterval{ 10000 };
   // How long the duration of an append tells that of the next.
   static constexpr Milliseconds kMeasureValidFor{ 2000 };
 
@@ -97,12 +101,20 @@
   // Records that no other instance takes entries as the owner.
   void OnNoOwner(MonotonicTime aNow) { Pause(RelayEnd::kNoOwner, aNow); }
 
-  // Records that the owner gave no answer.
+  // Records that the connection to the owner failed.
   void OnOwnerSilent(MonotonicTime aNow)
   {
     Pause(RelayEnd::kOwnerSilent, aNow);
   }
 
+  // Records that the owner gave no answer in time. It is silent if it has
+  // answered nothing for kOwnerPause since; its own append may take long.
+  void OnOwnerTimeout(MonotonicTime aNow);
+
+  // Returns whether this instance should append itself what the owner did not
+  // append.
+  bool MayFallBack(MonotonicTime aNow) const;
+
   // Returns why the instance relays, or nothing if it does not.
   std::optional<RelayCause> Cause() const { return mCause; }
 
@@ -126,6 +138,8 @@
   // An append of this instance is in flight for longer than kSlowAppend.
   bool mIsPending = false;
   RelayEnd mLastEnd = RelayEnd::kOwnAppendFast;
+  // When the owner gave no answer in time for the first time since its last.
+  std::optional<MonotonicTime> mUnansweredSince;
   // Until then the owner is not asked.
   std::optional<MonotonicTime> mPausedUntil;
   Measure mOwnAppend;
--- a/mulberryvalve/core/jobs/intake_relay_test.cc
+++ b/mulberryvalve/core/jobs/intake_relay_test.cc
@@ -184,6 +184,32 @@
   CHECK_FALSE(relay.IsInTime(IntakePath::kRelay, Milliseconds(299), At(200)));
 }
 
+// Guards against appends of 40 instances beside the owner's: each would make
+// all others, and the owner, wait for longer than their calls may last.
+TEST(IntakeRelay, AnInstanceWithoutAnswersSeldomAppendsWhatTheOwnerDidNot)
+{
+  CHECK(After({ { 100, Step::kAnswered, 200 } }).MayFallBack(At(101)));
+  CHECK(After({ { 100, Step::kRefused } }).MayFallBack(At(101)));
+  const IntakeRelay lost =
+    After({ { 100, Step::kLost }, { 5000, Step::kRefused } });
+  CHECK_FALSE(lost.MayFallBack(At(10099)));
+  CHECK(lost.MayFallBack(At(10100)));
+}
+
+// Guards against taking an owner whose own append is slow for one that is away.
+TEST(IntakeRelay, AnOwnerIsSilentIfItAnswersNothingForLong)
+{
+  IntakeRelay relay = After({ { 100, Step::kAnswered, 200 } });
+  relay.OnOwnerTimeout(At(1000));
+  relay.OnOwnerTimeout(At(2999));
+  CHECK(IntakePath::kRelay == relay.NextPath(At(2999)));
+  relay.OnOwnerAnswer(Milliseconds(0), MonotonicTime(), At(2999));
+  relay.OnOwnerTimeout(At(3000));
+  CHECK(IntakePath::kRelay == relay.NextPath(At(3000)));
+  relay.OnOwnerTimeout(At(5000));
+  CHECK(IntakePath::kOwnAppend == relay.NextPath(At(5000)));
+}
+
 TEST(IntakeRelay, TheCausesOfBeginningAndEndAreTold)
 {
   IntakeRelay relay = After({ { 100, Step::kLost } });
