--- a/mulberryvalve/app/jobs/intake_appender.cc
+++ b/mulberryvalve/app/jobs/intake_appender.cc
@@ -75,6 +75,9 @@
     return NextPath(aShard, aEntry) == IntakePath::kRelay &&
            now + kMinTimeToRelay < aDeadline;
   }
+  if (!mRelay->MayFallBack(aShard)) {
+    return false;
+  }
   const bool wasQuick = !IsUnclear(aFirst) && now < aAttemptedAt + kRetryDelay;
   return wasQuick || IsTimeToRepeat(aAttemptedAt, aDeadline);
 }
@@ -108,7 +111,7 @@
                                         const KeyedEntry& aEntry)
 {
   mPorts.mRelay.mMetrics.Add(Counter::kLogAppends, 1);
-  const Result<void> done =
+  Result<void> done =
     mBatchers.Of(aShard).Append(aEntry, mPorts.mRelay.mOwners.LastContact());
   if (!done) {
     mPorts.mRelay.mMetrics.Add(Counter::kLogFailures, 1);
