--- a/mulberryvalve/app/jobs/account_metrics.cc
+++ b/mulberryvalve/app/jobs/account_metrics.cc
@@ -62,13 +62,15 @@
 
 bool IsLarger(const AccountLoad& aLeft, const AccountLoad& aRight)
 {
-  const auto order = [](const AccountLoad& aLoad) {
-    return std::make_tuple(-aLoad.mCharged.mCpuMillis,
-                           -aLoad.mCharged.mAccelerators,
-                           -aLoad.mCharged.mMemoryMb,
-                           -aLoad.mWaitingJobs);
-  };
-  return order(aLeft) < order(aRight);
+  const Resources& left = aLeft.mCharged;
+  const Resources& right = aRight.mCharged;
+  return std::tie(left.mCpuMillis,
+                  left.mAccelerators,
+                  left.mMemoryMb,
+                  aLeft.mWaitingJobs) > std::tie(right.mCpuMillis,
+                                                 right.mAccelerators,
+                                                 right.mMemoryMb,
+                                                 aRight.mWaitingJobs);
 }
 
 void AddTo(AccountLoad& aSum, const AccountLoad& aLoad)
