--- a/review/standins-3/cluster.cc
+++ b/review/standins-3/cluster.cc
@@ -67,35 +67,48 @@
   mSteps[aStep] = aBehaviour;
 }
 
+Cluster::Worker& Cluster::Find(const std::string& aWorker)
+{
+  return **std::find_if(
+    mWorkers.begin(), mWorkers.end(), [&](const auto& aEntry) {
+      return aEntry->mSpec.mId == aWorker;
+    });
+}
+
+void Cluster::EndWorker(Worker& aWorker, const std::string& aHow)
+{
+  aWorker.mIsUp = false;
+  for (const auto& [task, run] : aWorker.mRuns) {
+    Note(aWorker, task, run.mRun, "gone", "");
+    mGangs[StepOf(task) + "/" + std::to_string(run.mRun)].mIsBroken = true;
+  }
+  aWorker.mRuns.clear();
+  mRemoveAt[aWorker.mSpec.mId] = Steady::now() + 3 * kHeartbeat;
+  mRecord.Line("TROUBLE " + aWorker.mSpec.mId + aHow);
+  mChanged.notify_all();
+}
+
 void Cluster::Lose(const std::string& aWorker)
 {
   Worker* lost = nullptr;
   {
     const std::lock_guard<std::mutex> lock(mMutex);
-    for (const auto& worker : mWorkers) {
-      lost = worker->mSpec.mId == aWorker ? worker.get() : lost;
-    }
-    lost->mIsUp = false;
-    for (const auto& [task, run] : lost->mRuns) {
-      Note(*lost, task, run.mRun, "gone", "");
-      mGangs[StepOf(task) + "/" + std::to_string(run.mRun)].mIsBroken = true;
-    }
-    lost->mRuns.clear();
-    mRemoveAt[aWorker] = Steady::now() + 3 * kHeartbeat;
-    mRecord.Line("TROUBLE " + aWorker + " is lost for good");
-    mChanged.notify_all();
+    lost = &Find(aWorker);
+    EndWorker(*lost, " is lost for good");
   }
   lost->mServer->Drop();
 }
 
+void Cluster::Darken(const std::string& aWorker)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  EndWorker(Find(aWorker), " loses power for good");
+}
+
 void Cluster::Spoil(const std::string& aWorker, bool aIsBad)
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  for (const auto& worker : mWorkers) {
-    if (worker->mSpec.mId == aWorker) {
-      worker->mIsBad = aIsBad;
-    }
-  }
+  Find(aWorker).mIsBad = aIsBad;
   mRecord.Line("TROUBLE " + aWorker +
                (aIsBad ? " fails all that it runs" : " is sound again"));
 }
@@ -179,6 +192,9 @@
   }
   const json body = json::parse(aRequest.mBody, nullptr, false);
   std::unique_lock<std::mutex> lock(mMutex);
+  if (!aWorker.mIsUp) {
+    return Response{ kNoAnswer, "" };
+  }
   if (!body.is_object()) {
     return Answer(aWorker, 400, "");
   }
@@ -251,6 +267,9 @@
     aLock, Ms(aBody.value("wait_ms", int64_t{ 0 })), [this, &aWorker] {
       return !aWorker.mEnds.empty() || mStopping || !aWorker.mIsUp;
     });
+  if (!aWorker.mIsUp) {
+    return Response{ kNoAnswer, "" };
+  }
   json running = json::array();
   for (const auto& [task, run] : aWorker.mRuns) {
     running.push_back({ task, run.mRun, run.mCheckpoint, 100, 0 });
@@ -443,7 +462,7 @@
                      { { "cpu", aWorker.mSpec.mCpu },
                        { "mem_mb", kMemoryMb },
                        { "gpu", 0 } } },
-                   { "labels", { "a", aWorker.mSpec.mRack } },
+                   { "labels", { aWorker.mSpec.mKind, aWorker.mSpec.mRack } },
                    { "clock_ms", ClockOf(aWorker) },
                    { "born", aWorker.mBorn },
                    { "sequence", ++aWorker.mSequence } }
--- a/review/standins-3/cluster.h
+++ b/review/standins-3/cluster.h
@@ -34,6 +34,8 @@
   std::string mId;
   std::string mRack;
   int64_t mCpu = 16000;
+  // The worker's kind, which is the first of its labels.
+  std::string mKind = "a";
 };
 
 // A start or an end that a worker has carried out.
@@ -76,6 +78,10 @@
   // connections close, and its entry is removed after three heartbeats.
   void Lose(const std::string& aWorker);
 
+  // Darken ends a worker for good as Lose does, but its machine loses power:
+  // nothing closes its connections, and calls to it get no answer.
+  void Darken(const std::string& aWorker);
+
   // Spoil has a worker fail all that it runs, while it answers as before.
   void Spoil(const std::string& aWorker, bool aIsBad);
 
@@ -129,6 +135,8 @@
     std::string mTask;
   };
 
+  Worker& Find(const std::string& aWorker);
+  void EndWorker(Worker& aWorker, const std::string& aHow);
   Response Handle(Worker& aWorker, const Request& aRequest);
   Response Start(Worker& aWorker, const nlohmann::json& aBody);
   Response Stop(Worker& aWorker, const nlohmann::json& aBody);
--- a/review/standins-3/fleet.cc
+++ b/review/standins-3/fleet.cc
@@ -32,7 +32,7 @@
 }
 
 // The bounds of hvct-kiosk.
-json Bounds()
+json Bounds(int aStatusSeconds)
 {
   return { { "seed_lag_s", 3 },
            { "reuse_after_s", 2 },
@@ -56,7 +56,7 @@
            { "visible_ms", 3000 },
            { "early_ms", 250 },
            { "finish_s", 14 },
-           { "status_s", 120 },
+           { "status_s", aStatusSeconds },
            { "remote_penalty", 2 },
            { "checkpoint_interval_s", 1 },
            { "restore_ms", 250 },
@@ -73,6 +73,7 @@
 json Settings(const Entry& aEntry,
               const std::string& aAddress,
               uint16_t aPeerPort,
+              const FleetOptions& aOptions,
               const std::string& aStore)
 {
   return {
@@ -96,7 +97,7 @@
     { "zones", { { "ne-a", "new-england" } } },
     { "listen", { { "front", aEntry.mFront }, { "ready", aEntry.mReady } } },
     { "limits",
-      { { "cpu_share", 0.25 },
+      { { "cpu_share", aOptions.mCores },
         { "cores", 1 },
         { "memory_mb", 260 },
         { "file_descriptors", 4100 },
@@ -104,7 +105,7 @@
         { "disk_mb", 0 } } },
     { "fault_tolerance",
       { { "machines", 1 }, { "zones", 1 }, { "regions", 0 } } },
-    { "bounds", Bounds() },
+    { "bounds", Bounds(aOptions.mStatusSeconds) },
     { "platform",
       { { "address", aStore },
         { "form", "log" },
@@ -151,7 +152,8 @@
   aEntry.mReady = address + ":" + std::to_string(FreePort(address));
   const std::string settings = mOptions.mFolder + "/" + aEntry.mNode + ".json";
   std::ofstream(settings)
-    << Settings(aEntry, address, FreePort(address), aStore.Endpoint()).dump();
+    << Settings(aEntry, address, FreePort(address), mOptions, aStore.Endpoint())
+         .dump();
   const std::string output = mOptions.mFolder + "/" + aEntry.mNode + ".log";
   std::vector<std::string> command = mOptions.mCommand;
   std::vector<char*> arguments;
@@ -194,22 +196,30 @@
   return false;
 }
 
+int Fleet::SubmitOnce(const std::string& aHost,
+                      const std::string& aPath,
+                      const json& aJob)
+{
+  const Entry& entry = mEntries[mNext++ % mEntries.size()];
+  const auto answer =
+    ClientOf(entry.mFront)
+      .Post(aPath,
+            { { "Host", aHost }, { "Mulberryvalve-Deadline-Ms", kDeadline } },
+            aJob.dump(),
+            "application/json");
+  const int status = answer ? answer->status : 0;
+  mRecord.Line("client POST " + aPath + " at " + entry.mNode + ": " +
+               std::to_string(status));
+  return status;
+}
+
 int Fleet::Submit(const std::string& aHost,
                   const std::string& aPath,
                   const json& aJob)
 {
   int status = 0;
   for (int tries = 0; tries < kTries && status != 200; tries++) {
-    const Entry& entry = mEntries[mNext++ % mEntries.size()];
-    const auto answer =
-      ClientOf(entry.mFront)
-        .Post(aPath,
-              { { "Host", aHost }, { "Mulberryvalve-Deadline-Ms", kDeadline } },
-              aJob.dump(),
-              "application/json");
-    status = answer ? answer->status : 0;
-    mRecord.Line("client POST " + aPath + " at " + entry.mNode + ": " +
-                 std::to_string(status));
+    status = SubmitOnce(aHost, aPath, aJob);
     if (status != 200) {
       std::this_thread::sleep_for(kRetryDelay);
     }
@@ -217,6 +227,19 @@
   return status;
 }
 
+int Fleet::Cancel(const std::string& aHost, const std::string& aPath)
+{
+  const Entry& entry = mEntries[mNext++ % mEntries.size()];
+  const auto answer = ClientOf(entry.mFront)
+                        .Delete(aPath,
+                                { { "Host", aHost },
+                                  { "Mulberryvalve-Deadline-Ms", kDeadline } });
+  const int status = answer ? answer->status : 0;
+  mRecord.Line("client DELETE " + aPath + " at " + entry.mNode + ": " +
+               std::to_string(status));
+  return status;
+}
+
 JobState Fleet::Ask(const std::string& aHost, const std::string& aPath)
 {
   const Entry& entry = mEntries[mNext++ % mEntries.size()];
@@ -229,6 +252,10 @@
     state.mStatus = answer->status;
     const json body = json::parse(answer->body, nullptr, false);
     state.mState = body.is_object() ? body.value("state", "") : "";
+    if (body.is_object() && body.contains("waiting")) {
+      state.mWaiting = body["waiting"].get<int64_t>();
+      state.mState = "waiting " + std::to_string(*state.mWaiting);
+    }
   }
   mRecord.Line("client GET " + aPath + " at " + entry.mNode + ": " +
                std::to_string(state.mStatus) + " " + state.mState);
--- a/review/standins-3/fleet.h
+++ b/review/standins-3/fleet.h
@@ -7,6 +7,7 @@
 #include "store.h"
 
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -28,6 +29,8 @@
 {
   int mStatus = 0;
   std::string mState;
+  // Of a question for the number of waiting jobs.
+  std::optional<int64_t> mWaiting;
 };
 
 struct FleetOptions
@@ -40,6 +43,9 @@
   // The first three numbers of the addresses of the instances, "127.A.B.".
   std::string mNetwork;
   size_t mEntries = 3;
+  // The share of a core that each instance has.
+  double mCores = 0.25;
+  int mStatusSeconds = 120;
 };
 
 // Fleet starts the instances, and ends them when it is destroyed.
@@ -62,6 +68,13 @@
 
   JobState Ask(const std::string& aHost, const std::string& aPath);
 
+  // SubmitOnce hands a job in without a second try, and Cancel cancels it.
+  // Return the status, or 0 without an answer.
+  int SubmitOnce(const std::string& aHost,
+                 const std::string& aPath,
+                 const nlohmann::json& aJob);
+  int Cancel(const std::string& aHost, const std::string& aPath);
+
   // Signal sends a signal to an instance.
   void Signal(size_t aEntry, int aSignal);
 
--- a/review/standins-3/http_server.cc
+++ b/review/standins-3/http_server.cc
@@ -147,6 +147,14 @@
   return request;
 }
 
+// Waits until the client closes the connection or the server drops it.
+void FallSilent(int aSocket)
+{
+  std::array<char, kReadBytes> bytes{};
+  while (::recv(aSocket, bytes.data(), bytes.size(), 0) > 0) {
+  }
+}
+
 } // namespace
 
 HttpServer::HttpServer(std::string aAddress, Handler aHandler)
@@ -207,7 +215,10 @@
       break;
     }
     const Response response = mHandler(*request);
-    if (mDropped) {
+    if (response.mStatus == kNoAnswer) {
+      FallSilent(aSocket);
+    }
+    if (mDropped || response.mStatus == kNoAnswer) {
       break;
     }
     const std::string head =
--- a/review/standins-3/http_server.h
+++ b/review/standins-3/http_server.h
@@ -26,6 +26,10 @@
   std::string mBody;
 };
 
+// The status of a response that is not sent: the connection returns nothing
+// more.
+constexpr int kNoAnswer = 0;
+
 struct Response
 {
   int mStatus = 200;
--- a/review/standins-3/store.cc
+++ b/review/standins-3/store.cc
@@ -76,6 +76,72 @@
   : mServer(aAddress,
             [this](const Request& aRequest) { return Handle(aRequest); })
 {
+  mLateThread = std::thread([this] { CarryOutLate(); });
+}
+
+Store::~Store()
+{
+  mServer.Drop();
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mStopping = true;
+    mAppended.notify_all();
+  }
+  mLateThread.join();
+}
+
+void Store::LoseAppends(const std::string& aTopic,
+                        const std::string& aText,
+                        std::vector<Ms> aDelays)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mLostTopic = aTopic;
+  mLostText = aText;
+  mDelays = std::move(aDelays);
+}
+
+void Store::KeepAppends()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mLostTopic.clear();
+}
+
+// Returns whether a call gets no answer, and has it carried out later.
+bool Store::IsLost(const Request& aRequest)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  const bool isLost = !mLostTopic.empty() &&
+                      TextOf(aRequest, "topic") == mLostTopic &&
+                      aRequest.mBody.find(mLostText) != std::string::npos;
+  if (!isLost) {
+    return false;
+  }
+  mLostAppends++;
+  if (!mDelays.empty()) {
+    mLate.emplace_back(Steady::now() + mDelays.front(), aRequest);
+    mDelays.erase(mDelays.begin());
+  }
+  return true;
+}
+
+void Store::CarryOutLate()
+{
+  constexpr Ms kInterval{ 20 };
+  std::unique_lock<std::mutex> lock(mMutex);
+  while (!mStopping) {
+    mAppended.wait_for(lock, kInterval);
+    for (size_t index = 0; index < mLate.size(); index++) {
+      if (mLate[index].first > Steady::now()) {
+        continue;
+      }
+      const Request request = mLate[index].second;
+      mLate.erase(mLate.begin() + static_cast<long>(index));
+      lock.unlock();
+      Append(request);
+      lock.lock();
+      break;
+    }
+  }
 }
 
 void Store::Put(const std::string& aTopic,
@@ -91,8 +157,9 @@
 
 Response Store::Handle(const Request& aRequest)
 {
+  mWrites += aRequest.mMethod == "POST" ? 1 : 0;
   if (aRequest.mPath == "/v1/log-append") {
-    return Append(aRequest);
+    return IsLost(aRequest) ? Response{ kNoAnswer, "" } : Append(aRequest);
   }
   if (aRequest.mPath == "/v1/log-read") {
     return Read(aRequest);
--- a/review/standins-3/store.h
+++ b/review/standins-3/store.h
@@ -6,6 +6,7 @@
 #include "http_server.h"
 #include "record.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <deque>
 #include <map>
@@ -13,6 +14,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -25,6 +27,9 @@
 {
 public:
   explicit Store(const std::string& aAddress);
+  ~Store();
+  Store(const Store&) = delete;
+  Store& operator=(const Store&) = delete;
 
   std::string Endpoint() const { return mServer.Endpoint(); }
 
@@ -34,6 +39,19 @@
            const std::string& aKey,
            const std::optional<std::string>& aValue);
 
+  // LoseAppends has appends to aTopic whose body has aText get no answer, until
+  // KeepAppends. The next one is carried out after the first of aDelays, and so
+  // on; the rest is lost.
+  void LoseAppends(const std::string& aTopic,
+                   const std::string& aText,
+                   std::vector<Ms> aDelays);
+  void KeepAppends();
+
+  // LostAppends returns how many appends got no answer, and Writes how many
+  // writing calls there were.
+  size_t LostAppends() const { return mLostAppends; }
+  size_t Writes() const { return mWrites; }
+
 private:
   struct Producer
   {
@@ -64,6 +82,8 @@
 
   Response Handle(const Request& aRequest);
   Response Append(const Request& aRequest);
+  bool IsLost(const Request& aRequest);
+  void CarryOutLate();
   Response Read(const Request& aRequest);
   Response Newest(const Request& aRequest);
   Response Join(const Request& aRequest);
@@ -79,6 +99,14 @@
   std::condition_variable mAppended;
   std::map<std::pair<std::string, uint32_t>, Partition> mPartitions;
   std::map<std::string, Group> mGroups;
+  std::string mLostTopic;
+  std::string mLostText;
+  std::vector<Ms> mDelays;
+  std::vector<std::pair<Steady::time_point, Request>> mLate;
+  bool mStopping = false;
+  std::atomic<size_t> mLostAppends{ 0 };
+  std::atomic<size_t> mWrites{ 0 };
+  std::thread mLateThread;
   HttpServer mServer;
 };
 
--- a/review/standins-3/world.cc
+++ b/review/standins-3/world.cc
@@ -5,6 +5,7 @@
 #include <random>
 #include <thread>
 #include <unistd.h>
+#include <utility>
 
 namespace review {
 namespace {
@@ -52,6 +53,11 @@
   }.dump();
 }
 
+json JobOf(const json& aStep)
+{
+  return { { "specification", "work" }, { "steps", json::array({ aStep }) } };
+}
+
 } // namespace
 
 CaseArguments ParseArguments(int aArgc, char** aArgv)
@@ -71,7 +77,8 @@
 }
 
 World::World(const CaseArguments& aArguments,
-             const std::vector<WorkerSpec>& aWorkers)
+             const std::vector<WorkerSpec>& aWorkers,
+             FleetOptions aOptions)
   : mRecord(aArguments.mFolder + "/record.txt")
 {
   std::string name =
@@ -82,7 +89,7 @@
   mStore->Put("keyed.op", "config", Config());
   mCluster = std::make_unique<Cluster>(
     *mStore, mRecord, kService, kZone, network + "251", aWorkers);
-  FleetOptions options;
+  FleetOptions options = std::move(aOptions);
   options.mCommand = aArguments.mCommand;
   options.mRoot = aArguments.mRoot;
   options.mFolder = mTemporary;
@@ -107,9 +114,21 @@
 
 bool World::Submit(const std::string& aJob, const json& aStep)
 {
-  const json job{ { "specification", "work" },
-                  { "steps", json::array({ aStep }) } };
-  return mFleet->Submit(kHost, kPrefix + aJob, job) == 200;
+  return mFleet->Submit(kHost, kPrefix + aJob, JobOf(aStep)) == 200;
+}
+
+int World::SubmitOnce(const std::string& aJob, const json& aStep)
+{
+  return mFleet->SubmitOnce(kHost, kPrefix + aJob, JobOf(aStep));
+}
+
+int World::Cancel(const std::string& aJob)
+{
+  int status = 0;
+  for (int tries = 0; tries < kAskTries && status != 200; tries++) {
+    status = mFleet->Cancel(kHost, kPrefix + aJob);
+  }
+  return status;
 }
 
 std::string World::Ask(const std::string& aJob)
@@ -122,6 +141,11 @@
                               : "status " + std::to_string(state.mStatus);
 }
 
+std::optional<int64_t> World::Waiting()
+{
+  return mFleet->Ask(kHost, kPrefix).mWaiting;
+}
+
 size_t World::RunningOf(const std::string& aJob) const
 {
   size_t count = 0;
--- a/review/standins-3/world.h
+++ b/review/standins-3/world.h
@@ -10,6 +10,7 @@
 
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,7 +39,8 @@
 {
 public:
   World(const CaseArguments& aArguments,
-        const std::vector<WorkerSpec>& aWorkers);
+        const std::vector<WorkerSpec>& aWorkers,
+        FleetOptions aOptions = FleetOptions());
   ~World();
   World(const World&) = delete;
   World& operator=(const World&) = delete;
@@ -49,14 +51,23 @@
   // Submit hands a job of one step in, and returns whether it was accepted.
   bool Submit(const std::string& aJob, const nlohmann::json& aStep);
 
+  // SubmitOnce tries once and Cancel until the cancellation is acknowledged.
+  // Return the last status.
+  int SubmitOnce(const std::string& aJob, const nlohmann::json& aStep);
+  int Cancel(const std::string& aJob);
+
   // Ask returns the job's state, asking again while there is no answer.
   std::string Ask(const std::string& aJob);
 
+  // Waiting asks once how many jobs wait; nothing without an answer.
+  std::optional<int64_t> Waiting();
+
   size_t RunningOf(const std::string& aJob) const;
 
   // Verdict writes aText to the record and returns the exit code.
   int Verdict(bool aIsBroken, const std::string& aText);
 
+  Store& Platform() { return *mStore; }
   Cluster& Workers() { return *mCluster; }
   Fleet& Instances() { return *mFleet; }
   Record& Log() { return mRecord; }
