--- a/review/standins-3/late_copies_case.cc
+++ b/review/standins-3/late_copies_case.cc
@@ -36,10 +36,10 @@
                                         { "mem_mb", 1024 },
                                         { "estimated_ms", 8000 } });
   world.Platform().KeepAppends();
-  world.Log().Line("TROUBLE over; " +
-                   std::to_string(world.Platform().LostAppends()) + " of " +
-                   std::to_string(world.Platform().Writes() - writesBefore) +
-                   " writes got no answer");
+  const size_t lost = world.Platform().LostAppends();
+  const size_t writes = world.Platform().Writes() - writesBefore;
+  world.Log().Line("TROUBLE over; " + std::to_string(lost) + " of " +
+                   std::to_string(writes) + " writes got no answer");
   if (world.Cancel(job) != 200) {
     return kCannotRun;
   }
--- a/review/standins-3/store.cc
+++ b/review/standins-3/store.cc
@@ -338,7 +338,8 @@
       continue;
     }
     for (const auto& [name, member] : aGroup.mMembers) {
-      if (target.empty() || counts[name] < counts[target]) {
+      const size_t count = counts[name];
+      if (target.empty() || count < counts[target]) {
         target = name;
       }
     }
--- a/review/standins-3/world.cc
+++ b/review/standins-3/world.cc
@@ -26,7 +26,9 @@
 {
   std::random_device device;
   const auto part = [&device] { return std::to_string(20 + device() % 200); };
-  return "127." + part() + "." + part() + ".";
+  const std::string second = part();
+  const std::string third = part();
+  return "127." + second + "." + third + ".";
 }
 
 std::string Config()
