--- /dev/null
+++ b/mulberryvalve/core/jobs/job_retention.cc
@@ -0,0 +1,58 @@
+#include "mulberryvalve/core/jobs/job_retention.h"
+
+namespace mulberryvalve {
+
+void JobRetention::Extend(const JobId& aJob, MonotonicTime aNow)
+{
+  const MonotonicTime until = aNow + mKeepOver;
+  const auto [found, isNew] = mKeepUntil.try_emplace(aJob, until);
+  if (!isNew) {
+    if (until <= found->second) {
+      return;
+    }
+    mByTime.erase({ found->second, aJob });
+    found->second = until;
+  }
+  mByTime.emplace(until, aJob);
+}
+
+void JobRetention::AddCancellation(const JobId& aJob, MonotonicTime aNow)
+{
+  mCancelled.insert(aJob);
+  Extend(aJob, aNow);
+}
+
+bool JobRetention::TakeCancellation(const JobId& aJob)
+{
+  return mCancelled.erase(aJob) != 0;
+}
+
+std::vector<JobId> JobRetention::Expired(MonotonicTime aNow, size_t aMax) const
+{
+  std::vector<JobId> jobs;
+  for (const auto& [until, job] : mByTime) {
+    if (until > aNow || jobs.size() >= aMax) {
+      break;
+    }
+    jobs.push_back(job);
+  }
+  return jobs;
+}
+
+bool JobRetention::HasExpired(const JobId& aJob, MonotonicTime aNow) const
+{
+  const auto found = mKeepUntil.find(aJob);
+  return found != mKeepUntil.end() && found->second <= aNow;
+}
+
+void JobRetention::Forget(const JobId& aJob)
+{
+  const auto found = mKeepUntil.find(aJob);
+  if (found != mKeepUntil.end()) {
+    mByTime.erase({ found->second, aJob });
+    mKeepUntil.erase(found);
+  }
+  mCancelled.erase(aJob);
+}
+
+} // namespace mulberryvalve
--- /dev/null
+++ b/mulberryvalve/core/jobs/job_retention_test.cc
@@ -0,0 +1,91 @@
+// Copies of a job's record that are appended late, after the job was over.
+#include "mulberryvalve/core/jobs/single_worker_shard_fake.h"
+
+namespace mulberryvalve {
+namespace {
+
+const JobId kJob("j");
+constexpr Milliseconds kKeepOver = ShardSchedulerOptions().mKeepOver;
+// Longer than an owner waits between two looks for jobs to retire.
+constexpr Milliseconds kRetireInterval{ 1100 };
+constexpr Milliseconds kSecond{ 1000 };
+
+} // namespace
+
+TEST_GROUP(JobRetentionTest)
+{
+  SingleWorkerShard mOwner;
+
+  void setup() override
+  {
+    mOwner.ReadWorkerList();
+    mOwner.AnswerHold();
+    mOwner.PersistAll();
+  }
+
+  void Wait(Milliseconds aTime)
+  {
+    mOwner.mNow += aTime;
+    mOwner.AnswerHold();
+  }
+
+  void ReadCopy()
+  {
+    mOwner.Submit(OneStepJob("j", 1, 1000));
+    mOwner.CountStarts();
+    mOwner.PersistAll();
+  }
+
+  void ReadCancellation()
+  {
+    mOwner.mShard.OnJobCancelled(kJob, mOwner.mNow);
+    mOwner.PersistAll();
+  }
+
+  // Removes from the log what the owner keeps no longer, and returns the number
+  // of jobs that were removed from the intake.
+  size_t Retire()
+  {
+    Wait(kRetireInterval);
+    const std::vector<JobId> jobs =
+      mOwner.mShard.TakeRetirableJobs(mOwner.mNow);
+    mOwner.mShard.OnRemovedFromIntake(jobs);
+    mOwner.PersistAll();
+    return jobs.size();
+  }
+
+  void CheckRetired(size_t aExpected)
+  {
+    const size_t retired = Retire();
+    CHECK_EQUAL(aExpected, retired);
+  }
+
+  void CheckNotStarted()
+  {
+    const size_t starts = mOwner.CountStarts();
+    CHECK_EQUAL(0U, starts);
+  }
+
+  bool IsCancelled() const
+  {
+    return mOwner.mShard.Phase(kJob) == JobPhase::kCancelled;
+  }
+};
+
+// Guards against a cancelled job being started by an owner that is older than
+// the retention, as the first of two late copies took the cancellation out of
+// the log (review/11).
+TEST(JobRetentionTest, ACancelledJobStaysCancelledForEveryLateCopy)
+{
+  Wait(2 * kKeepOver);
+  ReadCancellation();
+  Wait(kSecond);
+  ReadCopy();
+  CHECK(IsCancelled());
+  CheckRetired(0);
+  ReadCopy();
+  CHECK(IsCancelled());
+  CheckNotStarted();
+}
+
+} // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/job_table.h
+++ b/mulberryvalve/core/jobs/job_table.h
@@ -91,6 +91,7 @@
   bool mIsBeyondRate = false;
   // The highest run number assigned in the current epoch.
   RunNumber mLastRun;
+  // When this owner learned that the job is over.
   MonotonicTime mFinishedAt;
   // The parts of the job's progress that have changed since they were last
   // written, and the number of parts that may be on the log.
--- a/mulberryvalve/core/jobs/progress_batch.h
+++ b/mulberryvalve/core/jobs/progress_batch.h
@@ -30,6 +30,9 @@
 // is durable.
 struct ProgressBatch
 {
+  // The most jobs of one batch, and of those retired.
+  static constexpr size_t kMaxJobs = 400;
+
   // AckedEnds is the number of the last task end of a worker that the batch
   // covers.
   struct AckedEnds
--- a/mulberryvalve/core/jobs/shard_scheduler.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler.cc
@@ -7,10 +7,6 @@
 namespace mulberryvalve {
 namespace {
 
-constexpr size_t kMaxJobsPerBatch = 400;
-// Finished jobs are kept for minutes, so some delay in retiring them is
-// harmless.
-constexpr Milliseconds kRetireInterval{ 1000 };
 // How often learned data is made durable. A takeover loses at most what was
 // learned in this interval.
 constexpr Milliseconds kSaveLearnedInterval{ 2000 };
@@ -32,6 +28,7 @@
   , mSearch(aPolicies.mPlacement, mWorkers)
   , mAccounts(aOptions.mShards, mJobTable, mWorkers, mInheritedWorkers)
   , mHeldTasks(mJobTable, mWorkers, mInheritedWorkers, aClaimedAt)
+  , mRetention(aOptions.mKeepOver)
   , mRefreshNotesAt(aClaimedAt + kFirstNoteRefresh)
   , mSaveLearnedAt(aClaimedAt + kSaveLearnedInterval)
 {
@@ -54,6 +51,7 @@
   }
   if (IsOver(job->mPhase)) {
     job->mFinishedAt = mClaimedAt;
+    mRetention.Extend(job->mGraph.mId, mClaimedAt);
   }
 }
 
@@ -94,44 +92,6 @@
   return learned;
 }
 
-void ShardScheduler::OnJobSubmitted(JobGraph aGraph,
-                                    MonotonicTime aNotBefore,
-                                    MonotonicTime aNow)
-{
-  const JobId id = aGraph.mId;
-  JobEntry* job = mJobTable.Add(std::move(aGraph));
-  if (job == nullptr) {
-    return;
-  }
-  job->mReadAt = aNow;
-  mAccounts.OnJobAdded(*job);
-  // The former owner may have started the job within its last proof of
-  // ownership.
-  job->mMayHaveFormerRuns = aNotBefore < mClaimedAt +
-                                           mOptions.mNewJobProofLimit +
-                                           mOptions.mLease.mMargin;
-  mNeedsPlacement = true;
-  LogJobDecision(DecisionKind::kJobKnown, id, job->mGraph.mQueue.Text());
-  ApplyKeptReports(*job, aNow);
-  if (mCancelledUnknownJobs.erase(id) != 0) {
-    EndJob(*job, JobPhase::kCancelled, mClaimedAt);
-  }
-}
-
-void ShardScheduler::OnJobCancelled(const JobId& aJob, MonotonicTime aNow)
-{
-  JobEntry* job = mJobTable.Find(aJob);
-  if (job == nullptr) {
-    mCancelledUnknownJobs.insert(aJob);
-    return;
-  }
-  if (IsOver(job->mPhase)) {
-    return;
-  }
-  LogJobDecision(DecisionKind::kJobCancelled, aJob, "requested by its caller");
-  EndJob(*job, JobPhase::kCancelled, aNow);
-}
-
 void ShardScheduler::OnConfig(const ClusterConfig& aConfig)
 {
   mConfig = aConfig;
@@ -194,43 +154,10 @@
   mHeldTasks.OnWorkerList();
 }
 
-std::vector<JobId> ShardScheduler::TakeRetirableJobs(MonotonicTime aNow)
-{
-  std::vector<JobId> jobs;
-  if (aNow < mRetireJobsAt) {
-    return jobs;
-  }
-  mRetireJobsAt = aNow + kRetireInterval;
-  for (const auto& [id, job] : mJobTable.All()) {
-    const bool isSettled = IsOver(job.mPhase) &&
-                           job.mDurablePhase == job.mPhase && !job.mIsOffIntake;
-    if (isSettled && aNow - job.mFinishedAt >= mOptions.mKeepOver &&
-        jobs.size() < kMaxJobsPerBatch) {
-      jobs.push_back(id);
-    }
-  }
-  return jobs;
-}
-
-void ShardScheduler::OnRemovedFromIntake(const std::vector<JobId>& aJobs)
-{
-  for (const JobId& id : aJobs) {
-    if (JobEntry* job = mJobTable.Find(id)) {
-      job->mIsOffIntake = true;
-      mJobsOffIntake.push_back(RetiredJob{ id, job->mPartCount });
-    }
-  }
-}
-
-void ShardScheduler::RestoreProgressOffIntake(const JobRecord& aRecord)
-{
-  mJobsOffIntake.push_back(RetiredJob{ aRecord.mId, aRecord.mPart + 1 });
-}
-
 ProgressBatch ShardScheduler::TakeProgress(MonotonicTime aNow)
 {
   ProgressBatch batch;
-  while (!mDirtyJobs.empty() && batch.mJobs.size() < kMaxJobsPerBatch) {
+  while (!mDirtyJobs.empty() && batch.mJobs.size() < ProgressBatch::kMaxJobs) {
     JobEntry* job = mJobTable.Find(*mDirtyJobs.begin());
     mDirtyJobs.erase(mDirtyJobs.begin());
     if (job != nullptr) {
@@ -239,7 +166,8 @@
     }
   }
   mUnrecordedStarts.OnTaken(batch.mJobs);
-  while (!mJobsOffIntake.empty() && batch.mRetired.size() < kMaxJobsPerBatch) {
+  while (!mJobsOffIntake.empty() &&
+         batch.mRetired.size() < ProgressBatch::kMaxJobs) {
     batch.mRetired.push_back(std::move(mJobsOffIntake.back()));
     mJobsOffIntake.pop_back();
   }
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -13,6 +13,7 @@
 #include "mulberryvalve/core/jobs/inherited_workers.h"
 #include "mulberryvalve/core/jobs/job_decision.h"
 #include "mulberryvalve/core/jobs/job_placement_policy.h"
+#include "mulberryvalve/core/jobs/job_retention.h"
 #include "mulberryvalve/core/jobs/job_table.h"
 #include "mulberryvalve/core/jobs/placement_pass.h"
 #include "mulberryvalve/core/jobs/progress_batch.h"
@@ -456,6 +457,7 @@
   HeldStarts mHeldStarts;
   UnrecordedStartList mUnrecordedStarts;
   UnreadJobs mUnreadJobs;
+  JobRetention mRetention;
   MonotonicTime mRefreshNotesAt;
   // A list of workers was received.
   bool mHasWorkerList = false;
@@ -463,8 +465,6 @@
   MonotonicTime mRetireJobsAt;
   // Jobs that are no longer on the intake and whose progress is to be removed.
   std::vector<RetiredJob> mJobsOffIntake;
-  // Cancellations that were read before their jobs.
-  std::set<JobId> mCancelledUnknownJobs;
   std::set<JobId> mDirtyJobs;
   std::set<WorkerId> mDirtyWorkers;
   std::set<WorkerId> mRemovedWorkers;
--- a/mulberryvalve/core/jobs/shard_scheduler_reports.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_reports.cc
@@ -377,6 +377,7 @@
   const JobId& id = aJob.mGraph.mId;
   aJob.mPhase = aPhase;
   aJob.mFinishedAt = aNow;
+  mRetention.Extend(id, aNow);
   mJobTable.RemoveReadySteps(aJob);
   mDirtyJobs.insert(id);
   mJobTable.MarkPhaseDirty(aJob);
--- /dev/null
+++ b/mulberryvalve/core/jobs/shard_scheduler_retention.cc
@@ -0,0 +1,86 @@
+// ShardScheduler: jobs and cancellations as they are read from the intake, and
+// how long they stay there.
+#include "mulberryvalve/core/jobs/shard_scheduler.h"
+
+#include <utility>
+
+namespace mulberryvalve {
+namespace {
+
+// Finished jobs are kept for minutes, so some delay in retiring them is
+// harmless.
+constexpr Milliseconds kRetireInterval{ 1000 };
+
+} // namespace
+
+void ShardScheduler::OnJobSubmitted(JobGraph aGraph,
+                                    MonotonicTime aNotBefore,
+                                    MonotonicTime aNow)
+{
+  const JobId id = aGraph.mId;
+  JobEntry* job = mJobTable.Add(std::move(aGraph));
+  if (job == nullptr) {
+    return;
+  }
+  job->mReadAt = aNow;
+  mAccounts.OnJobAdded(*job);
+  // The former owner may have started the job within its last proof of
+  // ownership.
+  job->mMayHaveFormerRuns = aNotBefore < mClaimedAt +
+                                           mOptions.mNewJobProofLimit +
+                                           mOptions.mLease.mMargin;
+  mNeedsPlacement = true;
+  LogJobDecision(DecisionKind::kJobKnown, id, job->mGraph.mQueue.Text());
+  ApplyKeptReports(*job, aNow);
+  if (mRetention.TakeCancellation(id)) {
+    EndJob(*job, JobPhase::kCancelled, aNow);
+  }
+}
+
+void ShardScheduler::OnJobCancelled(const JobId& aJob, MonotonicTime aNow)
+{
+  JobEntry* job = mJobTable.Find(aJob);
+  if (job == nullptr) {
+    mRetention.AddCancellation(aJob, aNow);
+    return;
+  }
+  if (IsOver(job->mPhase)) {
+    return;
+  }
+  LogJobDecision(DecisionKind::kJobCancelled, aJob, "requested by its caller");
+  EndJob(*job, JobPhase::kCancelled, aNow);
+}
+
+std::vector<JobId> ShardScheduler::TakeRetirableJobs(MonotonicTime aNow)
+{
+  std::vector<JobId> jobs;
+  if (aNow < mRetireJobsAt) {
+    return jobs;
+  }
+  mRetireJobsAt = aNow + kRetireInterval;
+  for (const JobId& id : mRetention.Expired(aNow, ProgressBatch::kMaxJobs)) {
+    const JobEntry* job = mJobTable.Find(id);
+    if (job != nullptr && job->mDurablePhase == job->mPhase) {
+      jobs.push_back(id);
+    }
+  }
+  return jobs;
+}
+
+void ShardScheduler::OnRemovedFromIntake(const std::vector<JobId>& aJobs)
+{
+  for (const JobId& id : aJobs) {
+    if (JobEntry* job = mJobTable.Find(id)) {
+      mRetention.Forget(id);
+      job->mIsOffIntake = true;
+      mJobsOffIntake.push_back(RetiredJob{ id, job->mPartCount });
+    }
+  }
+}
+
+void ShardScheduler::RestoreProgressOffIntake(const JobRecord& aRecord)
+{
+  mJobsOffIntake.push_back(RetiredJob{ aRecord.mId, aRecord.mPart + 1 });
+}
+
+} // namespace mulberryvalve
