A copy of a job that is over extends its retention

What callers may see: a cancelled or completed job that is started again by a copy of its record that comes more than the retention after the job's end, though other copies came in between; and an accepted job that no owner knows, where a copy came while the job was being removed.

Cause: the retention counted from the end alone. A copy, or another cancellation, shows that callers or appends are still at work for the job. And between the removals from the intake and from the progress a copy was taken for a duplicate of a job that was forgotten a moment later.

Change: each sign extends the retention; a copy that comes while its job is retired keeps the job, whose progress is recorded once more. The decision job_copy_read says so in the log.

Shown: of job_retention_test ACopyOfAJobThatIsOverExtendsTheRetention, AnotherCancellationExtendsTheRetention and ACopyReadWhileItsJobIsRetiredKeepsTheJob fail without the change and pass.

--- a/mulberryvalve/core/jobs/job_decision.h
+++ b/mulberryvalve/core/jobs/job_decision.h
@@ -14,6 +14,7 @@
 enum class DecisionKind
 {
   kJobKnown,        // a job was read from the log
+  kJobCopyRead,     // a copy of the record of a job that is over was read
   kJobCancelled,    // the cancellation of a job was read
   kJobOver,         // all tasks completed, or one failed too often
   kTaskPlaced,      // a start was sent
@@ -38,8 +39,9 @@
   kAccountUnlimited, // none do any more
 };
 
-inline constexpr EnumTable<DecisionKind, 23> kDecisionKindNames{ { {
+inline constexpr EnumTable<DecisionKind, 24> kDecisionKindNames{ { {
   { DecisionKind::kJobKnown, "job_known" },
+  { DecisionKind::kJobCopyRead, "job_copy_read" },
   { DecisionKind::kJobCancelled, "job_cancelled" },
   { DecisionKind::kJobOver, "job_over" },
   { DecisionKind::kTaskPlaced, "task_placed" },
--- a/mulberryvalve/core/jobs/job_retention.cc
+++ b/mulberryvalve/core/jobs/job_retention.cc
@@ -1,5 +1,7 @@
 #include "mulberryvalve/core/jobs/job_retention.h"
 
+#include <utility>
+
 namespace mulberryvalve {
 
 void JobRetention::Extend(const JobId& aJob, MonotonicTime aNow)
@@ -55,4 +57,20 @@
   mCancelled.erase(aJob);
 }
 
+void JobRetention::OnOffIntake(RetiredJob aJob)
+{
+  Forget(aJob.mId);
+  mOffIntake.push_back(std::move(aJob));
+}
+
+std::vector<RetiredJob> JobRetention::TakeOffIntake(size_t aMax)
+{
+  std::vector<RetiredJob> jobs;
+  while (!mOffIntake.empty() && jobs.size() < aMax) {
+    jobs.push_back(std::move(mOffIntake.back()));
+    mOffIntake.pop_back();
+  }
+  return jobs;
+}
+
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/job_retention.h
+++ b/mulberryvalve/core/jobs/job_retention.h
@@ -3,7 +3,7 @@
 #define MULBERRYVALVE_CORE_JOBS_JOB_RETENTION_H_
 
 #include "mulberryvalve/core/base/time.h"
-#include "mulberryvalve/core/model/ids.h"
+#include "mulberryvalve/core/jobs/job_state.h"
 
 #include <set>
 #include <unordered_map>
@@ -50,6 +50,16 @@
   // Forgets a job, with its cancellation.
   void Forget(const JobId& aJob);
 
+  // Forgets a job that is no longer on the intake, so that its progress is to
+  // be removed next.
+  void OnOffIntake(RetiredJob aJob);
+
+  // Returns at most aMax jobs whose progress is to be removed, once each.
+  std::vector<RetiredJob> TakeOffIntake(size_t aMax);
+
+  // Returns whether the progress of a job is to be removed.
+  bool HasOffIntake() const { return !mOffIntake.empty(); }
+
   // Returns the number of cancellations of jobs that are not known.
   size_t UnmatchedCancellations() const { return mCancelled.size(); }
 
@@ -61,6 +71,8 @@
   std::unordered_map<JobId, MonotonicTime> mKeepUntil;
   // The jobs of mKeepUntil in the order of their times.
   std::set<std::pair<MonotonicTime, JobId>> mByTime;
+  // The jobs that are off the intake and whose progress is to be removed.
+  std::vector<RetiredJob> mOffIntake;
   // The jobs that are cancelled and not known.
   std::set<JobId> mCancelled;
 };
--- a/mulberryvalve/core/jobs/job_retention_test.cc
+++ b/mulberryvalve/core/jobs/job_retention_test.cc
@@ -88,4 +88,59 @@
   CheckNotStarted();
 }
 
+// Guards against a cancelled job being started by a copy that followed another
+// one after the retention had begun at the job's end (review/11, later copies).
+TEST(JobRetentionTest, ACopyOfAJobThatIsOverExtendsTheRetention)
+{
+  ReadCopy();
+  ReadCancellation();
+  Wait(kKeepOver - kSecond);
+  ReadCopy();
+  Wait(2 * kSecond);
+  CheckRetired(0);
+  ReadCopy();
+  CHECK(IsCancelled());
+  CheckNotStarted();
+}
+
+// The same for a caller that repeats its cancellation.
+TEST(JobRetentionTest, AnotherCancellationExtendsTheRetention)
+{
+  ReadCopy();
+  ReadCancellation();
+  Wait(kKeepOver - kSecond);
+  ReadCancellation();
+  Wait(2 * kSecond);
+  CheckRetired(0);
+}
+
+TEST(JobRetentionTest, AJobThatIsOverIsRetiredOnceNoCopyHasComeForLong)
+{
+  ReadCopy();
+  ReadCancellation();
+  ReadCopy();
+  Wait(kKeepOver);
+  CheckRetired(1);
+  CHECK_FALSE(mOwner.mShard.Phase(kJob).has_value());
+}
+
+// Guards against an accepted job that its owner no longer knows: a copy came
+// after the job was removed from the intake and before its progress was.
+TEST(JobRetentionTest, ACopyReadWhileItsJobIsRetiredKeepsTheJob)
+{
+  ReadCopy();
+  ReadCancellation();
+  Wait(kKeepOver + kRetireInterval);
+  mOwner.mShard.OnRemovedFromIntake(
+    mOwner.mShard.TakeRetirableJobs(mOwner.mNow));
+  const ProgressBatch batch = mOwner.TakeBatch();
+  CHECK_EQUAL(1U, batch.mRetired.size());
+  mOwner.Submit(OneStepJob("j", 1, 1000));
+  mOwner.mShard.OnDurable(batch);
+  CHECK(IsCancelled());
+  const ProgressBatch next = mOwner.TakeBatch();
+  CHECK_EQUAL(1U, next.mJobs.size());
+  CHECK(next.mJobs.at(0).mPhase == JobPhase::kCancelled);
+}
+
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/shard_scheduler.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler.cc
@@ -166,11 +166,7 @@
     }
   }
   mUnrecordedStarts.OnTaken(batch.mJobs);
-  while (!mJobsOffIntake.empty() &&
-         batch.mRetired.size() < ProgressBatch::kMaxJobs) {
-    batch.mRetired.push_back(std::move(mJobsOffIntake.back()));
-    mJobsOffIntake.pop_back();
-  }
+  batch.mRetired = mRetention.TakeOffIntake(ProgressBatch::kMaxJobs);
   for (const WorkerId& id : mDirtyWorkers) {
     WorkerEntry* workerState = mWorkers.Find(id);
     if (workerState == nullptr) {
@@ -215,8 +211,7 @@
     }
   }
   for (const RetiredJob& job : aBatch.mRetired) {
-    mJobTable.Forget(job.mId);
-    mServiceLoads.Forget(job.mId);
+    OnRetired(job.mId);
   }
   for (const UsedWorkerRecord& worker : aBatch.mWorkers) {
     OnWorkerRecordDurable(worker);
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -224,6 +224,10 @@
 
   void OnWorkerRecordDurable(const UsedWorkerRecord& aWorker);
 
+  // How long the intake holds a job (shard_scheduler_retention.cc).
+  void OnCopyRead(JobEntry& aJob, MonotonicTime aNow);
+  void OnRetired(const JobId& aJob);
+
   // Handover notes for the successor, and waits inherited from the former owner
   // (shard_scheduler_handover.cc). A handover note is a worker's record that
   // says which tasks may run there, or for how long at most.
@@ -463,8 +467,6 @@
   bool mHasWorkerList = false;
   MonotonicTime mSaveLearnedAt;
   MonotonicTime mRetireJobsAt;
-  // Jobs that are no longer on the intake and whose progress is to be removed.
-  std::vector<RetiredJob> mJobsOffIntake;
   std::set<JobId> mDirtyJobs;
   std::set<WorkerId> mDirtyWorkers;
   std::set<WorkerId> mRemovedWorkers;
--- a/mulberryvalve/core/jobs/shard_scheduler_retention.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_retention.cc
@@ -20,6 +20,7 @@
   const JobId id = aGraph.mId;
   JobEntry* job = mJobTable.Add(std::move(aGraph));
   if (job == nullptr) {
+    OnCopyRead(*mJobTable.Find(id), aNow);
     return;
   }
   job->mReadAt = aNow;
@@ -37,6 +38,21 @@
   }
 }
 
+// Handles another copy of the record of a known job. It remains one job, also
+// if it is over and its removal has begun.
+void ShardScheduler::OnCopyRead(JobEntry& aJob, MonotonicTime aNow)
+{
+  if (!IsOver(aJob.mPhase)) {
+    return;
+  }
+  const JobId& id = aJob.mGraph.mId;
+  mRetention.Extend(id, aNow);
+  aJob.mIsOffIntake = false;
+  LogJobDecision(DecisionKind::kJobCopyRead,
+                 id,
+                 "the job is " + std::string(kJobPhaseNames.Name(aJob.mPhase)));
+}
+
 void ShardScheduler::OnJobCancelled(const JobId& aJob, MonotonicTime aNow)
 {
   JobEntry* job = mJobTable.Find(aJob);
@@ -45,6 +61,7 @@
     return;
   }
   if (IsOver(job->mPhase)) {
+    mRetention.Extend(aJob, aNow);
     return;
   }
   LogJobDecision(DecisionKind::kJobCancelled, aJob, "requested by its caller");
@@ -71,16 +88,29 @@
 {
   for (const JobId& id : aJobs) {
     if (JobEntry* job = mJobTable.Find(id)) {
-      mRetention.Forget(id);
       job->mIsOffIntake = true;
-      mJobsOffIntake.push_back(RetiredJob{ id, job->mPartCount });
+      mRetention.OnOffIntake(RetiredJob{ id, job->mPartCount });
     }
   }
 }
 
 void ShardScheduler::RestoreProgressOffIntake(const JobRecord& aRecord)
 {
-  mJobsOffIntake.push_back(RetiredJob{ aRecord.mId, aRecord.mPart + 1 });
+  mRetention.OnOffIntake(RetiredJob{ aRecord.mId, aRecord.mPart + 1 });
+}
+
+// Forgets a job whose progress has been removed. If a copy of the job came in
+// the meantime, its progress is recorded once more.
+void ShardScheduler::OnRetired(const JobId& aJob)
+{
+  JobEntry* job = mJobTable.Find(aJob);
+  if (job != nullptr && !job->mIsOffIntake) {
+    mJobTable.MarkPhaseDirty(*job);
+    mDirtyJobs.insert(aJob);
+    return;
+  }
+  mJobTable.Forget(aJob);
+  mServiceLoads.Forget(aJob);
 }
 
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/shard_scheduler_starts.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_starts.cc
@@ -71,8 +71,8 @@
 AppendDemand ShardScheduler::NeededAppend() const
 {
   const bool hasChanges = !mDirtyJobs.empty() || !mDirtyWorkers.empty() ||
-                          !mRemovedWorkers.empty() || !mJobsOffIntake.empty() ||
-                          !mEndedClaims.empty();
+                          !mRemovedWorkers.empty() ||
+                          mRetention.HasOffIntake() || !mEndedClaims.empty();
   if (!hasChanges) {
     return AppendDemand::kNone;
   }
