The cancellation of a job that never comes is removed from the intake

What was measured: 200 cancellations of ids that no job has left 200 keys in the intake, all still there 72 s later with status_s 20. Each claim reads them, and each owner holds them in memory.

Cause: a cancellation whose job was not known had no time at all; only the arrival of its job took the entry out.

Change: JobRetention keeps it for as long as any other sign that a job is over, counted by each owner from when it read it, and the owner removes it with the jobs that it retires. A removal that was decided before a copy was read does not forget the cancellation that the copy has met.

Shown: without the removal TheCancellationOfAJobThatNeverComesIsRemoved fails, and without the second look ACopyReadDuringTheRemovalOfItsCancellationIsCancelled.

--- a/mulberryvalve/app/jobs/shard_runtime_readers.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_readers.cc
@@ -272,7 +272,7 @@
     return;
   }
   MutexLock lock(mMutex);
-  mShard->OnRemovedFromIntake(jobs);
+  mShard->OnRemovedFromIntake(jobs, mPorts.mClock.Now());
 }
 
 // Returns whether all of aJobs have been removed.
--- a/mulberryvalve/core/jobs/job_retention_test.cc
+++ b/mulberryvalve/core/jobs/job_retention_test.cc
@@ -49,7 +49,7 @@
     Wait(kRetireInterval);
     const std::vector<JobId> jobs =
       mOwner.mShard.TakeRetirableJobs(mOwner.mNow);
-    mOwner.mShard.OnRemovedFromIntake(jobs);
+    mOwner.mShard.OnRemovedFromIntake(jobs, mOwner.mNow);
     mOwner.PersistAll();
     return jobs.size();
   }
@@ -132,7 +132,7 @@
   ReadCancellation();
   Wait(kKeepOver + kRetireInterval);
   mOwner.mShard.OnRemovedFromIntake(
-    mOwner.mShard.TakeRetirableJobs(mOwner.mNow));
+    mOwner.mShard.TakeRetirableJobs(mOwner.mNow), mOwner.mNow);
   const ProgressBatch batch = mOwner.TakeBatch();
   CHECK_EQUAL(1U, batch.mRetired.size());
   mOwner.Submit(OneStepJob("j", 1, 1000));
@@ -143,4 +143,46 @@
   CHECK(next.mJobs.at(0).mPhase == JobPhase::kCancelled);
 }
 
+// Guards against an intake that grows with each cancellation of a job that
+// nobody handed in.
+TEST(JobRetentionTest, TheCancellationOfAJobThatNeverComesIsRemoved)
+{
+  ReadCancellation();
+  CheckRetired(0);
+  Wait(kKeepOver);
+  CheckRetired(1);
+  Wait(kKeepOver);
+  CheckRetired(0);
+}
+
+// Guards against the removal of what a job's copy has just made valid again.
+TEST(JobRetentionTest, ACopyReadDuringTheRemovalOfItsCancellationIsCancelled)
+{
+  ReadCancellation();
+  Wait(kKeepOver + kRetireInterval);
+  const std::vector<JobId> jobs = mOwner.mShard.TakeRetirableJobs(mOwner.mNow);
+  CHECK_EQUAL(1U, jobs.size());
+  ReadCopy();
+  mOwner.mShard.OnRemovedFromIntake(jobs, mOwner.mNow);
+  mOwner.PersistAll();
+  CHECK(IsCancelled());
+  CheckNotStarted();
+}
+
+// A new owner can't know when a cancellation came, so it keeps each for long.
+TEST(JobRetentionTest, ASuccessorKeepsTheCancellationOfAJobThatHasNotCome)
+{
+  ShardScheduler successor(
+    ShardSchedulerOptions(),
+    SchedulingPolicies{ mOwner.mPlacement, mOwner.mOrder },
+    mOwner.mNow);
+  successor.OnJobCancelled(kJob, mOwner.mNow);
+  const MonotonicTime later = mOwner.mNow + kKeepOver - kSecond;
+  CHECK(successor.TakeRetirableJobs(later).empty());
+  successor.OnJobSubmitted(OneStepJob("j", 1, 1000), later, later);
+  CHECK(successor.NeedsAppend());
+  CHECK(successor.TakeProgress(later).mJobs.at(0).mPhase ==
+        JobPhase::kCancelled);
+}
+
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -157,12 +157,12 @@
     return mHeldTasks.TakeStats(aNow);
   }
 
-  // TakeRetirableJobs returns jobs that have been over for long, at most some
-  // at a time and not on every call. Remove them from the intake, and call
-  // OnRemovedFromIntake once that is durable: only then is their progress
-  // removed, since a job on the intake without progress looks like a new one.
+  // TakeRetirableJobs returns jobs that are over, and cancelled ones that never
+  // came, whose retention has ended: at most some, and not on every call.
+  // Remove them from the intake and call OnRemovedFromIntake once that is
+  // durable. Their progress goes only then, as a job without it looks new.
   std::vector<JobId> TakeRetirableJobs(MonotonicTime aNow);
-  void OnRemovedFromIntake(const std::vector<JobId>& aJobs);
+  void OnRemovedFromIntake(const std::vector<JobId>& aJobs, MonotonicTime aNow);
 
   // Restores the progress of a job that a former owner removed from the intake.
   void RestoreProgressOffIntake(const JobRecord& aRecord);
--- a/mulberryvalve/core/jobs/shard_scheduler_retention.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_retention.cc
@@ -75,22 +75,31 @@
     return jobs;
   }
   mRetireJobsAt = aNow + kRetireInterval;
-  for (const JobId& id : mRetention.Expired(aNow, ProgressBatch::kMaxJobs)) {
+  for (JobId& id : mRetention.Expired(aNow, ProgressBatch::kMaxJobs)) {
     const JobEntry* job = mJobTable.Find(id);
-    if (job != nullptr && job->mDurablePhase == job->mPhase) {
-      jobs.push_back(id);
+    if (job == nullptr || job->mDurablePhase == job->mPhase) {
+      jobs.push_back(std::move(id));
     }
   }
   return jobs;
 }
 
-void ShardScheduler::OnRemovedFromIntake(const std::vector<JobId>& aJobs)
+// A copy that was read since the removal was decided has extended the
+// retention.
+void ShardScheduler::OnRemovedFromIntake(const std::vector<JobId>& aJobs,
+                                         MonotonicTime aNow)
 {
   for (const JobId& id : aJobs) {
-    if (JobEntry* job = mJobTable.Find(id)) {
-      job->mIsOffIntake = true;
-      mRetention.OnOffIntake(RetiredJob{ id, job->mPartCount });
+    if (!mRetention.HasExpired(id, aNow)) {
+      continue;
     }
+    JobEntry* job = mJobTable.Find(id);
+    if (job == nullptr) {
+      mRetention.Forget(id);
+      continue;
+    }
+    job->mIsOffIntake = true;
+    mRetention.OnOffIntake(RetiredJob{ id, job->mPartCount });
   }
 }
 
