A removal from the intake takes effect only on what its owner has read

What callers may see: an accepted job that is answered 410 after a change of owner (LOST). A removal is an append too, and may be carried out seconds late: after a caller has handed the same id in again it took that job out of the intake, at any distance, as nothing bounded it; an owner that was paused and has been succeeded could do the same. And a copy that was on the log but not read by the owner was removed with its job.

Change: KeyedLog has AppendAt, an append that takes effect only if the partition ends where the caller says, however late (`at` of the platform's log). The owner names the offset up to which it has passed the intake to its scheduler. Weighed: an epoch fence on the intake, which stops former owners and repeated removals, but not one beside an unread copy.

Shown: ALateRemovalLeavesAJobThatWasHandedInAgain fails with the former append and passes.

--- a/bench/messages/messages_bench.cc
+++ b/bench/messages/messages_bench.cc
@@ -156,6 +156,12 @@
   {
     return Done();
   }
+  Result<void> AppendAt(const TopicPartition&,
+                        uint64_t,
+                        const std::vector<KeyedEntry>&) override
+  {
+    return Done();
+  }
   Result<void> AppendFenced(const AppendFence&,
                             const std::vector<KeyedEntry>&) override
   {
--- a/mulberryvalve/adapters/http/http_status.h
+++ b/mulberryvalve/adapters/http/http_status.h
@@ -12,6 +12,8 @@
 inline constexpr int kStatusConflict = 409;
 inline constexpr int kStatusGone = 410;
 inline constexpr int kStatusLengthRequired = 411;
+// The condition that the request names does not hold.
+inline constexpr int kStatusPreconditionFailed = 412;
 inline constexpr int kStatusTooLarge = 413;
 inline constexpr int kStatusMisdirected = 421;
 inline constexpr int kStatusTooMany = 429;
--- a/mulberryvalve/app/jobs/append_batcher_test.cc
+++ b/mulberryvalve/app/jobs/append_batcher_test.cc
@@ -53,6 +53,12 @@
     }
     return *mOutcome;
   }
+  Result<void> AppendAt(const TopicPartition&,
+                        uint64_t,
+                        const std::vector<KeyedEntry>&) override
+  {
+    return Done();
+  }
   Result<void> AppendFenced(const AppendFence&,
                             const std::vector<KeyedEntry>&) override
   {
--- a/mulberryvalve/app/jobs/faulty_log_fake.h
+++ b/mulberryvalve/app/jobs/faulty_log_fake.h
@@ -5,7 +5,9 @@
 #include "mulberryvalve/core/base/mutex.h"
 #include "mulberryvalve/ports/out/keyed_log.h"
 
+#include <functional>
 #include <map>
+#include <utility>
 
 namespace mulberryvalve {
 
@@ -14,6 +16,7 @@
 {
   kNewest,
   kAppend,
+  kAppendAt,
   kAppendFenced,
 };
 
@@ -51,6 +54,30 @@
     return mLimits;
   }
 
+  // Makes the next removal from the intake get no answer. It takes effect, if
+  // it still can, when DeliverHeldRemoval is called.
+  void HoldNextRemoval()
+  {
+    MutexLock lock(mMutex);
+    mHoldsNextRemoval = true;
+  }
+  // Returns whether a removal is held.
+  bool HoldsRemoval() const
+  {
+    MutexLock lock(mMutex);
+    return mHeldRemoval != nullptr;
+  }
+  // Precondition: a removal is held.
+  Result<void> DeliverHeldRemoval()
+  {
+    std::function<Result<void>()> removal;
+    {
+      MutexLock lock(mMutex);
+      removal = std::exchange(mHeldRemoval, nullptr);
+    }
+    return removal();
+  }
+
   // Returns the number of failed calls of this type.
   size_t Failures(LogCall aCall) const
   {
@@ -77,7 +104,23 @@
                       const std::vector<KeyedEntry>& aEntries) override
   {
     const Result<void> allowed = CheckAppend(LogCall::kAppend, aEntries);
-    return allowed ? mLog.Append(aPlace, aEntries) : allowed;
+    return allowed ? AppendOrHold(aEntries,
+                                  [this, aPlace, aEntries] {
+                                    return mLog.Append(aPlace, aEntries);
+                                  })
+                   : allowed;
+  }
+  Result<void> AppendAt(const TopicPartition& aPlace,
+                        uint64_t aEnd,
+                        const std::vector<KeyedEntry>& aEntries) override
+  {
+    const Result<void> allowed = CheckAppend(LogCall::kAppendAt, aEntries);
+    return allowed
+             ? AppendOrHold(aEntries,
+                            [this, aPlace, aEnd, aEntries] {
+                              return mLog.AppendAt(aPlace, aEnd, aEntries);
+                            })
+             : allowed;
   }
   Result<void> AppendFenced(const AppendFence& aProof,
                             const std::vector<KeyedEntry>& aEntries) override
@@ -87,6 +130,21 @@
   }
 
 private:
+  // Makes an append, unless it is a removal that is to be held.
+  Result<void> AppendOrHold(const std::vector<KeyedEntry>& aEntries,
+                            std::function<Result<void>()> aAppend)
+  {
+    {
+      MutexLock lock(mMutex);
+      if (mHoldsNextRemoval && !aEntries.empty() && !aEntries.front().mValue) {
+        mHoldsNextRemoval = false;
+        mHeldRemoval = std::move(aAppend);
+        return Fail(FailureKind::kLogAnswerLost, "fake");
+      }
+    }
+    return aAppend();
+  }
+
   Result<void> CheckAppend(LogCall aCall,
                            const std::vector<KeyedEntry>& aEntries)
   {
@@ -121,6 +179,8 @@
   mutable Mutex mMutex;
   std::map<LogCall, FailureKind> mFailing MV_GUARDED_BY(mMutex);
   std::map<LogCall, size_t> mFailures MV_GUARDED_BY(mMutex);
+  bool mHoldsNextRemoval MV_GUARDED_BY(mMutex) = false;
+  std::function<Result<void>()> mHeldRemoval MV_GUARDED_BY(mMutex);
 };
 
 } // namespace mulberryvalve
--- a/mulberryvalve/app/jobs/jobs_fake.cc
+++ b/mulberryvalve/app/jobs/jobs_fake.cc
@@ -118,6 +118,18 @@
   return ApplyAppend(At(aPlace), aEntries);
 }
 
+Result<void> MemoryLog::AppendAt(const TopicPartition& aPlace,
+                                 uint64_t aEnd,
+                                 const std::vector<KeyedEntry>& aEntries)
+{
+  MutexLock lock(mMutex);
+  Partition& partition = At(aPlace);
+  if (aEnd != partition.mFirst + partition.mRecords.size()) {
+    return Fail(FailureKind::kConflict, "end");
+  }
+  return ApplyAppend(partition, aEntries);
+}
+
 Result<void> MemoryLog::AppendFenced(const AppendFence& aProof,
                                      const std::vector<KeyedEntry>& aEntries)
 {
--- a/mulberryvalve/app/jobs/jobs_fake.h
+++ b/mulberryvalve/app/jobs/jobs_fake.h
@@ -87,6 +87,9 @@
                          Milliseconds aWait) override;
   Result<void> Append(const TopicPartition& aPlace,
                       const std::vector<KeyedEntry>& aEntries) override;
+  Result<void> AppendAt(const TopicPartition& aPlace,
+                        uint64_t aEnd,
+                        const std::vector<KeyedEntry>& aEntries) override;
   Result<void> AppendFenced(const AppendFence& aProof,
                             const std::vector<KeyedEntry>& aEntries) override;
 
--- a/mulberryvalve/app/jobs/retired_jobs_test.cc
+++ b/mulberryvalve/app/jobs/retired_jobs_test.cc
@@ -52,8 +52,8 @@
     JobsInstance former(mLog, mWorkers, 1);
     former.Start();
     former.Complete("a");
-    mLog.FailCalls(LogCall::kAppend, FailureKind::kLogUnavailable);
-    CHECK(Eventually([&] { return mLog.Failures(LogCall::kAppend) > 0; }));
+    mLog.FailCalls(LogCall::kAppendAt, FailureKind::kLogUnavailable);
+    CHECK(Eventually([&] { return mLog.Failures(LogCall::kAppendAt) > 0; }));
   }
   mLog.ClearFailures();
   JobsInstance next(mLog, mWorkers, 2);
@@ -67,8 +67,8 @@
   JobsInstance owner(mLog, mWorkers, 1);
   owner.Start();
   owner.Complete("a");
-  mLog.FailCalls(LogCall::kAppend, FailureKind::kLogUnavailable);
-  CHECK(Eventually([&] { return mLog.Failures(LogCall::kAppend) > 0; }));
+  mLog.FailCalls(LogCall::kAppendAt, FailureKind::kLogUnavailable);
+  CHECK(Eventually([&] { return mLog.Failures(LogCall::kAppendAt) > 0; }));
   CHECK(IsOnLog(KeyedTopic::kIntake, "a"));
   CHECK(IsOnLog(KeyedTopic::kProgress, "job/a"));
   mLog.ClearFailures();
@@ -96,4 +96,37 @@
   CHECK_EQUAL(1U, mWorkers.Starts(kFirstTask));
 }
 
+// Guards against an accepted job that is gone after a change of owner, as a
+// former removal of the same id was carried out late.
+TEST(RetiredJobsTest, ALateRemovalLeavesAJobThatWasHandedInAgain)
+{
+  {
+    JobsInstance former(mLog, mWorkers, 1);
+    former.Start();
+    former.Complete("a");
+    mLog.HoldNextRemoval();
+    CHECK(Eventually([&] { return mLog.HoldsRemoval(); }));
+    CHECK(Eventually([&] { return !IsOnLog(KeyedTopic::kProgress, "job/a"); }));
+    former.Complete("a");
+    (void)mLog.DeliverHeldRemoval();
+  }
+  CHECK(IsOnLog(KeyedTopic::kIntake, "a"));
+  JobsInstance next(mLog, mWorkers, 2);
+  next.Start();
+  CHECK(next.Await("a", JobPhase::kCompleted));
+}
+
+// Guards against an intake that keeps each cancellation of an unknown job.
+TEST(RetiredJobsTest, TheCancellationOfAJobThatNeverComesLeavesTheLog)
+{
+  JobsInstance owner(mLog, mWorkers, 1);
+  owner.Start();
+  CHECK(owner.Jobs()
+          .Cancel(JobId("none"), owner.TimeAfter(kTestTimeout))
+          .has_value());
+  CHECK(IsOnLog(KeyedTopic::kIntake, "cancel/none"));
+  CHECK(
+    Eventually([&] { return !IsOnLog(KeyedTopic::kIntake, "cancel/none"); }));
+}
+
 } // namespace mulberryvalve
--- a/mulberryvalve/app/jobs/shard_runtime.h
+++ b/mulberryvalve/app/jobs/shard_runtime.h
@@ -220,11 +220,13 @@
   void OnAppended(const ProgressBatch& aBatch);
   Result<void> AppendOnce(const std::vector<KeyedEntry>& aEntries);
   void RetireJobs();
-  bool RemoveFromIntake(const std::vector<JobId>& aJobs);
+  Result<void> RemoveFromIntake(const std::vector<JobId>& aJobs,
+                                uint64_t aReadTo);
   void FollowIntake();
   void ApplyIntake(const std::vector<KeyedEntry>& aEntries,
                    MonotonicTime aNotBefore,
                    MonotonicTime aReadAt);
+  void OnIntakeApplied(uint64_t aReadTo);
   void OnIntakeRead(MonotonicTime aReadUpTo);
   void FollowWorkers();
   void FollowFormerOwners();
@@ -274,6 +276,8 @@
   std::unique_ptr<ShardScheduler> mShard MV_GUARDED_BY(mMutex);
   std::shared_ptr<const ClusterConfig> mConfig MV_GUARDED_BY(mMutex);
   MonotonicTime mIntakeReadAt MV_GUARDED_BY(mMutex);
+  // The offset up to which the intake has been passed to mShard.
+  uint64_t mIntakeReadTo MV_GUARDED_BY(mMutex) = 0;
   // When the metrics by account are updated next.
   MonotonicTime mReportAccountsAt MV_GUARDED_BY(mMutex);
   // The state has changed since the last decision pass.
--- a/mulberryvalve/app/jobs/shard_runtime_readers.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_readers.cc
@@ -115,6 +115,7 @@
   MutexLock lock(mMutex);
   mShard = std::move(shard);
   mIntakeReadAt = claimedAt;
+  mIntakeReadTo = mIntakeOffset;
   mConfig = mPorts.mConfig.Current();
   mShard->OnConfig(*mConfig);
   StartRenewals();
@@ -251,23 +252,30 @@
   return jobs;
 }
 
-// Removes jobs that have been over for long from the intake. Jobs that are not
-// removed, because an append is refused or gets no answer, are tried again
-// later.
+// Removes what is kept no longer from the intake. Jobs that are not removed,
+// because an append is refused or gets no answer, are tried again later.
 void ShardRuntime::RetireJobs()
 {
   if (Steady::now() < mRetireJobsAt) {
     return;
   }
   std::vector<JobId> jobs;
+  uint64_t readTo = 0;
   {
     MutexLock lock(mMutex);
     jobs = mShard->TakeRetirableJobs(mPorts.mClock.Now());
+    readTo = mIntakeReadTo;
   }
   if (jobs.empty()) {
     return;
   }
-  if (!RemoveFromIntake(jobs)) {
+  const Result<void> removed = RemoveFromIntake(jobs, readTo);
+  if (!removed && removed.error().mKind == FailureKind::kConflict) {
+    mPorts.mMetrics.Add(Counter::kIntakeRemovalConflicts, 1);
+    return;
+  }
+  if (!removed) {
+    LogFailure("drop_from_intake", removed.error());
     mRetireJobsAt = Steady::now() + kRetireRetryDelay;
     return;
   }
@@ -275,8 +283,12 @@
   mShard->OnRemovedFromIntake(jobs, mPorts.mClock.Now());
 }
 
-// Returns whether all of aJobs have been removed.
-bool ShardRuntime::RemoveFromIntake(const std::vector<JobId>& aJobs)
+// The removal takes effect only if the intake holds nothing that this owner has
+// not read: a copy of a job that it does not know, or a job that was handed in
+// again before a removal that is late. Errors: those of KeyedLog::AppendAt;
+// some of aJobs may have been removed.
+Result<void> ShardRuntime::RemoveFromIntake(const std::vector<JobId>& aJobs,
+                                            uint64_t aReadTo)
 {
   std::vector<KeyedEntry> tombstones;
   for (const JobId& job : aJobs) {
@@ -284,16 +296,17 @@
       mPorts.mCodec.EncodeIntakeTombstones(job);
     tombstones.insert(tombstones.end(), both.begin(), both.end());
   }
+  uint64_t end = aReadTo;
   for (const auto& part :
        SplitEntries(std::move(tombstones), mPorts.mLog.Limits())) {
     const Result<void> done =
-      mPorts.mLog.Append(Place(KeyedTopic::kIntake), part);
+      mPorts.mLog.AppendAt(Place(KeyedTopic::kIntake), end, part);
     if (!done) {
-      LogFailure("drop_from_intake", done.error());
-      return false;
+      return done;
     }
+    end += part.size();
   }
-  return true;
+  return Done();
 }
 
 void ShardRuntime::FollowIntake()
@@ -307,6 +320,7 @@
     const Result<KeyedChanges> changes = cursor.Next(kIntakeReadTimeout);
     if (changes) {
       ApplyIntake(changes.value().mEntries, readUpTo, mPorts.mClock.Now());
+      OnIntakeApplied(cursor.Position().value_or(mIntakeOffset));
       if (changes.value().mReachesEnd) {
         readUpTo = sentAt;
         OnIntakeRead(readUpTo);
@@ -349,6 +363,12 @@
   RequestDecisionPass();
 }
 
+void ShardRuntime::OnIntakeApplied(uint64_t aReadTo)
+{
+  MutexLock lock(mMutex);
+  mIntakeReadTo = aReadTo;
+}
+
 void ShardRuntime::OnIntakeRead(MonotonicTime aReadUpTo)
 {
   MutexLock lock(mMutex);
--- a/mulberryvalve/ports/out/metrics.h
+++ b/mulberryvalve/ports/out/metrics.h
@@ -92,9 +92,10 @@
   kIntakeRelayed,
   kIntakeRelayRefused,
   kIntakeRelayUnknown,
+  kIntakeRemovalConflicts,
 };
 
-inline constexpr MetricTable<Counter, 51> kCounterNames{ { {
+inline constexpr MetricTable<Counter, 52> kCounterNames{ { {
   { Counter::kRequestsAnswered,
     "requests_answered",
     "Requests whose answer was given to the caller" },
@@ -231,6 +232,9 @@
   { Counter::kIntakeRelayUnknown,
     "intake_relay_unknown",
     "Relayed submissions and cancellations without a clear answer" },
+  { Counter::kIntakeRemovalConflicts,
+    "intake_removal_conflicts",
+    "Removals from the intake put off because it held unread records" },
 } } };
 static_assert(kCounterNames.InOrder());
 
