Show that a successor does not run a later copy of a cancelled job

ASuccessorDoesNotRunALaterCopyOfACancelledJob fails on (the job is not shown as cancelled) and passes.

--- a/mulberryvalve/app/jobs/retired_jobs_test.cc
+++ b/mulberryvalve/app/jobs/retired_jobs_test.cc
@@ -129,4 +129,45 @@
     Eventually([&] { return !IsOnLog(KeyedTopic::kIntake, "cancel/none"); }));
 }
 
+// Guards against a cancelled job being run by the successor of an owner that
+// was older than the retention and took the first late copy of the job, and the
+// cancellation with it, out of the log (review/11, a change of owner between
+// the copies).
+TEST(RetiredJobsTest, ASuccessorDoesNotRunALaterCopyOfACancelledJob)
+{
+  constexpr Milliseconds keepOver{ 4000 };
+  // Longer than an owner waits between two looks for jobs to retire.
+  constexpr Milliseconds untilRetired{ 1500 };
+  const TopicPartition intake{ KeyedTopic::kIntake, 0 };
+  const std::vector<KeyedEntry> copy{ mCodec.Encode(SmallJob("a")) };
+  ShardMembershipOptions options = JobsInstance::OptionsAt(0, 1);
+  options.mOwner.mKeepOver = keepOver;
+  const auto start = [&](uint64_t aGeneration) {
+    auto owner = std::make_unique<JobsInstance>(
+      mLog,
+      mWorkers,
+      std::make_unique<SoleMemberGroup>(aGeneration),
+      options,
+      std::make_unique<FixedRandom>());
+    owner->Start();
+    return owner;
+  };
+  {
+    const auto former = start(1);
+    former->Complete("b");
+    std::this_thread::sleep_for(keepOver);
+    CHECK(former->Jobs()
+            .Cancel(JobId("a"), former->TimeAfter(kTestTimeout))
+            .has_value());
+    CHECK(mMemory.Append(intake, copy).has_value());
+    CHECK(former->Await("a", JobPhase::kCancelled));
+    std::this_thread::sleep_for(untilRetired);
+  }
+  const auto next = start(2);
+  CHECK(mMemory.Append(intake, copy).has_value());
+  CHECK(next->Await("a", JobPhase::kCancelled));
+  next->Complete("c");
+  CHECK_EQUAL(0U, mWorkers.Starts(kFirstTask));
+}
+
 } // namespace mulberryvalve
