An entry whose caller's time is over is not appended any more

What callers may see: a job that they have cancelled after their own deadline, and that is started long after.

Cause: the append had no deadline of its own.

Change: AppendBatcher is told until when an entry may be sent, looks at the clock right before the call, and leaves late entries out of it. That holds for the first try, for repetitions and for entries that an owner appends for others. Not covered: a process that stands still between that look and its write to the socket, and one that reads a request after its client has gone.

Shown: AnEntryIsNotSentOnceItsTimeIsOver and AnEntryWhoseTimeIsOverDoesNotHoldUpTheNext fail without the look and pass.

--- a/mulberryvalve/app/jobs/append_batcher.cc
+++ b/mulberryvalve/app/jobs/append_batcher.cc
@@ -1,6 +1,7 @@
 #include "mulberryvalve/app/jobs/append_batcher.h"
 
 #include <chrono>
+#include <iterator>
 #include <string>
 #include <utility>
 
@@ -23,7 +24,7 @@
 } // namespace
 
 Result<void> AppendBatcher::Append(const KeyedEntry& aEntry,
-                                   MonotonicTime aHeardAt)
+                                   const AppendTerms& aTerms)
 {
   const KeyedLogLimits limits = mLog.Limits();
   if (!FitsRecord(aEntry, limits)) {
@@ -31,11 +32,11 @@
                 aEntry.mKey,
                 std::to_string(RecordBytes(aEntry)) + " bytes");
   }
-  return AppendAll({ aEntry }, aHeardAt);
+  return AppendAll({ aEntry }, aTerms);
 }
 
 Result<void> AppendBatcher::AppendAll(const std::vector<KeyedEntry>& aEntries,
-                                      MonotonicTime aHeardAt)
+                                      const AppendTerms& aTerms)
 {
   size_t bytes = 0;
   for (const KeyedEntry& entry : aEntries) {
@@ -43,19 +44,19 @@
   }
   const size_t maxBytes = mLog.Limits().mRequestBytes;
   MutexLock lock(mMutex);
-  mAvailability.OnOtherAnswer(aHeardAt);
+  mAvailability.OnOtherAnswer(aTerms.mHeardAt);
   WaitForRoom(bytes, maxBytes);
   if (mOpenBatch == nullptr) {
     mOpenBatch = std::make_shared<Batch>();
   }
   const std::shared_ptr<Batch> batch = mOpenBatch;
-  batch->mEntries.insert(
-    batch->mEntries.end(), aEntries.begin(), aEntries.end());
+  const size_t part = batch->mParts.size();
+  batch->mParts.push_back(Part{ aEntries, aTerms.mSendBy });
   batch->mBytes += bytes;
   if (WaitForTurn(*batch)) {
     Send(*batch);
   }
-  return OutcomeOf(*batch);
+  return OutcomeOf(*batch, batch->mParts[part]);
 }
 
 Milliseconds AppendBatcher::LastCallTime()
@@ -120,10 +121,15 @@
   aBatch.mSent = true;
   mOpenBatch.reset();
   mCond.NotifyAll();
+  const std::vector<KeyedEntry> entries = TakeEntriesInTime(aBatch);
+  if (entries.empty()) {
+    Finish(aBatch, Done());
+    return;
+  }
   const MonotonicTime begunAt = mClock.Now();
   mAvailability.OnCallBegan(begunAt);
   mMutex.Unlock();
-  Result<void> outcome = mLog.Append(mPlace, aBatch.mEntries);
+  Result<void> outcome = mLog.Append(mPlace, entries);
   mMutex.Lock();
   const MonotonicTime now = mClock.Now();
   mAvailability.OnCallEnded(begunAt, EndOf(outcome), now);
@@ -133,6 +139,23 @@
   Finish(aBatch, std::move(outcome));
 }
 
+// Marks the parts that are too late for a call that begins now, and returns the
+// entries of the others.
+std::vector<KeyedEntry> AppendBatcher::TakeEntriesInTime(Batch& aBatch)
+{
+  const MonotonicTime now = mClock.Now();
+  std::vector<KeyedEntry> entries;
+  for (Part& part : aBatch.mParts) {
+    part.mIsLate = now >= part.mSendBy;
+    if (!part.mIsLate) {
+      std::move(part.mEntries.begin(),
+                part.mEntries.end(),
+                std::back_inserter(entries));
+    }
+  }
+  return entries;
+}
+
 void AppendBatcher::Finish(Batch& aBatch, Result<void> aOutcome)
 {
   aBatch.mOutcome = std::move(aOutcome);
@@ -141,9 +164,12 @@
 }
 
 // Each caller is told a time of its own to come back.
-Result<void> AppendBatcher::OutcomeOf(const Batch& aBatch)
+Result<void> AppendBatcher::OutcomeOf(const Batch& aBatch, const Part& aPart)
 {
-  Result<void> outcome = aBatch.mOutcome;
+  Result<void> outcome =
+    aPart.mIsLate
+      ? Fail(FailureKind::kLogUnavailable, "append", "the time is over")
+      : aBatch.mOutcome;
   if (!outcome) {
     outcome.error().mRetryAt =
       mAvailability.RetryAt(mClock.Now(), mNextSpread += kSpreadStep);
--- a/mulberryvalve/app/jobs/append_batcher_test.cc
+++ b/mulberryvalve/app/jobs/append_batcher_test.cc
@@ -106,7 +106,8 @@
 
   Result<void> Append(MonotonicTime aHeardAt = MonotonicTime())
   {
-    return mBatcher.Append(KeyedEntry{ "key", "value" }, aHeardAt);
+    return mBatcher.Append(KeyedEntry{ "key", "value" },
+                           AppendTerms{ aHeardAt, MonotonicTime::max() });
   }
 
   // Two calls that the log does not answer, the second beside the first once
@@ -122,6 +123,10 @@
   void LoseCalls()
   {
     mLog.EndCalls(Fail(FailureKind::kLogAnswerLost));
+    JoinCallers();
+  }
+  void JoinCallers()
+  {
     for (std::thread& caller : mCallers) {
       caller.join();
     }
@@ -158,13 +163,42 @@
 {
   FillWithOverdueCalls();
   mLog.EndCalls(Done());
-  for (std::thread& caller : mCallers) {
-    caller.join();
-  }
-  mCallers.clear();
+  JoinCallers();
   CHECK_EQUAL(2U, mLog.Calls());
   CHECK(Append().has_value());
   CHECK_EQUAL(3U, mLog.Calls());
 }
 
+// Guards against a copy of a job's record that is appended long after its
+// caller has given up and cancelled the job, as the process stood still before
+// it sent the entry (kin of review/11).
+TEST(AppendBatcher, AnEntryIsNotSentOnceItsTimeIsOver)
+{
+  mLog.EndCalls(Done());
+  const MonotonicTime sendBy = mClock.Now() + kOverdue;
+  mClock.Advance(kOverdue);
+  const Result<void> late =
+    mBatcher.Append(KeyedEntry{ "key", "value" }, AppendTerms{ {}, sendBy });
+  CHECK_FALSE(late.has_value());
+  CHECK(FailureKind::kLogUnavailable == late.error().mKind);
+  CHECK_EQUAL(0U, mLog.Calls());
+}
+
+// An entry that was not sent says nothing about the log.
+TEST(AppendBatcher, AnEntryWhoseTimeIsOverDoesNotHoldUpTheNext)
+{
+  FillWithOverdueCalls();
+  const MonotonicTime soon = mClock.Now() + kOverdue;
+  mClock.Advance(kOverdue);
+  mLog.EndCalls(Done());
+  JoinCallers();
+  const Result<void> late =
+    mBatcher.Append(KeyedEntry{ "late", "v" }, AppendTerms{ {}, soon });
+  const Result<void> inTime = Append();
+  CHECK_FALSE(late.has_value());
+  CHECK(FailureKind::kLogUnavailable == late.error().mKind);
+  CHECK(inTime.has_value());
+  CHECK_EQUAL(3U, mLog.Calls());
+}
+
 } // namespace mulberryvalve
--- a/mulberryvalve/app/jobs/append_splitting_test.cc
+++ b/mulberryvalve/app/jobs/append_splitting_test.cc
@@ -191,11 +191,13 @@
     callers.emplace_back([&, caller] {
       const KeyedEntry entry{ "key" + std::to_string(caller),
                               std::string(200, 'x') };
-      taken += group.Append(entry, MonotonicTime()) ? 1 : 0;
+      taken +=
+        group.Append(entry, AppendTerms{ {}, MonotonicTime::max() }) ? 1 : 0;
     });
   }
   const KeyedEntry large{ "large", std::string(1000, 'x') };
-  const Result<void> refused = group.Append(large, MonotonicTime());
+  const Result<void> refused =
+    group.Append(large, AppendTerms{ {}, MonotonicTime::max() });
   for (std::thread& caller : callers) {
     caller.join();
   }
--- a/mulberryvalve/app/jobs/intake_appender.cc
+++ b/mulberryvalve/app/jobs/intake_appender.cc
@@ -35,7 +35,7 @@
                                      MonotonicTime aDeadline)
 {
   if (!mRelay) {
-    return AppendHere(aShard, aEntry);
+    return AppendHere(aShard, aEntry, aDeadline);
   }
   const MonotonicTime attemptedAt = mPorts.mRelay.mClock.Now();
   const IntakePath path = NextPath(aShard, aEntry);
@@ -102,17 +102,18 @@
     }
     return relayed;
   }
-  Result<void> done = AppendHere(aShard, aEntry);
+  Result<void> done = AppendHere(aShard, aEntry, aDeadline);
   mRelay->OnOwnAppend(aShard, done, mBatchers.Of(aShard).LastCallTime());
   return done;
 }
 
 Result<void> IntakeAppender::AppendHere(ShardNumber aShard,
-                                        const KeyedEntry& aEntry)
+                                        const KeyedEntry& aEntry,
+                                        MonotonicTime aDeadline)
 {
   mPorts.mRelay.mMetrics.Add(Counter::kLogAppends, 1);
-  Result<void> done =
-    mBatchers.Of(aShard).Append(aEntry, mPorts.mRelay.mOwners.LastContact());
+  Result<void> done = mBatchers.Of(aShard).Append(
+    aEntry, AppendTerms{ mPorts.mRelay.mOwners.LastContact(), aDeadline });
   if (!done) {
     mPorts.mRelay.mMetrics.Add(Counter::kLogFailures, 1);
   }
--- a/mulberryvalve/app/jobs/intake_appender.h
+++ b/mulberryvalve/app/jobs/intake_appender.h
@@ -40,7 +40,8 @@
                  IntakeRelaying aRelaying);
 
   // Makes one attempt: on the path that IntakeRelay says and, if that one
-  // fails, on the other while time is left. Errors: kLogAnswerLost (the entry
+  // fails, on the other while time is left. Nothing is sent from aDeadline on.
+  // Errors: kLogAnswerLost (the entry
   // may have been appended on a path, or may be later), kTooLarge,
   // kLogUnavailable and the other errors of KeyedLog::Append (nothing was
   // appended on any path).
@@ -67,7 +68,9 @@
                      MonotonicTime aAttemptedAt,
                      MonotonicTime aDeadline,
                      const Result<void>& aFirst);
-  Result<void> AppendHere(ShardNumber aShard, const KeyedEntry& aEntry);
+  Result<void> AppendHere(ShardNumber aShard,
+                          const KeyedEntry& aEntry,
+                          MonotonicTime aDeadline);
 
   IntakeAppenderPorts mPorts;
   IntakeBatchers mBatchers;
--- a/mulberryvalve/app/jobs/intake_group_commit.cc
+++ b/mulberryvalve/app/jobs/intake_group_commit.cc
@@ -174,13 +174,15 @@
       return isRunning && now < aWaiting.mDeadline;
     });
   std::vector<KeyedEntry> entries;
+  MonotonicTime sendBy;
   for (auto waiting = aGroup.begin(); waiting != late; ++waiting) {
     entries.push_back(waiting->mEntry);
+    sendBy = std::max(sendBy, waiting->mDeadline);
   }
   IntakeOutcome outcome = IntakeOutcome::kRefused;
   if (!entries.empty()) {
     outcome = OutcomeOf(mPorts.mBatchers.Of(aShard).AppendAll(
-      entries, mPorts.mOwners.LastContact()));
+      entries, AppendTerms{ mPorts.mOwners.LastContact(), sendBy }));
   }
   {
     MutexLock lock(queue.mMutex);
