A job is not forgotten while a worker may run its task

What operators would see: an owner that ends by a null pointer. A job that was over for longer than the retention was forgotten even if a worker, which goes on answering, had never reported the end of one of its tasks; the next report of that worker looked the task up.

Change: a job is retired only once no worker is charged for a task of it.

Shown: without it AJobIsNotForgottenWhileAWorkerMayRunItsTask fails.

--- a/mulberryvalve/core/jobs/job_retention_test.cc
+++ b/mulberryvalve/core/jobs/job_retention_test.cc
@@ -1,6 +1,10 @@
 // Copies of a job's record that are appended late, after the job was over.
+#include "mulberryvalve/core/jobs/intake_copies_fake.h"
 #include "mulberryvalve/core/jobs/single_worker_shard_fake.h"
 
+#include <cstdio>
+#include <cstdlib>
+
 namespace mulberryvalve {
 namespace {
 
@@ -10,6 +14,13 @@
 constexpr Milliseconds kRetireInterval{ 1100 };
 constexpr Milliseconds kSecond{ 1000 };
 
+// Seeds of a run in CI; MULBERRYVALVE_SEEDS sets another number.
+uint64_t Seeds()
+{
+  const char* text = std::getenv("MULBERRYVALVE_SEEDS");
+  return text == nullptr ? 60 : std::strtoull(text, nullptr, 10);
+}
+
 } // namespace
 
 TEST_GROUP(JobRetentionTest)
@@ -36,6 +47,13 @@
     mOwner.PersistAll();
   }
 
+  // The job is not started by its owner.
+  void ReadCopyOnly()
+  {
+    mOwner.Submit(OneStepJob("j", 1, 1000));
+    mOwner.PersistAll();
+  }
+
   void ReadCancellation()
   {
     mOwner.mShard.OnJobCancelled(kJob, mOwner.mNow);
@@ -116,9 +134,9 @@
 
 TEST(JobRetentionTest, AJobThatIsOverIsRetiredOnceNoCopyHasComeForLong)
 {
-  ReadCopy();
+  ReadCopyOnly();
   ReadCancellation();
-  ReadCopy();
+  ReadCopyOnly();
   Wait(kKeepOver);
   CheckRetired(1);
   CHECK_FALSE(mOwner.mShard.Phase(kJob).has_value());
@@ -128,7 +146,7 @@
 // after the job was removed from the intake and before its progress was.
 TEST(JobRetentionTest, ACopyReadWhileItsJobIsRetiredKeepsTheJob)
 {
-  ReadCopy();
+  ReadCopyOnly();
   ReadCancellation();
   Wait(kKeepOver + kRetireInterval);
   mOwner.mShard.OnRemovedFromIntake(
@@ -143,6 +161,18 @@
   CHECK(next.mJobs.at(0).mPhase == JobPhase::kCancelled);
 }
 
+// Guards against an owner that ends by a null pointer when a worker answers: it
+// had forgotten a job whose stop that worker never reported.
+TEST(JobRetentionTest, AJobIsNotForgottenWhileAWorkerMayRunItsTask)
+{
+  ReadCopy();
+  ReadCancellation();
+  Wait(kKeepOver + kRetireInterval);
+  CheckRetired(0);
+  mOwner.AnswerHold();
+  CHECK(IsCancelled());
+}
+
 // Guards against an intake that grows with each cancellation of a job that
 // nobody handed in.
 TEST(JobRetentionTest, TheCancellationOfAJobThatNeverComesIsRemoved)
@@ -185,4 +215,35 @@
         JobPhase::kCancelled);
 }
 
+// Draws late and repeated appends of jobs and cancellations beside late
+// removals and changes of owner, with a retention that the play is longer than.
+TEST(JobRetentionTest, CancelledJobsAreNotStartedUnderRandomLateAppends)
+{
+  size_t lateCopies = 0;
+  for (uint64_t seed = 1; seed <= Seeds(); seed++) {
+    IntakeCopies intake(seed);
+    intake.Play(Milliseconds(120000));
+    intake.Settle();
+    lateCopies += intake.LateCopies();
+    for (const std::string& violation : intake.Violations()) {
+      std::printf("seed %llu: %s\n",
+                  static_cast<unsigned long long>(seed),
+                  violation.c_str());
+    }
+    CHECK(intake.Violations().empty());
+  }
+  CHECK(lateCopies > Seeds());
+}
+
+// The same with the number of records: what is over leaves the intake.
+TEST(JobRetentionTest, TheIntakeHoldsOnlyJobsThatAreNotOver)
+{
+  for (uint64_t seed = 1; seed <= Seeds(); seed++) {
+    IntakeCopies intake(seed);
+    intake.Play(Milliseconds(60000));
+    intake.Settle();
+    CHECK_EQUAL(intake.OpenJobs(), intake.Keys());
+  }
+}
+
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/shard_scheduler_retention.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_retention.cc
@@ -2,6 +2,7 @@
 // how long they stay there.
 #include "mulberryvalve/core/jobs/shard_scheduler.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace mulberryvalve {
@@ -11,6 +12,30 @@
 // harmless.
 constexpr Milliseconds kRetireInterval{ 1000 };
 
+// Returns whether a worker may still run a task of the job.
+bool HasPlacedTasks(const JobEntry& aJob)
+{
+  for (const auto& [occurrence, steps] : aJob.mOccurrences) {
+    for (const StepState& step : steps) {
+      const bool isPlaced = std::any_of(
+        step.mTasks.begin(), step.mTasks.end(), [](const TaskProgress& aTask) {
+          return IsPlaced(aTask.mPhase);
+        });
+      if (isPlaced) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+// Returns whether an owner may forget a job whose retention has ended: its end
+// is durable, and no worker is charged for a task of it.
+bool MayForget(const JobEntry& aJob)
+{
+  return aJob.mDurablePhase == aJob.mPhase && !HasPlacedTasks(aJob);
+}
+
 } // namespace
 
 void ShardScheduler::OnJobSubmitted(JobGraph aGraph,
@@ -77,7 +102,7 @@
   mRetireJobsAt = aNow + kRetireInterval;
   for (JobId& id : mRetention.Expired(aNow, ProgressBatch::kMaxJobs)) {
     const JobEntry* job = mJobTable.Find(id);
-    if (job == nullptr || job->mDurablePhase == job->mPhase) {
+    if (job == nullptr || MayForget(*job)) {
       jobs.push_back(std::move(id));
     }
   }
