A cancellation is kept beside progress that is being removed

What callers may see: a job that starts after its cancellation (UNASKED), where the cancellation came between the removals of the job from the intake and from the progress, and a copy of the job after it.

Cause: a successor that found the progress of a job without the job forgot the cancellation with it, and so never removed that from the intake either; an owner that was removing the job ignored the cancellation and then forgot the job.

Change: only a durable removal from the intake forgets a cancellation, and a cancellation keeps a job that is being retired, as a copy does. All parts of such a job's progress are recorded once more.

--- a/mulberryvalve/core/jobs/job_retention.cc
+++ b/mulberryvalve/core/jobs/job_retention.cc
@@ -59,7 +59,6 @@
 
 void JobRetention::OnOffIntake(RetiredJob aJob)
 {
-  Forget(aJob.mId);
   mOffIntake.push_back(std::move(aJob));
 }
 
--- a/mulberryvalve/core/jobs/job_retention.h
+++ b/mulberryvalve/core/jobs/job_retention.h
@@ -50,8 +50,8 @@
   // Forgets a job, with its cancellation.
   void Forget(const JobId& aJob);
 
-  // Forgets a job that is no longer on the intake, so that its progress is to
-  // be removed next.
+  // Records that a job is no longer on the intake, so that its progress is to
+  // be removed next. A cancellation of it that came since is kept.
   void OnOffIntake(RetiredJob aJob);
 
   // Returns at most aMax jobs whose progress is to be removed, once each.
--- a/mulberryvalve/core/jobs/job_retention_test.cc
+++ b/mulberryvalve/core/jobs/job_retention_test.cc
@@ -215,6 +215,34 @@
         JobPhase::kCancelled);
 }
 
+// Guards against a successor that forgets a cancellation which came between the
+// removals of its job from the intake and from the progress.
+TEST(JobRetentionTest, ACancellationIsKeptBesideProgressOfARemovedJob)
+{
+  JobRecord former;
+  former.mId = kJob;
+  former.mPhase = JobPhase::kCancelled;
+  ReadCancellation();
+  mOwner.mShard.RestoreProgressOffIntake(former);
+  mOwner.PersistAll();
+  ReadCopy();
+  CHECK(IsCancelled());
+}
+
+// The same while the owner that removed the job is still there.
+TEST(JobRetentionTest, ACancellationReadWhileItsJobIsRetiredKeepsTheJob)
+{
+  ReadCopyOnly();
+  ReadCancellation();
+  Wait(kKeepOver + kRetireInterval);
+  const std::vector<JobId> jobs = mOwner.mShard.TakeRetirableJobs(mOwner.mNow);
+  mOwner.mShard.OnRemovedFromIntake(jobs, mOwner.mNow);
+  ReadCancellation();
+  mOwner.PersistAll();
+  ReadCopy();
+  CHECK(IsCancelled());
+}
+
 // Draws late and repeated appends of jobs and cancellations beside late
 // removals and changes of owner, with a retention that the play is longer than.
 TEST(JobRetentionTest, CancelledJobsAreNotStartedUnderRandomLateAppends)
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -223,8 +223,8 @@
   };
 
   void OnWorkerRecordDurable(const UsedWorkerRecord& aWorker);
-
   // How long the intake holds a job (shard_scheduler_retention.cc).
+  void KeepOver(JobEntry& aJob, MonotonicTime aNow);
   void OnCopyRead(JobEntry& aJob, MonotonicTime aNow);
   void OnRetired(const JobId& aJob);
 
--- a/mulberryvalve/core/jobs/shard_scheduler_retention.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_retention.cc
@@ -63,18 +63,22 @@
   }
 }
 
-// Handles another copy of the record of a known job. It remains one job, also
-// if it is over and its removal has begun.
+// Extends the retention of a job that is over, also if its removal has begun.
+void ShardScheduler::KeepOver(JobEntry& aJob, MonotonicTime aNow)
+{
+  mRetention.Extend(aJob.mGraph.mId, aNow);
+  aJob.mIsOffIntake = false;
+}
+
+// Handles another copy of the record of a known job. It remains one job.
 void ShardScheduler::OnCopyRead(JobEntry& aJob, MonotonicTime aNow)
 {
   if (!IsOver(aJob.mPhase)) {
     return;
   }
-  const JobId& id = aJob.mGraph.mId;
-  mRetention.Extend(id, aNow);
-  aJob.mIsOffIntake = false;
+  KeepOver(aJob, aNow);
   LogJobDecision(DecisionKind::kJobCopyRead,
-                 id,
+                 aJob.mGraph.mId,
                  "the job is " + std::string(kJobPhaseNames.Name(aJob.mPhase)));
 }
 
@@ -86,7 +90,7 @@
     return;
   }
   if (IsOver(job->mPhase)) {
-    mRetention.Extend(aJob, aNow);
+    KeepOver(*job, aNow);
     return;
   }
   LogJobDecision(DecisionKind::kJobCancelled, aJob, "requested by its caller");
@@ -118,13 +122,11 @@
     if (!mRetention.HasExpired(id, aNow)) {
       continue;
     }
-    JobEntry* job = mJobTable.Find(id);
-    if (job == nullptr) {
-      mRetention.Forget(id);
-      continue;
+    mRetention.Forget(id);
+    if (JobEntry* job = mJobTable.Find(id)) {
+      job->mIsOffIntake = true;
+      mRetention.OnOffIntake(RetiredJob{ id, job->mPartCount });
     }
-    job->mIsOffIntake = true;
-    mRetention.OnOffIntake(RetiredJob{ id, job->mPartCount });
   }
 }
 
@@ -139,7 +141,9 @@
 {
   JobEntry* job = mJobTable.Find(aJob);
   if (job != nullptr && !job->mIsOffIntake) {
-    mJobTable.MarkPhaseDirty(*job);
+    for (uint32_t part = 0; part < job->mPartCount; part++) {
+      job->mDirtyParts.insert(part);
+    }
     mDirtyJobs.insert(aJob);
     return;
   }
