--- a/mulberryvalve/app/jobs/decision_metrics.cc
+++ b/mulberryvalve/app/jobs/decision_metrics.cc
@@ -8,6 +8,9 @@
     case DecisionKind::kTaskPlaced:
       mMetrics.Add(Counter::kTasksAssigned, 1);
       break;
+    case DecisionKind::kJobCopyRead:
+      mMetrics.Add(Counter::kJobCopiesRead, 1);
+      break;
     case DecisionKind::kTaskEnded:
       CountEnd(aDecision.mEnd);
       break;
--- a/mulberryvalve/app/jobs/shard_runtime_reporting.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_reporting.cc
@@ -37,6 +37,10 @@
   mPorts.mMetrics.Set(Gauge::kStartWindow, size);
   mPorts.mMetrics.Set(Gauge::kStartsUnderWay, underWay);
   mPorts.mMetrics.Add(Counter::kStartsHeldBack, window.mDeferrals);
+  const JobRetention& kept = mShard->Retention();
+  mPorts.mMetrics.Set(Gauge::kJobsKept, static_cast<int64_t>(kept.Size()));
+  mPorts.mMetrics.Set(Gauge::kCancellationsUnmatched,
+                      static_cast<int64_t>(kept.UnmatchedCancellations()));
   mPorts.mHeldTasks.Observe(
     mOptions.mShard, mOptions.mEpoch, mShard->TakeHeldTaskStats(now));
   if (now >= mReportAccountsAt) {
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -193,7 +193,6 @@
 
   // Returns whether a worker has accepted a newer owner: this owner must stop.
   bool IsFenced() const { return mIsFenced; }
-
   // Returns the decisions since the last call, oldest first.
   std::vector<JobDecision> TakeDecisions();
 
@@ -206,9 +205,10 @@
   const AccountUsage& Accounts() const { return mAccounts.Usage(); }
   std::vector<AccountLoad> AccountLoads() const { return mAccounts.Loads(); }
   size_t PlacementEvaluations() const { return mSearch.EvaluationCount(); }
-
-  // Returns the current state of the workers.
+  // Return the current state of the workers, and what is kept of jobs that are
+  // over.
   const WorkerTable& Workers() const { return mWorkers; }
+  const JobRetention& Retention() const { return mRetention; }
 
 private:
   // A stop whose task is still not reported as ended is sent again after this.
--- a/mulberryvalve/ports/out/metrics.h
+++ b/mulberryvalve/ports/out/metrics.h
@@ -93,9 +93,10 @@
   kIntakeRelayRefused,
   kIntakeRelayUnknown,
   kIntakeRemovalConflicts,
+  kJobCopiesRead,
 };
 
-inline constexpr MetricTable<Counter, 52> kCounterNames{ { {
+inline constexpr MetricTable<Counter, 53> kCounterNames{ { {
   { Counter::kRequestsAnswered,
     "requests_answered",
     "Requests whose answer was given to the caller" },
@@ -235,6 +236,9 @@
   { Counter::kIntakeRemovalConflicts,
     "intake_removal_conflicts",
     "Removals from the intake put off because it held unread records" },
+  { Counter::kJobCopiesRead,
+    "job_copies_read",
+    "Copies of the records of jobs that were over when they were read" },
 } } };
 static_assert(kCounterNames.InOrder());
 
@@ -257,9 +261,11 @@
   kTasksHeldNow,
   kFormerWorkersAwaited,
   kHeldForAtMostMs,
+  kJobsKept,
+  kCancellationsUnmatched,
 };
 
-inline constexpr MetricTable<Gauge, 17> kGaugeNames{ { {
+inline constexpr MetricTable<Gauge, 19> kGaugeNames{ { {
   { Gauge::kShardsOwned, "shards_owned", "Shards that this instance owns" },
   { Gauge::kRequestsInFlight, "requests_in_flight", "Requests in flight" },
   { Gauge::kTasksWaiting, "tasks_waiting", "Tasks waiting for a worker" },
@@ -299,6 +305,12 @@
   { Gauge::kHeldForAtMostMs,
     "held_for_at_most_ms",
     "Milliseconds until the last task that is held back now is released" },
+  { Gauge::kJobsKept,
+    "jobs_kept",
+    "Jobs that are over, and cancellations without a job, that are kept" },
+  { Gauge::kCancellationsUnmatched,
+    "cancellations_unmatched",
+    "Cancellations that are kept and whose jobs have not come" },
 } } };
 static_assert(kGaugeNames.InOrder());
 
