--- a/mulberryvalve/core/jobs/job_table.cc
+++ b/mulberryvalve/core/jobs/job_table.cc
@@ -138,7 +138,8 @@
     task->mCheckpoint = record.mCheckpoint;
     task->mFormerWorkers = record.mPossibleWorkers;
     aJob.mHasFormerEnds = aJob.mHasFormerEnds || HasEnds(record);
-    if (record.mDone) {
+    // Earlier versions recorded lasting gangs as done.
+    if (record.mDone && !SpecOf(ref.mStep).mLongRunning) {
       Finish(ref);
     }
   }
--- a/mulberryvalve/core/jobs/shard_scheduler_reports.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_reports.cc
@@ -326,7 +326,8 @@
 
 void ShardScheduler::FinishGang(const TaskRef& aTask, MonotonicTime aNow)
 {
-  if (!mJobTable.SpecOf(aTask.mStep).mGang) {
+  const StepSpec& spec = mJobTable.SpecOf(aTask.mStep);
+  if (!spec.mGang || spec.mLongRunning) {
     return;
   }
   const size_t members = mJobTable.StepOf(aTask.mStep).mTasks.size();
