--- a/mulberryvalve/adapters/json/job_log_json.cc
+++ b/mulberryvalve/adapters/json/job_log_json.cc
@@ -143,6 +143,13 @@
       return added.error();
     }
   }
+  if (reader.Has("gang_failures")) {
+    const Result<void> added = AddGangFailures(
+      reader.Array("gang_failures", kMaxJobTasks), record.mTasks);
+    if (!added) {
+      return added.error();
+    }
+  }
   if (reader.Fault()) {
     return *reader.Fault();
   }
--- a/mulberryvalve/adapters/json/job_log_json_test.cc
+++ b/mulberryvalve/adapters/json/job_log_json_test.cc
@@ -130,6 +130,43 @@
   CHECK_EQUAL(0U, decoded.mTasks[1].mProcessedEnds.size());
 }
 
+TEST(JobLogJsonTest, FailedRunsOfAGangRoundTrip)
+{
+  const JobLogJson codec;
+  JobRecord record{ JobId("5c0e7a21d94b36f8"), JobPhase::kRunning, {} };
+  for (const uint32_t index : { 2, 5 }) {
+    TaskRecord member{ 0, 1, index, false, 1, { RunNumber(5) }, {} };
+    member.mFailedGangRuns = { RunNumber(4 + index), RunNumber(9) };
+    record.mTasks.push_back(member);
+  }
+  const KeyedEntry entry = codec.Encode(record);
+  const Result<ProgressItem> item = codec.DecodeProgress(entry);
+  const auto& decoded = std::get<JobRecord>(item.value());
+  CHECK_EQUAL(2U, decoded.mTasks.size());
+  for (size_t task = 0; task < decoded.mTasks.size(); task++) {
+    CHECK(record.mTasks[task].mFailedGangRuns ==
+          decoded.mTasks[task].mFailedGangRuns);
+  }
+}
+
+TEST(JobLogJsonTest, OddRowsOfFailedRunsAreRefused)
+{
+  for (const char* row : { "[0,0]",
+                           "[0,0,1]",
+                           "[0,0,1,-3]",
+                           "[0,0,9,3]",
+                           "7",
+                           R"(["a",0,1,3])" }) {
+    const std::string text =
+      R"({"phase":"running","tasks":[[0,0,1,0,1,[5],""]],"gang_failures":[)" +
+      std::string(row) + "]}";
+    const Result<ProgressItem> item =
+      JobLogJson().DecodeProgress({ "job/x", text });
+    CHECK_FALSE(item.has_value());
+    CHECK(FailureKind::kMalformed == item.error().mKind);
+  }
+}
+
 // Owners of earlier versions did not record where tasks may run.
 TEST(JobLogJsonTest, RecordWithoutPossibleWorkersIsDecoded)
 {
--- a/mulberryvalve/adapters/json/task_record_json.cc
+++ b/mulberryvalve/adapters/json/task_record_json.cc
@@ -35,6 +35,8 @@
 constexpr size_t kNumberColumns = 5;
 // Columns of a row of possible workers before the first of these.
 constexpr size_t kStepColumns = 2;
+// Columns of a row of a gang's failed runs before the first of these.
+constexpr size_t kMemberColumns = 3;
 
 // Appends a task's row. Formats the text directly instead of building a json
 // object, since an owner writes thousands of rows a second.
@@ -114,6 +116,33 @@
   aText += ']';
 }
 
+// Appends "[OCCURRENCE,STEP,INDEX,RUN,RUN,...]" for each member of a gang.
+void AppendGangFailures(std::string& aText,
+                        const std::vector<TaskRecord>& aTasks)
+{
+  bool hasRows = false;
+  for (const TaskRecord& task : aTasks) {
+    if (task.mFailedGangRuns.empty()) {
+      continue;
+    }
+    aText += hasRows ? ",[" : ",\"gang_failures\":[[";
+    hasRows = true;
+    AppendNumber(aText, task.mOccurrence);
+    for (const uint64_t number : { task.mStep, task.mIndex }) {
+      aText += ',';
+      AppendNumber(aText, number);
+    }
+    for (const RunNumber run : task.mFailedGangRuns) {
+      aText += ',';
+      AppendNumber(aText, run.Value());
+    }
+    aText += ']';
+  }
+  if (hasRows) {
+    aText += ']';
+  }
+}
+
 bool IsNumber32(const json& aValue)
 {
   return aValue.is_number_unsigned() &&
@@ -154,6 +183,7 @@
   }
   aText += ']';
   AppendPossibleWorkers(aText, aTasks);
+  AppendGangFailures(aText, aTasks);
 }
 
 Result<TaskRecord> TaskFromJson(const json& aRow)
@@ -216,4 +246,34 @@
   return Done();
 }
 
+Result<void> AddGangFailures(const json& aRows, std::vector<TaskRecord>& aTasks)
+{
+  std::map<TaskKey, size_t> positions;
+  for (size_t position = 0; position < aTasks.size(); position++) {
+    const TaskRecord& task = aTasks[position];
+    positions.emplace(TaskKey{ task.mOccurrence, task.mStep, task.mIndex },
+                      position);
+  }
+  for (const json& row : aRows) {
+    bool valid = row.is_array() && row.size() > kMemberColumns;
+    for (size_t column = 0; valid && column < row.size(); column++) {
+      valid = column < kMemberColumns ? IsNumber32(row[column])
+                                      : row[column].is_number_unsigned();
+    }
+    const auto place = valid ? positions.find(TaskKey{ row[0].get<uint32_t>(),
+                                                       row[1].get<uint32_t>(),
+                                                       row[2].get<uint32_t>() })
+                             : positions.end();
+    if (place == positions.end()) {
+      return Fail(
+        FailureKind::kMalformed, "gang_failures", "a row is not readable");
+    }
+    for (size_t column = kMemberColumns; column < row.size(); column++) {
+      aTasks[place->second].mFailedGangRuns.emplace_back(
+        row[column].get<uint64_t>());
+    }
+  }
+  return Done();
+}
+
 } // namespace mulberryvalve
--- a/mulberryvalve/adapters/json/task_record_json.h
+++ b/mulberryvalve/adapters/json/task_record_json.h
@@ -14,7 +14,8 @@
 // AppendTasks appends the members "tasks" and, if a task has possible workers,
 // "on" of a JSON object, each after a comma. "tasks" has a row for each task;
 // "on" has one for each step, with every worker's name before the indexes of
-// the step's tasks that may run there.
+// the step's tasks that may run there. If a gang failed, "gang_failures" has a
+// row for each member that failed first in a run, with the runs.
 void AppendTasks(std::string& aText, const std::vector<TaskRecord>& aTasks);
 
 // TaskFromJson decodes a row of "tasks". Error: kMalformed.
@@ -25,6 +26,11 @@
 Result<void> AddPossibleWorkers(const nlohmann::json& aRows,
                                 std::vector<TaskRecord>& aTasks);
 
+// AddGangFailures decodes the rows of "gang_failures" into the tasks of aTasks,
+// each of which has a row of its own. Error: kMalformed.
+Result<void> AddGangFailures(const nlohmann::json& aRows,
+                             std::vector<TaskRecord>& aTasks);
+
 } // namespace mulberryvalve
 
 #endif // MULBERRYVALVE_ADAPTERS_JSON_TASK_RECORD_JSON_H_
--- a/mulberryvalve/core/jobs/job_state.h
+++ b/mulberryvalve/core/jobs/job_state.h
@@ -145,6 +145,9 @@
   // The workers on which a run of the task may be. A start is sent only to a
   // worker that is recorded here; unrecorded_starts.h has the one exception.
   std::vector<WorkerId> mPossibleWorkers{};
+  // The runs of a gang whose first failure that was processed is that of this
+  // member.
+  std::vector<RunNumber> mFailedGangRuns{};
 };
 
 // The tasks of a job in one record, which keeps the record far below the
--- a/mulberryvalve/core/jobs/job_table.cc
+++ b/mulberryvalve/core/jobs/job_table.cc
@@ -39,21 +39,24 @@
   return workers;
 }
 
-TaskRecord ToTaskRecord(const TaskProgress& aTask,
-                        uint32_t aOccurrence,
-                        uint32_t aStep,
-                        uint32_t aIndex)
+TaskRecord ToTaskRecord(const StepState& aStep, const TaskRef& aRef)
 {
+  const TaskProgress& task = aStep.mTasks[aRef.mIndex];
   TaskRecord record;
-  record.mOccurrence = aOccurrence;
-  record.mStep = aStep;
-  record.mIndex = aIndex;
-  record.mPossibleWorkers = PossibleWorkersOf(aTask);
-  if (HasEnds(aTask)) {
-    record.mDone = aTask.mDone;
-    record.mFailures = aTask.mFailures;
-    record.mProcessedEnds = aTask.mProcessedEnds;
-    record.mCheckpoint = aTask.mCheckpoint;
+  record.mOccurrence = aRef.mStep.mOccurrence;
+  record.mStep = aRef.mStep.mStep;
+  record.mIndex = aRef.mIndex;
+  record.mPossibleWorkers = PossibleWorkersOf(task);
+  if (HasEnds(task)) {
+    record.mDone = task.mDone;
+    record.mFailures = task.mFailures;
+    record.mProcessedEnds = task.mProcessedEnds;
+    record.mCheckpoint = task.mCheckpoint;
+  }
+  for (const auto& [run, member] : aStep.mFailedGangRuns) {
+    if (member == aRef.mIndex) {
+      record.mFailedGangRuns.push_back(run);
+    }
   }
   return record;
 }
@@ -133,6 +136,9 @@
       continue;
     }
     task->mFailures = record.mFailures;
+    for (const RunNumber run : record.mFailedGangRuns) {
+      StepOf(ref.mStep).mFailedGangRuns.emplace(run, ref.mIndex);
+    }
     aJob.mHasFailures = aJob.mHasFailures || record.mFailures > 0;
     task->mProcessedEnds = record.mProcessedEnds;
     task->mCheckpoint = record.mCheckpoint;
@@ -358,14 +364,26 @@
           continue;
         }
         records[static_cast<size_t>(std::distance(dirtyParts.begin(), dirty))]
-          .mTasks.push_back(
-            ToTaskRecord(tasks[index], occurrence, step, index));
+          .mTasks.push_back(ToTaskRecord(
+            steps[step],
+            TaskRef{ { aJob.mGraph.mId, occurrence, step }, index }));
       }
     }
   }
   return records;
 }
 
+// Records of earlier versions count the failures of each member, but do not
+// name the runs; a member fails at most once in a run.
+int JobTable::FailedAttempts(const StepState& aStep, uint32_t aIndex)
+{
+  if (aStep.mFailedGangRuns.empty()) {
+    return aStep.mTasks[aIndex].mFailures;
+  }
+  const auto runs = static_cast<int>(aStep.mFailedGangRuns.size());
+  return std::max(runs, aStep.mTasks[aIndex].mFailures);
+}
+
 bool JobTable::AllDone(const JobEntry& aJob)
 {
   return aJob.mFinished == aJob.mTaskCount;
--- a/mulberryvalve/core/jobs/job_table.h
+++ b/mulberryvalve/core/jobs/job_table.h
@@ -52,6 +52,9 @@
   // When the reason for the wait is logged next.
   MonotonicTime mExplainAt;
   CachedForecast mForecast;
+  // The runs of a gang in which a member failed, with the member whose failure
+  // was processed first.
+  std::map<RunNumber, uint32_t> mFailedGangRuns;
   // How many tasks of the step each worker has.
   std::map<WorkerId, uint32_t> mTasksPerWorker;
 };
@@ -191,6 +194,10 @@
   // changed since the last call. For a finished job that is its phase alone.
   std::vector<JobRecord> TakeDirtyParts(JobEntry& aJob) const;
 
+  // FailedAttempts returns how often a task of a step has failed, or the gang
+  // if the step is one: a run of a gang counts once, however many members fail.
+  static int FailedAttempts(const StepState& aStep, uint32_t aIndex);
+
   // AllDone returns whether every task of the job has completed.
   static bool AllDone(const JobEntry& aJob);
 
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -259,28 +259,9 @@
                      const RenewalReply& aReply,
                      MonotonicTime aSentAt,
                      MonotonicTime aNow);
-  void ProcessEnd(WorkerEntry& aWorker,
-                  const RunEndReport& aRow,
-                  MonotonicTime aNow);
-  void ApplyEnd(WorkerEntry& aWorker,
-                const RunEndReport& aRow,
-                MonotonicTime aNow);
-  bool IsJobKnown(const TaskRef& aTask) const
-  {
-    return mJobTable.Find(aTask.mStep.mJob) != nullptr;
-  }
+  bool IsJobKnown(const TaskRef& aTask) const;
   void ApplyKeptReports(JobEntry& aJob, MonotonicTime aNow);
   EndNumber LastSettledEnd(const WorkerEntry& aWorker) const;
-  void LogEnd(const RunEndReport& aRow, const WorkerId& aWorker);
-  void RecordEnd(const TaskLookup& aPlace,
-                 const RunEndReport& aRow,
-                 const WorkerId& aWorker);
-  void LearnRunTime(const TaskLookup& aPlace,
-                    const RunEndReport& aRow,
-                    MonotonicTime aNow);
-  void TrackWorkerFailures(WorkerEntry& aWorker,
-                           const RunEndReport& aRow,
-                           MonotonicTime aNow);
   void ProcessRunning(WorkerEntry& aWorker,
                       const ReportedRun& aRun,
                       MonotonicTime aNow);
@@ -320,6 +301,24 @@
                        const char* aWhy,
                        MonotonicTime aEndedBy);
   void ReleaseExpiredWorkers(const OwnershipProof& aProof, MonotonicTime aNow);
+
+  // Ends of runs (shard_scheduler_ends.cc).
+  void ProcessEnd(WorkerEntry& aWorker,
+                  const RunEndReport& aRow,
+                  MonotonicTime aNow);
+  void ApplyEnd(WorkerEntry& aWorker,
+                const RunEndReport& aRow,
+                MonotonicTime aNow);
+  void LogEnd(const RunEndReport& aRow, const WorkerId& aWorker);
+  void RecordEnd(const TaskLookup& aPlace,
+                 const RunEndReport& aRow,
+                 const WorkerId& aWorker);
+  void LearnRunTime(const TaskLookup& aPlace,
+                    const RunEndReport& aRow,
+                    MonotonicTime aNow);
+  void TrackWorkerFailures(WorkerEntry& aWorker,
+                           const RunEndReport& aRow,
+                           MonotonicTime aNow);
   void FinishTask(const TaskRef& aTask);
   void FinishGang(const TaskRef& aTask, MonotonicTime aNow);
   void UpdateJobPhase(JobEntry& aJob, MonotonicTime aNow);
