--- a/mulberryvalve/core/jobs/gang_test.cc
+++ b/mulberryvalve/core/jobs/gang_test.cc
@@ -13,6 +13,7 @@
 constexpr uint32_t kMembers = 4;
 constexpr int kMaxAttempts = 3;
 constexpr Milliseconds kRunTime{ 2000 };
+constexpr Milliseconds kLongRunTime{ 600000 };
 const JobId kGang("gang");
 
 JobGraph GangJob()
@@ -23,6 +24,34 @@
   return job;
 }
 
+// A gang for one rack. Each member takes more than half of a worker.
+JobGraph RackGang(uint32_t aMembers)
+{
+  JobGraph job = GangJob();
+  job.mSteps[0].mCount = aMembers;
+  job.mSteps[0].mDemand.mCpuMillis = 12000;
+  job.mSteps[0].mSameRack = true;
+  return job;
+}
+
+// Returns the racks on which the members of the gang run.
+std::set<RackId> RacksUsed(ShardSimulation& aSimulation, uint32_t aMembers)
+{
+  std::map<WorkerId, RackId> rackOf;
+  for (size_t index = 0; index < 24; index++) {
+    const WorkerInfo& info = aSimulation.Worker(index).mInfo;
+    rackOf[info.mId] = info.mRack;
+  }
+  std::set<RackId> racks;
+  for (uint32_t index = 0; index < aMembers; index++) {
+    const TaskRef member{ { kGang, 0, 0 }, index };
+    for (const WorkerId& worker : aSimulation.WorkersRunning(member)) {
+      racks.insert(rackOf.at(worker));
+    }
+  }
+  return racks;
+}
+
 } // namespace
 
 TEST_GROUP(GangTest)
@@ -183,4 +212,67 @@
   CHECK_EQUAL(2, JobTable::FailedAttempts(step, 3));
 }
 
+// Guards against a gang for one rack that is never started, as the rack of the
+// cheapest worker has no room for all of it (review/13).
+TEST(GangTest, AGangForOneRackIsPlacedOnAnyRackThatHasRoom)
+{
+  // Racks of eight workers; the first has one worker less.
+  ShardSimulation simulation(24);
+  simulation.AddOwner();
+  simulation.mDurationOf = [](const TaskRef&) { return kLongRunTime; };
+  simulation.Exit(simulation.Worker(0).mInfo.mId);
+  simulation.RunFor(Milliseconds(20000));
+  simulation.Submit(RackGang(8));
+  simulation.RunFor(Milliseconds(2000));
+  CHECK_EQUAL(8U, simulation.Running());
+  CHECK_EQUAL(1U, RacksUsed(simulation, 8).size());
+}
+
+// A gang that no rack can hold runs on several.
+TEST(GangTest, AGangThatNoRackCanHoldRunsOnSeveral)
+{
+  ShardSimulation simulation(24);
+  simulation.AddOwner();
+  simulation.mDurationOf = [](const TaskRef&) { return kLongRunTime; };
+  simulation.RunFor(Milliseconds(2000));
+  simulation.Submit(RackGang(12));
+  simulation.RunFor(Milliseconds(4000));
+  CHECK_EQUAL(12U, simulation.Running());
+}
+
+// Guards against a lasting task that waits for ever for room on the rack of the
+// other tasks of its step, as its worker is lost (review 3, kin of review/13).
+TEST(GangTest, ALastingTaskLeavesARackWithoutRoom)
+{
+  ShardSimulation simulation(24);
+  simulation.AddOwner();
+  simulation.mDurationOf = [](const TaskRef&) { return kLongRunTime; };
+  simulation.RunFor(Milliseconds(2000));
+  JobGraph job = RackGang(8);
+  job.mSteps[0].mGang = false;
+  job.mSteps[0].mLongRunning = true;
+  simulation.Submit(job);
+  simulation.RunFor(Milliseconds(3000));
+  CHECK_EQUAL(8U, simulation.Running());
+  simulation.Exit(simulation.WorkersRunning(TaskRef{ { kGang, 0, 0 }, 3 })[0]);
+  simulation.RunFor(Milliseconds(20000));
+  CHECK_EQUAL(8U, simulation.Running());
+}
+
+// The search evaluates each worker a few times, however many racks there are.
+TEST(GangTest, TheSearchForARackDoesNotGrowWithTheNumberOfRacks)
+{
+  constexpr size_t kManyWorkers = 2100;
+  ShardSimulation simulation(kManyWorkers);
+  simulation.AddOwner();
+  simulation.RunFor(Milliseconds(2000));
+  const ShardScheduler& shard = *simulation.Owner(0).mShard;
+  const size_t before = shard.PlacementEvaluations();
+  simulation.Submit(RackGang(8));
+  while (simulation.Running() == 0) {
+    simulation.Step();
+  }
+  CHECK(shard.PlacementEvaluations() - before <= 3 * kManyWorkers);
+}
+
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/worker_search.cc
+++ b/mulberryvalve/core/jobs/worker_search.cc
@@ -20,6 +20,29 @@
          aNow < aWorker.mReservedForLongRunningUntil;
 }
 
+// Returns how many tasks of a step fit into the free capacity of a worker that
+// can take one, at most aMost.
+uint64_t TasksThatFit(const StepSpec& aStep,
+                      const WorkerEntry& aWorker,
+                      uint64_t aMost)
+{
+  const Resources demand = aStep.Committed();
+  const Resources free = aWorker.FreeCapacity();
+  uint64_t tasks = aMost;
+  const auto limit = [&tasks](int64_t aFree, int64_t aDemand) {
+    if (aDemand > 0) {
+      tasks = std::min(tasks, static_cast<uint64_t>(aFree / aDemand));
+    }
+  };
+  limit(free.mCpuMillis, demand.mCpuMillis);
+  limit(free.mMemoryMb, demand.mMemoryMb);
+  limit(free.mAccelerators, demand.mAccelerators);
+  if (aStep.mMaxPerWorker > 0) {
+    tasks = std::min<uint64_t>(tasks, aStep.mMaxPerWorker);
+  }
+  return tasks;
+}
+
 } // namespace
 
 WorkerSearch::WorkerSearch(const JobPlacementPolicy& aPlacement,
@@ -79,6 +102,34 @@
   return mLastChosen;
 }
 
+std::vector<RackId> WorkerSearch::RacksWithRoom(const PlacementQuery& aQuery,
+                                                uint64_t aCount)
+{
+  std::map<RackId, RackRoom> rooms;
+  for (const auto& [id, worker] : mWorkers.All()) {
+    const std::optional<int64_t> cost = Evaluate(aQuery, worker);
+    if (!cost) {
+      continue;
+    }
+    const auto [found, isNew] =
+      rooms.try_emplace(worker.mInfo.mRack, RackRoom{ 0, *cost });
+    found->second.mTasks += TasksThatFit(aQuery.mStep, worker, aCount);
+    found->second.mLeastCost = std::min(found->second.mLeastCost, *cost);
+  }
+  std::vector<std::pair<int64_t, RackId>> byCost;
+  for (const auto& [rack, room] : rooms) {
+    if (room.mTasks >= aCount) {
+      byCost.emplace_back(room.mLeastCost, rack);
+    }
+  }
+  std::sort(byCost.begin(), byCost.end());
+  std::vector<RackId> racks;
+  for (auto& [cost, rack] : byCost) {
+    racks.push_back(std::move(rack));
+  }
+  return racks;
+}
+
 void WorkerSearch::RememberRefusal(const PlacementQuery& aQuery,
                                    const StepRef& aStep)
 {
--- a/mulberryvalve/core/jobs/worker_search.h
+++ b/mulberryvalve/core/jobs/worker_search.h
@@ -32,6 +32,12 @@
   // equals, or null if none can run a task of aStep.
   WorkerEntry* Choose(const PlacementQuery& aQuery, const StepRef& aStep);
 
+  // RacksWithRoom returns the racks whose workers together can take aCount
+  // tasks of the step, that with the cheapest worker first. Evaluates each
+  // worker once. aQuery must require no rack.
+  std::vector<RackId> RacksWithRoom(const PlacementQuery& aQuery,
+                                    uint64_t aCount);
+
   // RememberRefusal records that Choose has just returned null. No charge of
   // this pass may be released within the pass.
   void RememberRefusal(const PlacementQuery& aQuery, const StepRef& aStep);
@@ -113,6 +119,13 @@
     }
   };
 
+  // RackRoom is what a rack's workers can take.
+  struct RackRoom
+  {
+    uint64_t mTasks = 0;
+    int64_t mLeastCost = 0;
+  };
+
   static RefusalKey KeyOf(const PlacementQuery& aQuery, const StepRef& aStep);
   static Refusal* FindCovering(RefusalGroup& aGroup, const StepSpec& aStep);
   void ApplyChanges(Refusal& aRefusal, const PlacementQuery& aQuery);
