A job whose start got no answer counts as waiting until a run of it is seen

Cause: a start was counted when it was sent, and taken back only if the worker refused it.

Change: a start without an answer is taken back too; a run or an end that a worker reports counts it again. A count that is too high by a run that nobody has heard of breaks no promise. The job is shown as queued for as long.

--- a/mulberryvalve/core/jobs/job_table.cc
+++ b/mulberryvalve/core/jobs/job_table.cc
@@ -244,7 +244,7 @@
   UpdateWaitingCount(job);
 }
 
-void JobTable::OnStartRefused(const JobId& aJob)
+void JobTable::TakeBackStart(const JobId& aJob)
 {
   JobEntry& job = mJobs.at(aJob);
   if (job.mStartCount > 0) {
--- a/mulberryvalve/core/jobs/job_table.h
+++ b/mulberryvalve/core/jobs/job_table.h
@@ -70,7 +70,8 @@
   bool mMayHaveFormerRuns = false;
   // A run of a task of the job has ended before this owner.
   bool mHasFormerEnds = false;
-  // The starts of its tasks that were sent and not refused, and the runs found.
+  // The starts of its tasks that were sent and neither refused nor left without
+  // an answer, and the runs found.
   uint64_t mStartCount = 0;
   // The job is included in the count that JobTable::Waiting returns.
   bool mIsCountedAsWaiting = false;
@@ -163,9 +164,10 @@
   // sent or that a run of it was found.
   void MarkStarted(const JobId& aJob);
 
-  // OnStartRefused takes back one call of MarkStarted, as the worker will never
-  // carry out that start. The job must exist.
-  void OnStartRefused(const JobId& aJob);
+  // TakeBackStart takes back one call of MarkStarted: the worker will never
+  // carry out that start, or it is not known whether it has. The job must
+  // exist.
+  void TakeBackStart(const JobId& aJob);
 
   // ReadySteps returns the steps with waiting tasks that are ready, with their
   // jobs. AddDueSteps adds those of occurrences that are due at aNow.
--- a/mulberryvalve/core/jobs/job_table_test.cc
+++ b/mulberryvalve/core/jobs/job_table_test.cc
@@ -81,9 +81,9 @@
   mJobTable.Add(MakeJob("a"));
   mJobTable.MarkStarted(JobId("a"));
   mJobTable.MarkStarted(JobId("a"));
-  mJobTable.OnStartRefused(JobId("a"));
+  mJobTable.TakeBackStart(JobId("a"));
   CHECK_EQUAL(0U, Waiting());
-  mJobTable.OnStartRefused(JobId("a"));
+  mJobTable.TakeBackStart(JobId("a"));
   CHECK_EQUAL(1U, Waiting());
   mJobTable.MarkStarted(JobId("a"));
   CHECK_EQUAL(0U, Waiting());
--- a/mulberryvalve/core/jobs/shard_scheduler_ends.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_ends.cc
@@ -68,6 +68,9 @@
     mJobTable.MarkDirty(aRow.mTask);
     TrackWorkerFailures(aWorker, aRow, aNow);
   }
+  if (isCurrentRun && task->mPhase == TaskPhase::kUnsettled) {
+    mJobTable.MarkStarted(id);
+  }
   if (isCurrentRun) {
     LearnRunTime(place, aRow, aNow);
     ReleaseTask(aRow.mTask);
--- a/mulberryvalve/core/jobs/shard_scheduler_replies.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_replies.cc
@@ -97,6 +97,7 @@
                 "its start got no reply");
     if (task.mPhase == TaskPhase::kStarting) {
       task.mPhase = TaskPhase::kUnsettled;
+      mJobTable.TakeBackStart(aOrder.mTask.mStep.mJob);
       mResendStopAt[aOrder.mTask] = aNow + kStopResendInterval;
     }
     if (worker != nullptr) {
@@ -107,7 +108,7 @@
   // Either the worker will never start this run, or the run was started by an
   // earlier message. The worker's next report shows which.
   if (outcome != OrderOutcome::kOutdated) {
-    mJobTable.OnStartRefused(aOrder.mTask.mStep.mJob);
+    mJobTable.TakeBackStart(aOrder.mTask.mStep.mJob);
   }
   if (worker != nullptr) {
     const bool unhealthy = outcome == OrderOutcome::kUnhealthy;
--- a/mulberryvalve/core/jobs/shard_scheduler_reports.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_reports.cc
@@ -181,6 +181,7 @@
     task->mRunsIn = aWorker.mWorkerIncarnation;
     if (task->mPhase == TaskPhase::kUnsettled) {
       task->mPhase = TaskPhase::kRunning;
+      mJobTable.MarkStarted(row.mTask.mStep.mJob);
       task->mAnsweredAt = aNow;
       mResendStopAt.erase(row.mTask);
     }
