--- a/mulberryvalve/core/jobs/job_placement_policy.cc
+++ b/mulberryvalve/core/jobs/job_placement_policy.cc
@@ -193,7 +193,8 @@
       !aWorker.IsInfoCurrent()) {
     return PlacementRefusal::kUnsure;
   }
-  if (aQuery.mNow < aWorker.mAvoidUntil) {
+  if (aQuery.mNow <
+      (aQuery.mMayRetryAvoided ? aWorker.mRetryAt : aWorker.mAvoidUntil)) {
     return PlacementRefusal::kAvoided;
   }
   if (aQuery.mExcludedDomains.count(facts.mDomain) != 0) {
--- a/mulberryvalve/core/jobs/shard_scheduler.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler.cc
@@ -306,6 +306,7 @@
                                  MonotonicTime aUntil,
                                  const char* aWhy)
 {
+  aWorker.mRetryAt = std::max(aWorker.mRetryAt, aUntil);
   if (aUntil <= aWorker.mAvoidUntil) {
     return;
   }
--- a/mulberryvalve/core/jobs/shard_scheduler_ends.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_ends.cc
@@ -16,6 +16,9 @@
 constexpr size_t kMaxCountedRuns = 8;
 constexpr Milliseconds kInitialAvoidance{ 1500 };
 constexpr int kMaxAvoidanceDoublings = 3;
+// A lasting task must run again within a few seconds, so one that can run
+// nowhere else tries such a worker at this interval.
+constexpr Milliseconds kRetryInterval{ 3000 };
 // The members of a gang end together. One that is still reported after this
 // time is stopped.
 constexpr Milliseconds kGangEndDelay{ 1000 };
@@ -165,8 +168,11 @@
   }
   const int doublings =
     std::min(aWorker.mFailuresInRow - kFailuresToAvoid, kMaxAvoidanceDoublings);
-  AvoidWorker(
-    aWorker, aNow + kInitialAvoidance * (1 << doublings), "fails all");
+  const MonotonicTime retryAt = aWorker.mRetryAt;
+  const Milliseconds avoidance = kInitialAvoidance * (1 << doublings);
+  AvoidWorker(aWorker, aNow + avoidance, "fails all");
+  aWorker.mRetryAt =
+    std::max(retryAt, aNow + std::min(avoidance, kRetryInterval));
 }
 
 void ShardScheduler::FinishTask(const TaskRef& aTask)
--- a/mulberryvalve/core/jobs/shard_scheduler_placement.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_placement.cc
@@ -246,7 +246,12 @@
     if (!query.mBucket) {
       mSearch.RememberRefusal(query, aTask.mStep);
     }
-    if (mJobTable.SpecOf(aTask.mStep).mLongRunning) {
+    if (query.mStep.mLongRunning) {
+      worker = mSearch.ChooseAvoided(query);
+    }
+  }
+  if (worker == nullptr) {
+    if (query.mStep.mLongRunning) {
       PreemptForLongRunning(aJob, aTask.mStep, aNow);
     }
     return false;
--- a/mulberryvalve/core/jobs/worker_search.cc
+++ b/mulberryvalve/core/jobs/worker_search.cc
@@ -102,6 +102,24 @@
   return mLastChosen;
 }
 
+WorkerEntry* WorkerSearch::ChooseAvoided(PlacementQuery aQuery)
+{
+  aQuery.mMayRetryAvoided = true;
+  WorkerEntry* best = nullptr;
+  int64_t leastCost = 0;
+  for (auto& [id, worker] : mWorkers.All()) {
+    if (aQuery.mNow >= worker.mAvoidUntil) {
+      continue;
+    }
+    const std::optional<int64_t> cost = Evaluate(aQuery, worker);
+    if (cost && (best == nullptr || *cost < leastCost)) {
+      best = &worker;
+      leastCost = *cost;
+    }
+  }
+  return best;
+}
+
 std::vector<RackId> WorkerSearch::RacksWithRoom(const PlacementQuery& aQuery,
                                                 uint64_t aCount)
 {
--- a/mulberryvalve/core/jobs/worker_search.h
+++ b/mulberryvalve/core/jobs/worker_search.h
@@ -32,6 +32,10 @@
   // equals, or null if none can run a task of aStep.
   WorkerEntry* Choose(const PlacementQuery& aQuery, const StepRef& aStep);
 
+  // ChooseAvoided returns the cheapest worker that can run a task if the query
+  // lets it retry avoided workers, or null. Evaluates each worker.
+  WorkerEntry* ChooseAvoided(PlacementQuery aQuery);
+
   // RacksWithRoom returns the racks whose workers together can take aCount
   // tasks of the step, that with the cheapest worker first. Evaluates each
   // worker once. aQuery must require no rack.
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -84,6 +84,8 @@
   EndNumber mLastDurableEnd;
   // Nothing is started on the worker before this time.
   MonotonicTime mAvoidUntil;
+  // From then on a lasting task that no other worker can take may be tried.
+  MonotonicTime mRetryAt;
   int mFailuresInRow = 0;
   // When a leaving worker may be gone, by its last report.
   std::optional<MonotonicTime> mLeavesAt;
