A lasting gang that has lost a member is restarted whole (LOST)

What callers would see: one or two of three members of a lasting gang that run for ever without the others, which never start: a gang starts whole, and members that last never end by themselves.

Found by a schedule that is new here: random take-overs with gangs that last and steps for one rack. The earlier schedules had plain gangs only, whose members end.

Change: if a member of a lasting gang certainly runs nowhere, the others are stopped, so that the gang can start again.

--- a/mulberryvalve/core/jobs/gang_test.cc
+++ b/mulberryvalve/core/jobs/gang_test.cc
@@ -137,6 +137,29 @@
   }
 }
 
+// Guards against a lasting gang of which some members run for ever without the
+// others, after one was lost with its worker (LOST, found by the schedules).
+TEST(GangTest, ALastingGangIsRestartedWholeAfterAMemberIsLost)
+{
+  mSimulation.mDurationOf = [](const TaskRef&) { return kLongRunTime; };
+  JobGraph job = GangJob();
+  job.mSteps[0].mLongRunning = true;
+  job.mSteps[0].mDemand.mCpuMillis = 12000;
+  mSimulation.Submit(job);
+  mSimulation.RunFor(Milliseconds(3000));
+  const TaskRef lost{ { kGang, 0, 0 }, 1 };
+  mSimulation.Exit(mSimulation.WorkersRunning(lost)[0]);
+  mSimulation.RunFor(Milliseconds(20000));
+  std::set<RunNumber> runs;
+  for (size_t index = 0; index < kWorkers; index++) {
+    for (const auto& [task, run] : mSimulation.Worker(index).mRuns) {
+      runs.insert(run.mRun);
+    }
+  }
+  CHECK_EQUAL(static_cast<size_t>(kMembers), mSimulation.Running());
+  CHECK_EQUAL(1U, runs.size());
+}
+
 // A gang that an earlier version recorded as done goes on if it lasts.
 TEST(GangTest, ARestoredLastingGangIsNotDone)
 {
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -354,6 +354,7 @@
   bool IsTaskBlocked(const JobEntry& aJob, const TaskRef& aTask) const;
   bool PlaceTask(JobEntry& aJob, const TaskRef& aTask, MonotonicTime aNow);
   void PlaceGang(JobEntry& aJob, const StepRef& aStep, MonotonicTime aNow);
+  void StopGang(const StepRef& aStep);
   PlacementQuery MakePlacementQuery(const JobEntry& aJob,
                                     const StepRef& aStep,
                                     MonotonicTime aNow);
--- a/mulberryvalve/core/jobs/shard_scheduler_gangs.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_gangs.cc
@@ -70,17 +70,23 @@
 } // namespace
 
 // Starts all members of a gang or none, and only once no member of an earlier
-// run can be left.
+// run can be left. The members of a lasting gang that has lost one are stopped
+// for that: they work only together, and never end by themselves.
 void ShardScheduler::PlaceGang(JobEntry& aJob,
                                const StepRef& aStep,
                                MonotonicTime aNow)
 {
   const StepSpec& spec = mJobTable.SpecOf(aStep);
   StepState& step = mJobTable.StepOf(aStep);
+  uint32_t placeable = 0;
   for (uint32_t index = 0; index < spec.mCount; index++) {
-    if (!CanPlace(aJob, TaskRef{ aStep, index })) {
-      return;
+    placeable += CanPlace(aJob, TaskRef{ aStep, index }) ? 1 : 0;
+  }
+  if (placeable < spec.mCount) {
+    if (spec.mLongRunning && placeable > 0) {
+      StopGang(aStep);
     }
+    return;
   }
   PlacementQuery query = MakePlacementQuery(aJob, aStep, aNow);
   std::vector<WorkerEntry*> chosen;
@@ -102,6 +108,17 @@
   }
 }
 
+// Stops the members of a gang of which one is missing.
+void ShardScheduler::StopGang(const StepRef& aStep)
+{
+  const std::vector<TaskProgress>& members = mJobTable.StepOf(aStep).mTasks;
+  for (uint32_t index = 0; index < members.size(); index++) {
+    if (members[index].mPhase == TaskPhase::kRunning) {
+      OrderStop(TaskRef{ aStep, index }, "its gang is not whole");
+    }
+  }
+}
+
 // A lasting task that has waited for its rack may run on another one.
 PlacementQuery ShardScheduler::MakePlacementQuery(const JobEntry& aJob,
                                                   const StepRef& aStep,
--- a/mulberryvalve/core/jobs/takeover_random_test.cc
+++ b/mulberryvalve/core/jobs/takeover_random_test.cc
@@ -4,6 +4,7 @@
 
 #include "CppUTest/TestHarness.h"
 
+#include <cstdlib>
 #include <functional>
 #include <map>
 #include <random>
@@ -22,6 +23,15 @@
 constexpr Milliseconds kRecoveryTime{ 15000 };
 
 // Fault is what may happen in a round.
+// MULBERRYVALVE_SEEDS sets another number of seeds than kSeeds.
+uint32_t Seeds()
+{
+  const char* text = std::getenv("MULBERRYVALVE_SEEDS");
+  return text == nullptr
+           ? kSeeds
+           : static_cast<uint32_t>(std::strtoul(text, nullptr, 10));
+}
+
 enum class Fault
 {
   kKilledOwner,
@@ -43,18 +53,27 @@
 };
 constexpr uint32_t kFaultKinds = static_cast<uint32_t>(Fault::kNone) + 1;
 
+// What a schedule draws beside changes of owner.
+enum class Draws
+{
+  kFaults,
+  // An owner loses the store for some time before it is replaced, and its
+  // successor knows since when.
+  kLostStores,
+  // Gangs that last, and steps for one rack.
+  kGroups,
+};
+
 // RandomSchedule runs the schedule of one seed.
 class RandomSchedule
 {
 public:
-  // If aLosesStore, an owner loses the store for some time before it is
-  // replaced, and its successor knows since when.
-  explicit RandomSchedule(uint32_t aSeed, bool aLosesStore = false)
+  explicit RandomSchedule(uint32_t aSeed, Draws aDraws = Draws::kFaults)
     : mRandom(aSeed)
     , mSimulation(kWorkers)
-    , mLosesStore(aLosesStore)
+    , mDraws(aDraws)
   {
-    mSimulation.mObservesOwners = aLosesStore;
+    mSimulation.mObservesOwners = aDraws == Draws::kLostStores;
     mSimulation.mGangsFailTogether = true;
     // In a third of the schedules nobody can be asked; of the owners that have
     // ended, a quarter can't be, and of their answers half are lost.
@@ -148,6 +167,10 @@
       step.mCount = 1 + Pick(3);
       step.mDemand.mCpuMillis = 1000;
     }
+    if (mDraws == Draws::kGroups) {
+      step.mSameRack = Pick(2) == 0;
+      step.mGang = step.mGang || (isLongRunning && Pick(2) == 0);
+    }
     mJobs.push_back(job);
     return job;
   }
@@ -190,7 +213,7 @@
 
   void AddOwner()
   {
-    if (mLosesStore) {
+    if (mDraws == Draws::kLostStores) {
       Owner().mCanAppend = false;
       RunFor(Milliseconds(Pick(7000)));
     }
@@ -361,7 +384,7 @@
 
   std::mt19937 mRandom;
   ShardSimulation mSimulation;
-  const bool mLosesStore;
+  const Draws mDraws;
   size_t mOwnerCount = 1;
   int mRound = 0;
   int mEndpointChanges = 0;
@@ -396,7 +419,7 @@
 {
   std::string violations;
   for (uint32_t seed = 1; seed <= kSeeds; seed++) {
-    RandomSchedule schedule(seed, true);
+    RandomSchedule schedule(seed, Draws::kLostStores);
     schedule.Run();
     for (const std::string& finding : schedule.Violations()) {
       violations += "seed " + std::to_string(seed) + ": " + finding + "\n";
@@ -421,4 +444,22 @@
   STRCMP_EQUAL("", violations.c_str());
 }
 
+// The same with gangs that last and steps for one rack.
+TEST(TakeoverRandomTest, GangsAndRacksKeepInvariantsAndEverythingEnds)
+{
+  std::string violations;
+  for (uint32_t seed = 1; seed <= Seeds(); seed++) {
+    RandomSchedule schedule(seed, Draws::kGroups);
+    schedule.Run();
+    for (const std::string& finding : schedule.Violations()) {
+      violations += "seed " + std::to_string(seed) + ": " + finding + "\n";
+    }
+    const std::string left = schedule.Unfinished();
+    if (!left.empty()) {
+      violations += "seed " + std::to_string(seed) + ": " + left + "\n";
+    }
+  }
+  STRCMP_EQUAL("", violations.c_str());
+}
+
 } // namespace mulberryvalve
