--- a/bench/jobs/baseline_queueing_policies.cc
+++ b/bench/jobs/baseline_queueing_policies.cc
@@ -1,5 +1,7 @@
 #include "bench/jobs/baseline_queueing_policies.h"
 
+#include "mulberryvalve/core/jobs/sort_by_rank.h"
+
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -7,23 +9,9 @@
 namespace mulberryvalve {
 namespace {
 
-constexpr int64_t kUsefulObjectives = 3;
 // The least factor by which a short time left reduces the work of a job.
 constexpr double kMinUrgency = 0.1;
 
-// Sorts by the key that aKeyOf returns, then by acceptance.
-template<typename F>
-void SortBy(std::vector<WaitingStep>& aSteps, F aKeyOf)
-{
-  std::sort(aSteps.begin(),
-            aSteps.end(),
-            [&](const WaitingStep& aLeft, const WaitingStep& aRight) {
-              const auto left = aKeyOf(aLeft);
-              const auto right = aKeyOf(aRight);
-              return left == right ? aLeft.mStep < aRight.mStep : left < right;
-            });
-}
-
 enum class EndClass
 {
   kInTime,
@@ -79,7 +67,7 @@
 void EarliestDeadlinePolicy::Sort(std::vector<WaitingStep>& aSteps,
                                   MonotonicTime /*aNow*/) const
 {
-  SortBy(aSteps, [](const WaitingStep& aStep) {
+  SortByRank(aSteps, [](const WaitingStep& aStep) {
     return std::make_tuple(aStep.mPriority, aStep.mObjectiveAt);
   });
 }
@@ -87,7 +75,7 @@
 void LeastSlackPolicy::Sort(std::vector<WaitingStep>& aSteps,
                             MonotonicTime /*aNow*/) const
 {
-  SortBy(aSteps, [](const WaitingStep& aStep) {
+  SortByRank(aSteps, [](const WaitingStep& aStep) {
     return std::make_tuple(aStep.mPriority,
                            aStep.mObjectiveAt - aStep.mRemainingChain);
   });
@@ -96,7 +84,7 @@
 void ThreeClassesPolicy::Sort(std::vector<WaitingStep>& aSteps,
                               MonotonicTime aNow) const
 {
-  SortBy(aSteps, [&](const WaitingStep& aStep) {
+  SortByRank(aSteps, [&](const WaitingStep& aStep) {
     const EndClass endClass = EndClassOf(aStep, aNow);
     return std::make_tuple(
       endClass, aStep.mPriority, CostOf(aStep, endClass, mOrder, aNow));
--- a/mulberryvalve/adapters/json/task_record_json.cc
+++ b/mulberryvalve/adapters/json/task_record_json.cc
@@ -168,6 +168,18 @@
   return hasStep && !isName;
 }
 
+// Returns the positions of the tasks in aTasks.
+std::map<TaskKey, size_t> PositionsOf(const std::vector<TaskRecord>& aTasks)
+{
+  std::map<TaskKey, size_t> positions;
+  for (size_t position = 0; position < aTasks.size(); position++) {
+    const TaskRecord& task = aTasks[position];
+    positions.emplace(TaskKey{ task.mOccurrence, task.mStep, task.mIndex },
+                      position);
+  }
+  return positions;
+}
+
 } // namespace
 
 void AppendTasks(std::string& aText, const std::vector<TaskRecord>& aTasks)
@@ -215,12 +227,7 @@
 Result<void> AddPossibleWorkers(const json& aRows,
                                 std::vector<TaskRecord>& aTasks)
 {
-  std::map<TaskKey, size_t> positions;
-  for (size_t position = 0; position < aTasks.size(); position++) {
-    const TaskRecord& task = aTasks[position];
-    positions.emplace(TaskKey{ task.mOccurrence, task.mStep, task.mIndex },
-                      position);
-  }
+  std::map<TaskKey, size_t> positions = PositionsOf(aTasks);
   for (const json& row : aRows) {
     if (!IsPlacesRow(row)) {
       return Fail(FailureKind::kMalformed, "on", "a row is not readable");
@@ -248,12 +255,7 @@
 
 Result<void> AddGangFailures(const json& aRows, std::vector<TaskRecord>& aTasks)
 {
-  std::map<TaskKey, size_t> positions;
-  for (size_t position = 0; position < aTasks.size(); position++) {
-    const TaskRecord& task = aTasks[position];
-    positions.emplace(TaskKey{ task.mOccurrence, task.mStep, task.mIndex },
-                      position);
-  }
+  const std::map<TaskKey, size_t> positions = PositionsOf(aTasks);
   for (const json& row : aRows) {
     bool valid = row.is_array() && row.size() > kMemberColumns;
     for (size_t column = 0; valid && column < row.size(); column++) {
--- a/mulberryvalve/core/jobs/caller_cost_policy.cc
+++ b/mulberryvalve/core/jobs/caller_cost_policy.cc
@@ -1,14 +1,13 @@
 #include "mulberryvalve/core/jobs/caller_cost_policy.h"
 
+#include "mulberryvalve/core/jobs/sort_by_rank.h"
+
 #include <algorithm>
 #include <tuple>
-#include <utility>
 
 namespace mulberryvalve {
 namespace {
 
-// A result later than this many objectives is of no use to a caller.
-constexpr int64_t kUsefulObjectives = 3;
 // A job that has waited for this many objectives is served like one of use.
 constexpr int64_t kAgedObjectives = 8;
 // Keeps jobs with an objective near zero from aging within milliseconds.
@@ -56,38 +55,15 @@
   return ServiceGroup::kByWork;
 }
 
-// RankedStep compares by group; then by priority and work, or by age alone.
-struct RankedStep
-{
-  ServiceGroup mGroup = ServiceGroup::kByWork;
-  int mPriority = 0;
-  int64_t mWork = 0;
-  MonotonicTime mDueAt;
-  WaitingStep* mStep = nullptr;
-
-  friend bool operator<(const RankedStep& aLeft, const RankedStep& aRight)
-  {
-    const auto left =
-      std::tie(aLeft.mGroup, aLeft.mPriority, aLeft.mWork, aLeft.mDueAt);
-    const auto right =
-      std::tie(aRight.mGroup, aRight.mPriority, aRight.mWork, aRight.mDueAt);
-    return left == right ? aLeft.mStep->mStep < aRight.mStep->mStep
-                         : left < right;
-  }
-};
-
-RankedStep RankOf(WaitingStep& aStep, MonotonicTime aNow, bool aAreAgedFirst)
+// Ranks by group; then by priority and work, or by age alone.
+std::tuple<ServiceGroup, int, int64_t, MonotonicTime>
+RankOf(const WaitingStep& aStep, MonotonicTime aNow, bool aAreAgedFirst)
 {
-  RankedStep rank;
-  rank.mGroup = GroupOf(GainOf(aStep, aNow), aAreAgedFirst);
-  rank.mStep = &aStep;
-  if (rank.mGroup == ServiceGroup::kByWork) {
-    rank.mPriority = aStep.mPriority;
-    rank.mWork = aStep.mRemainingWork;
-  } else {
-    rank.mDueAt = aStep.mDueAt;
+  const ServiceGroup group = GroupOf(GainOf(aStep, aNow), aAreAgedFirst);
+  if (group == ServiceGroup::kByWork) {
+    return { group, aStep.mPriority, aStep.mRemainingWork, MonotonicTime() };
   }
-  return rank;
+  return { group, 0, 0, aStep.mDueAt };
 }
 
 } // namespace
@@ -107,18 +83,9 @@
                             MonotonicTime aNow) const
 {
   const bool areAgedFirst = AreAgedFirst(aNow);
-  std::vector<RankedStep> ranks;
-  ranks.reserve(aSteps.size());
-  for (WaitingStep& step : aSteps) {
-    ranks.push_back(RankOf(step, aNow, areAgedFirst));
-  }
-  std::sort(ranks.begin(), ranks.end());
-  std::vector<WaitingStep> sorted;
-  sorted.reserve(aSteps.size());
-  for (const RankedStep& rank : ranks) {
-    sorted.push_back(*rank.mStep);
-  }
-  aSteps = std::move(sorted);
+  SortByRank(aSteps, [=](const WaitingStep& aStep) {
+    return RankOf(aStep, aNow, areAgedFirst);
+  });
 }
 
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/queueing_load_fake.cc
+++ b/mulberryvalve/core/jobs/queueing_load_fake.cc
@@ -15,7 +15,6 @@
 constexpr size_t kWorkers = 4;
 constexpr int64_t kTaskCpu = 2000;
 constexpr Milliseconds kStartUp{ 400 };
-constexpr int64_t kUsefulObjectives = 3;
 constexpr double kLateWorth = 0.15;
 constexpr int64_t kPercent = 100;
 // What an account may send, a little over what it usually sends.
--- a/mulberryvalve/core/jobs/queueing_policy.cc
+++ b/mulberryvalve/core/jobs/queueing_policy.cc
@@ -1,15 +1,15 @@
 #include "mulberryvalve/core/jobs/queueing_policy.h"
 
+#include "mulberryvalve/core/jobs/sort_by_rank.h"
+
 #include <algorithm>
 #include <tuple>
-#include <utility>
 
 namespace mulberryvalve {
 namespace {
 
 // The age of a job is measured in multiples of its objective. Each multiple
-// beyond this one halves the weight of its remaining work, up to a limit. A
-// result later than three objectives is of no use to a client.
+// beyond this one halves the weight of its remaining work, up to a limit.
 constexpr int64_t kFullWeightAge = 6;
 constexpr int64_t kMaxHalvings = 20;
 
@@ -40,32 +40,9 @@
 void LeastRemainingWorkPolicy::Sort(std::vector<WaitingStep>& aSteps,
                                     MonotonicTime aNow) const
 {
-  struct WeightedStep
-  {
-    int mPriority;
-    int64_t mWeight;
-    WaitingStep* mStep;
-  };
-  std::vector<WeightedStep> weightedSteps;
-  weightedSteps.reserve(aSteps.size());
-  for (WaitingStep& step : aSteps) {
-    weightedSteps.push_back(
-      WeightedStep{ step.mPriority, WeightedWork(step, aNow), &step });
-  }
-  std::sort(weightedSteps.begin(),
-            weightedSteps.end(),
-            [](const WeightedStep& aLeft, const WeightedStep& aRight) {
-              const auto left = std::tie(aLeft.mPriority, aLeft.mWeight);
-              const auto right = std::tie(aRight.mPriority, aRight.mWeight);
-              return left == right ? IsEarlier(*aLeft.mStep, *aRight.mStep)
-                                   : left < right;
-            });
-  std::vector<WaitingStep> sorted;
-  sorted.reserve(weightedSteps.size());
-  for (const WeightedStep& entry : weightedSteps) {
-    sorted.push_back(*entry.mStep);
-  }
-  aSteps = std::move(sorted);
+  SortByRank(aSteps, [aNow](const WaitingStep& aStep) {
+    return std::make_tuple(aStep.mPriority, WeightedWork(aStep, aNow));
+  });
 }
 
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/queueing_policy.h
+++ b/mulberryvalve/core/jobs/queueing_policy.h
@@ -11,6 +11,9 @@
 
 namespace mulberryvalve {
 
+// A result later than this many objectives is of no use to a caller.
+inline constexpr int64_t kUsefulObjectives = 3;
+
 // ReadyStepKey identifies a step of an unfinished job and sorts by order of
 // acceptance. mArrivalNumber is the position of the job in that order.
 struct ReadyStepKey
