--- a/mulberryvalve/app/jobs/shard_runtime_readers.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_readers.cc
@@ -299,7 +299,7 @@
   uint64_t end = aReadTo;
   for (const auto& part :
        SplitEntries(std::move(tombstones), mPorts.mLog.Limits())) {
-    const Result<void> done =
+    Result<void> done =
       mPorts.mLog.AppendAt(Place(KeyedTopic::kIntake), end, part);
     if (!done) {
       return done;
--- a/mulberryvalve/core/jobs/worker_search.cc
+++ b/mulberryvalve/core/jobs/worker_search.cc
@@ -142,6 +142,7 @@
   }
   std::sort(byCost.begin(), byCost.end());
   std::vector<RackId> racks;
+  racks.reserve(byCost.size());
   for (auto& [cost, rack] : byCost) {
     racks.push_back(std::move(rack));
   }
--- a/mulberryvalve/ports/out/keyed_log.h
+++ b/mulberryvalve/ports/out/keyed_log.h
@@ -140,9 +140,9 @@
   virtual Result<void> Append(const TopicPartition& aPlace,
                               const std::vector<KeyedEntry>& aEntries) = 0;
 
-  // AppendAt appends aEntries if the partition ends at offset aEnd when the call
-  // takes effect, however late that is. Errors: also kConflict (it does not, so
-  // nothing was appended).
+  // AppendAt appends aEntries if the partition ends at offset aEnd when the
+  // call takes effect, however late that is. Errors: also kConflict (it does
+  // not, so nothing was appended).
   virtual Result<void> AppendAt(const TopicPartition& aPlace,
                                 uint64_t aEnd,
                                 const std::vector<KeyedEntry>& aEntries) = 0;
