One setting for the number of schedules of all random tests

All four use SettingOr of tests/support; the two new ones take the older name. Defaults and checks are as before.

--- a/mulberryvalve/core/jobs/job_retention_test.cc
+++ b/mulberryvalve/core/jobs/job_retention_test.cc
@@ -1,9 +1,9 @@
 // Copies of a job's record that are appended late, after the job was over.
 #include "mulberryvalve/core/jobs/intake_copies_fake.h"
 #include "mulberryvalve/core/jobs/single_worker_shard_fake.h"
+#include "tests/support/setting.h"
 
 #include <cstdio>
-#include <cstdlib>
 
 namespace mulberryvalve {
 namespace {
@@ -14,11 +14,12 @@
 constexpr Milliseconds kRetireInterval{ 1100 };
 constexpr Milliseconds kSecond{ 1000 };
 
-// Seeds of a run in CI; MULBERRYVALVE_SEEDS sets another number.
-uint64_t Seeds()
+// MULBERRYVALVE_SCHEDULES sets another number of schedules.
+constexpr uint64_t kDefaultSchedules = 60;
+
+uint64_t Schedules()
 {
-  const char* text = std::getenv("MULBERRYVALVE_SEEDS");
-  return text == nullptr ? 60 : std::strtoull(text, nullptr, 10);
+  return SettingOr("MULBERRYVALVE_SCHEDULES", kDefaultSchedules);
 }
 
 } // namespace
@@ -248,7 +249,7 @@
 TEST(JobRetentionTest, CancelledJobsAreNotStartedUnderRandomLateAppends)
 {
   size_t lateCopies = 0;
-  for (uint64_t seed = 1; seed <= Seeds(); seed++) {
+  for (uint64_t seed = 1; seed <= Schedules(); seed++) {
     IntakeCopies intake(seed);
     intake.Play(Milliseconds(120000));
     intake.Settle();
@@ -260,13 +261,13 @@
     }
     CHECK(intake.Violations().empty());
   }
-  CHECK(lateCopies > Seeds());
+  CHECK(lateCopies > Schedules());
 }
 
 // The same with the number of records: what is over leaves the intake.
 TEST(JobRetentionTest, TheIntakeHoldsOnlyJobsThatAreNotOver)
 {
-  for (uint64_t seed = 1; seed <= Seeds(); seed++) {
+  for (uint64_t seed = 1; seed <= Schedules(); seed++) {
     IntakeCopies intake(seed);
     intake.Play(Milliseconds(60000));
     intake.Settle();
--- a/mulberryvalve/core/jobs/outage_random_test.cc
+++ b/mulberryvalve/core/jobs/outage_random_test.cc
@@ -2,10 +2,10 @@
 // MULBERRYVALVE_SCHEDULES is the number of seeds, and MULBERRYVALVE_SEED runs a
 // single one.
 #include "mulberryvalve/core/jobs/outage_cluster_fake.h"
+#include "tests/support/setting.h"
 
 #include "CppUTest/TestHarness.h"
 
-#include <cstdlib>
 #include <functional>
 #include <map>
 
@@ -159,21 +159,14 @@
   std::vector<std::string> mOverdue;
 };
 
-uint32_t SettingOr(const char* aName, uint32_t aOtherwise)
-{
-  const char* text = std::getenv(aName);
-  return text == nullptr
-           ? aOtherwise
-           : static_cast<uint32_t>(std::strtoul(text, nullptr, 10));
-}
-
 // Runs all seeds. Returns, for each with findings, their number and the first.
 std::string FindingsOfAllSeeds(
   const std::function<std::vector<std::string>(const OutageSchedule&)>&
     aFindingsOf)
 {
-  const uint32_t one = SettingOr("MULBERRYVALVE_SEED", 0);
-  const uint32_t count = SettingOr("MULBERRYVALVE_SCHEDULES", kDefaultSeeds);
+  const auto one = static_cast<uint32_t>(SettingOr("MULBERRYVALVE_SEED", 0));
+  const auto count =
+    static_cast<uint32_t>(SettingOr("MULBERRYVALVE_SCHEDULES", kDefaultSeeds));
   const uint32_t first = one == 0 ? 1 : one;
   const uint32_t last = one == 0 ? count : one;
   std::string all;
--- a/mulberryvalve/core/jobs/takeover_random_test.cc
+++ b/mulberryvalve/core/jobs/takeover_random_test.cc
@@ -1,10 +1,10 @@
 // Random takeovers that overlap with workers that drain, exit, restart, move,
 // become unreachable or lose one owner, and with orders that are lost or late.
 #include "mulberryvalve/core/jobs/takeover_simulation_fake.h"
+#include "tests/support/setting.h"
 
 #include "CppUTest/TestHarness.h"
 
-#include <cstdlib>
 #include <functional>
 #include <map>
 #include <random>
@@ -23,15 +23,6 @@
 constexpr Milliseconds kRecoveryTime{ 15000 };
 
 // Fault is what may happen in a round.
-// MULBERRYVALVE_SEEDS sets another number of seeds than kSeeds.
-uint32_t Seeds()
-{
-  const char* text = std::getenv("MULBERRYVALVE_SEEDS");
-  return text == nullptr
-           ? kSeeds
-           : static_cast<uint32_t>(std::strtoul(text, nullptr, 10));
-}
-
 enum class Fault
 {
   kKilledOwner,
@@ -447,8 +438,9 @@
 // The same with gangs that last and steps for one rack.
 TEST(TakeoverRandomTest, GangsAndRacksKeepInvariantsAndEverythingEnds)
 {
+  const uint64_t schedules = SettingOr("MULBERRYVALVE_SCHEDULES", kSeeds);
   std::string violations;
-  for (uint32_t seed = 1; seed <= Seeds(); seed++) {
+  for (uint32_t seed = 1; seed <= schedules; seed++) {
     RandomSchedule schedule(seed, Draws::kGroups);
     schedule.Run();
     for (const std::string& finding : schedule.Violations()) {
--- a/tests/schedules/schedules_test.cc
+++ b/tests/schedules/schedules_test.cc
@@ -1,7 +1,7 @@
 #include "tests/schedules/schedule.h"
+#include "tests/support/setting.h"
 
 #include <cstdio>
-#include <cstdlib>
 
 #include "CppUTest/TestHarness.h"
 
@@ -11,12 +11,6 @@
 
 constexpr uint64_t kSeedsPerPart = 100'000;
 
-uint64_t SeedSettingOr(const char* aName, uint64_t aOtherwise)
-{
-  const char* text = std::getenv(aName);
-  return text == nullptr ? aOtherwise : std::strtoull(text, nullptr, 10);
-}
-
 // Prints the violations in the schedule of aSeed and returns their number.
 size_t PrintFindings(uint64_t aSeed, const History& aHistory)
 {
@@ -56,9 +50,10 @@
 // separate range of seeds, and MULBERRYVALVE_SEED runs a single seed.
 TEST(Schedules, KeepThePromises)
 {
-  const uint64_t one = SeedSettingOr("MULBERRYVALVE_SEED", 0);
-  const uint64_t count = SeedSettingOr("MULBERRYVALVE_SCHEDULES", 40);
-  const uint64_t part = SeedSettingOr("MULBERRYVALVE_PART", 0);
+  const uint64_t one = mulberryvalve::SettingOr("MULBERRYVALVE_SEED", 0);
+  const uint64_t count =
+    mulberryvalve::SettingOr("MULBERRYVALVE_SCHEDULES", 40);
+  const uint64_t part = mulberryvalve::SettingOr("MULBERRYVALVE_PART", 0);
   const uint64_t first = one != 0 ? one : part * kSeedsPerPart + 1;
   const uint64_t last = one != 0 ? one : first + count - 1;
   size_t findings = 0;
