Call what was there: placed tasks, and one offset of the intake

JobTable::HasPlacedTask serves both; it looks at the counts by worker. - A record of progress built a TaskRef, and so copied the job's id, for each task of a part; owners write thousands of them a second. - The offset of the intake was kept twice, and set under a lock of its own at each read. It is set with the time of the read, once the end is reached; short of the end a removal would be refused anyway. - A branch without effect in FailedAttempts; a condition, a comment and the keeping of a retry time that were hard to read.

--- a/mulberryvalve/app/jobs/intake_appender.h
+++ b/mulberryvalve/app/jobs/intake_appender.h
@@ -41,10 +41,9 @@
 
   // Makes one attempt: on the path that IntakeRelay says and, if that one
   // fails, on the other while time is left. Nothing is sent from aDeadline on.
-  // Errors: kLogAnswerLost (the entry
-  // may have been appended on a path, or may be later), kTooLarge,
-  // kLogUnavailable and the other errors of KeyedLog::Append (nothing was
-  // appended on any path).
+  // Errors: kLogAnswerLost (the entry may have been appended on a path, or may
+  // be later), kTooLarge, kLogUnavailable and the other errors of
+  // KeyedLog::Append (nothing was appended on any path).
   Result<void> Attempt(ShardNumber aShard,
                        const KeyedEntry& aEntry,
                        MonotonicTime aDeadline);
--- a/mulberryvalve/app/jobs/keyed_cursor.h
+++ b/mulberryvalve/app/jobs/keyed_cursor.h
@@ -41,9 +41,9 @@
   // decoded. Errors: those of KeyedLog except kOffsetExpired.
   Result<KeyedChanges> Next(Milliseconds aWait);
 
-  // Returns the offset up to which the records have been returned, or nothing
-  // before the first call of Next that a cursor without an offset needs.
-  std::optional<uint64_t> Position() const { return mNext; }
+  // Returns the offset up to which the records have been returned.
+  // Precondition: Next has succeeded.
+  uint64_t Position() const { return *mNext; }
 
 private:
   Result<KeyedChanges> ReadSnapshot();
--- a/mulberryvalve/app/jobs/shard_runtime.h
+++ b/mulberryvalve/app/jobs/shard_runtime.h
@@ -226,8 +226,8 @@
   void ApplyIntake(const std::vector<KeyedEntry>& aEntries,
                    MonotonicTime aNotBefore,
                    MonotonicTime aReadAt);
-  void OnIntakeApplied(uint64_t aReadTo);
-  void OnIntakeRead(MonotonicTime aReadUpTo);
+  uint64_t IntakeReadTo() const;
+  void OnIntakeRead(MonotonicTime aReadUpTo, uint64_t aReadTo);
   void FollowWorkers();
   void FollowFormerOwners();
   void AskFormerOwner(const FormerOwnerQuestion& aQuestion);
@@ -276,7 +276,8 @@
   std::unique_ptr<ShardScheduler> mShard MV_GUARDED_BY(mMutex);
   std::shared_ptr<const ClusterConfig> mConfig MV_GUARDED_BY(mMutex);
   MonotonicTime mIntakeReadAt MV_GUARDED_BY(mMutex);
-  // The offset up to which the intake has been passed to mShard.
+  // The offset up to which the intake has been passed to mShard, as of when its
+  // end was last reached.
   uint64_t mIntakeReadTo MV_GUARDED_BY(mMutex) = 0;
   // When the metrics by account are updated next.
   MonotonicTime mReportAccountsAt MV_GUARDED_BY(mMutex);
@@ -288,8 +289,6 @@
   // When finished jobs may be removed from the intake again after a removal
   // failed. Used by mThread only.
   std::chrono::steady_clock::time_point mRetireJobsAt;
-  // Where FollowIntake starts reading. Set by Load.
-  uint64_t mIntakeOffset = 0;
   std::atomic<uint64_t> mCompetingEpoch{ 0 };
   std::atomic<bool> mIsOwnershipOver{ false };
   std::atomic<bool> mShouldLeaveGroup{ false };
--- a/mulberryvalve/app/jobs/shard_runtime_readers.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_readers.cc
@@ -100,14 +100,13 @@
     RestoreProgress(read->mProgress.mEntries, *shard);
   const size_t jobs =
     RestoreIntake(read->mIntake.mEntries, records, claimedAt, *shard);
-  mIntakeOffset = read->mIntake.mNext;
   LogEvent(EventLevel::kInfo,
            "shard_loaded",
            { { "jobs", std::to_string(jobs) },
              { "records", std::to_string(records.size()) },
              { "read_records", std::to_string(size.mRecords) },
              { "read_bytes", std::to_string(size.mBytes) },
-             { "intake_next", std::to_string(mIntakeOffset) },
+             { "intake_next", std::to_string(read->mIntake.mNext) },
              { "former_runs", FormatRunsEnds(*shard, claimedAt) } });
   mPorts.mMetrics.Add(Counter::kTakeovers, 1);
   mPorts.mMetrics.Record(Timing::kTakeoverUs, mPorts.mClock.Now() - claimedAt);
@@ -115,7 +114,7 @@
   MutexLock lock(mMutex);
   mShard = std::move(shard);
   mIntakeReadAt = claimedAt;
-  mIntakeReadTo = mIntakeOffset;
+  mIntakeReadTo = read->mIntake.mNext;
   mConfig = mPorts.mConfig.Current();
   mShard->OnConfig(*mConfig);
   StartRenewals();
@@ -311,7 +310,7 @@
 
 void ShardRuntime::FollowIntake()
 {
-  KeyedCursor cursor(mPorts.mLog, Place(KeyedTopic::kIntake), mIntakeOffset);
+  KeyedCursor cursor(mPorts.mLog, Place(KeyedTopic::kIntake), IntakeReadTo());
   // All entries that were on the log at this time have been read.
   MonotonicTime readUpTo;
   while (!mIsOwnershipOver) {
@@ -320,10 +319,9 @@
     const Result<KeyedChanges> changes = cursor.Next(kIntakeReadTimeout);
     if (changes) {
       ApplyIntake(changes.value().mEntries, readUpTo, mPorts.mClock.Now());
-      OnIntakeApplied(cursor.Position().value_or(mIntakeOffset));
       if (changes.value().mReachesEnd) {
         readUpTo = sentAt;
-        OnIntakeRead(readUpTo);
+        OnIntakeRead(readUpTo, cursor.Position());
       }
       continue;
     }
@@ -363,15 +361,18 @@
   RequestDecisionPass();
 }
 
-void ShardRuntime::OnIntakeApplied(uint64_t aReadTo)
+uint64_t ShardRuntime::IntakeReadTo() const
 {
   MutexLock lock(mMutex);
-  mIntakeReadTo = aReadTo;
+  return mIntakeReadTo;
 }
 
-void ShardRuntime::OnIntakeRead(MonotonicTime aReadUpTo)
+// aReadTo is the offset up to which the intake has been applied, which is its
+// end as far as it is known.
+void ShardRuntime::OnIntakeRead(MonotonicTime aReadUpTo, uint64_t aReadTo)
 {
   MutexLock lock(mMutex);
+  mIntakeReadTo = aReadTo;
   mIntakeReadAt = mPorts.mClock.Now();
   mShard->OnIntakeRead(aReadUpTo);
 }
--- a/mulberryvalve/core/jobs/job_placement_policy.cc
+++ b/mulberryvalve/core/jobs/job_placement_policy.cc
@@ -193,8 +193,9 @@
       !aWorker.IsInfoCurrent()) {
     return PlacementRefusal::kUnsure;
   }
-  if (aQuery.mNow <
-      (aQuery.mMayRetryAvoided ? aWorker.mRetryAt : aWorker.mAvoidUntil)) {
+  const MonotonicTime avoidedUntil =
+    aQuery.mMayRetryAvoided ? aWorker.mRetryAt : aWorker.mAvoidUntil;
+  if (aQuery.mNow < avoidedUntil) {
     return PlacementRefusal::kAvoided;
   }
   if (aQuery.mExcludedDomains.count(facts.mDomain) != 0) {
--- a/mulberryvalve/core/jobs/job_placement_policy.h
+++ b/mulberryvalve/core/jobs/job_placement_policy.h
@@ -32,7 +32,7 @@
   // it disturbs, at a pace that they tolerate.
   bool mHasWaitedLong = false;
   MonotonicTime mNow;
-  // The task may be tried on workers that are avoided since long.
+  // The task may be tried on workers that have been avoided for long.
   bool mMayRetryAvoided = false;
   // Set if only workers of this bucket are searched.
   std::optional<size_t> mBucket{};
--- a/mulberryvalve/core/jobs/job_table.cc
+++ b/mulberryvalve/core/jobs/job_table.cc
@@ -39,13 +39,16 @@
   return workers;
 }
 
-TaskRecord ToTaskRecord(const StepState& aStep, const TaskRef& aRef)
+TaskRecord ToTaskRecord(const StepState& aState,
+                        uint32_t aOccurrence,
+                        uint32_t aStep,
+                        uint32_t aIndex)
 {
-  const TaskProgress& task = aStep.mTasks[aRef.mIndex];
+  const TaskProgress& task = aState.mTasks[aIndex];
   TaskRecord record;
-  record.mOccurrence = aRef.mStep.mOccurrence;
-  record.mStep = aRef.mStep.mStep;
-  record.mIndex = aRef.mIndex;
+  record.mOccurrence = aOccurrence;
+  record.mStep = aStep;
+  record.mIndex = aIndex;
   record.mPossibleWorkers = PossibleWorkersOf(task);
   if (HasEnds(task)) {
     record.mDone = task.mDone;
@@ -53,8 +56,8 @@
     record.mProcessedEnds = task.mProcessedEnds;
     record.mCheckpoint = task.mCheckpoint;
   }
-  for (const auto& [run, member] : aStep.mFailedGangRuns) {
-    if (member == aRef.mIndex) {
+  for (const auto& [run, member] : aState.mFailedGangRuns) {
+    if (member == aIndex) {
       record.mFailedGangRuns.push_back(run);
     }
   }
@@ -364,9 +367,7 @@
           continue;
         }
         records[static_cast<size_t>(std::distance(dirtyParts.begin(), dirty))]
-          .mTasks.push_back(ToTaskRecord(
-            steps[step],
-            TaskRef{ { aJob.mGraph.mId, occurrence, step }, index }));
+          .mTasks.push_back(ToTaskRecord(steps[step], occurrence, step, index));
       }
     }
   }
@@ -377,13 +378,22 @@
 // name the runs; a member fails at most once in a run.
 int JobTable::FailedAttempts(const StepState& aStep, uint32_t aIndex)
 {
-  if (aStep.mFailedGangRuns.empty()) {
-    return aStep.mTasks[aIndex].mFailures;
-  }
   const auto runs = static_cast<int>(aStep.mFailedGangRuns.size());
   return std::max(runs, aStep.mTasks[aIndex].mFailures);
 }
 
+bool JobTable::HasPlacedTask(const JobEntry& aJob)
+{
+  for (const auto& [occurrence, steps] : aJob.mOccurrences) {
+    for (const StepState& step : steps) {
+      if (!step.mTasksPerWorker.empty()) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 bool JobTable::AllDone(const JobEntry& aJob)
 {
   return aJob.mFinished == aJob.mTaskCount;
--- a/mulberryvalve/core/jobs/job_table.h
+++ b/mulberryvalve/core/jobs/job_table.h
@@ -200,6 +200,9 @@
   // if the step is one: a run of a gang counts once, however many members fail.
   static int FailedAttempts(const StepState& aStep, uint32_t aIndex);
 
+  // HasPlacedTask returns whether a worker is charged for a task of the job.
+  static bool HasPlacedTask(const JobEntry& aJob);
+
   // AllDone returns whether every task of the job has completed.
   static bool AllDone(const JobEntry& aJob);
 
--- a/mulberryvalve/core/jobs/shard_scheduler_ends.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_ends.cc
@@ -168,11 +168,11 @@
   }
   const int doublings =
     std::min(aWorker.mFailuresInRow - kFailuresToAvoid, kMaxAvoidanceDoublings);
-  const MonotonicTime retryAt = aWorker.mRetryAt;
   const Milliseconds avoidance = kInitialAvoidance * (1 << doublings);
+  const MonotonicTime retryAt =
+    std::max(aWorker.mRetryAt, aNow + std::min(avoidance, kRetryInterval));
   AvoidWorker(aWorker, aNow + avoidance, "fails all");
-  aWorker.mRetryAt =
-    std::max(retryAt, aNow + std::min(avoidance, kRetryInterval));
+  aWorker.mRetryAt = retryAt;
 }
 
 void ShardScheduler::FinishTask(const TaskRef& aTask)
--- a/mulberryvalve/core/jobs/shard_scheduler_retention.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_retention.cc
@@ -2,7 +2,6 @@
 // how long they stay there.
 #include "mulberryvalve/core/jobs/shard_scheduler.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace mulberryvalve {
@@ -12,28 +11,11 @@
 // harmless.
 constexpr Milliseconds kRetireInterval{ 1000 };
 
-// Returns whether a worker may still run a task of the job.
-bool HasPlacedTasks(const JobEntry& aJob)
-{
-  for (const auto& [occurrence, steps] : aJob.mOccurrences) {
-    for (const StepState& step : steps) {
-      const bool isPlaced = std::any_of(
-        step.mTasks.begin(), step.mTasks.end(), [](const TaskProgress& aTask) {
-          return IsPlaced(aTask.mPhase);
-        });
-      if (isPlaced) {
-        return true;
-      }
-    }
-  }
-  return false;
-}
-
 // Returns whether an owner may forget a job whose retention has ended: its end
 // is durable, and no worker is charged for a task of it.
 bool MayForget(const JobEntry& aJob)
 {
-  return aJob.mDurablePhase == aJob.mPhase && !HasPlacedTasks(aJob);
+  return aJob.mDurablePhase == aJob.mPhase && !JobTable::HasPlacedTask(aJob);
 }
 
 } // namespace
--- a/mulberryvalve/core/jobs/shard_scheduler_waiting.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_waiting.cc
@@ -52,18 +52,6 @@
   return std::max(aJob.mAcceptedAt, aNow - std::max(overdue, Milliseconds(0)));
 }
 
-bool HasPlacedTask(const JobEntry& aJob)
-{
-  for (const auto& [occurrence, steps] : aJob.mOccurrences) {
-    for (const StepState& step : steps) {
-      if (!step.mTasksPerWorker.empty()) {
-        return true;
-      }
-    }
-  }
-  return false;
-}
-
 } // namespace
 
 std::vector<WaitingStep> ShardScheduler::CollectWaitingSteps(MonotonicTime aNow)
@@ -195,7 +183,7 @@
                                       MonotonicTime aNow) const
 {
   return mIsMostlyUnused && aNow - aStep.mWaitingSince >= kLongWait &&
-         !HasPlacedTask(aJob);
+         !JobTable::HasPlacedTask(aJob);
 }
 
 } // namespace mulberryvalve
