--- a/mulberryvalve/core/jobs/shard_scheduler.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler.cc
@@ -13,8 +13,6 @@
 // When the remaining waits that the former owner recorded are first recorded
 // again.
 constexpr Milliseconds kFirstNoteRefresh{ 200 };
-// Further decisions are dropped until TakeDecisions is called.
-constexpr size_t kMaxDecisions = 4096;
 
 } // namespace
 
@@ -277,11 +275,6 @@
   return job->mFinishedAt;
 }
 
-std::vector<JobDecision> ShardScheduler::TakeDecisions()
-{
-  return std::exchange(mDecisions, {});
-}
-
 void ShardScheduler::ReleaseTask(const TaskRef& aTask)
 {
   TaskProgress* task = mJobTable.FindTask(aTask);
@@ -312,7 +305,7 @@
   }
   aWorker.mAvoidUntil = aUntil;
   mWorkers.MarkChanged(aWorker);
-  LogWorkerDecision(DecisionKind::kWorkerAvoided, aWorker.mInfo.mId, aWhy);
+  mDecisions.AddWorker(DecisionKind::kWorkerAvoided, aWorker.mInfo.mId, aWhy);
 }
 
 const QueueRules& ShardScheduler::RulesOf(const JobEntry& aJob) const
@@ -321,58 +314,4 @@
   return found == mConfig.mRules.end() ? aJob.mGraph.mRules : found->second;
 }
 
-void ShardScheduler::LogDecision(JobDecision aDecision)
-{
-  if (mDecisions.size() < kMaxDecisions) {
-    mDecisions.push_back(std::move(aDecision));
-  }
-}
-
-JobDecision ShardScheduler::MakeTaskDecision(DecisionKind aKind,
-                                             const TaskRef& aTask,
-                                             const WorkerId& aWorker,
-                                             RunNumber aRun,
-                                             std::string aWhy)
-{
-  JobDecision decision;
-  decision.mKind = aKind;
-  decision.mJob = aTask.mStep.mJob;
-  decision.mTask = aTask;
-  decision.mWorker = aWorker;
-  decision.mRun = aRun.Value();
-  decision.mReason = std::move(aWhy);
-  return decision;
-}
-
-void ShardScheduler::LogDecision(DecisionKind aKind,
-                                 const TaskRef& aTask,
-                                 const WorkerId& aWorker,
-                                 RunNumber aRun,
-                                 std::string aWhy)
-{
-  LogDecision(MakeTaskDecision(aKind, aTask, aWorker, aRun, std::move(aWhy)));
-}
-
-void ShardScheduler::LogJobDecision(DecisionKind aKind,
-                                    const JobId& aJob,
-                                    std::string aWhy)
-{
-  JobDecision decision;
-  decision.mKind = aKind;
-  decision.mJob = aJob;
-  decision.mReason = std::move(aWhy);
-  LogDecision(std::move(decision));
-}
-
-void ShardScheduler::LogWorkerDecision(DecisionKind aKind,
-                                       const WorkerId& aWorker,
-                                       std::string aWhy)
-{
-  JobDecision decision;
-  decision.mKind = aKind;
-  decision.mWorker = aWorker;
-  decision.mReason = std::move(aWhy);
-  LogDecision(std::move(decision));
-}
-
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -7,11 +7,11 @@
 #include "mulberryvalve/core/jobs/account_scheduling.h"
 #include "mulberryvalve/core/jobs/cluster_config.h"
 #include "mulberryvalve/core/jobs/cluster_usage.h"
+#include "mulberryvalve/core/jobs/decision_log.h"
 #include "mulberryvalve/core/jobs/former_owners.h"
 #include "mulberryvalve/core/jobs/held_starts.h"
 #include "mulberryvalve/core/jobs/held_task_report.h"
 #include "mulberryvalve/core/jobs/inherited_workers.h"
-#include "mulberryvalve/core/jobs/job_decision.h"
 #include "mulberryvalve/core/jobs/job_placement_policy.h"
 #include "mulberryvalve/core/jobs/job_retention.h"
 #include "mulberryvalve/core/jobs/job_table.h"
@@ -194,7 +194,7 @@
   // Returns whether a worker has accepted a newer owner: this owner must stop.
   bool IsFenced() const { return mIsFenced; }
   // Returns the decisions since the last call, oldest first.
-  std::vector<JobDecision> TakeDecisions();
+  std::vector<JobDecision> TakeDecisions() { return mDecisions.Take(); }
 
   // Returns what was learned about images (interference) and queues (run
   // times).
@@ -418,21 +418,6 @@
                    MonotonicTime aUntil,
                    const char* aWhy);
   const QueueRules& RulesOf(const JobEntry& aJob) const;
-  static JobDecision MakeTaskDecision(DecisionKind aKind,
-                                      const TaskRef& aTask,
-                                      const WorkerId& aWorker,
-                                      RunNumber aRun,
-                                      std::string aWhy);
-  void LogDecision(JobDecision aDecision);
-  void LogDecision(DecisionKind aKind,
-                   const TaskRef& aTask,
-                   const WorkerId& aWorker,
-                   RunNumber aRun,
-                   std::string aWhy);
-  void LogJobDecision(DecisionKind aKind, const JobId& aJob, std::string aWhy);
-  void LogWorkerDecision(DecisionKind aKind,
-                         const WorkerId& aWorker,
-                         std::string aWhy);
 
   const ShardSchedulerOptions mOptions;
   const SchedulingPolicies mPolicies;
@@ -481,7 +466,7 @@
   // The workers to free for lasting tasks after the present pass.
   std::vector<WorkerId> mPreempted;
   std::vector<TaskOrder> mPendingOrders;
-  std::vector<JobDecision> mDecisions;
+  DecisionLog mDecisions;
   // Most of the workers' processors were unused when the pass began.
   bool mIsMostlyUnused = false;
   // The version of mInterference that the remembered refusals are based on.
--- a/mulberryvalve/core/jobs/shard_scheduler_ends.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_ends.cc
@@ -88,13 +88,13 @@
 void ShardScheduler::LogEnd(const RunEndReport& aRow, const WorkerId& aWorker)
 {
   JobDecision ended =
-    MakeTaskDecision(DecisionKind::kTaskEnded,
-                     aRow.mTask,
-                     aWorker,
-                     aRow.mRun,
-                     std::string(kEndKindNames.Name(aRow.mEndKind)));
+    TaskDecision(DecisionKind::kTaskEnded,
+                 aRow.mTask,
+                 aWorker,
+                 aRow.mRun,
+                 std::string(kEndKindNames.Name(aRow.mEndKind)));
   ended.mEnd = aRow.mEndKind;
-  LogDecision(std::move(ended));
+  mDecisions.Add(std::move(ended));
 }
 
 void ShardScheduler::RecordEnd(const TaskLookup& aPlace,
@@ -245,7 +245,7 @@
   mJobTable.RemoveReadySteps(aJob);
   mDirtyJobs.insert(id);
   mJobTable.MarkPhaseDirty(aJob);
-  LogJobDecision(
+  mDecisions.AddJob(
     DecisionKind::kJobOver, id, std::string(kJobPhaseNames.Name(aPhase)));
   for (const auto& [occurrence, steps] : aJob.mOccurrences) {
     for (uint32_t step = 0; step < steps.size(); step++) {
--- a/mulberryvalve/core/jobs/shard_scheduler_handover.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_handover.cc
@@ -203,7 +203,7 @@
     }
   }
   for (const WorkerId& id : goneWorkers) {
-    LogWorkerDecision(DecisionKind::kWorkerLapsed, id, "no longer listed");
+    mDecisions.AddWorker(DecisionKind::kWorkerLapsed, id, "no longer listed");
     mDirtyWorkers.erase(id);
     mRemovedWorkers.insert(id);
     mInheritedWorkers.Remove(id);
@@ -258,7 +258,7 @@
 void ShardScheduler::ReportHeldTasks(MonotonicTime aNow)
 {
   for (JobDecision& decision : mHeldTasks.Update(aNow)) {
-    LogDecision(std::move(decision));
+    mDecisions.Add(std::move(decision));
   }
 }
 
--- a/mulberryvalve/core/jobs/shard_scheduler_interference.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_interference.cc
@@ -114,13 +114,13 @@
                           std::to_string(worstTailPercent) +
                           " percent of its target");
   } else if (verdict == PaceAction::kChange) {
-    LogWorkerDecision(DecisionKind::kWorkerPaced,
-                      aWorker.mInfo.mId,
-                      "from " + std::to_string(previousPercent) + " to " +
-                        std::to_string(aWorker.mPace.mPercent) +
-                        " percent, worst tail latency " +
-                        std::to_string(worstTailPercent) +
-                        " percent of its target");
+    mDecisions.AddWorker(DecisionKind::kWorkerPaced,
+                         aWorker.mInfo.mId,
+                         "from " + std::to_string(previousPercent) + " to " +
+                           std::to_string(aWorker.mPace.mPercent) +
+                           " percent, worst tail latency " +
+                           std::to_string(worstTailPercent) +
+                           " percent of its target");
   }
   if (aWorker.mPace.mPercent != previousPercent) {
     aWorker.mBestEffortChangedAt = aNow;
--- a/mulberryvalve/core/jobs/shard_scheduler_losses.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_losses.cc
@@ -28,7 +28,7 @@
 // of each start that was sent there is taken for the longest one.
 void ShardScheduler::OnUnnamedIncarnation(WorkerEntry& aWorker)
 {
-  LogWorkerDecision(
+  mDecisions.AddWorker(
     DecisionKind::kWorkerRestarted, aWorker.mInfo.mId, "its clock began anew");
   DropHeldStartsOn(aWorker, "its worker has restarted");
   aWorker.mClock.reset();
@@ -45,18 +45,18 @@
   DropHeldStartsOn(aWorker, "its worker does not answer");
   mWindow.WriteOff(aWorker.mStartsInFlight - aWorker.mStartsWrittenOff);
   aWorker.mStartsWrittenOff = aWorker.mStartsInFlight;
-  LogWorkerDecision(DecisionKind::kWorkerSilent,
-                    aWorker.mInfo.mId,
-                    std::string(kOrderOutcomeNames.Name(aOutcome)));
+  mDecisions.AddWorker(DecisionKind::kWorkerSilent,
+                       aWorker.mInfo.mId,
+                       std::string(kOrderOutcomeNames.Name(aOutcome)));
 }
 
 void ShardScheduler::ResetIncarnation(WorkerEntry& aWorker,
                                       WorkerIncarnation aBirth,
                                       MonotonicTime aNow)
 {
-  LogWorkerDecision(DecisionKind::kWorkerRestarted,
-                    aWorker.mInfo.mId,
-                    "its incarnation changed");
+  mDecisions.AddWorker(DecisionKind::kWorkerRestarted,
+                       aWorker.mInfo.mId,
+                       "its incarnation changed");
   aWorker.mWorkerIncarnation = aBirth;
   DropHeldStartsOn(aWorker, "its worker has restarted");
   ReleaseTasksOfFormerIncarnation(aWorker, aNow);
@@ -105,7 +105,8 @@
                                      MonotonicTime aEndedBy)
 {
   TaskProgress* task = mJobTable.FindTask(aTask);
-  LogDecision(DecisionKind::kTaskLost, aTask, task->mWorker, task->mRun, aWhy);
+  mDecisions.AddTask(
+    DecisionKind::kTaskLost, aTask, task->mWorker, task->mRun, aWhy);
   task->mMinOwnershipProofTime = aEndedBy;
   ReleaseTask(aTask);
 }
@@ -137,7 +138,7 @@
         mInheritedWorkers.MayRunTasks(id)) {
       continue;
     }
-    LogWorkerDecision(
+    mDecisions.AddWorker(
       DecisionKind::kWorkerLapsed, id, "no answer until its leases expired");
     ReleaseAllTasks(
       workerState, "its lease expired", workerState.mLeasesExpiredAt);
--- a/mulberryvalve/core/jobs/shard_scheduler_placement.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_placement.cc
@@ -62,7 +62,7 @@
   }
   ReportHeldTasks(aNow);
   for (JobDecision& change : mAccounts.TakeChanges(aNow)) {
-    LogDecision(std::move(change));
+    mDecisions.Add(std::move(change));
   }
   for (TaskOrder& order : mPendingOrders) {
     order.mDecidedAt = aNow;
@@ -308,7 +308,7 @@
     DropHeldStart(aTask, aWhy.c_str());
     return;
   }
-  LogDecision(
+  mDecisions.AddTask(
     DecisionKind::kTaskStopped, aTask, task->mWorker, task->mRun, aWhy);
   task->mPhase = TaskPhase::kStopping;
   task->mAnsweredAt = MonotonicTime();
--- a/mulberryvalve/core/jobs/shard_scheduler_replies.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_replies.cc
@@ -21,7 +21,7 @@
   }
   if (aReply.mOutcome == OrderOutcome::kFenced) {
     mIsFenced = true;
-    LogWorkerDecision(DecisionKind::kWorkerFenced, aOrder.mWorker, "order");
+    mDecisions.AddWorker(DecisionKind::kWorkerFenced, aOrder.mWorker, "order");
     return;
   }
   // Otherwise the reading is of another worker, which answers at the address.
@@ -90,11 +90,11 @@
     return;
   }
   if (outcome == OrderOutcome::kUnknown) {
-    LogDecision(DecisionKind::kTaskUnsettled,
-                aOrder.mTask,
-                aOrder.mWorker,
-                aOrder.mRun,
-                "its start got no reply");
+    mDecisions.AddTask(DecisionKind::kTaskUnsettled,
+                       aOrder.mTask,
+                       aOrder.mWorker,
+                       aOrder.mRun,
+                       "its start got no reply");
     if (task.mPhase == TaskPhase::kStarting) {
       task.mPhase = TaskPhase::kUnsettled;
       mJobTable.TakeBackStart(aOrder.mTask.mStep.mJob);
@@ -116,11 +116,11 @@
                 aNow + (unhealthy ? kAvoidUnhealthy : kAvoidRefusing),
                 kOrderOutcomeNames.Name(outcome).data());
   }
-  LogDecision(DecisionKind::kTaskLost,
-              aOrder.mTask,
-              aOrder.mWorker,
-              aOrder.mRun,
-              std::string(kOrderOutcomeNames.Name(outcome)));
+  mDecisions.AddTask(DecisionKind::kTaskLost,
+                     aOrder.mTask,
+                     aOrder.mWorker,
+                     aOrder.mRun,
+                     std::string(kOrderOutcomeNames.Name(outcome)));
   ReleaseTask(aOrder.mTask);
 }
 
--- a/mulberryvalve/core/jobs/shard_scheduler_reports.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_reports.cc
@@ -37,7 +37,7 @@
   }
   if (aReply.mOutcome == OrderOutcome::kFenced) {
     mIsFenced = true;
-    LogWorkerDecision(DecisionKind::kWorkerFenced, aOrder.mWorker, "hold");
+    mDecisions.AddWorker(DecisionKind::kWorkerFenced, aOrder.mWorker, "hold");
     return;
   }
   const bool isGone = aReply.mOutcome == OrderOutcome::kGone;
@@ -64,7 +64,7 @@
   if (workerState->mSilent) {
     mWorkers.SetSilent(*workerState, false);
     RevokeHandoverNote(*workerState);
-    LogWorkerDecision(DecisionKind::kWorkerBack, aOrder.mWorker, "answers");
+    mDecisions.AddWorker(DecisionKind::kWorkerBack, aOrder.mWorker, "answers");
   }
   DeclareUse(*workerState);
   mWorkers.OnClockReading(*workerState, aReply.mReading, aNow);
@@ -84,9 +84,9 @@
     mNeedsPlacement = true;
     mInheritedWorkers.Remove(aOrder.mWorker);
     mHeldTasks.OnAnswered(aOrder.mWorker, aNow);
-    LogWorkerDecision(DecisionKind::kWorkerKnown,
-                      aOrder.mWorker,
-                      std::to_string(aReply.mRunning.size()) + " running");
+    mDecisions.AddWorker(DecisionKind::kWorkerKnown,
+                         aOrder.mWorker,
+                         std::to_string(aReply.mRunning.size()) + " running");
   }
 }
 
@@ -194,7 +194,8 @@
                          task->mPhase == TaskPhase::kWaiting &&
                          !task->HasProcessedEnd(row.mRun);
   if (adoptable) {
-    LogDecision(DecisionKind::kTaskAdopted, row.mTask, id, row.mRun, "listed");
+    mDecisions.AddTask(
+      DecisionKind::kTaskAdopted, row.mTask, id, row.mRun, "listed");
     AssignTask(row.mTask, aWorker, row.mRun);
     mJobTable.MarkStarted(row.mTask.mStep.mJob);
     task->mPhase = TaskPhase::kRunning;
@@ -223,7 +224,7 @@
     mUnwantedStopAt[UnwantedRun{ aRow.mTask, aRow.mRun, id }];
   if (nextStopAt <= aNow) {
     nextStopAt = aNow + kUnwantedStopInterval;
-    LogDecision(
+    mDecisions.AddTask(
       DecisionKind::kTaskStopped, aRow.mTask, id, aRow.mRun, "not wanted");
     QueueStop(aRow.mTask, aRow.mRun, aWorker);
   }
@@ -259,12 +260,12 @@
                           task->mPhase == TaskPhase::kStopping;
     if (answered && task->mAnsweredAt != MonotonicTime() &&
         task->mAnsweredAt < aSentAt && task->mListNumber != number) {
-      LogDecision(DecisionKind::kTaskLost,
-                  ref,
-                  aWorker.mInfo.mId,
-                  task->mRun,
-                  std::string(kTaskPhaseNames.Name(task->mPhase)) +
-                    ", missing from the worker's report");
+      mDecisions.AddTask(DecisionKind::kTaskLost,
+                         ref,
+                         aWorker.mInfo.mId,
+                         task->mRun,
+                         std::string(kTaskPhaseNames.Name(task->mPhase)) +
+                           ", missing from the worker's report");
       ReleaseTask(ref);
     }
   }
--- a/mulberryvalve/core/jobs/shard_scheduler_retention.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_retention.cc
@@ -38,7 +38,7 @@
                                            mOptions.mNewJobProofLimit +
                                            mOptions.mLease.mMargin;
   mNeedsPlacement = true;
-  LogJobDecision(DecisionKind::kJobKnown, id, job->mGraph.mQueue.Text());
+  mDecisions.AddJob(DecisionKind::kJobKnown, id, job->mGraph.mQueue.Text());
   ApplyKeptReports(*job, aNow);
   if (mRetention.TakeCancellation(id)) {
     EndJob(*job, JobPhase::kCancelled, aNow);
@@ -59,9 +59,10 @@
     return;
   }
   KeepOver(aJob, aNow);
-  LogJobDecision(DecisionKind::kJobCopyRead,
-                 aJob.mGraph.mId,
-                 "the job is " + std::string(kJobPhaseNames.Name(aJob.mPhase)));
+  mDecisions.AddJob(DecisionKind::kJobCopyRead,
+                    aJob.mGraph.mId,
+                    "the job is " +
+                      std::string(kJobPhaseNames.Name(aJob.mPhase)));
 }
 
 void ShardScheduler::OnJobCancelled(const JobId& aJob, MonotonicTime aNow)
@@ -75,7 +76,8 @@
     KeepOver(*job, aNow);
     return;
   }
-  LogJobDecision(DecisionKind::kJobCancelled, aJob, "requested by its caller");
+  mDecisions.AddJob(
+    DecisionKind::kJobCancelled, aJob, "requested by its caller");
   EndJob(*job, JobPhase::kCancelled, aNow);
 }
 
--- a/mulberryvalve/core/jobs/shard_scheduler_starts.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_starts.cc
@@ -53,7 +53,7 @@
   order.mCheckpoint = mJobTable.FindTask(aTask)->mCheckpoint;
   mHeldStarts.Add(std::move(order), MayStartUnrecorded(spec), aNow);
   mWindow.OnOrdered();
-  JobDecision decision = MakeTaskDecision(
+  JobDecision decision = TaskDecision(
     DecisionKind::kTaskPlaced,
     aTask,
     aWorker.mInfo.mId,
@@ -65,7 +65,7 @@
     decision.mWaited =
       std::chrono::duration_cast<Milliseconds>(aNow - aJob.mReadAt);
   }
-  LogDecision(std::move(decision));
+  mDecisions.Add(std::move(decision));
 }
 
 AppendDemand ShardScheduler::NeededAppend() const
@@ -145,11 +145,11 @@
   if (!isRecorded) {
     mUnrecordedStarts.OnSent(
       aOrder.mTask, aOrder.mWorker, mJobTable.PartOf(aOrder.mTask));
-    LogDecision(DecisionKind::kStartUnrecorded,
-                aOrder.mTask,
-                aOrder.mWorker,
-                aOrder.mRun,
-                "the log takes no records");
+    mDecisions.AddTask(DecisionKind::kStartUnrecorded,
+                       aOrder.mTask,
+                       aOrder.mWorker,
+                       aOrder.mRun,
+                       "the log takes no records");
   }
   mJobTable.MarkStarted(aOrder.mTask.mStep.mJob);
   aOrder.mUntil = *leaseEnd;
@@ -200,11 +200,11 @@
   if (start == nullptr) {
     return;
   }
-  LogDecision(DecisionKind::kTaskStopped,
-              aTask,
-              start->mOrder.mWorker,
-              start->mOrder.mRun,
-              std::string("not sent, ") + aWhy);
+  mDecisions.AddTask(DecisionKind::kTaskStopped,
+                     aTask,
+                     start->mOrder.mWorker,
+                     start->mOrder.mRun,
+                     std::string("not sent, ") + aWhy);
   ReleaseTask(aTask);
   const JobEntry& job = *mJobTable.Find(aTask.mStep.mJob);
   if (!job.mGraph.mSteps[aTask.mStep.mStep].mGang) {
@@ -214,11 +214,11 @@
        mHeldStarts.Select([&](const HeldStart& aStart) {
          return aStart.mOrder.mTask.mStep == aTask.mStep;
        })) {
-    LogDecision(DecisionKind::kTaskStopped,
-                member.mOrder.mTask,
-                member.mOrder.mWorker,
-                member.mOrder.mRun,
-                "not sent, another member of its gang was not");
+    mDecisions.AddTask(DecisionKind::kTaskStopped,
+                       member.mOrder.mTask,
+                       member.mOrder.mWorker,
+                       member.mOrder.mRun,
+                       "not sent, another member of its gang was not");
     ReleaseTask(member.mOrder.mTask);
   }
 }
--- a/mulberryvalve/core/jobs/shard_scheduler_waiting.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_waiting.cc
@@ -167,13 +167,13 @@
   if (!limit.empty()) {
     cause = WaitCause::kAccountLimit;
   }
-  JobDecision decision = MakeTaskDecision(DecisionKind::kStepWaits,
-                                          TaskRef{ aStep, 0 },
-                                          WorkerId(),
-                                          RunNumber(),
-                                          std::move(why));
+  JobDecision decision = TaskDecision(DecisionKind::kStepWaits,
+                                      TaskRef{ aStep, 0 },
+                                      WorkerId(),
+                                      RunNumber(),
+                                      std::move(why));
   decision.mWaitCause = cause;
-  LogDecision(std::move(decision));
+  mDecisions.Add(std::move(decision));
 }
 
 // A job without any running task may be placed where it interferes with
