Failures of one moment make a worker avoided once, not for longer

Cause: TrackWorkerFailures doubled the time with each failure, though runs that fail while the worker is avoided began before that and tell nothing new.

Now they don't count until the worker may be tried again. The fourth failure in a row still has a worker avoided, whenever the four come, so a worker that fails all is left alone as soon as before; only the time grows by tries.

--- a/mulberryvalve/core/jobs/shard_scheduler_ends.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_ends.cc
@@ -159,7 +159,9 @@
   if (aRow.mEndKind == EndKind::kDone) {
     aWorker.mFailuresInRow = 0;
   }
-  if (aRow.mEndKind != EndKind::kFailed) {
+  // Runs that fail while the worker is avoided began before that, so they are
+  // the same evidence.
+  if (aRow.mEndKind != EndKind::kFailed || aNow < aWorker.mCountFailuresFrom) {
     return;
   }
   aWorker.mFailuresInRow++;
@@ -169,8 +171,9 @@
   const int doublings =
     std::min(aWorker.mFailuresInRow - kFailuresToAvoid, kMaxAvoidanceDoublings);
   const Milliseconds avoidance = kInitialAvoidance * (1 << doublings);
+  aWorker.mCountFailuresFrom = aNow + std::min(avoidance, kRetryInterval);
   const MonotonicTime retryAt =
-    std::max(aWorker.mRetryAt, aNow + std::min(avoidance, kRetryInterval));
+    std::max(aWorker.mRetryAt, aWorker.mCountFailuresFrom);
   AvoidWorker(aWorker, aNow + avoidance, "fails all");
   aWorker.mRetryAt = retryAt;
 }
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -87,6 +87,8 @@
   // From then on a lasting task that no other worker can take may be tried.
   MonotonicTime mRetryAt;
   int mFailuresInRow = 0;
+  // Failures before this time are of runs that began before it was avoided.
+  MonotonicTime mCountFailuresFrom;
   // When a leaving worker may be gone, by its last report.
   std::optional<MonotonicTime> mLeavesAt;
   // The worker is in the list that WorkerTable::TakeChanged returns next.
