Owners give idle workers to shards that lack room: the decisions

Cause: workers are dealt to shards by a hash of their ids, for good, so a task that its own shard can't hold waits, whatever is idle elsewhere.

Change, by the design in docs/design/room-between-shards.md: - ShardWorkers: a worker belongs to its home shard until a WorkerMove on the progress of one shard and the intake of the other says otherwise. The newest move decides. An owner never calls a worker that has left, and adds a base to its epoch in calls to one that has come, above all tokens used there before. - RoomExchange: an owner whose step found no worker for half a second asks the other owners; these give workers on which nothing of theirs runs or may begin, once no run of a former owner can be left, and only when the move is on the log. An idle guest goes home after a minute.

Not found by any test: giving before former owners' runs have ended; that rule rests on reading.

Where there is one shard, nothing is asked and nothing changes.

--- a/mulberryvalve/core/jobs/job_decision.h
+++ b/mulberryvalve/core/jobs/job_decision.h
@@ -37,9 +37,11 @@
   kStartUnrecorded,  // a start was sent before the log named its worker
   kAccountLimited,   // tasks of a client account wait for its limit
   kAccountUnlimited, // none do any more
+  kWorkerGiven,      // it is moved to another shard
+  kWorkerTaken,      // it was moved here from another shard
 };
 
-inline constexpr EnumTable<DecisionKind, 24> kDecisionKindNames{ { {
+inline constexpr EnumTable<DecisionKind, 26> kDecisionKindNames{ { {
   { DecisionKind::kJobKnown, "job_known" },
   { DecisionKind::kJobCopyRead, "job_copy_read" },
   { DecisionKind::kJobCancelled, "job_cancelled" },
@@ -64,6 +66,8 @@
   { DecisionKind::kStartUnrecorded, "start_unrecorded" },
   { DecisionKind::kAccountLimited, "account_limited" },
   { DecisionKind::kAccountUnlimited, "account_unlimited" },
+  { DecisionKind::kWorkerGiven, "worker_given" },
+  { DecisionKind::kWorkerTaken, "worker_taken" },
 } } };
 
 // WaitCause is the most frequent reason why workers are ruled out for a waiting
--- a/mulberryvalve/core/jobs/job_placement_policy.cc
+++ b/mulberryvalve/core/jobs/job_placement_policy.cc
@@ -185,7 +185,8 @@
                                     const WorkerEntry& aWorker)
 {
   const WorkerInfo& facts = aWorker.mInfo;
-  if (!aWorker.mListed || facts.mState != WorkerState::kLive) {
+  if (!aWorker.mListed || aWorker.mIsGiven ||
+      facts.mState != WorkerState::kLive) {
     return PlacementRefusal::kLeaving;
   }
   if (!aWorker.mHasReportedRuns || aWorker.mSilent || !aWorker.MayBeUsed() ||
@@ -240,6 +241,27 @@
          aQuery.mStep.mDemand.FitsIn(aWorker.FreeCapacity() + evictable);
 }
 
+uint64_t TasksThatFit(const StepSpec& aStep,
+                      const WorkerEntry& aWorker,
+                      uint64_t aMost)
+{
+  const Resources demand = aStep.Committed();
+  const Resources free = aWorker.FreeCapacity();
+  uint64_t tasks = aMost;
+  const auto limit = [&tasks](int64_t aFree, int64_t aDemand) {
+    if (aDemand > 0) {
+      tasks = std::min(tasks, static_cast<uint64_t>(aFree / aDemand));
+    }
+  };
+  limit(free.mCpuMillis, demand.mCpuMillis);
+  limit(free.mMemoryMb, demand.mMemoryMb);
+  limit(free.mAccelerators, demand.mAccelerators);
+  if (aStep.mMaxPerWorker > 0) {
+    tasks = std::min<uint64_t>(tasks, aStep.mMaxPerWorker);
+  }
+  return tasks;
+}
+
 std::optional<int64_t> LearnedPlacementPolicy::CostOn(
   const PlacementQuery& aQuery,
   const WorkerEntry& aWorker) const
--- a/mulberryvalve/core/jobs/job_placement_policy.h
+++ b/mulberryvalve/core/jobs/job_placement_policy.h
@@ -42,7 +42,7 @@
 enum class PlacementRefusal
 {
   kNone,
-  kLeaving,   // it is leaving or not in the list of workers
+  kLeaving,   // it is leaving, given away or not in the list of workers
   kUnsure,    // its state or runs are not known with certainty
   kAvoided,   // it refused or failed orders recently
   kDomainOut, // its failure domain gets no new tasks
@@ -80,6 +80,12 @@
 bool CanPlaceAfterEviction(const PlacementQuery& aQuery,
                            const WorkerEntry& aWorker);
 
+// TasksThatFit returns how many tasks of a step fit into the free capacity of a
+// worker that can take one, at most aMost.
+uint64_t TasksThatFit(const StepSpec& aStep,
+                      const WorkerEntry& aWorker,
+                      uint64_t aMost);
+
 // EstimatedCpuUsage returns the thousandths of a core that are likely in use,
 // with serving tasks at their usual load.
 int64_t EstimatedCpuUsage(const WorkerEntry& aWorker);
--- a/mulberryvalve/core/jobs/job_table.h
+++ b/mulberryvalve/core/jobs/job_table.h
@@ -49,6 +49,8 @@
   uint32_t mDone = 0;
   // Since when ready tasks have waited; zero while none waits.
   MonotonicTime mWaitingSince;
+  // When no worker was last found to take a task of it.
+  std::optional<MonotonicTime> mRefusedAt;
   // When the reason for the wait is logged next.
   MonotonicTime mExplainAt;
   CachedForecast mForecast;
--- a/mulberryvalve/core/jobs/progress_batch.h
+++ b/mulberryvalve/core/jobs/progress_batch.h
@@ -6,6 +6,7 @@
 #include "mulberryvalve/core/jobs/job_state.h"
 #include "mulberryvalve/core/jobs/learned_record.h"
 #include "mulberryvalve/core/jobs/used_worker_record.h"
+#include "mulberryvalve/core/jobs/worker_move.h"
 
 #include <optional>
 #include <vector>
@@ -46,6 +47,8 @@
   std::vector<RetiredJob> mRetired;
   std::vector<UsedWorkerRecord> mWorkers;
   std::vector<WorkerId> mRemovedWorkers;
+  // Workers that belong to other shards from then on.
+  std::vector<WorkerMove> mMoves;
   // Former owners whose runs have all ended, so their claims are not needed.
   std::vector<Epoch> mEndedClaims;
   std::vector<AckedEnds> mAckedEnds;
@@ -56,7 +59,7 @@
   bool Empty() const
   {
     return mJobs.empty() && mRetired.empty() && mWorkers.empty() &&
-           mRemovedWorkers.empty() && mEndedClaims.empty();
+           mRemovedWorkers.empty() && mMoves.empty() && mEndedClaims.empty();
   }
 };
 
--- a/mulberryvalve/core/jobs/shard_scheduler.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler.cc
@@ -27,6 +27,18 @@
   , mAccounts(aOptions.mShards, mJobTable, mWorkers, mInheritedWorkers)
   , mHeldTasks(mJobTable, mWorkers, mInheritedWorkers, aClaimedAt)
   , mRetention(aOptions.mKeepOver)
+  , mRoom(RoomExchangeOptions{ aOptions.mShard,
+                               aOptions.mShards,
+                               aOptions.mEpoch,
+                               aClaimedAt },
+          RoomExchangeParts{ mJobTable,
+                             mWorkers,
+                             mInheritedWorkers,
+                             mFormerOwners,
+                             mConfig,
+                             mInterference,
+                             aPolicies.mPlacement,
+                             mDecisions })
   , mRefreshNotesAt(aClaimedAt + kFirstNoteRefresh)
   , mSaveLearnedAt(aClaimedAt + kSaveLearnedInterval)
 {
@@ -53,12 +65,18 @@
   }
 }
 
+// The record of a worker that has left may still be on the log.
 void ShardScheduler::RestoreWorker(const UsedWorkerRecord& aWorker)
 {
+  if (mRoom.Workers().HasLeft(aWorker.mId)) {
+    mRemovedWorkers.insert(aWorker.mId);
+    return;
+  }
   WorkerEntry& workerState = mWorkers.Add(aWorker.mId);
   workerState.mInfo.mId = aWorker.mId;
   workerState.mInfo.mEndpoint = aWorker.mEndpoint;
   workerState.mInfo.mService = aWorker.mService;
+  workerState.mTokenBase = mRoom.Workers().TokenBase(aWorker.mId);
   workerState.mListed = false;
   workerState.mRecorded = true;
   workerState.mWorkerIncarnation = aWorker.mWorkerIncarnation;
@@ -104,8 +122,12 @@
 {
   std::set<WorkerId> listed;
   for (const WorkerInfo& facts : aWorkers) {
+    if (mRoom.Workers().HasLeft(facts.mId)) {
+      continue;
+    }
     listed.insert(facts.mId);
     WorkerEntry& workerState = mWorkers.Add(facts.mId);
+    workerState.mTokenBase = mRoom.Workers().TokenBase(facts.mId);
     if (facts.mWorkerIncarnation != WorkerIncarnation() &&
         facts.mWorkerIncarnation < workerState.mWorkerIncarnation) {
       continue; // written before the worker restarted
@@ -165,6 +187,10 @@
   }
   mUnrecordedStarts.OnTaken(batch.mJobs);
   batch.mRetired = mRetention.TakeOffIntake(ProgressBatch::kMaxJobs);
+  batch.mMoves = mRoom.TakeMoves(aNow);
+  for (const WorkerMove& move : batch.mMoves) {
+    mDirtyWorkers.erase(move.mWorker);
+  }
   for (const WorkerId& id : mDirtyWorkers) {
     WorkerEntry* workerState = mWorkers.Find(id);
     if (workerState == nullptr) {
@@ -214,6 +240,10 @@
   for (const UsedWorkerRecord& worker : aBatch.mWorkers) {
     OnWorkerRecordDurable(worker);
   }
+  for (const WorkerMove& move : aBatch.mMoves) {
+    mRoom.OnMove(move);
+    RemoveWorker(move.mWorker);
+  }
   for (const ProgressBatch::AckedEnds& ends : aBatch.mAckedEnds) {
     WorkerEntry* workerState = mWorkers.Find(ends.mWorker);
     if (workerState != nullptr &&
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -18,6 +18,7 @@
 #include "mulberryvalve/core/jobs/placement_pass.h"
 #include "mulberryvalve/core/jobs/progress_batch.h"
 #include "mulberryvalve/core/jobs/queueing_policy.h"
+#include "mulberryvalve/core/jobs/room_exchange.h"
 #include "mulberryvalve/core/jobs/run_time_estimator.h"
 #include "mulberryvalve/core/jobs/service_load.h"
 #include "mulberryvalve/core/jobs/shard_scheduler_options.h"
@@ -205,6 +206,9 @@
   const AccountUsage& Accounts() const { return mAccounts.Usage(); }
   std::vector<AccountLoad> AccountLoads() const { return mAccounts.Loads(); }
   size_t PlacementEvaluations() const { return mSearch.EvaluationCount(); }
+  // Returns what is given to other shards and asked of them.
+  RoomExchange& Room() { return mRoom; }
+  const RoomExchange& Room() const { return mRoom; }
   // Return the current state of the workers, and what is kept of jobs that are
   // over.
   const WorkerTable& Workers() const { return mWorkers; }
@@ -247,6 +251,8 @@
   bool HasOpenStart(const WorkerEntry& aWorker) const;
   void RemoveEndedClaims(MonotonicTime aNow);
   void RemoveGoneWorkers(MonotonicTime aNow);
+  void RemoveWorker(const WorkerId& aWorker);
+  Epoch TokenFor(const WorkerEntry& aWorker) const;
   bool IsGone(const WorkerEntry& aWorker, MonotonicTime aNow) const;
   bool IsJobBlocked(const JobEntry& aJob, MonotonicTime aNow) const;
   bool IsStepBlocked(const JobEntry& aJob,
@@ -447,6 +453,7 @@
   UnrecordedStartList mUnrecordedStarts;
   UnreadJobs mUnreadJobs;
   JobRetention mRetention;
+  RoomExchange mRoom;
   MonotonicTime mRefreshNotesAt;
   // A list of workers was received.
   bool mHasWorkerList = false;
--- a/mulberryvalve/core/jobs/shard_scheduler_gangs.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_gangs.cc
@@ -100,6 +100,7 @@
     }
   }
   if (chosen.size() < spec.mCount) {
+    step.mRefusedAt = aNow;
     return;
   }
   const RunNumber run = NextRunNumber(aJob);
--- a/mulberryvalve/core/jobs/shard_scheduler_handover.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_handover.cc
@@ -204,15 +204,21 @@
   }
   for (const WorkerId& id : goneWorkers) {
     mDecisions.AddWorker(DecisionKind::kWorkerLapsed, id, "no longer listed");
-    mDirtyWorkers.erase(id);
-    mRemovedWorkers.insert(id);
-    mInheritedWorkers.Remove(id);
-    mUnreadJobs.ForgetWorker(id);
-    mUsedUnrecorded.erase(id);
-    mWorkers.Remove(id);
+    RemoveWorker(id);
   }
 }
 
+// Forgets a worker on which nothing of this shard can run any more.
+void ShardScheduler::RemoveWorker(const WorkerId& aWorker)
+{
+  mDirtyWorkers.erase(aWorker);
+  mRemovedWorkers.insert(aWorker);
+  mInheritedWorkers.Remove(aWorker);
+  mUnreadJobs.ForgetWorker(aWorker);
+  mUsedUnrecorded.erase(aWorker);
+  mWorkers.Remove(aWorker);
+}
+
 bool ShardScheduler::IsGone(const WorkerEntry& aWorker,
                             MonotonicTime aNow) const
 {
--- a/mulberryvalve/core/jobs/shard_scheduler_options.h
+++ b/mulberryvalve/core/jobs/shard_scheduler_options.h
@@ -13,8 +13,10 @@
 struct ShardSchedulerOptions
 {
   Epoch mEpoch;
-  // The number of shards, whose owners divide the limits of client accounts.
-  uint32_t mShards = 1;
+  // The shard, and the number of shards, whose owners divide the limits of
+  // client accounts.
+  ShardNumber mShard = 0;
+  ShardNumber mShards = 1;
   LeaseTerms mLease;
   // An owner stops acting this long after its last proof of ownership.
   Milliseconds mProofLimit{ 6000 };
--- a/mulberryvalve/core/jobs/shard_scheduler_placement.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_placement.cc
@@ -41,6 +41,7 @@
   RemoveGoneWorkers(aNow);
   RefreshHandoverNotes(aNow);
   EvacuateLeavingWorkers(aNow);
+  mRoom.Update(aNow);
   const bool mayStart = aProof.mMayStart && mWorkers.MayStart(aNow);
   HandleHeldStarts(mayStart, aNow);
   mJobTable.AddDueSteps(aWallTime);
@@ -160,8 +161,11 @@
   }
   const bool isOverdue = mHeldStarts.AreRecordsOverdue();
   const ServiceId& service = RulesOf(aJob).mService;
+  if (mPass.Refused().Covers(service, spec, hasWaited, std::nullopt)) {
+    step.mRefusedAt = aNow;
+    return;
+  }
   if (IsJobBlocked(aJob, aNow) || (isOverdue && !MayStartUnrecorded(spec)) ||
-      mPass.Refused().Covers(service, spec, hasWaited, std::nullopt) ||
       !mAccounts.MayStart(aJob, spec)) {
     return;
   }
@@ -213,6 +217,7 @@
     }
     if (mayPlace && !PlaceTask(aJob, ref, aNow)) {
       mPass.Refused().Add(service, spec, hasWaited, bucket);
+      mJobTable.StepOf(aStep).mRefusedAt = aNow;
       return true;
     }
   }
@@ -327,10 +332,16 @@
   order.mWorker = aWorker.mInfo.mId;
   order.mEndpoint = aWorker.mInfo.mEndpoint;
   order.mWorkerIncarnation = aWorker.mWorkerIncarnation;
-  order.mEpoch = mOptions.mEpoch;
+  order.mEpoch = TokenFor(aWorker);
   return order;
 }
 
+// Returns the fencing token of calls to a worker.
+Epoch ShardScheduler::TokenFor(const WorkerEntry& aWorker) const
+{
+  return Epoch(mOptions.mEpoch.Value() + aWorker.mTokenBase);
+}
+
 void ShardScheduler::QueueStop(const TaskRef& aTask,
                                RunNumber aRun,
                                const WorkerEntry& aWorker)
--- a/mulberryvalve/core/jobs/shard_scheduler_replies.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_replies.cc
@@ -19,6 +19,12 @@
   if (aOrder.mKind == OrderKind::kStart && worker != nullptr) {
     OnStartAnswered(*worker, aOrder.mDecidedAt, aNow);
   }
+  const bool isOfFormerStay = worker == nullptr
+                                ? mRoom.Workers().HasLeft(aOrder.mWorker)
+                                : aOrder.mEpoch < TokenFor(*worker);
+  if (aReply.mOutcome == OrderOutcome::kFenced && isOfFormerStay) {
+    return; // it follows the owners of the shard that it was moved to
+  }
   if (aReply.mOutcome == OrderOutcome::kFenced) {
     mIsFenced = true;
     mDecisions.AddWorker(DecisionKind::kWorkerFenced, aOrder.mWorker, "order");
--- a/mulberryvalve/core/jobs/shard_scheduler_reports.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_reports.cc
@@ -23,7 +23,8 @@
     return std::nullopt;
   }
   UseUnrecordedIfAllowed(*workerState);
-  return mWorkers.NextRenewal(*workerState, mOptions.mEpoch, aMayRenew, aNow);
+  return mWorkers.NextRenewal(
+    *workerState, TokenFor(*workerState), aMayRenew, aNow);
 }
 
 void ShardScheduler::OnRenewalReply(const RenewalRequest& aOrder,
@@ -35,6 +36,10 @@
   if (workerState == nullptr) {
     return;
   }
+  if (aReply.mOutcome == OrderOutcome::kFenced &&
+      aOrder.mEpoch < TokenFor(*workerState)) {
+    return; // sent before the worker was moved away and back
+  }
   if (aReply.mOutcome == OrderOutcome::kFenced) {
     mIsFenced = true;
     mDecisions.AddWorker(DecisionKind::kWorkerFenced, aOrder.mWorker, "hold");
@@ -192,7 +197,7 @@
   }
   const bool adoptable = task != nullptr && !IsOver(aRun.mPlace.mJob->mPhase) &&
                          task->mPhase == TaskPhase::kWaiting &&
-                         !task->HasProcessedEnd(row.mRun);
+                         !aWorker.mIsGiven && !task->HasProcessedEnd(row.mRun);
   if (adoptable) {
     mDecisions.AddTask(
       DecisionKind::kTaskAdopted, row.mTask, id, row.mRun, "listed");
--- a/mulberryvalve/core/jobs/shard_scheduler_starts.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_starts.cc
@@ -26,6 +26,7 @@
   }
   const StepSpec& spec = mJobTable.SpecOf(aTask.mStep);
   mWorkers.Charge(aWorker, aTask, spec);
+  aWorker.mIdleSince.reset();
   mAccounts.Charge(*mJobTable.Find(aTask.mStep.mJob), spec);
 }
 
@@ -71,7 +72,7 @@
 AppendDemand ShardScheduler::NeededAppend() const
 {
   const bool hasChanges = !mDirtyJobs.empty() || !mDirtyWorkers.empty() ||
-                          !mRemovedWorkers.empty() ||
+                          !mRemovedWorkers.empty() || mRoom.HasMoves() ||
                           mRetention.HasOffIntake() || !mEndedClaims.empty();
   if (!hasChanges) {
     return AppendDemand::kNone;
--- a/mulberryvalve/core/jobs/worker_search.cc
+++ b/mulberryvalve/core/jobs/worker_search.cc
@@ -20,29 +20,6 @@
          aNow < aWorker.mReservedForLongRunningUntil;
 }
 
-// Returns how many tasks of a step fit into the free capacity of a worker that
-// can take one, at most aMost.
-uint64_t TasksThatFit(const StepSpec& aStep,
-                      const WorkerEntry& aWorker,
-                      uint64_t aMost)
-{
-  const Resources demand = aStep.Committed();
-  const Resources free = aWorker.FreeCapacity();
-  uint64_t tasks = aMost;
-  const auto limit = [&tasks](int64_t aFree, int64_t aDemand) {
-    if (aDemand > 0) {
-      tasks = std::min(tasks, static_cast<uint64_t>(aFree / aDemand));
-    }
-  };
-  limit(free.mCpuMillis, demand.mCpuMillis);
-  limit(free.mMemoryMb, demand.mMemoryMb);
-  limit(free.mAccelerators, demand.mAccelerators);
-  if (aStep.mMaxPerWorker > 0) {
-    tasks = std::min<uint64_t>(tasks, aStep.mMaxPerWorker);
-  }
-  return tasks;
-}
-
 } // namespace
 
 WorkerSearch::WorkerSearch(const JobPlacementPolicy& aPlacement,
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -89,6 +89,13 @@
   int mFailuresInRow = 0;
   // Failures before this time are of runs that began before it was avoided.
   MonotonicTime mCountFailuresFrom;
+  // It is about to be given to another shard, so nothing is started there.
+  bool mIsGiven = false;
+  // Since when nothing of this shard runs there; looked at where there are
+  // several shards.
+  std::optional<MonotonicTime> mIdleSince;
+  // What is added to the owner's epoch in calls to the worker.
+  uint64_t mTokenBase = 0;
   // When a leaving worker may be gone, by its last report.
   std::optional<MonotonicTime> mLeavesAt;
   // The worker is in the list that WorkerTable::TakeChanged returns next.
--- a/mulberryvalve/core/model/ids.h
+++ b/mulberryvalve/core/model/ids.h
@@ -4,6 +4,8 @@
 
 #include "mulberryvalve/core/base/strong_id.h"
 
+#include <cstdint>
+
 namespace mulberryvalve {
 
 using InstanceId = StrongId<struct InstanceIdTag>;
@@ -29,6 +31,9 @@
 // a shard; it fences the writes of earlier owners.
 using Epoch = StrongNumber<struct EpochTag>;
 
+// ShardNumber numbers the shards of jobs and workers from 0.
+using ShardNumber = uint32_t;
+
 // Attempt numbers the placements of one task, starting at 1.
 using Attempt = StrongNumber<struct AttemptTag>;
 
--- a/mulberryvalve/ports/out/shard_group.h
+++ b/mulberryvalve/ports/out/shard_group.h
@@ -6,17 +6,14 @@
 #include "mulberryvalve/core/base/failure.h"
 #include "mulberryvalve/core/base/strong_id.h"
 #include "mulberryvalve/core/jobs/cluster_layout.h"
+#include "mulberryvalve/core/model/ids.h"
 #include "mulberryvalve/core/model/worker.h"
 
-#include <cstdint>
 #include <optional>
 #include <vector>
 
 namespace mulberryvalve {
 
-// ShardNumber numbers the shards from 0.
-using ShardNumber = uint32_t;
-
 // Generation counts the changes of a group's members and assignments.
 using Generation = StrongNumber<struct GenerationTag>;
 
