Owners give idle workers to shards that lack room: messages and records

A move is the record "move/ID" on the progress of the shard that gives the worker away, under its fence, and after that on the intake of the other. Owners ask each other over the peer link ("room"); an answer is advice only. Requests and moves that make no sense are refused with a reason, logged (room_refused, move_refused) and counted. Each move has a line at both ends, with its cause and the age of the worker's last report (worker_given, worker_taken), and metrics: workers_given, workers_taken, room_requests, room_requests_refused, moves_refused.

--- a/mulberryvalve/adapters/json/job_log_json.cc
+++ b/mulberryvalve/adapters/json/job_log_json.cc
@@ -7,6 +7,7 @@
 #include "mulberryvalve/adapters/json/ownership_json.h"
 #include "mulberryvalve/adapters/json/task_record_json.h"
 #include "mulberryvalve/adapters/json/text_validation.h"
+#include "mulberryvalve/adapters/json/worker_move_json.h"
 
 #include <algorithm>
 #include <charconv>
@@ -24,6 +25,7 @@
 constexpr std::string_view kJobPrefix = "job/";
 constexpr std::string_view kPartPrefix = "part/";
 constexpr std::string_view kWorkerPrefix = "worker/";
+constexpr std::string_view kMovePrefix = "move/";
 constexpr std::string_view kOwnerPrefix = "owner/";
 constexpr std::string_view kNewestOwnerKey = "owner";
 constexpr std::string_view kLearnedKey = "learned";
@@ -345,6 +347,12 @@
                      DumpReplacingInvalidUtf8(LearnedToJson(aLearned)) };
 }
 
+KeyedEntry JobLogJson::Encode(const WorkerMove& aMove) const
+{
+  return KeyedEntry{ KeyWithPrefix(kMovePrefix, aMove.mWorker.Text()),
+                     DumpReplacingInvalidUtf8(MoveToJson(aMove)) };
+}
+
 std::vector<KeyedEntry> JobLogJson::EncodeIntakeTombstones(
   const JobId& aJob) const
 {
@@ -382,12 +390,18 @@
 std::optional<JobId> JobLogJson::SubmittedJobId(const KeyedEntry& aEntry) const
 {
   std::string_view id = aEntry.mKey;
-  if (!aEntry.mValue || ConsumePrefix(id, kCancelPrefix)) {
+  if (!aEntry.mValue || IsMove(aEntry) || ConsumePrefix(id, kCancelPrefix)) {
     return std::nullopt;
   }
   return JobId(aEntry.mKey);
 }
 
+bool JobLogJson::IsMove(const KeyedEntry& aEntry) const
+{
+  std::string_view key = aEntry.mKey;
+  return aEntry.mValue && ConsumePrefix(key, kMovePrefix);
+}
+
 Result<IntakeItem> JobLogJson::DecodeIntake(const KeyedEntry& aEntry) const
 {
   if (!aEntry.mValue) {
@@ -404,6 +418,10 @@
   if (!object) {
     return object.error();
   }
+  if (ConsumePrefix(id, kMovePrefix)) {
+    return ToVariant<IntakeItem>(
+      MoveFromJson(WorkerId(std::string(id)), object.value()));
+  }
   return ToVariant<IntakeItem>(JobFromJson(aEntry.mKey, object.value()));
 }
 
@@ -428,6 +446,10 @@
     return ToVariant<ProgressItem>(
       WorkerFromJson(std::string(id), object.value()));
   }
+  if (ConsumePrefix(id, kMovePrefix)) {
+    return ToVariant<ProgressItem>(
+      MoveFromJson(WorkerId(std::string(id)), object.value()));
+  }
   if (id == kNewestOwnerKey || ConsumePrefix(id, kOwnerPrefix)) {
     return ToVariant<ProgressItem>(OwnershipFromJson(object.value()));
   }
--- a/mulberryvalve/adapters/json/job_log_json.h
+++ b/mulberryvalve/adapters/json/job_log_json.h
@@ -16,8 +16,9 @@
 
 // JobLogJson implements JobLogCodec. Keys: a job has its id, its cancellation
 // "cancel/ID", its progress "job/ID" and, for further parts, "part/PART/ID", a
-// used worker "worker/ID", the claim of an epoch "owner/EPOCH" (formerly
-// "owner", the newest claim). Fields with default values are omitted.
+// used worker "worker/ID", its move to another shard "move/ID", the claim of an
+// epoch "owner/EPOCH" (formerly "owner", the newest claim). Fields with default
+// values are omitted.
 // Thread-safe.
 class JobLogJson : public JobLogCodec
 {
@@ -28,6 +29,7 @@
   KeyedEntry Encode(const UsedWorkerRecord& aWorker) const override;
   KeyedEntry Encode(const OwnershipRecord& aOwnership) const override;
   KeyedEntry Encode(const LearnedRecord& aLearned) const override;
+  KeyedEntry Encode(const WorkerMove& aMove) const override;
   std::vector<KeyedEntry> EncodeIntakeTombstones(
     const JobId& aJob) const override;
   std::vector<KeyedEntry> EncodeProgressTombstones(
@@ -36,6 +38,7 @@
   std::vector<KeyedEntry> EncodeOwnershipTombstones(
     Epoch aEpoch) const override;
   std::optional<JobId> SubmittedJobId(const KeyedEntry& aEntry) const override;
+  bool IsMove(const KeyedEntry& aEntry) const override;
   Result<IntakeItem> DecodeIntake(const KeyedEntry& aEntry) const override;
   Result<ProgressItem> DecodeProgress(const KeyedEntry& aEntry) const override;
 };
--- a/mulberryvalve/adapters/ws_call/peer_query_codec.cc
+++ b/mulberryvalve/adapters/ws_call/peer_query_codec.cc
@@ -1,6 +1,7 @@
 #include "mulberryvalve/adapters/ws_call/peer_query_codec.h"
 
 #include "mulberryvalve/adapters/json/json_reader.h"
+#include "mulberryvalve/adapters/ws_call/room_cbor.h"
 #include "mulberryvalve/adapters/ws_call/told_use_cbor.h"
 #include "mulberryvalve/adapters/ws_peer/cbor_check.h"
 
@@ -116,6 +117,9 @@
   if (query.mRelayed) {
     AddRelayed(object, *query.mRelayed);
   }
+  if (query.mRoom) {
+    AddRoomRequest(object, *query.mRoom);
+  }
   if (!query.mWorkers.empty()) {
     object["workers"] = EncodeNames(query.mWorkers, kMaxNamesBytes);
   }
@@ -137,6 +141,9 @@
     object["owner_epoch"] = aFrame.mResult.mOwner->mEpoch.Value();
     object["active_for_ms"] = aFrame.mResult.mOwner->mActiveFor.count();
   }
+  if (aFrame.mResult.mRoom) {
+    AddRoomAnswer(object, *aFrame.mResult.mRoom);
+  }
   if (aFrame.mResult.mIntake) {
     AddIntakeResult(object, *aFrame.mResult.mIntake);
   }
@@ -172,6 +179,9 @@
   if (isIntake) {
     frame.mQuery.mRelayed = DecodeRelayed(reader);
   }
+  if (frame.mQuery.mKind == PeerQueryKind::kRoom) {
+    frame.mQuery.mRoom = DecodeRoomRequest(reader);
+  }
   if (reader.Has("workers")) {
     frame.mQuery.mWorkers = DecodeNames(reader);
   }
@@ -207,6 +217,9 @@
       Milliseconds(reader.Number("active_for_ms", 0, kMaxActiveMs));
     frame.mResult.mOwner = owner;
   }
+  if (reader.Has("room")) {
+    frame.mResult.mRoom = DecodeRoomAnswer(reader);
+  }
   if (reader.Has("intake")) {
     frame.mResult.mIntake = DecodeIntakeResult(reader);
   }
--- a/mulberryvalve/app/jobs/append_splitting.cc
+++ b/mulberryvalve/app/jobs/append_splitting.cc
@@ -111,6 +111,9 @@
   for (const UsedWorkerRecord& worker : aBatch.mWorkers) {
     builder.Add(aCodec.Encode(worker)).mWorkers.push_back(worker);
   }
+  for (const WorkerMove& move : aBatch.mMoves) {
+    builder.Add(aCodec.Encode(move)).mMoves.push_back(move);
+  }
   for (const WorkerId& worker : aBatch.mRemovedWorkers) {
     builder.Add(aCodec.EncodeWorkerTombstone(worker))
       .mRemovedWorkers.push_back(worker);
--- a/mulberryvalve/app/jobs/decision_metrics.cc
+++ b/mulberryvalve/app/jobs/decision_metrics.cc
@@ -29,6 +29,12 @@
     case DecisionKind::kWorkerSilent:
       mMetrics.Add(Counter::kWorkersSilent, 1);
       break;
+    case DecisionKind::kWorkerGiven:
+      mMetrics.Add(Counter::kWorkersGiven, 1);
+      break;
+    case DecisionKind::kWorkerTaken:
+      mMetrics.Add(Counter::kWorkersTaken, 1);
+      break;
     case DecisionKind::kStartUnrecorded:
       mMetrics.Add(Counter::kStartsUnrecorded, 1);
       break;
--- a/mulberryvalve/app/jobs/shard_membership_manager.cc
+++ b/mulberryvalve/app/jobs/shard_membership_manager.cc
@@ -12,6 +12,7 @@
   ShardRuntimePorts aPorts)
   : mBalancer(aOptions.mBalancerDelays, aOptions.mSelf, aLayout, aRandom)
 {
+  aPorts.mOwners = this;
   for (ShardNumber shard = 0; shard < aOptions.mOwner.mShards; shard++) {
     mMemberships.push_back(std::make_unique<ShardMembership>(
       shard, aOptions, aGroup, mBalancer, aRandom, aPorts));
--- a/mulberryvalve/app/jobs/shard_membership_queries.cc
+++ b/mulberryvalve/app/jobs/shard_membership_queries.cc
@@ -25,7 +25,11 @@
     MutexLock lock(mMutex);
     runtime = mRuntime;
   }
-  return runtime == nullptr ? PeerQueryResult() : runtime->Answer(aQuestion);
+  if (runtime == nullptr) {
+    return PeerQueryResult();
+  }
+  return aQuestion.mRoom ? runtime->GiveRoom(aQuestion)
+                         : runtime->Answer(aQuestion);
 }
 
 // A process that was started later answers for the one before it: that one had
--- a/mulberryvalve/app/jobs/shard_runtime.cc
+++ b/mulberryvalve/app/jobs/shard_runtime.cc
@@ -119,6 +119,8 @@
     case PeerQueryKind::kAppendIntake:
       answer.mOwns = true;
       break;
+    case PeerQueryKind::kRoom:
+      break; // answered by GiveRoom
   }
   return answer;
 }
@@ -129,11 +131,13 @@
     std::thread intake([this] { FollowIntake(); });
     std::thread workers([this] { FollowWorkers(); });
     std::thread formerOwners([this] { FollowFormerOwners(); });
+    std::thread room([this] { FollowRoom(); });
     std::thread decisions([this] { RunDecisionPasses(); });
     RunProgressWriter();
     intake.join();
     workers.join();
     formerOwners.join();
+    room.join();
     decisions.join();
   }
   BeginStop();
--- a/mulberryvalve/app/jobs/shard_runtime.h
+++ b/mulberryvalve/app/jobs/shard_runtime.h
@@ -14,6 +14,7 @@
 #include "mulberryvalve/app/jobs/owner_delay_metrics.h"
 #include "mulberryvalve/app/jobs/owner_watchdog.h"
 #include "mulberryvalve/app/jobs/ownership_stamp.h"
+#include "mulberryvalve/app/jobs/shard_owners.h"
 #include "mulberryvalve/app/jobs/worker_sender.h"
 #include "mulberryvalve/core/base/mutex.h"
 #include "mulberryvalve/core/jobs/ended_ownerships.h"
@@ -89,10 +90,13 @@
   HeldTaskMetrics& mHeldTasks;
   AccountMetrics& mAccounts;
   EventLog& mEvents;
+  // Where there are several shards: their owners.
+  ShardOwners* mOwners = nullptr;
 };
 
 // Assign jobs and workers to shards by a hash of their id, which spreads every
-// failure domain over all shards. The shard of a job or worker never changes.
+// failure domain over all shards. The shard of a job never
+// changes; a worker may be moved from the one that it is dealt to.
 ShardNumber ShardOfJob(const JobId& aJob, ShardNumber aShards);
 ShardNumber ShardOfWorker(const WorkerId& aWorker, ShardNumber aShards);
 
@@ -159,6 +163,9 @@
   // ownership, or if the requested data may be on the log but not read yet.
   PeerQueryResult Answer(const PeerQuery& aQuestion) const;
 
+  // Answers a query of kind kRoom, whose mRoom is set, in the same cases.
+  PeerQueryResult GiveRoom(const PeerQuery& aQuestion);
+
 private:
   // The entries of an append, and the time in the owner's record among them;
   // unset if the record does not fit.
@@ -228,7 +235,19 @@
                    MonotonicTime aReadAt);
   uint64_t IntakeReadTo() const;
   void OnIntakeRead(MonotonicTime aReadUpTo, uint64_t aReadTo);
+  ShardWorkers CurrentWorkers() const;
   void FollowWorkers();
+  void RestoreMoves(const ShardRecords& aRecords, ShardScheduler& aShard);
+  template<typename Item>
+  void RestoreMove(const Result<Item>& aItem, ShardScheduler& aShard);
+  void ApplyMove(const WorkerMove& aMove) MV_REQUIRES(mMutex);
+  void ReportRefusedMove(const WorkerMove& aMove, MoveOutcome aOutcome);
+  void FollowRoom();
+  void DeliverMoves();
+  void AskForRoom();
+  std::optional<RoomAnswer> AskForRoomIn(ShardNumber aShard,
+                                         const RoomRequest& aRequest);
+  void ReportRefusedRequest(const RoomRequest& aRequest, RoomOutcome aOutcome);
   void FollowFormerOwners();
   void AskFormerOwner(const FormerOwnerQuestion& aQuestion);
   void LogFormerOwnerEnded(const FormerOwnerEnd& aEnd);
--- a/mulberryvalve/app/jobs/shard_runtime_readers.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_readers.cc
@@ -90,12 +90,14 @@
   mWatchdog.RecordLoad(size);
   ShardSchedulerOptions options;
   options.mEpoch = mOptions.mEpoch;
+  options.mShard = mOptions.mShard;
   options.mShards = mOptions.mShards;
   options.mLease = mOptions.mLease;
   options.mProofLimit = mOptions.mProofLimit;
   options.mKeepOver = mOptions.mKeepOver;
   auto shard =
     std::make_unique<ShardScheduler>(options, mPorts.mPolicies, claimedAt);
+  RestoreMoves(*read, *shard);
   const std::map<JobId, JobRecord> records =
     RestoreProgress(read->mProgress.mEntries, *shard);
   const size_t jobs =
@@ -356,6 +358,8 @@
       mShard->OnJobSubmitted(std::move(*job), aNotBefore, now);
     } else if (auto* cancel = std::get_if<JobCancellation>(&item)) {
       mShard->OnJobCancelled(cancel->mJob, now);
+    } else if (auto* move = std::get_if<WorkerMove>(&item)) {
+      ApplyMove(*move);
     }
   }
   RequestDecisionPass();
@@ -377,6 +381,12 @@
   mShard->OnIntakeRead(aReadUpTo);
 }
 
+ShardWorkers ShardRuntime::CurrentWorkers() const
+{
+  MutexLock lock(mMutex);
+  return mShard->Room().Workers();
+}
+
 void ShardRuntime::FollowWorkers()
 {
   const std::unique_ptr<WorkerFeed> feed = mPorts.mWorkerFeeds.Open();
@@ -388,9 +398,10 @@
       LogFailure("read_workers", all.error());
       continue;
     }
+    const ShardWorkers workers = CurrentWorkers();
     std::vector<WorkerInfo> mine;
     for (const WorkerInfo& facts : all.value()) {
-      if (ShardOfWorker(facts.mId, mOptions.mShards) == mOptions.mShard) {
+      if (workers.Owns(facts.mId, ShardOfWorker(facts.mId, mOptions.mShards))) {
         mine.push_back(facts);
       }
     }
--- a/mulberryvalve/ports/out/job_log_codec.h
+++ b/mulberryvalve/ports/out/job_log_codec.h
@@ -46,12 +46,15 @@
 };
 
 // IntakeItem is a record of KeyedTopic::kIntake, and ProgressItem a record of
-// KeyedTopic::kProgress.
-using IntakeItem = std::variant<JobGraph, JobCancellation, Tombstone>;
+// KeyedTopic::kProgress. A move is on the progress of the shard that gave the
+// worker away, and on the intake of the one that it belongs to.
+using IntakeItem =
+  std::variant<JobGraph, JobCancellation, WorkerMove, Tombstone>;
 using ProgressItem = std::variant<JobRecord,
                                   UsedWorkerRecord,
                                   OwnershipRecord,
                                   LearnedRecord,
+                                  WorkerMove,
                                   Tombstone>;
 
 // JobLogCodec encodes and decodes the records of job shards. Decoding an
@@ -68,6 +71,7 @@
   virtual KeyedEntry Encode(const UsedWorkerRecord& aWorker) const = 0;
   virtual KeyedEntry Encode(const OwnershipRecord& aNote) const = 0;
   virtual KeyedEntry Encode(const LearnedRecord& aLearned) const = 0;
+  virtual KeyedEntry Encode(const WorkerMove& aMove) const = 0;
 
   // The tombstones that delete the records of a job or a worker.
   virtual std::vector<KeyedEntry> EncodeIntakeTombstones(
@@ -83,6 +87,10 @@
   virtual std::optional<JobId> SubmittedJobId(
     const KeyedEntry& aEntry) const = 0;
 
+  // Returns whether an entry of either topic is a move of a worker, without
+  // decoding its value.
+  virtual bool IsMove(const KeyedEntry& aEntry) const = 0;
+
   virtual Result<IntakeItem> DecodeIntake(const KeyedEntry& aEntry) const = 0;
   virtual Result<ProgressItem> DecodeProgress(
     const KeyedEntry& aEntry) const = 0;
--- a/mulberryvalve/ports/out/metrics.h
+++ b/mulberryvalve/ports/out/metrics.h
@@ -94,9 +94,14 @@
   kIntakeRelayUnknown,
   kIntakeRemovalConflicts,
   kJobCopiesRead,
+  kWorkersGiven,
+  kWorkersTaken,
+  kRoomRequests,
+  kRoomRequestsRefused,
+  kMovesRefused,
 };
 
-inline constexpr MetricTable<Counter, 53> kCounterNames{ { {
+inline constexpr MetricTable<Counter, 58> kCounterNames{ { {
   { Counter::kRequestsAnswered,
     "requests_answered",
     "Requests whose answer was given to the caller" },
@@ -239,6 +244,21 @@
   { Counter::kJobCopiesRead,
     "job_copies_read",
     "Copies of the records of jobs that were over when they were read" },
+  { Counter::kWorkersGiven,
+    "workers_given",
+    "Workers that an owner moved to another shard" },
+  { Counter::kWorkersTaken,
+    "workers_taken",
+    "Workers that were moved here from another shard" },
+  { Counter::kRoomRequests,
+    "room_requests",
+    "Times that an owner asked the other shards for workers" },
+  { Counter::kRoomRequestsRefused,
+    "room_requests_refused",
+    "Requests for workers that an owner refused for what they say" },
+  { Counter::kMovesRefused,
+    "moves_refused",
+    "Moves of workers that an owner refused for what they say" },
 } } };
 static_assert(kCounterNames.InOrder());
 
--- a/mulberryvalve/ports/out/peer_query.h
+++ b/mulberryvalve/ports/out/peer_query.h
@@ -7,6 +7,7 @@
 #include "mulberryvalve/core/jobs/job_state.h"
 #include "mulberryvalve/core/jobs/owner_observations.h"
 #include "mulberryvalve/core/jobs/ownership_summary.h"
+#include "mulberryvalve/core/jobs/room_request.h"
 #include "mulberryvalve/core/model/worker.h"
 #include "mulberryvalve/ports/out/keyed_log.h"
 #include "mulberryvalve/ports/out/shard_group.h"
@@ -23,13 +24,15 @@
   kWaitingJobs,
   kOwnershipEnd,
   kAppendIntake,
+  kRoom,
 };
 
-inline constexpr EnumTable<PeerQueryKind, 4> kPeerQueryKindNames{ { {
+inline constexpr EnumTable<PeerQueryKind, 5> kPeerQueryKindNames{ { {
   { PeerQueryKind::kJobPhase, "job_phase" },
   { PeerQueryKind::kWaitingJobs, "waiting_jobs" },
   { PeerQueryKind::kOwnershipEnd, "ownership_end" },
   { PeerQueryKind::kAppendIntake, "append_intake" },
+  { PeerQueryKind::kRoom, "room" },
 } } };
 
 // What became of an entry that was relayed to the owner of a shard.
@@ -72,7 +75,7 @@
 // one: whether the ownership under mEpoch, claimed by the process mProcess, has
 // ended, and what it did on mWorkers, at most kMaxToldWorkers. It also tells a
 // former owner that still acts that it was superseded. kAppendIntake asks the
-// owner to append mRelayed.
+// owner to append mRelayed, and kRoom for workers that mRoom describes.
 struct PeerQuery
 {
   PeerQueryKind mKind = PeerQueryKind::kJobPhase;
@@ -83,6 +86,7 @@
   Incarnation mProcess;
   std::vector<WorkerId> mWorkers{};
   std::optional<RelayedEntry> mRelayed{};
+  std::optional<RoomRequest> mRoom{};
 };
 
 // PeerQueryResult is the response to a PeerQuery. mOwns tells whether the
@@ -92,7 +96,7 @@
 // tells how long the queried ownership has been active, if it is known here.
 // mTold tells what the queried ownership did, once it has ended; it is absent
 // without named workers, from an earlier version, and if it is not known any
-// more. mIntake answers kAppendIntake.
+// more. mIntake answers kAppendIntake, and mRoom kRoom.
 struct PeerQueryResult
 {
   bool mOwns = false;
@@ -102,6 +106,7 @@
   std::optional<OwnerAge> mOwner{};
   std::optional<ToldUse> mTold{};
   std::optional<IntakeResult> mIntake{};
+  std::optional<RoomAnswer> mRoom{};
 };
 
 // PeerQueryClient sends queries to other instances. Thread-safe; blocks up to
