Moving workers is asked for by a flag, and a home gets its workers back

--move-workers has owners ask; without it they give to those that ask, use what was moved, and send guests home.

By reading: a shard that was idle for a second could lose all its workers to the backlog of another, and would get them back only when that is gone. Now half of the idle workers stay unless lasting tasks lack them, and guests that their home asks for get no more starts and go there as soon as they are idle. Moves to one shard go to its intake in one append.

--- a/mulberryvalve/adapters/ws_call/room_cbor.cc
+++ b/mulberryvalve/adapters/ws_call/room_cbor.cc
@@ -12,9 +12,13 @@
 using nlohmann::json;
 
 // The demands follow each other in one array: service, label, thousandths of a
-// core, megabytes, accelerators, tasks per worker, tasks.
+// core, megabytes, accelerators, whether the tasks last, tasks per worker,
+// tasks.
 constexpr size_t kTextColumns = 2;
-constexpr size_t kColumns = 7;
+constexpr size_t kLastingColumn = 5;
+constexpr size_t kPerWorkerColumn = 6;
+constexpr size_t kTasksColumn = 7;
+constexpr size_t kColumns = 8;
 constexpr uint64_t kMaxAmount = 1'000'000'000'000;
 // An hour; a longer wait is told as one.
 constexpr int64_t kMaxWaitedMs = 3'600'000;
@@ -39,10 +43,10 @@
     isValid = isValid && (column < kTextColumns ? IsText(value)
                                                 : IsAmount(value, kMaxAmount));
   }
-  return isValid &&
-         IsAmount(aColumns[aFirst + kColumns - 2],
+  return isValid && IsAmount(aColumns[aFirst + kLastingColumn], 1) &&
+         IsAmount(aColumns[aFirst + kPerWorkerColumn],
                   std::numeric_limits<uint32_t>::max()) &&
-         IsAmount(aColumns[aFirst + kColumns - 1], kMaxTasksPerDemand);
+         IsAmount(aColumns[aFirst + kTasksColumn], kMaxTasksPerDemand);
 }
 
 RoomDemand DemandAt(const json& aColumns, size_t aFirst)
@@ -53,8 +57,9 @@
   demand.mDemand.mCpuMillis = aColumns[aFirst + 2].get<int64_t>();
   demand.mDemand.mMemoryMb = aColumns[aFirst + 3].get<int64_t>();
   demand.mDemand.mAccelerators = aColumns[aFirst + 4].get<int64_t>();
-  demand.mMaxPerWorker = aColumns[aFirst + 5].get<uint32_t>();
-  demand.mCount = aColumns[aFirst + 6].get<uint32_t>();
+  demand.mLongRunning = aColumns[aFirst + kLastingColumn].get<uint32_t>() == 1;
+  demand.mMaxPerWorker = aColumns[aFirst + kPerWorkerColumn].get<uint32_t>();
+  demand.mCount = aColumns[aFirst + kTasksColumn].get<uint32_t>();
   return demand;
 }
 
@@ -69,6 +74,7 @@
     columns.push_back(static_cast<uint64_t>(demand.mDemand.mCpuMillis));
     columns.push_back(static_cast<uint64_t>(demand.mDemand.mMemoryMb));
     columns.push_back(static_cast<uint64_t>(demand.mDemand.mAccelerators));
+    columns.push_back(demand.mLongRunning ? 1U : 0U);
     columns.push_back(demand.mMaxPerWorker);
     columns.push_back(demand.mCount);
   }
--- a/mulberryvalve/adapters/ws_call/room_query_test.cc
+++ b/mulberryvalve/adapters/ws_call/room_query_test.cc
@@ -23,10 +23,11 @@
   request.mDemands.push_back(RoomDemand{ ServiceId("licensing"),
                                          WorkerLabel("special"),
                                          Resources{ 12000, 1024, 2 },
+                                         true,
                                          4,
                                          50 });
   request.mDemands.push_back(RoomDemand{
-    ServiceId("other"), WorkerLabel(), Resources{ 100, 1, 0 }, 0, 1 });
+    ServiceId("other"), WorkerLabel(), Resources{ 100, 1, 0 }, false, 0, 1 });
   frame.mQuery.mRoom = request;
   return frame;
 }
@@ -60,6 +61,8 @@
   CHECK(ServiceId("licensing") == demand.mService);
   CHECK(WorkerLabel("special") == demand.mRequiredLabel);
   CHECK(demand.mDemand == (Resources{ 12000, 1024, 2 }));
+  CHECK(demand.mLongRunning);
+  CHECK_FALSE(request.mDemands[1].mLongRunning);
   CHECK_EQUAL(4U, demand.mMaxPerWorker);
   CHECK_EQUAL(50U, demand.mCount);
   CHECK(request.mDemands[1].mRequiredLabel.Empty());
--- a/mulberryvalve/app/jobs/jobs_instance_fake.h
+++ b/mulberryvalve/app/jobs/jobs_instance_fake.h
@@ -149,6 +149,7 @@
     options.mMemberTtl = Milliseconds(100);
     options.mSelf = GroupMember{ Endpoint{ "10.0.0.1", aPort }, kWholeCore };
     options.mOwner.mKeepOver = kKeepOver;
+    options.mOwner.mMovesWorkers = true;
     return options;
   }
 
--- a/mulberryvalve/app/jobs/shard_runtime.h
+++ b/mulberryvalve/app/jobs/shard_runtime.h
@@ -73,6 +73,9 @@
   Milliseconds mKeepOver{ 150000 };
   // What this instance observed of the owners before this one.
   OwnerObservations mObservations{};
+  // Asks other shards for idle workers. Gives workers to those that ask, and
+  // uses workers that were moved, in any case.
+  bool mMovesWorkers = false;
 };
 
 // Ports that a shard owner uses. All references must outlive it.
@@ -244,6 +247,8 @@
   void ReportRefusedMove(const WorkerMove& aMove, MoveOutcome aOutcome);
   void FollowRoom();
   void DeliverMoves();
+  Result<void> DeliverMovesTo(ShardNumber aShard,
+                              const std::vector<WorkerMove>& aMoves);
   void AskForRoom();
   std::optional<RoomAnswer> AskForRoomIn(ShardNumber aShard,
                                          const RoomRequest& aRequest);
--- a/mulberryvalve/app/jobs/shard_runtime_readers.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_readers.cc
@@ -92,6 +92,7 @@
   options.mEpoch = mOptions.mEpoch;
   options.mShard = mOptions.mShard;
   options.mShards = mOptions.mShards;
+  options.mMovesWorkers = mOptions.mMovesWorkers;
   options.mLease = mOptions.mLease;
   options.mProofLimit = mOptions.mProofLimit;
   options.mKeepOver = mOptions.mKeepOver;
--- a/mulberryvalve/app/jobs/shard_runtime_room.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_room.cc
@@ -106,22 +106,42 @@
 // to now. One that gets no answer is appended again: it has a number.
 void ShardRuntime::DeliverMoves()
 {
-  std::vector<WorkerMove> moves;
+  std::map<ShardNumber, std::vector<WorkerMove>> moves;
   {
     MutexLock lock(mMutex);
-    moves = mShard->Room().Workers().Undelivered();
+    for (WorkerMove& move : mShard->Room().Workers().Undelivered()) {
+      moves[move.mTo].push_back(std::move(move));
+    }
   }
-  for (const WorkerMove& move : moves) {
-    const Result<void> done =
-      mPorts.mLog.Append(TopicPartition{ KeyedTopic::kIntake, move.mTo },
-                         { mPorts.mCodec.Encode(move) });
+  for (const auto& [shard, all] : moves) {
+    const Result<void> done = DeliverMovesTo(shard, all);
     if (!done) {
-      LogFailure("deliver_move", done.error());
-      return;
+      LogFailure("deliver_moves", done.error());
     }
-    MutexLock lock(mMutex);
+  }
+}
+
+Result<void> ShardRuntime::DeliverMovesTo(ShardNumber aShard,
+                                          const std::vector<WorkerMove>& aMoves)
+{
+  std::vector<KeyedEntry> entries;
+  entries.reserve(aMoves.size());
+  for (const WorkerMove& move : aMoves) {
+    entries.push_back(mPorts.mCodec.Encode(move));
+  }
+  for (const std::vector<KeyedEntry>& part :
+       SplitEntries(std::move(entries), mPorts.mLog.Limits())) {
+    Result<void> done =
+      mPorts.mLog.Append(TopicPartition{ KeyedTopic::kIntake, aShard }, part);
+    if (!done) {
+      return done;
+    }
+  }
+  MutexLock lock(mMutex);
+  for (const WorkerMove& move : aMoves) {
     mShard->Room().OnDelivered(move);
   }
+  return Done();
 }
 
 void ShardRuntime::AskForRoom()
--- a/mulberryvalve/core/jobs/room_exchange.cc
+++ b/mulberryvalve/core/jobs/room_exchange.cc
@@ -1,6 +1,7 @@
 #include "mulberryvalve/core/jobs/room_exchange.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace mulberryvalve {
@@ -21,6 +22,8 @@
 // The pauses between requests that nobody can serve.
 constexpr Milliseconds kFirstPause{ 500 };
 constexpr Milliseconds kLongestPause{ 4000 };
+// For how long a guest that its home asks for gets no start, until it is idle.
+constexpr Milliseconds kRecallTime{ 10000 };
 // Within this time workers that were promised come, or not at all.
 constexpr Milliseconds kArrivalTime{ 3000 };
 
@@ -29,6 +32,7 @@
   return aLeft.mService == aRight.mService &&
          aLeft.mRequiredLabel == aRight.mRequiredLabel &&
          aLeft.mDemand == aRight.mDemand &&
+         aLeft.mLongRunning == aRight.mLongRunning &&
          aLeft.mMaxPerWorker == aRight.mMaxPerWorker;
 }
 
@@ -57,6 +61,7 @@
     return outcome;
   }
   mPlanned.erase(aMove.mWorker);
+  mRecalled.erase(aMove.mWorker);
   if (WorkerEntry* worker = mParts.mWorkers.Find(aMove.mWorker)) {
     worker->mTokenBase = aMove.mTokenBase;
   }
@@ -91,6 +96,7 @@
   }
   if (IsSettled()) {
     GiveGuestsBack(aNow);
+    GiveRecalledGuests(aNow);
   }
 }
 
@@ -130,6 +136,43 @@
   }
 }
 
+// A guest that its home asks for goes there as soon as it is idle. If that
+// takes long, it is used again.
+void RoomExchange::GiveRecalledGuests(MonotonicTime aNow)
+{
+  for (auto recalled = mRecalled.begin(); recalled != mRecalled.end();) {
+    const auto [id, until] = *recalled;
+    WorkerEntry* worker = mParts.mWorkers.Find(id);
+    const bool isIdle = worker != nullptr && IsIdle(*worker);
+    if (isIdle) {
+      PlanMove(*worker, Plan{ mShardWorkers.HomeOf(id), "its home asks" });
+    } else if (worker != nullptr && aNow >= until) {
+      worker->mIsGiven = false;
+      mParts.mWorkers.MarkChanged(*worker);
+    }
+    const bool isOver = worker == nullptr || isIdle || aNow >= until;
+    recalled = isOver ? mRecalled.erase(recalled) : std::next(recalled);
+  }
+}
+
+// Has the guests from a shard that asks for room get no more starts, but for
+// those that run lasting tasks: otherwise a backlog here would keep them from
+// their home for long.
+void RoomExchange::RecallGuestsOf(ShardNumber aHome, MonotonicTime aNow)
+{
+  for (const WorkerId& id : mShardWorkers.Guests()) {
+    WorkerEntry* worker = mParts.mWorkers.Find(id);
+    const bool isRecalled = worker != nullptr && !worker->mIsGiven &&
+                            worker->mLongRunning == 0 &&
+                            mShardWorkers.HomeOf(id) == aHome;
+    if (isRecalled) {
+      worker->mIsGiven = true;
+      mParts.mWorkers.MarkChanged(*worker);
+      mRecalled[id] = aNow + kRecallTime;
+    }
+  }
+}
+
 void RoomExchange::PlanMove(WorkerEntry& aWorker, Plan aPlan)
 {
   aWorker.mIsGiven = true;
@@ -185,6 +228,7 @@
     const RoomDemand demand{ RulesOf(mParts.mConfig, *job).mService,
                              spec.mRequiredLabel,
                              spec.mDemand,
+                             spec.mLongRunning,
                              spec.mMaxPerWorker,
                              std::min(step.mWaiting, kMaxTasksPerDemand) };
     const auto known = std::find_if(
@@ -206,7 +250,7 @@
 
 std::optional<RoomRequest> RoomExchange::NextRequest(MonotonicTime aNow)
 {
-  if (mOptions.mShards < 2 || aNow < mAskAt) {
+  if (mOptions.mShards < 2 || !mOptions.mMayAsk || aNow < mAskAt) {
     return std::nullopt;
   }
   mAskAt = aNow + kUpdateInterval;
@@ -278,18 +322,33 @@
   const Plan plan{ aRequest.mFrom,
                    "asked for tasks that have waited for " +
                      std::to_string(aRequest.mWaited.count()) + " ms" };
+  const auto& workers = mParts.mWorkers.All();
+  const auto idle =
+    std::count_if(workers.begin(), workers.end(), [&](const auto& aWorker) {
+      return MayGive(aWorker.second, aNow);
+    });
+  // Half of the idle workers stay for what comes next here, unless tasks that
+  // last lack them.
+  const auto half = static_cast<uint32_t>((idle + 1) / 2);
   for (const RoomDemand& demand : aRequest.mDemands) {
-    answer.mTasks.push_back(GiveFor(demand, plan, aNow, answer.mWorkers));
+    const uint32_t most = demand.mLongRunning
+                            ? kMaxWorkersPerRequest
+                            : std::min<uint32_t>(half, kMaxWorkersPerRequest);
+    answer.mTasks.push_back(GiveFor(demand, plan, most, aNow, answer.mWorkers));
+  }
+  if (answer.mWorkers == 0) {
+    RecallGuestsOf(aRequest.mFrom, aNow);
   }
   answer.mOutcome =
     answer.mWorkers > 0 ? RoomOutcome::kGiven : RoomOutcome::kNoneIdle;
   return answer;
 }
 
-// Plans to give idle workers for one demand, and adds their number to aWorkers.
-// Returns for how many tasks they have room.
+// Plans to give idle workers for one demand, and adds their number to aWorkers,
+// up to aMost. Returns for how many tasks they have room.
 uint32_t RoomExchange::GiveFor(const RoomDemand& aDemand,
                                const Plan& aPlan,
+                               uint32_t aMost,
                                MonotonicTime aNow,
                                uint32_t& aWorkers)
 {
@@ -309,7 +368,7 @@
                               aNow };
   uint32_t tasks = 0;
   for (auto& [id, worker] : mParts.mWorkers.All()) {
-    if (tasks >= aDemand.mCount || aWorkers >= kMaxWorkersPerRequest) {
+    if (tasks >= aDemand.mCount || aWorkers >= aMost) {
       break;
     }
     const bool isSuited =
--- a/mulberryvalve/core/jobs/room_exchange.h
+++ b/mulberryvalve/core/jobs/room_exchange.h
@@ -26,6 +26,7 @@
   ShardNumber mShards = 1;
   Epoch mEpoch;
   MonotonicTime mClaimedAt;
+  bool mMayAsk = false;
 };
 
 // The state of the owner that RoomExchange reads and, of workers and decisions,
@@ -99,6 +100,8 @@
   bool MayGive(const WorkerEntry& aWorker, MonotonicTime aNow) const;
   bool IsSettled() const;
   void GiveGuestsBack(MonotonicTime aNow);
+  void GiveRecalledGuests(MonotonicTime aNow);
+  void RecallGuestsOf(ShardNumber aHome, MonotonicTime aNow);
   void PlanMove(WorkerEntry& aWorker, Plan aPlan);
   std::optional<RoomOutcome> Refusal(const RoomRequest& aRequest) const;
   bool WaitsForGangRoom(MonotonicTime aNow) const;
@@ -107,6 +110,7 @@
                                   Milliseconds& aWaited) const;
   uint32_t GiveFor(const RoomDemand& aDemand,
                    const Plan& aPlan,
+                   uint32_t aMost,
                    MonotonicTime aNow,
                    uint32_t& aWorkers);
 
@@ -114,6 +118,9 @@
   const RoomExchangeParts mParts;
   ShardWorkers mShardWorkers;
   std::map<WorkerId, Plan> mPlanned;
+  // Guests that their home asks for and that are not idle yet, and until when
+  // they get no start.
+  std::map<WorkerId, MonotonicTime> mRecalled;
   // The newest epoch of each shard that has asked.
   std::map<ShardNumber, Epoch> mAskers;
   MonotonicTime mUpdateAt;
--- a/mulberryvalve/core/jobs/room_exchange_test.cc
+++ b/mulberryvalve/core/jobs/room_exchange_test.cc
@@ -139,6 +139,24 @@
   CHECK_EQUAL(0U, mCluster.MovesAwayFrom(1));
 }
 
+// Without the operator's word nothing is asked, and guests go home.
+TEST(RoomExchangeTest, MovingCanBeTurnedOff)
+{
+  mCluster.Submit(0, LastingGang("gang", 8));
+  mCluster.Play(kRunsAgainWithin);
+  CHECK_EQUAL(8U, mCluster.RunningOf("gang"));
+  mCluster.mMovesWorkers = false;
+  mCluster.ReplaceOwner(0);
+  mCluster.ReplaceOwner(1);
+  const size_t requests = mCluster.Requests();
+  mCluster.OwnerOf(0).OnJobCancelled(JobId("gang"), mCluster.Now());
+  mCluster.Submit(1, LastingJob("too many", kWorkers));
+  mCluster.Play(Milliseconds(90000));
+  CHECK_EQUAL(requests, mCluster.Requests());
+  CHECK_EQUAL(kWorkers / kShards, mCluster.RunningOf("too many"));
+  CheckNoViolations(mCluster);
+}
+
 // Workers that are in use are not given, and asking becomes rare.
 TEST(RoomExchangeTest, BusyWorkersStayWhereTheyAre)
 {
@@ -153,6 +171,33 @@
   CHECK_EQUAL(kWorkers / kShards, mCluster.RunningOf("other"));
 }
 
+// Guards against a backlog that keeps the workers of another shard, which then
+// lacks them itself.
+TEST(RoomExchangeTest, AShardGetsItsWorkersBackFromABusyOne)
+{
+  mCluster.Submit(0, OneStepJob("backlog", 2000, kMostOfAWorker));
+  mCluster.Play(kRunsAgainWithin);
+  CHECK(mCluster.OwnerOf(0).Workers().All().size() > kWorkers / kShards);
+  mCluster.Submit(1, LastingJob("lasting", kWorkers / kShards));
+  mCluster.Play(kRunsAgainWithin);
+  CHECK_EQUAL(kWorkers / kShards, mCluster.RunningOf("lasting"));
+  CHECK(JobPhase::kRunning == mCluster.OwnerOf(0).Phase(JobId("backlog")));
+  CheckNoViolations(mCluster);
+}
+
+// What a shard gives for a backlog leaves it room for work of its own.
+TEST(RoomExchangeTest, HalfOfTheIdleWorkersStay)
+{
+  mCluster.Play(kWarmUp);
+  RoomRequest request = RequestOf(0, 9);
+  request.mDemands[0].mCount = 100;
+  const RoomAnswer answer =
+    mCluster.OwnerOf(1).Room().Give(request, mCluster.Now());
+  CHECK_EQUAL(kWorkers / kShards / 2, answer.mWorkers);
+  CHECK_EQUAL(1U, answer.mTasks.size());
+  CHECK_EQUAL(kWorkers / kShards / 2, answer.mTasks[0]);
+}
+
 // An answer that is lost costs no more than time.
 TEST(RoomExchangeTest, ALostAnswerMovesWorkersAllTheSame)
 {
--- a/mulberryvalve/core/jobs/room_moves_fake.cc
+++ b/mulberryvalve/core/jobs/room_moves_fake.cc
@@ -135,6 +135,7 @@
   options.mEpoch = owner.mEpoch;
   options.mShard = aShard;
   options.mShards = static_cast<ShardNumber>(mShards.size());
+  options.mMovesWorkers = mMovesWorkers;
   owner.mScheduler = std::make_unique<ShardScheduler>(
     options, SchedulingPolicies{ mPlacement, mOrder }, mNow);
   ClusterConfig config;
--- a/mulberryvalve/core/jobs/room_moves_fake.h
+++ b/mulberryvalve/core/jobs/room_moves_fake.h
@@ -45,6 +45,8 @@
   // Ends the owner of a shard without a successor.
   void KillOwner(ShardNumber aShard);
 
+  // Whether owners that claim a shard from now on may ask others.
+  bool mMovesWorkers = true;
   // Requests from one shard to another that get no answer, though they are
   // carried out.
   bool mLosesRoomAnswers = false;
--- a/mulberryvalve/core/jobs/room_request.h
+++ b/mulberryvalve/core/jobs/room_request.h
@@ -18,6 +18,8 @@
   // Empty if any worker of the service will do.
   WorkerLabel mRequiredLabel;
   Resources mDemand;
+  // The tasks run until their job is cancelled.
+  bool mLongRunning = false;
   // Tasks of one step that a worker may have at most; 0 for any number.
   uint32_t mMaxPerWorker = 0;
   uint32_t mCount = 0;
@@ -25,7 +27,7 @@
 
 // The most demands of a request, workers given for one, and tasks of a demand.
 inline constexpr size_t kMaxRoomDemands = 4;
-inline constexpr size_t kMaxWorkersPerRequest = 64;
+inline constexpr uint32_t kMaxWorkersPerRequest = 64;
 inline constexpr uint32_t kMaxTasksPerDemand = 1 << 20;
 
 // RoomRequest asks the owner of another shard for workers that are idle there.
--- a/mulberryvalve/core/jobs/shard_scheduler_options.h
+++ b/mulberryvalve/core/jobs/shard_scheduler_options.h
@@ -17,6 +17,8 @@
   // client accounts.
   ShardNumber mShard = 0;
   ShardNumber mShards = 1;
+  // Other shards may be asked for idle workers.
+  bool mMovesWorkers = false;
   LeaseTerms mLease;
   // An owner stops acting this long after its last proof of ownership.
   Milliseconds mProofLimit{ 6000 };
--- a/tests/entry/entry_cluster.cc
+++ b/tests/entry/entry_cluster.cc
@@ -21,6 +21,7 @@
   return { MULBERRYVALVE_ENTRY,
            "--shards=" + std::to_string(aShards),
            "--relay-intake",
+           "--move-workers",
            "--pressure-limit=expected-load" };
 }
 
