Take back: failures of one moment make a worker avoided once, not for longer

With the rule, a worker that fails all is tried again after 1.5, 3, 6 and 12 s and fails all that it can hold each time, where it was left alone for 12 s at once; that costs callers attempts.

--- a/mulberryvalve/core/jobs/shard_scheduler_ends.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_ends.cc
@@ -159,9 +159,7 @@
   if (aRow.mEndKind == EndKind::kDone) {
     aWorker.mFailuresInRow = 0;
   }
-  // Runs that fail while the worker is avoided began before that, so they are
-  // the same evidence.
-  if (aRow.mEndKind != EndKind::kFailed || aNow < aWorker.mCountFailuresFrom) {
+  if (aRow.mEndKind != EndKind::kFailed) {
     return;
   }
   aWorker.mFailuresInRow++;
@@ -171,9 +169,8 @@
   const int doublings =
     std::min(aWorker.mFailuresInRow - kFailuresToAvoid, kMaxAvoidanceDoublings);
   const Milliseconds avoidance = kInitialAvoidance * (1 << doublings);
-  aWorker.mCountFailuresFrom = aNow + std::min(avoidance, kRetryInterval);
   const MonotonicTime retryAt =
-    std::max(aWorker.mRetryAt, aWorker.mCountFailuresFrom);
+    std::max(aWorker.mRetryAt, aNow + std::min(avoidance, kRetryInterval));
   AvoidWorker(aWorker, aNow + avoidance, "fails all");
   aWorker.mRetryAt = retryAt;
 }
--- a/mulberryvalve/core/jobs/shard_scheduler_losses.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_losses.cc
@@ -69,7 +69,6 @@
   // use it until the new incarnation is on the log.
   aWorker.mRecorded = false;
   aWorker.mFailuresInRow = 0;
-  aWorker.mCountFailuresFrom = MonotonicTime();
   aWorker.mForeignDemand = Resources();
   aWorker.mForeignDemandUnknown = false;
   aWorker.mNonDurableEnds.clear();
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -87,8 +87,6 @@
   // From then on a lasting task that no other worker can take may be tried.
   MonotonicTime mRetryAt;
   int mFailuresInRow = 0;
-  // Failures before this time are of runs that began before it was avoided.
-  MonotonicTime mCountFailuresFrom;
   // It is about to be given to another shard, so nothing is started there.
   bool mIsGiven = false;
   // Since when nothing of this shard runs there; looked at where there are
