--- a/mulberryvalve/core/jobs/room_moves_fake.cc
+++ b/mulberryvalve/core/jobs/room_moves_fake.cc
@@ -123,7 +123,8 @@
 {
   Shard& shard = mShards[aShard];
   // Shards have epochs of their own, far apart.
-  shard.mEpoch = Epoch(shard.mEpoch.Value() + 1 + Draw(50));
+  const uint64_t step = 1 + Draw(50);
+  shard.mEpoch = Epoch(shard.mEpoch.Value() + step);
   Owner owner;
   owner.mShard = aShard;
   owner.mEpoch = shard.mEpoch;
