Tasks that lapse while promised workers are on their way are asked for at once

Cause: after a promise of workers the owner asked for nothing for 3 s, so that tasks whose leases ended a moment later waited for that long.

Change: RoomPromises knows for which tasks room was promised; what is beyond them is asked for 0.5 s later. A promise for lasting tasks ends a second after its last worker has come. The simulation takes off what an owner has promised before it asks the next one, as the product does.

NothingIsGivenWhileAFormerOwnersRunsMayBeLeft fails when IsSettled always returns true, which no test noticed before.

--- a/mulberryvalve/app/jobs/shard_runtime_room.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_room.cc
@@ -3,7 +3,6 @@
 #include "mulberryvalve/app/jobs/append_splitting.h"
 #include "mulberryvalve/app/jobs/shard_runtime.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace mulberryvalve {
@@ -14,31 +13,6 @@
 constexpr Milliseconds kRoomInterval{ 100 };
 constexpr Milliseconds kPeerTimeout{ 300 };
 
-// Takes the tasks that have room by an answer off a request.
-void TakeOff(const RoomAnswer& aAnswer, RoomRequest& aRequest)
-{
-  std::vector<RoomDemand> left;
-  for (size_t index = 0; index < aRequest.mDemands.size(); index++) {
-    RoomDemand demand = aRequest.mDemands[index];
-    const uint32_t given =
-      index < aAnswer.mTasks.size() ? aAnswer.mTasks[index] : 0;
-    demand.mCount -= std::min(demand.mCount, given);
-    if (demand.mCount > 0) {
-      left.push_back(std::move(demand));
-    }
-  }
-  aRequest.mDemands = std::move(left);
-}
-
-uint64_t TasksOf(const RoomRequest& aRequest)
-{
-  uint64_t tasks = 0;
-  for (const RoomDemand& demand : aRequest.mDemands) {
-    tasks += demand.mCount;
-  }
-  return tasks;
-}
-
 } // namespace
 
 // Restores which workers were moved here and away, which is to be known before
@@ -73,7 +47,8 @@
 // Handles a move that was read from the intake.
 void ShardRuntime::ApplyMove(const WorkerMove& aMove)
 {
-  ReportRefusedMove(aMove, mShard->Room().OnArrival(aMove));
+  ReportRefusedMove(aMove,
+                    mShard->Room().OnArrival(aMove, mPorts.mClock.Now()));
 }
 
 void ShardRuntime::ReportRefusedMove(const WorkerMove& aMove,
@@ -157,27 +132,26 @@
   if (!request) {
     return;
   }
-  const uint64_t asked = TasksOf(*request);
+  RoomRequest left = *request;
   uint32_t workers = 0;
-  for (ShardNumber next = 1;
-       next < mOptions.mShards && !request->mDemands.empty();
+  for (ShardNumber next = 1; next < mOptions.mShards && !left.mDemands.empty();
        next++) {
     const ShardNumber shard = (mOptions.mShard + next) % mOptions.mShards;
-    const std::optional<RoomAnswer> answer = AskForRoomIn(shard, *request);
+    const std::optional<RoomAnswer> answer = AskForRoomIn(shard, left);
     if (answer) {
       workers += answer->mWorkers;
-      TakeOff(*answer, *request);
+      TakeOff(*answer, left);
     }
   }
   mPorts.mMetrics.Add(Counter::kRoomRequests, 1);
   LogEvent(EventLevel::kInfo,
            "room_asked",
-           { { "tasks", std::to_string(asked) },
-             { "without_room", std::to_string(TasksOf(*request)) },
+           { { "tasks", std::to_string(TasksOf(*request)) },
+             { "without_room", std::to_string(TasksOf(left)) },
              { "workers", std::to_string(workers) },
              { "waited_ms", std::to_string(request->mWaited.count()) } });
   MutexLock lock(mMutex);
-  mShard->Room().OnAnswered(workers, mPorts.mClock.Now());
+  mShard->Room().OnAnswered(*request, left, workers, mPorts.mClock.Now());
 }
 
 // Returns nothing if the owner of the shard is not known or did not answer. It
--- a/mulberryvalve/core/jobs/room_exchange.cc
+++ b/mulberryvalve/core/jobs/room_exchange.cc
@@ -24,17 +24,6 @@
 constexpr Milliseconds kLongestPause{ 4000 };
 // For how long a guest that its home asks for gets no start, until it is idle.
 constexpr Milliseconds kRecallTime{ 10000 };
-// Within this time workers that were promised come, or not at all.
-constexpr Milliseconds kArrivalTime{ 3000 };
-
-bool IsSameClass(const RoomDemand& aLeft, const RoomDemand& aRight)
-{
-  return aLeft.mService == aRight.mService &&
-         aLeft.mRequiredLabel == aRight.mRequiredLabel &&
-         aLeft.mDemand == aRight.mDemand &&
-         aLeft.mLongRunning == aRight.mLongRunning &&
-         aLeft.mMaxPerWorker == aRight.mMaxPerWorker;
-}
 
 const QueueRules& RulesOf(const ClusterConfig& aConfig, const JobEntry& aJob)
 {
@@ -68,12 +57,13 @@
   return outcome;
 }
 
-MoveOutcome RoomExchange::OnArrival(const WorkerMove& aMove)
+MoveOutcome RoomExchange::OnArrival(const WorkerMove& aMove, MonotonicTime aNow)
 {
   const MoveOutcome outcome = OnMove(aMove);
   if (outcome != MoveOutcome::kApplied) {
     return outcome;
   }
+  mPromises.OnArrival(aNow);
   mParts.mDecisions.AddWorker(DecisionKind::kWorkerTaken,
                               aMove.mWorker,
                               "move " + std::to_string(aMove.mNumber) +
@@ -213,8 +203,9 @@
          aNow < *aStep.mRefusedAt + kRefusalAge;
 }
 
-// Returns what waits for room, the first kMaxRoomDemands classes in the order
-// of acceptance, and how long the oldest has waited.
+// Returns what waits for room and has no promise of it, the first
+// kMaxRoomDemands classes in the order of acceptance, and how long the oldest
+// has waited.
 std::vector<RoomDemand> RoomExchange::Demands(MonotonicTime aNow,
                                               Milliseconds& aWaited) const
 {
@@ -245,6 +236,14 @@
       aWaited,
       std::chrono::duration_cast<Milliseconds>(aNow - step.mWaitingSince));
   }
+  for (RoomDemand& demand : demands) {
+    demand.mCount = mPromises.Unpromised(demand, aNow);
+  }
+  const auto promised = [](const RoomDemand& aDemand) {
+    return aDemand.mCount == 0;
+  };
+  demands.erase(std::remove_if(demands.begin(), demands.end(), promised),
+                demands.end());
   return demands;
 }
 
@@ -263,12 +262,14 @@
   return request;
 }
 
-void RoomExchange::OnAnswered(uint32_t aWorkers, MonotonicTime aNow)
+void RoomExchange::OnAnswered(const RoomRequest& aAsked,
+                              const RoomRequest& aLeft,
+                              uint32_t aWorkers,
+                              MonotonicTime aNow)
 {
   if (aWorkers > 0) {
+    mPromises.Add(aAsked, aLeft, aWorkers, aNow);
     mPause = kFirstPause;
-    mAskAt = aNow + kArrivalTime;
-    return;
   }
   mAskAt = aNow + mPause;
   mPause = std::min(2 * mPause, kLongestPause);
--- a/mulberryvalve/core/jobs/room_exchange.h
+++ b/mulberryvalve/core/jobs/room_exchange.h
@@ -9,6 +9,7 @@
 #include "mulberryvalve/core/jobs/inherited_workers.h"
 #include "mulberryvalve/core/jobs/job_placement_policy.h"
 #include "mulberryvalve/core/jobs/job_table.h"
+#include "mulberryvalve/core/jobs/room_promises.h"
 #include "mulberryvalve/core/jobs/room_request.h"
 #include "mulberryvalve/core/jobs/shard_workers.h"
 
@@ -58,7 +59,7 @@
   // the log holds before any worker is restored. OnArrival does the same with
   // one that was appended to the intake since.
   MoveOutcome OnMove(const WorkerMove& aMove);
-  MoveOutcome OnArrival(const WorkerMove& aMove);
+  MoveOutcome OnArrival(const WorkerMove& aMove, MonotonicTime aNow);
 
   // Records that the intake of the other shard holds a move.
   void OnDelivered(const WorkerMove& aMove)
@@ -71,10 +72,13 @@
   void Update(MonotonicTime aNow);
 
   // Returns what to ask the owners of the other shards, if that is due, and
-  // then expects a call of OnAnswered with the number of workers that they give
-  // in all.
+  // then expects a call of OnAnswered with the request, what of it got no room,
+  // and the number of workers that they give in all.
   std::optional<RoomRequest> NextRequest(MonotonicTime aNow);
-  void OnAnswered(uint32_t aWorkers, MonotonicTime aNow);
+  void OnAnswered(const RoomRequest& aAsked,
+                  const RoomRequest& aLeft,
+                  uint32_t aWorkers,
+                  MonotonicTime aNow);
 
   // Decides what to give to the shard that asks. A request that is refused
   // changes nothing.
@@ -117,6 +121,7 @@
   const RoomExchangeOptions mOptions;
   const RoomExchangeParts mParts;
   ShardWorkers mShardWorkers;
+  RoomPromises mPromises;
   std::map<WorkerId, Plan> mPlanned;
   // Guests that their home asks for and that are not idle yet, and until when
   // they get no start.
--- a/mulberryvalve/core/jobs/room_exchange_test.cc
+++ b/mulberryvalve/core/jobs/room_exchange_test.cc
@@ -294,6 +294,24 @@
   CheckNoViolations(mCluster);
 }
 
+// Guards against a worker that is given away while a former owner's order may
+// still begin a run there (TWICE).
+TEST(RoomExchangeTest, NothingIsGivenWhileAFormerOwnersRunsMayBeLeft)
+{
+  mCluster.Play(kWarmUp);
+  mCluster.ReplaceOwner(1);
+  mCluster.Play(Milliseconds(2000));
+  const RoomAnswer early =
+    mCluster.OwnerOf(1).Room().Give(RequestOf(0, 1000), mCluster.Now());
+  CHECK(RoomOutcome::kUnsettled == early.mOutcome);
+  CHECK_EQUAL(0U, early.mWorkers);
+  CHECK_FALSE(mCluster.OwnerOf(1).Room().HasMoves());
+  mCluster.Play(Milliseconds(20000));
+  const RoomAnswer late =
+    mCluster.OwnerOf(1).Room().Give(RequestOf(0, 1000), mCluster.Now());
+  CHECK(RoomOutcome::kGiven == late.mOutcome);
+}
+
 // A call that was sent before a worker was moved, and that the worker refuses
 // as it follows the other shard's owner, tells nothing of this shard.
 TEST(RoomExchangeTest, ALateRefusalOfAMovedWorkerEndsNoOwner)
--- a/mulberryvalve/core/jobs/room_moves_fake.cc
+++ b/mulberryvalve/core/jobs/room_moves_fake.cc
@@ -249,7 +249,7 @@
   for (; aOwner.mReadTo < intake.size(); aOwner.mReadTo++) {
     const IntakeRecord& record = intake[aOwner.mReadTo];
     if (const auto* move = std::get_if<WorkerMove>(&record)) {
-      aOwner.mScheduler->Room().OnArrival(*move);
+      aOwner.mScheduler->Room().OnArrival(*move, mNow);
     } else {
       aOwner.mScheduler->OnJobSubmitted(std::get<JobGraph>(record), mNow, mNow);
     }
@@ -419,21 +419,24 @@
   if (!request) {
     return;
   }
+  RoomRequest left = *request;
   uint32_t workers = 0;
   for (size_t other = 0; other < mOwners.size(); other++) {
     const bool isNewest = NewestOwner(mOwners[other].mShard) == other;
-    if (mOwners[other].mShard == mOwners[aOwner].mShard || !IsAlive(other) ||
+    if (left.mDemands.empty() ||
+        mOwners[other].mShard == mOwners[aOwner].mShard || !IsAlive(other) ||
         !(isNewest || HappensOnceIn(4)) || HappensOnceIn(5)) {
       continue;
     }
     mRequests++;
     const RoomAnswer answer =
-      mOwners[other].mScheduler->Room().Give(*request, mNow);
+      mOwners[other].mScheduler->Room().Give(left, mNow);
     if (!mLosesRoomAnswers && !HappensOnceIn(5)) {
       workers += answer.mWorkers;
+      TakeOff(answer, left);
     }
   }
-  mOwners[aOwner].mScheduler->Room().OnAnswered(workers, mNow);
+  mOwners[aOwner].mScheduler->Room().OnAnswered(*request, left, workers, mNow);
 }
 
 } // namespace mulberryvalve
--- a/mulberryvalve/core/jobs/room_request.h
+++ b/mulberryvalve/core/jobs/room_request.h
@@ -82,6 +82,16 @@
   std::vector<uint32_t> mTasks;
 };
 
+// Returns whether tasks of the demands are equal, whatever their number.
+bool IsSameClass(const RoomDemand& aLeft, const RoomDemand& aRight);
+
+// Returns the number of tasks of a request.
+uint64_t TasksOf(const RoomRequest& aRequest);
+
+// Takes the tasks that have room by an answer to the request off it. An answer
+// of an owner that names too few or too many tasks is harmless.
+void TakeOff(const RoomAnswer& aAnswer, RoomRequest& aRequest);
+
 } // namespace mulberryvalve
 
 #endif // MULBERRYVALVE_CORE_JOBS_ROOM_REQUEST_H_
