Failures of one moment count once, and one task tries a worker that failed all

Cause: TrackWorkerFailures doubled the time with each failure, though runs that fail while the worker is avoided began before that and tell nothing new.

Change: they don't count until the worker may be tried again. A worker that was avoided for that gets one task first; others follow when it is done or has run for 2 s. So one that fails all costs one attempt a try, not all that it can hold.

--- a/mulberryvalve/core/jobs/avoided_worker_test.cc
+++ b/mulberryvalve/core/jobs/avoided_worker_test.cc
@@ -11,6 +11,11 @@
 constexpr Milliseconds kBadFor{ 3000 };
 // A lasting task has to run again this long after it can.
 constexpr Milliseconds kRunsAgainWithin{ 6000 };
+// A worker is avoided for 1.5 s the first time, and then one task tries it for
+// 2 s.
+constexpr Milliseconds kAvoidedAndTried{ 4500 };
+// Starts within this time are of one try.
+constexpr Milliseconds kRound{ 500 };
 const WorkerLabel kLabel("special");
 
 JobGraph LabelledJob()
@@ -60,6 +65,86 @@
   CHECK_EQUAL(static_cast<size_t>(kTasks), mSimulation.Running());
 }
 
+// Guards against a worker that is avoided for 12 s because several tasks failed
+// there at one moment (found by the third review): that is one piece of
+// evidence.
+TEST(AvoidedWorkerTest, FailuresOfOneMomentCountOnce)
+{
+  LabelWorkers(1);
+  const WorkerId bad = mSimulation.Worker(0).mInfo.mId;
+  mSimulation.mFailingWorkers.insert(bad);
+  JobGraph job = LabelledJob();
+  job.mSteps[0].mLongRunning = false;
+  mSimulation.Submit(job);
+  while (mSimulation.Running() == 0) {
+    mSimulation.Step();
+  }
+  mSimulation.mFailingWorkers.clear();
+  mSimulation.RunFor(kAvoidedAndTried);
+  CHECK_EQUAL(static_cast<size_t>(kTasks), mSimulation.Running());
+}
+
+// Guards against attempts that are wasted on a worker that fails all: one task
+// tries it, and only if that is done do the others follow.
+TEST(AvoidedWorkerTest, OneTaskTriesAWorkerThatFailedAll)
+{
+  LabelWorkers(1);
+  const WorkerId bad = mSimulation.Worker(0).mInfo.mId;
+  mSimulation.mFailingWorkers.insert(bad);
+  JobGraph job = LabelledJob();
+  job.mSteps[0].mLongRunning = false;
+  mSimulation.Submit(job);
+  mSimulation.RunFor(Milliseconds(1000));
+  size_t starts = 0;
+  mSimulation.mOnOrder = [&](const TaskOrder& aOrder) {
+    starts += aOrder.mKind == OrderKind::kStart ? 1 : 0;
+  };
+  // It is tried after 1.5 and 3 s.
+  mSimulation.RunFor(Milliseconds(6000));
+  CHECK_EQUAL(2U, starts);
+}
+
+TEST(AvoidedWorkerTest, TheOthersFollowATaskThatIsDone)
+{
+  LabelWorkers(1);
+  const WorkerId bad = mSimulation.Worker(0).mInfo.mId;
+  mSimulation.mFailingWorkers.insert(bad);
+  JobGraph job = LabelledJob();
+  job.mSteps[0].mLongRunning = false;
+  mSimulation.Submit(job);
+  while (mSimulation.Running() == 0) {
+    mSimulation.Step();
+  }
+  mSimulation.mFailingWorkers.clear();
+  mSimulation.mDurationOf = [](const TaskRef&) { return Milliseconds(300); };
+  // 1.5 s and the two durations, with time for the messages.
+  mSimulation.RunFor(Milliseconds(3300));
+  CHECK(JobPhase::kCompleted ==
+        mSimulation.Owner(0).mShard->Phase(JobId("lasting")));
+}
+
+// A worker that fails again each time it is tried is left alone for longer.
+TEST(AvoidedWorkerTest, AWorkerThatKeepsFailingIsAvoidedForLonger)
+{
+  LabelWorkers(1);
+  const WorkerId bad = mSimulation.Worker(0).mInfo.mId;
+  mSimulation.mFailingWorkers.insert(bad);
+  JobGraph job = LabelledJob();
+  job.mSteps[0].mLongRunning = false;
+  std::vector<MonotonicTime> rounds;
+  mSimulation.mOnOrder = [&](const TaskOrder& aOrder) {
+    const bool isStart = aOrder.mKind == OrderKind::kStart;
+    if (isStart &&
+        (rounds.empty() || rounds.back() + kRound < mSimulation.Now())) {
+      rounds.push_back(mSimulation.Now());
+    }
+  };
+  mSimulation.Submit(job);
+  mSimulation.RunFor(Milliseconds(26000));
+  // After 1.5, 3, 6 and 12 s.
+  CHECK_EQUAL(5U, rounds.size());
+}
+
 // While another worker can take them, a bad one is left alone.
 TEST(AvoidedWorkerTest, LastingTasksLeaveABadWorkerAloneBesideAnother)
 {
--- a/mulberryvalve/core/jobs/shard_scheduler.h
+++ b/mulberryvalve/core/jobs/shard_scheduler.h
@@ -325,6 +325,8 @@
   void TrackWorkerFailures(WorkerEntry& aWorker,
                            const RunEndReport& aRow,
                            MonotonicTime aNow);
+  void BeginTrial(WorkerEntry& aWorker, MonotonicTime aNow);
+  void EndTrial(WorkerEntry& aWorker, MonotonicTime aNow);
   void FinishTask(const TaskRef& aTask);
   void FinishGang(const TaskRef& aTask, MonotonicTime aNow);
   void UpdateJobPhase(JobEntry& aJob, MonotonicTime aNow);
--- a/mulberryvalve/core/jobs/shard_scheduler_ends.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_ends.cc
@@ -19,6 +19,8 @@
 // A lasting task must run again within a few seconds, so one that can run
 // nowhere else tries such a worker at this interval.
 constexpr Milliseconds kRetryInterval{ 3000 };
+// Workers that fail all fail within this time as a rule.
+constexpr Milliseconds kTrialTime{ 2000 };
 // The members of a gang end together. One that is still reported after this
 // time is stopped.
 constexpr Milliseconds kGangEndDelay{ 1000 };
@@ -157,9 +159,11 @@
                                          MonotonicTime aNow)
 {
   if (aRow.mEndKind == EndKind::kDone) {
-    aWorker.mFailuresInRow = 0;
+    EndTrial(aWorker, aNow);
   }
-  if (aRow.mEndKind != EndKind::kFailed) {
+  // Runs that fail while the worker is avoided began before that, so they are
+  // the same evidence.
+  if (aRow.mEndKind != EndKind::kFailed || aNow < aWorker.mCountFailuresFrom) {
     return;
   }
   aWorker.mFailuresInRow++;
@@ -169,10 +173,36 @@
   const int doublings =
     std::min(aWorker.mFailuresInRow - kFailuresToAvoid, kMaxAvoidanceDoublings);
   const Milliseconds avoidance = kInitialAvoidance * (1 << doublings);
+  aWorker.mCountFailuresFrom = aNow + std::min(avoidance, kRetryInterval);
   const MonotonicTime retryAt =
-    std::max(aWorker.mRetryAt, aNow + std::min(avoidance, kRetryInterval));
+    std::max(aWorker.mRetryAt, aWorker.mCountFailuresFrom);
   AvoidWorker(aWorker, aNow + avoidance, "fails all");
   aWorker.mRetryAt = retryAt;
+  aWorker.mTrialUntil.reset();
+}
+
+// After a start on a worker that failed all before: it gets no more until that
+// task is done or has run for a while.
+void ShardScheduler::BeginTrial(WorkerEntry& aWorker, MonotonicTime aNow)
+{
+  if (aWorker.mFailuresInRow < kFailuresToAvoid || aWorker.mTrialUntil) {
+    return;
+  }
+  aWorker.mTrialUntil = aNow + kTrialTime;
+  AvoidWorker(aWorker, *aWorker.mTrialUntil, "one task tries it");
+}
+
+void ShardScheduler::EndTrial(WorkerEntry& aWorker, MonotonicTime aNow)
+{
+  aWorker.mFailuresInRow = 0;
+  const bool isOnTrial =
+    aWorker.mTrialUntil && aWorker.mAvoidUntil <= *aWorker.mTrialUntil;
+  if (isOnTrial) {
+    aWorker.mAvoidUntil = std::min(aWorker.mAvoidUntil, aNow);
+    aWorker.mRetryAt = aWorker.mAvoidUntil;
+    mWorkers.MarkChanged(aWorker);
+  }
+  aWorker.mTrialUntil.reset();
 }
 
 void ShardScheduler::FinishTask(const TaskRef& aTask)
--- a/mulberryvalve/core/jobs/shard_scheduler_losses.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_losses.cc
@@ -69,6 +69,8 @@
   // use it until the new incarnation is on the log.
   aWorker.mRecorded = false;
   aWorker.mFailuresInRow = 0;
+  aWorker.mCountFailuresFrom = MonotonicTime();
+  aWorker.mTrialUntil.reset();
   aWorker.mForeignDemand = Resources();
   aWorker.mForeignDemandUnknown = false;
   aWorker.mNonDurableEnds.clear();
--- a/mulberryvalve/core/jobs/shard_scheduler_starts.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_starts.cc
@@ -45,6 +45,7 @@
   const bool isTolerated =
     HasWaitedTooLong(aJob, mJobTable.StepOf(aTask.mStep), aNow);
   AssignTask(aTask, aWorker, aRun);
+  BeginTrial(aWorker, aNow);
   mJobTable.FindTask(aTask)->mIgnoresPressureLimit = isTolerated;
   if (spec.mBestEffort) {
     aWorker.mBestEffortChangedAt = aNow;
--- a/mulberryvalve/core/jobs/worker_table.h
+++ b/mulberryvalve/core/jobs/worker_table.h
@@ -87,6 +87,11 @@
   // From then on a lasting task that no other worker can take may be tried.
   MonotonicTime mRetryAt;
   int mFailuresInRow = 0;
+  // Failures before this time are of runs that began before it was avoided.
+  MonotonicTime mCountFailuresFrom;
+  // A task tries the worker, which failed all before, until then; others may be
+  // started after that. Empty if none has tried it since it failed last.
+  std::optional<MonotonicTime> mTrialUntil;
   // It is about to be given to another shard, so nothing is started there.
   bool mIsGiven = false;
   // Since when nothing of this shard runs there; looked at where there are
