--- a/bench/jobs/room_bench.cc
+++ b/bench/jobs/room_bench.cc
@@ -118,9 +118,9 @@
               cluster.Requests() - requests,
               MovesOf(cluster, aRow) - moves);
   if (aRow.mShards > 1) {
-    std::printf(" %9.1f %9.1f",
-                RequestCost(cluster, aRow.mShards - 1),
-                UpdateCost(cluster));
+    const double request = RequestCost(cluster, aRow.mShards - 1);
+    const double look = UpdateCost(cluster);
+    std::printf(" %9.1f %9.1f", request, look);
   }
   std::printf("\n");
 }
