Result includes Boost.Outcome's basic_result only

Cause: <boost/outcome/result.hpp> brings Boost.System and Boost.Exception into the 68 sources that include failure.h. core/base/result.h is now the one header that includes the library, and the five aliases of it share BasicResult.

decision_cost.cc then met a false warning of g++ 12 (array-bounds through its own operator delete), which -Werror made an error: its operator is not inlined.

--- a/bench/placement/decision_cost.cc
+++ b/bench/placement/decision_cost.cc
@@ -35,7 +35,9 @@
   return static_cast<char*>(block) + kHeader;
 }
 
-void operator delete(void* aBlock) noexcept
+// Not inlined: the compiler would take the header for an access before the
+// block.
+[[gnu::noinline]] void operator delete(void* aBlock) noexcept
 {
   if (aBlock != nullptr) {
     void* block = static_cast<char*>(aBlock) - kHeader;
--- a/mulberryvalve/adapters/cli/command_line.h
+++ b/mulberryvalve/adapters/cli/command_line.h
@@ -3,8 +3,8 @@
 #define MULBERRYVALVE_ADAPTERS_CLI_COMMAND_LINE_H_
 
 #include "mulberryvalve/adapters/cli/command_spec.h"
+#include "mulberryvalve/core/base/result.h"
 
-#include <boost/outcome/result.hpp>
 #include <map>
 #include <optional>
 #include <string>
@@ -49,10 +49,7 @@
 };
 
 // CommandLineOutcome holds a command line or all faults found.
-using CommandLineOutcome =
-  boost::outcome_v2::basic_result<CommandLine,
-                                  std::vector<SettingFault>,
-                                  boost::outcome_v2::policy::all_narrow>;
+using CommandLineOutcome = BasicResult<CommandLine, std::vector<SettingFault>>;
 
 // ReadCommandLine reads aArgv (aArgc entries, the program name first) with
 // popt, and from aEnvironment (entries NAME=VALUE) the variables of flags that
--- a/mulberryvalve/adapters/cli/ctl_command.h
+++ b/mulberryvalve/adapters/cli/ctl_command.h
@@ -5,10 +5,10 @@
 #include "mulberryvalve/adapters/cli/api_client.h"
 #include "mulberryvalve/adapters/cli/command_line.h"
 #include "mulberryvalve/adapters/cli/exit_code.h"
+#include "mulberryvalve/core/base/result.h"
 #include "mulberryvalve/core/bundle/bundle_fault.h"
 #include "mulberryvalve/ports/out/bundle_reader.h"
 
-#include <boost/outcome/result.hpp>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -26,8 +26,7 @@
 
 // CtlResult holds a T or a CtlFailure.
 template<typename T>
-using CtlResult = boost::outcome_v2::
-  basic_result<T, CtlFailure, boost::outcome_v2::policy::all_narrow>;
+using CtlResult = BasicResult<T, CtlFailure>;
 
 // Report is the output of a command in both formats, and its exit code.
 struct Report
--- a/mulberryvalve/adapters/settings/instance_settings_reader.h
+++ b/mulberryvalve/adapters/settings/instance_settings_reader.h
@@ -4,9 +4,9 @@
 #define MULBERRYVALVE_ADAPTERS_SETTINGS_INSTANCE_SETTINGS_READER_H_
 
 #include "mulberryvalve/adapters/settings/setting_table.h"
+#include "mulberryvalve/core/base/result.h"
 #include "mulberryvalve/core/settings/instance_settings.h"
 
-#include <boost/outcome/result.hpp>
 #include <string>
 #include <vector>
 
@@ -28,10 +28,7 @@
 };
 
 // SettingsOutcome holds a request or all faults found.
-using SettingsOutcome =
-  boost::outcome_v2::basic_result<SettingsRequest,
-                                  std::vector<SettingFault>,
-                                  boost::outcome_v2::policy::all_narrow>;
+using SettingsOutcome = BasicResult<SettingsRequest, std::vector<SettingFault>>;
 
 // ParseSettings reads aArgv (aArgc entries, the program name first) and
 // aEnvironment (entries NAME=VALUE). The modes help and version succeed even if
--- a/mulberryvalve/adapters/settings/setting_value.h
+++ b/mulberryvalve/adapters/settings/setting_value.h
@@ -3,9 +3,9 @@
 #define MULBERRYVALVE_ADAPTERS_SETTINGS_SETTING_VALUE_H_
 
 #include "mulberryvalve/adapters/settings/setting_fault.h"
+#include "mulberryvalve/core/base/result.h"
 #include "mulberryvalve/core/model/worker.h"
 
-#include <boost/outcome/result.hpp>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -63,8 +63,7 @@
 
 // SettingResult holds a T or the kind of the first fault.
 template<typename T>
-using SettingResult = boost::outcome_v2::
-  basic_result<T, SettingFaultKind, boost::outcome_v2::policy::all_narrow>;
+using SettingResult = BasicResult<T, SettingFaultKind>;
 
 // ParseSettingValue parses aText according to aSpec. Addresses are IPv4
 // addresses or IPv6 addresses in brackets. Host names are rejected, and so is
--- a/mulberryvalve/core/base/failure.h
+++ b/mulberryvalve/core/base/failure.h
@@ -1,12 +1,12 @@
 // Failure: the typed error of fallible operations, and Result, which holds a
-// value or a Failure (Boost.Outcome).
+// value or a Failure.
 #ifndef MULBERRYVALVE_CORE_BASE_FAILURE_H_
 #define MULBERRYVALVE_CORE_BASE_FAILURE_H_
 
 #include "mulberryvalve/core/base/enum_table.h"
+#include "mulberryvalve/core/base/result.h"
 #include "mulberryvalve/core/base/time.h"
 
-#include <boost/outcome/result.hpp>
 #include <string>
 #include <utility>
 
@@ -81,8 +81,7 @@
 //   Result<Offset> end = log.Append(...);
 //   if (!end) { return end.error(); }
 template<typename T>
-using Result = boost::outcome_v2::
-  basic_result<T, Failure, boost::outcome_v2::policy::all_narrow>;
+using Result = BasicResult<T, Failure>;
 
 // Fail returns a Failure, which converts to any Result.
 inline Failure Fail(FailureKind aKind,
