JSON's parser and serializer, and the accumulators, are compiled once

Now json_text.cc alone has the former and timing_window.cc the latter.

Texts that were written strictly (orders to workers, calls to the store) now replace invalid UTF-8 as all others do, so that none can end a thread by an exception.

--- a/mulberryvalve/adapters/http/caller_server.cc
+++ b/mulberryvalve/adapters/http/caller_server.cc
@@ -5,6 +5,7 @@
 #include "mulberryvalve/adapters/http/job_routes.h"
 #include "mulberryvalve/adapters/http/operator_routes.h"
 #include "mulberryvalve/adapters/json/api_json.h"
+#include "mulberryvalve/adapters/json/failure_json.h"
 #include "mulberryvalve/adapters/json/json_reader.h"
 #include "mulberryvalve/adapters/json/text_validation.h"
 
--- a/mulberryvalve/adapters/http/http_reply.cc
+++ b/mulberryvalve/adapters/http/http_reply.cc
@@ -1,6 +1,7 @@
 #include "mulberryvalve/adapters/http/http_reply.h"
 
-#include "mulberryvalve/adapters/json/api_json.h"
+#include "mulberryvalve/adapters/json/failure_json.h"
+#include "mulberryvalve/adapters/json/json_text.h"
 #include "mulberryvalve/adapters/json/text_validation.h"
 
 #include <charconv>
@@ -63,8 +64,7 @@
 void SendJson(HttpResponse& aResponse, int aStatus, const json& aBody)
 {
   aResponse.status = aStatus;
-  aResponse.set_content(
-    aBody.dump(-1, ' ', false, json::error_handler_t::replace), kJsonType);
+  aResponse.set_content(WriteJsonText(aBody), kJsonType);
 }
 
 void SendFailure(HttpResponse& aResponse, const Failure& aFailure)
--- a/mulberryvalve/adapters/http/platform_client.cc
+++ b/mulberryvalve/adapters/http/platform_client.cc
@@ -2,6 +2,7 @@
 
 #include "mulberryvalve/adapters/http/http_status.h"
 #include "mulberryvalve/adapters/json/json_reader.h"
+#include "mulberryvalve/adapters/json/json_text.h"
 #include "mulberryvalve/adapters/json/model_json.h"
 #include "mulberryvalve/adapters/json/record_codec.h"
 
@@ -99,7 +100,7 @@
   HttpCall call;
   call.mMethod = HttpMethod::kPost;
   call.mPath = "/v1/streams/" + aStream.Text() + "/append";
-  call.mBody = json{ { "records", std::move(records) } }.dump();
+  call.mBody = WriteJsonText({ { "records", std::move(records) } });
   call.mTimeout = mTimeout;
   const Result<json> answer = ParseAnswer(mPool.Exchange(mPlatform, call));
   if (!answer) {
--- a/mulberryvalve/adapters/http/worker_client.cc
+++ b/mulberryvalve/adapters/http/worker_client.cc
@@ -2,6 +2,7 @@
 
 #include "mulberryvalve/adapters/http/http_status.h"
 #include "mulberryvalve/adapters/json/json_reader.h"
+#include "mulberryvalve/adapters/json/json_text.h"
 #include "mulberryvalve/adapters/json/model_json.h"
 
 #include <charconv>
@@ -169,7 +170,7 @@
   for (const LeaseId& lease : aRequest.mAcknowledged) {
     body["acknowledge"].push_back(lease.Text());
   }
-  const Result<std::string> answer = Post(aWorker, "sync", body.dump());
+  const Result<std::string> answer = Post(aWorker, "sync", WriteJsonText(body));
   if (!answer) {
     return answer.error();
   }
@@ -190,12 +191,13 @@
   body["boot"] = aCommand.mBoot;
   body["class"] = aCommand.mDemand.mClass.Text();
   WriteResources(body, aCommand.mDemand.mResources);
-  const json payload = json::parse(aCommand.mDemand.mPayload, nullptr, false);
+  const json payload = ReadJsonText(aCommand.mDemand.mPayload);
   body["payload"] = payload.is_object() ? payload : json::object();
   body["resume_from"] = aCommand.mResumeFrom.Text();
   body["not_after"] = aCommand.mNotAfter.mMilliseconds;
   body["expires_at"] = aCommand.mExpiresAt.mMilliseconds;
-  const Result<std::string> answer = Post(aWorker, "start", body.dump());
+  const Result<std::string> answer =
+    Post(aWorker, "start", WriteJsonText(body));
   if (!answer) {
     return answer.error();
   }
@@ -207,7 +209,7 @@
                                 const LeaseId& aLease)
 {
   const Result<std::string> answer =
-    Post(aWorker, "stop", LeaseCommandToJson(aFence, aLease).dump());
+    Post(aWorker, "stop", WriteJsonText(LeaseCommandToJson(aFence, aLease)));
   if (!answer) {
     return answer.error();
   }
@@ -218,8 +220,8 @@
                                               const CommandFence& aFence,
                                               const LeaseId& aLease)
 {
-  const Result<std::string> answer =
-    Post(aWorker, "checkpoint", LeaseCommandToJson(aFence, aLease).dump());
+  const Result<std::string> answer = Post(
+    aWorker, "checkpoint", WriteJsonText(LeaseCommandToJson(aFence, aLease)));
   if (!answer) {
     return answer.error();
   }
@@ -242,7 +244,8 @@
 {
   json body = LeaseCommandToJson(aFence, aLease);
   body["percent"] = aPercent;
-  const Result<std::string> answer = Post(aWorker, "throttle", body.dump());
+  const Result<std::string> answer =
+    Post(aWorker, "throttle", WriteJsonText(body));
   if (!answer) {
     return answer.error();
   }
--- a/mulberryvalve/adapters/json/api_json.cc
+++ b/mulberryvalve/adapters/json/api_json.cc
@@ -1,6 +1,7 @@
 #include "mulberryvalve/adapters/json/api_json.h"
 
 #include "mulberryvalve/adapters/json/explanation_json.h"
+#include "mulberryvalve/adapters/json/failure_json.h"
 #include "mulberryvalve/adapters/json/json_reader.h"
 #include "mulberryvalve/adapters/json/model_json.h"
 #include "mulberryvalve/adapters/json/text_validation.h"
@@ -77,13 +78,6 @@
 
 } // namespace
 
-json FailureToJson(const Failure& aFailure)
-{
-  return json{ { "error", kFailureKindNames.Name(aFailure.mKind) },
-               { "field", aFailure.mField },
-               { "detail", aFailure.mDetail } };
-}
-
 json OutcomeToJson(const RequestOutcome& aOutcome)
 {
   json attempts = json::array();
--- a/mulberryvalve/adapters/json/api_json.h
+++ b/mulberryvalve/adapters/json/api_json.h
@@ -12,9 +12,6 @@
 
 namespace mulberryvalve {
 
-// FailureToJson encodes the kind, field and detail of a failure.
-nlohmann::json FailureToJson(const Failure& aFailure);
-
 // OutcomeToJson encodes the outcome of a request without the upstream's body.
 nlohmann::json OutcomeToJson(const RequestOutcome& aOutcome);
 
--- a/mulberryvalve/adapters/json/job_log_json.cc
+++ b/mulberryvalve/adapters/json/job_log_json.cc
@@ -3,6 +3,7 @@
 #include "mulberryvalve/adapters/json/job_step_json.h"
 #include "mulberryvalve/adapters/json/json_fields.h"
 #include "mulberryvalve/adapters/json/json_reader.h"
+#include "mulberryvalve/adapters/json/json_text.h"
 #include "mulberryvalve/adapters/json/learned_json.h"
 #include "mulberryvalve/adapters/json/ownership_json.h"
 #include "mulberryvalve/adapters/json/task_record_json.h"
@@ -29,7 +30,7 @@
 constexpr std::string_view kOwnerPrefix = "owner/";
 constexpr std::string_view kNewestOwnerKey = "owner";
 constexpr std::string_view kLearnedKey = "learned";
-constexpr size_t kMaxRecordBytes = 256 * 1024;
+constexpr size_t kMaxJobRecordBytes = 256 * 1024;
 constexpr size_t kMaxSpecificationBytes = 16 * 1024;
 
 bool ConsumePrefix(std::string_view& aText, std::string_view aPrefix)
@@ -58,13 +59,6 @@
                                     std::to_string(aPart) + "/" + aJob.Text());
 }
 
-// Replaces invalid UTF-8, for which dump() would otherwise throw: input from
-// outside must not crash the owner.
-std::string DumpReplacingInvalidUtf8(const json& aValue)
-{
-  return aValue.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
 json RulesToJson(const QueueRules& aRules)
 {
   return json{ { "service", aRules.mService.Text() },
@@ -177,7 +171,7 @@
 
 // The tasks of a step share a row: job, occurrence, step, array of task
 // indexes.
-constexpr size_t kStepColumns = 4;
+constexpr size_t kProgressStepColumns = 4;
 
 json TasksToJson(const std::vector<TaskRef>& aTasks)
 {
@@ -202,7 +196,7 @@
 
 bool IsStepRow(const json& aRow)
 {
-  return aRow.is_array() && aRow.size() == kStepColumns &&
+  return aRow.is_array() && aRow.size() == kProgressStepColumns &&
          aRow[0].is_string() && IsIndex(aRow[1]) && IsIndex(aRow[2]) &&
          aRow[3].is_array() && !aRow[3].empty() &&
          std::all_of(aRow[3].begin(), aRow[3].end(), IsIndex);
@@ -296,7 +290,7 @@
     object["first_unix_ms"] = aJob.mRecurrence.mFirst.mMilliseconds;
     object["interval_ms"] = aJob.mRecurrence.mInterval.count();
   }
-  return KeyedEntry{ aJob.mId.Text(), DumpReplacingInvalidUtf8(object) };
+  return KeyedEntry{ aJob.mId.Text(), WriteJsonText(object) };
 }
 
 KeyedEntry JobLogJson::Encode(const JobCancellation& aCancellation) const
@@ -332,25 +326,25 @@
     object["may_run"] = TasksToJson(*aWorker.mPossibleTasks);
   }
   return KeyedEntry{ KeyWithPrefix(kWorkerPrefix, aWorker.mId.Text()),
-                     DumpReplacingInvalidUtf8(object) };
+                     WriteJsonText(object) };
 }
 
 KeyedEntry JobLogJson::Encode(const OwnershipRecord& aOwnership) const
 {
   return KeyedEntry{ OwnerKey(aOwnership.mEpoch),
-                     DumpReplacingInvalidUtf8(OwnershipToJson(aOwnership)) };
+                     WriteJsonText(OwnershipToJson(aOwnership)) };
 }
 
 KeyedEntry JobLogJson::Encode(const LearnedRecord& aLearned) const
 {
   return KeyedEntry{ std::string(kLearnedKey),
-                     DumpReplacingInvalidUtf8(LearnedToJson(aLearned)) };
+                     WriteJsonText(LearnedToJson(aLearned)) };
 }
 
 KeyedEntry JobLogJson::Encode(const WorkerMove& aMove) const
 {
   return KeyedEntry{ KeyWithPrefix(kMovePrefix, aMove.mWorker.Text()),
-                     DumpReplacingInvalidUtf8(MoveToJson(aMove)) };
+                     WriteJsonText(MoveToJson(aMove)) };
 }
 
 std::vector<KeyedEntry> JobLogJson::EncodeIntakeTombstones(
@@ -414,7 +408,7 @@
   if (ConsumePrefix(id, kCancelPrefix)) {
     return IntakeItem(JobCancellation{ JobId(std::string(id)) });
   }
-  const Result<json> object = ParseJson(*aEntry.mValue, kMaxRecordBytes);
+  const Result<json> object = ParseJson(*aEntry.mValue, kMaxJobRecordBytes);
   if (!object) {
     return object.error();
   }
@@ -430,7 +424,7 @@
   if (!aEntry.mValue) {
     return ProgressItem(Tombstone{ aEntry.mKey });
   }
-  const Result<json> object = ParseJson(*aEntry.mValue, kMaxRecordBytes);
+  const Result<json> object = ParseJson(*aEntry.mValue, kMaxJobRecordBytes);
   if (!object) {
     return object.error();
   }
--- a/mulberryvalve/adapters/json/json_reader.cc
+++ b/mulberryvalve/adapters/json/json_reader.cc
@@ -1,8 +1,8 @@
 #include "mulberryvalve/adapters/json/json_reader.h"
 
-#include <unordered_set>
+#include "mulberryvalve/adapters/json/json_text.h"
+
 #include <utility>
-#include <vector>
 
 namespace mulberryvalve {
 namespace {
@@ -35,32 +35,6 @@
   return deepest;
 }
 
-// DuplicateNameDetector is a parser callback that detects duplicate names in an
-// object.
-class DuplicateNameDetector
-{
-public:
-  bool operator()(json::parse_event_t aEvent, const json& aParsed)
-  {
-    if (aEvent == json::parse_event_t::object_start) {
-      mNamesOfOpenObjects.emplace_back();
-    } else if (aEvent == json::parse_event_t::object_end) {
-      mNamesOfOpenObjects.pop_back();
-    } else if (aEvent == json::parse_event_t::key) {
-      const auto& name = aParsed.get_ref<const std::string&>();
-      mHasDuplicate =
-        !mNamesOfOpenObjects.back().insert(name).second || mHasDuplicate;
-    }
-    return true;
-  }
-
-  bool HasDuplicate() const { return mHasDuplicate; }
-
-private:
-  std::vector<std::unordered_set<std::string>> mNamesOfOpenObjects;
-  bool mHasDuplicate = false;
-};
-
 std::optional<Failure> CheckSizeAndDepth(std::string_view aText,
                                          size_t aMaxBytes)
 {
@@ -93,7 +67,7 @@
   if (const auto fault = CheckSizeAndDepth(aText, aMaxBytes)) {
     return *fault;
   }
-  return RequireObject(json::parse(aText, nullptr, false));
+  return RequireObject(ReadJsonText(aText));
 }
 
 Result<json> ParseJsonWithUniqueNames(std::string_view aText, size_t aMaxBytes)
@@ -101,12 +75,9 @@
   if (const auto fault = CheckSizeAndDepth(aText, aMaxBytes)) {
     return *fault;
   }
-  DuplicateNameDetector names;
-  const auto check = [&names](int, json::parse_event_t aEvent, json& aParsed) {
-    return names(aEvent, aParsed);
-  };
-  json parsed = json::parse(aText, check, false);
-  if (names.HasDuplicate()) {
+  bool hasDuplicateNames = false;
+  json parsed = ReadJsonTextAndNames(aText, hasDuplicateNames);
+  if (hasDuplicateNames) {
     return Fail(FailureKind::kMalformed, "", "a name stands twice");
   }
   return RequireObject(std::move(parsed));
--- a/mulberryvalve/adapters/json/json_sanitizer.cc
+++ b/mulberryvalve/adapters/json/json_sanitizer.cc
@@ -1,12 +1,13 @@
 #include "mulberryvalve/adapters/json/json_sanitizer.h"
 
+#include "mulberryvalve/adapters/json/text_validation.h"
+
 #include <charconv>
 #include <cstdint>
 
 namespace mulberryvalve {
 namespace {
 
-constexpr unsigned char kFirstPrintable = 0x20;
 constexpr size_t kEscapeBytes = 6; // \uXXXX
 constexpr std::string_view kHex = "0123456789abcdef";
 
--- a/mulberryvalve/adapters/json/layout_json.cc
+++ b/mulberryvalve/adapters/json/layout_json.cc
@@ -1,6 +1,7 @@
 #include "mulberryvalve/adapters/json/layout_json.h"
 
 #include "mulberryvalve/adapters/json/json_reader.h"
+#include "mulberryvalve/adapters/json/json_text.h"
 
 namespace mulberryvalve {
 namespace {
@@ -9,7 +10,7 @@
 
 constexpr const char* kProcessorPrefix = "processor/";
 constexpr const char* kThousandths = "thousandths";
-constexpr size_t kMaxRecordBytes = 1024;
+constexpr size_t kMaxLayoutRecordBytes = 1024;
 
 } // namespace
 
@@ -17,7 +18,7 @@
 {
   const json object{ { kThousandths, aCapacity.mProcessor } };
   return KeyedEntry{ kProcessorPrefix + std::to_string(aCapacity.mProcessor),
-                     object.dump() };
+                     WriteJsonText(object) };
 }
 
 Result<CpuCapacityRecord> LayoutJson::DecodeLayout(
@@ -26,7 +27,7 @@
   if (!aEntry.mValue) {
     return Fail(FailureKind::kMalformed, "layout", aEntry.mKey);
   }
-  const Result<json> object = ParseJson(*aEntry.mValue, kMaxRecordBytes);
+  const Result<json> object = ParseJson(*aEntry.mValue, kMaxLayoutRecordBytes);
   if (!object) {
     return object.error();
   }
--- a/mulberryvalve/adapters/json/record_codec.cc
+++ b/mulberryvalve/adapters/json/record_codec.cc
@@ -1,6 +1,7 @@
 #include "mulberryvalve/adapters/json/record_codec.h"
 
 #include "mulberryvalve/adapters/json/json_reader.h"
+#include "mulberryvalve/adapters/json/json_text.h"
 #include "mulberryvalve/adapters/json/model_json.h"
 #include "mulberryvalve/adapters/json/snapshot_json.h"
 
@@ -387,7 +388,7 @@
   }
   std::visit([&](const auto& aBody) { WriteFields(object, aBody); },
              aRecord.mBody);
-  return object.dump(-1, ' ', false, json::error_handler_t::replace);
+  return WriteJsonText(object);
 }
 
 Result<LogRecord> DecodeRecord(std::string_view aText)
--- a/mulberryvalve/adapters/json/task_record_json.cc
+++ b/mulberryvalve/adapters/json/task_record_json.cc
@@ -1,5 +1,7 @@
 #include "mulberryvalve/adapters/json/task_record_json.h"
 
+#include "mulberryvalve/adapters/json/json_text.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -15,12 +17,6 @@
 
 using TaskKey = std::tuple<uint32_t, uint32_t, uint32_t>;
 
-// Replaces invalid UTF-8, for which dump() would otherwise throw.
-std::string Quoted(const std::string& aText)
-{
-  return json(aText).dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
 void AppendNumber(std::string& aText, uint64_t aNumber)
 {
   std::array<char, std::numeric_limits<uint64_t>::digits10 + 1> digits{};
@@ -34,7 +30,7 @@
 constexpr size_t kTaskColumns = 7;
 constexpr size_t kNumberColumns = 5;
 // Columns of a row of possible workers before the first of these.
-constexpr size_t kStepColumns = 2;
+constexpr size_t kPossibleStepColumns = 2;
 // Columns of a row of a gang's failed runs before the first of these.
 constexpr size_t kMemberColumns = 3;
 
@@ -58,8 +54,8 @@
     separator = ",";
   }
   aText += "],";
-  aText +=
-    aTask.mCheckpoint.Empty() ? "\"\"" : Quoted(aTask.mCheckpoint.Text());
+  aText += aTask.mCheckpoint.Empty() ? "\"\""
+                                     : WriteJsonText(aTask.mCheckpoint.Text());
   aText += ']';
 }
 
@@ -85,7 +81,7 @@
   AppendNumber(aText, aStep.second);
   for (const auto& [worker, indexes] : aPlaces) {
     aText += ',';
-    aText += Quoted(worker.Text());
+    aText += WriteJsonText(worker.Text());
     for (const uint32_t index : indexes) {
       aText += ',';
       AppendNumber(aText, index);
@@ -153,11 +149,12 @@
 // worker's name is followed by at least one index.
 bool IsPlacesRow(const json& aRow)
 {
-  const bool hasStep = aRow.is_array() && aRow.size() > kStepColumns + 1 &&
+  const bool hasStep = aRow.is_array() &&
+                       aRow.size() > kPossibleStepColumns + 1 &&
                        IsNumber32(aRow[0]) && IsNumber32(aRow[1]) &&
-                       aRow[kStepColumns].is_string();
+                       aRow[kPossibleStepColumns].is_string();
   bool isName = false;
-  for (size_t column = kStepColumns; hasStep && column < aRow.size();
+  for (size_t column = kPossibleStepColumns; hasStep && column < aRow.size();
        column++) {
     const bool wasName = std::exchange(isName, aRow[column].is_string());
     if (isName ? wasName || aRow[column].get_ref<const std::string&>().empty()
@@ -233,7 +230,7 @@
       return Fail(FailureKind::kMalformed, "on", "a row is not readable");
     }
     WorkerId worker;
-    for (size_t column = kStepColumns; column < row.size(); column++) {
+    for (size_t column = kPossibleStepColumns; column < row.size(); column++) {
       if (row[column].is_string()) {
         worker = WorkerId(row[column].get<std::string>());
         continue;
--- a/mulberryvalve/adapters/json/text_validation.cc
+++ b/mulberryvalve/adapters/json/text_validation.cc
@@ -1,12 +1,13 @@
 #include "mulberryvalve/adapters/json/text_validation.h"
 
+#include "mulberryvalve/adapters/json/json_text.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace mulberryvalve {
 namespace {
 
-constexpr unsigned char kFirstPrintable = 0x20;
 constexpr unsigned char kDelete = 0x7f;
 
 bool IsControl(char aByte)
@@ -17,9 +18,8 @@
 
 bool IsUtf8(const std::string& aText)
 {
-  const std::string quoted = nlohmann::json(aText).dump(
-    -1, ' ', false, nlohmann::json::error_handler_t::ignore);
-  return nlohmann::json::parse(quoted).get_ref<const std::string&>() == aText;
+  const std::string quoted = WriteJsonText(aText);
+  return ReadJsonText(quoted).get_ref<const std::string&>() == aText;
 }
 
 } // namespace
--- a/mulberryvalve/adapters/json/text_validation.h
+++ b/mulberryvalve/adapters/json/text_validation.h
@@ -11,6 +11,8 @@
 
 inline constexpr size_t kMaxNameBytes = 100;
 inline constexpr size_t kMaxIdBytes = 256;
+// The first ASCII code that is no control character.
+inline constexpr unsigned char kFirstPrintable = 0x20;
 
 // CheckPrintable returns kInvalidInput for aField when aText is longer than
 // aMaxBytes, contains a control character or is not UTF-8. Thread-safe.
--- a/mulberryvalve/adapters/metrics/timing_window.cc
+++ b/mulberryvalve/adapters/metrics/timing_window.cc
@@ -2,8 +2,17 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/mean.hpp>
+#include <boost/accumulators/statistics/min.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/tail.hpp>
 #include <cstddef>
 #include <limits>
+#include <utility>
 
 namespace mulberryvalve {
 namespace {
@@ -60,30 +69,57 @@
 
 } // namespace
 
+struct TimingWindow::Accumulators
+{
+  acc::accumulator_set<double,
+                       acc::stats<acc::tag::count,
+                                  acc::tag::mean,
+                                  acc::tag::min,
+                                  acc::tag::max,
+                                  acc::tag::tail<acc::right>,
+                                  acc::tag::extended_p_square>>
+    mSet{ acc::tag::tail<acc::right>::cache_size = kTailSize,
+          acc::extended_p_square_probabilities = kBodyProbabilities };
+};
+
 TimingWindow::TimingWindow()
-  : mAccumulators(acc::tag::tail<acc::right>::cache_size = kTailSize,
-                  acc::extended_p_square_probabilities = kBodyProbabilities)
+  : mAccumulators(std::make_unique<Accumulators>())
+{
+}
+
+TimingWindow::~TimingWindow() = default;
+
+TimingWindow::TimingWindow(const TimingWindow& aOther)
+  : mAccumulators(std::make_unique<Accumulators>(*aOther.mAccumulators))
+{
+}
+
+TimingWindow::TimingWindow(TimingWindow&& aOther) noexcept = default;
+
+TimingWindow& TimingWindow::operator=(TimingWindow aOther) noexcept
 {
+  std::swap(mAccumulators, aOther.mAccumulators);
+  return *this;
 }
 
 void TimingWindow::Add(double aMicroseconds)
 {
-  mAccumulators(aMicroseconds);
+  mAccumulators->mSet(aMicroseconds);
 }
 
 uint64_t TimingWindow::Count() const
 {
-  return acc::count(mAccumulators);
+  return acc::count(mAccumulators->mSet);
 }
 
 double TimingWindow::Mean() const
 {
-  return acc::mean(mAccumulators);
+  return acc::mean(mAccumulators->mSet);
 }
 
 double TimingWindow::Max() const
 {
-  return acc::max(mAccumulators);
+  return acc::max(mAccumulators->mSet);
 }
 
 // AppendBody interpolates between the estimated quantiles, from the minimum to
@@ -92,10 +128,10 @@
                               double aTailMin) const
 {
   const auto count = static_cast<double>(Count());
-  const auto estimates = acc::extended_p_square(mAccumulators);
+  const auto estimates = acc::extended_p_square(mAccumulators->mSet);
   const QuantilePoint tailStart{ 1 - static_cast<double>(kTailSize) / count,
                                  aTailMin };
-  QuantilePoint low{ 0, acc::min(mAccumulators) };
+  QuantilePoint low{ 0, acc::min(mAccumulators->mSet) };
   for (size_t i = 0; i < kBodyProbabilities.size(); i++) {
     const double estimate = estimates[static_cast<std::ptrdiff_t>(i)];
     const QuantilePoint high{ kBodyProbabilities[i],
@@ -112,7 +148,7 @@
 void TimingWindow::AppendValues(std::vector<WeightedValue>& aValues) const
 {
   double tailMin = std::numeric_limits<double>::infinity();
-  for (const double value : acc::tail(mAccumulators)) {
+  for (const double value : acc::tail(mAccumulators->mSet)) {
     aValues.push_back({ value, 1 });
     tailMin = std::min(tailMin, value);
   }
--- a/mulberryvalve/adapters/metrics/timing_window.h
+++ b/mulberryvalve/adapters/metrics/timing_window.h
@@ -3,15 +3,8 @@
 #ifndef MULBERRYVALVE_ADAPTERS_METRICS_TIMING_WINDOW_H_
 #define MULBERRYVALVE_ADAPTERS_METRICS_TIMING_WINDOW_H_
 
-#include <boost/accumulators/accumulators.hpp>
-#include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/extended_p_square.hpp>
-#include <boost/accumulators/statistics/max.hpp>
-#include <boost/accumulators/statistics/mean.hpp>
-#include <boost/accumulators/statistics/min.hpp>
-#include <boost/accumulators/statistics/stats.hpp>
-#include <boost/accumulators/statistics/tail.hpp>
 #include <cstdint>
+#include <memory>
 #include <vector>
 
 namespace mulberryvalve {
@@ -37,11 +30,16 @@
 
 // TimingWindow keeps count, mean, minimum, maximum and the largest observations
 // exactly, and estimates the quantiles below those with the extended P-square
-// algorithm. Not thread-safe.
+// algorithm. Not thread-safe. A window that was moved from may only be assigned
+// to or destroyed.
 class TimingWindow
 {
 public:
   TimingWindow();
+  ~TimingWindow();
+  TimingWindow(const TimingWindow& aOther);
+  TimingWindow(TimingWindow&& aOther) noexcept;
+  TimingWindow& operator=(TimingWindow aOther) noexcept;
 
   // Add records one observation in microseconds.
   void Add(double aMicroseconds);
@@ -61,19 +59,12 @@
   void AppendValues(std::vector<WeightedValue>& aValues) const;
 
 private:
-  using Accumulators = boost::accumulators::accumulator_set<
-    double,
-    boost::accumulators::stats<
-      boost::accumulators::tag::count,
-      boost::accumulators::tag::mean,
-      boost::accumulators::tag::min,
-      boost::accumulators::tag::max,
-      boost::accumulators::tag::tail<boost::accumulators::right>,
-      boost::accumulators::tag::extended_p_square>>;
+  // Defined in the source file: its headers are costly to compile.
+  struct Accumulators;
 
   void AppendBody(std::vector<WeightedValue>& aValues, double aTailMin) const;
 
-  Accumulators mAccumulators;
+  std::unique_ptr<Accumulators> mAccumulators;
 };
 
 // Summarize merges aWindows, for example those of several shards.
