adapters/websocket moves frames; ws_call encodes queries

Cause: ws_peer_query_transport.cc instantiated the library's client and server, each with a configuration of its own and with logs that were switched off: 30.9 s and 746 MB in one compilation. Now both have one configuration with empty logs, the connection is compiled once, and client and server are sources of their own that know no queries.

Measured (g++ -O3): the largest of the sources takes 467 MB (457 in the build).

--- /dev/null
+++ b/mulberryvalve/adapters/websocket/websocket_connection.cc
@@ -0,0 +1,3 @@
+#include "mulberryvalve/adapters/websocket/websocket_endpoint.h"
+
+template class websocketpp::connection<mulberryvalve::WebSocketConfig>;
--- a/mulberryvalve/adapters/ws_peer/inbound_peers.cc
+++ b/mulberryvalve/adapters/ws_peer/inbound_peers.cc
@@ -1,19 +1,18 @@
 #include "mulberryvalve/adapters/ws_peer/inbound_peers.h"
 
+#include "mulberryvalve/adapters/websocket/websocket_endpoint.h"
 #include "mulberryvalve/adapters/ws_peer/peer_status_codec.h"
-#include "mulberryvalve/adapters/ws_peer/websocket_endpoint.h"
 
 #include <atomic>
 #include <map>
 #include <string>
 #include <utility>
-#include <websocketpp/config/asio_no_tls.hpp>
 #include <websocketpp/server.hpp>
 
 namespace mulberryvalve {
 namespace {
 
-using Server = websocketpp::server<websocketpp::config::asio>;
+using Server = websocketpp::server<WebSocketConfig>;
 using ConnectionHandle = websocketpp::connection_hdl;
 using Tcp = asio::ip::tcp;
 namespace close_code = websocketpp::close::status;
@@ -56,7 +55,7 @@
     , mAcceptor(aIo)
     , mAcceptRetryTimer(aIo)
   {
-    ConfigureEndpoint(mServer, aIo, mOptions, kMaxFrameBytes);
+    ConfigureEndpoint(mServer, aIo, mOptions.mConnectTimeout, kMaxFrameBytes);
   }
 
   Result<uint16_t> Bind()
--- a/mulberryvalve/adapters/ws_peer/outbound_peers.cc
+++ b/mulberryvalve/adapters/ws_peer/outbound_peers.cc
@@ -1,17 +1,16 @@
 #include "mulberryvalve/adapters/ws_peer/outbound_peers.h"
 
-#include "mulberryvalve/adapters/ws_peer/websocket_endpoint.h"
+#include "mulberryvalve/adapters/websocket/websocket_endpoint.h"
 
 #include <algorithm>
 #include <atomic>
 #include <utility>
 #include <websocketpp/client.hpp>
-#include <websocketpp/config/asio_no_tls_client.hpp>
 
 namespace mulberryvalve {
 namespace {
 
-using Client = websocketpp::client<websocketpp::config::asio_client>;
+using Client = websocketpp::client<WebSocketConfig>;
 using ConnectionHandle = websocketpp::connection_hdl;
 namespace close_code = websocketpp::close::status;
 namespace opcode = websocketpp::frame::opcode;
@@ -76,7 +75,7 @@
     , mIo(aIo)
     , mOnClosed(std::move(aOnClosed))
   {
-    ConfigureEndpoint(mClient, mIo, mOptions, kMaxReplyBytes);
+    ConfigureEndpoint(mClient, mIo, mOptions.mConnectTimeout, kMaxReplyBytes);
   }
 
   Result<void> CheckPeerAddresses() const
