--- a/mulberryvalve/adapters/http/async_http_client.cc
+++ b/mulberryvalve/adapters/http/async_http_client.cc
@@ -1,6 +1,7 @@
 #include "mulberryvalve/adapters/http/async_http_client.h"
 
 #include "mulberryvalve/adapters/http/async_http_connection.h"
+#include "mulberryvalve/adapters/http/http_connection_limits.h"
 
 #include <algorithm>
 #include <functional>
@@ -14,9 +15,6 @@
 
 using Steady = std::chrono::steady_clock;
 
-constexpr Milliseconds kMaxConnect{ 500 };
-constexpr std::chrono::seconds kMaxIdle{ 20 };
-
 } // namespace
 
 // Only the thread that runs mIo accesses the members declared below it.
--- a/mulberryvalve/adapters/http/async_http_connection.cc
+++ b/mulberryvalve/adapters/http/async_http_connection.cc
@@ -10,7 +10,7 @@
 using Steady = std::chrono::steady_clock;
 using asio::ip::tcp;
 
-constexpr size_t kReadBytes = 16 * 1024;
+constexpr size_t kReadBufferBytes = 16 * 1024;
 // Extra time to read bytes that had arrived by the deadline.
 constexpr Milliseconds kLateReadGrace{ 20 };
 
@@ -219,7 +219,7 @@
     mListener.OnClosed(*this);
     return;
   }
-  std::array<char, kReadBytes> bytes;
+  std::array<char, kReadBufferBytes> bytes;
   std::error_code error = aError;
   const size_t got = error ? 0 : mSocket.read_some(asio::buffer(bytes), error);
   if (error == asio::error::would_block) {
--- a/mulberryvalve/adapters/http/http_client_pool.cc
+++ b/mulberryvalve/adapters/http/http_client_pool.cc
@@ -1,6 +1,7 @@
 #include "mulberryvalve/adapters/http/http_client_pool.h"
 
 #include "mulberryvalve/adapters/http/client_socket.h"
+#include "mulberryvalve/adapters/http/http_connection_limits.h"
 #include "mulberryvalve/core/base/mutex.h"
 
 #include <algorithm>
@@ -17,8 +18,6 @@
 using Steady = std::chrono::steady_clock;
 
 constexpr size_t kShards = 16;
-constexpr Milliseconds kMaxConnect{ 500 };
-constexpr std::chrono::seconds kMaxIdle{ 20 };
 constexpr size_t kReadBytes = 4 * 1024;
 
 // Connection is a kept-alive connection and the time of its last answer.
--- a/mulberryvalve/app/jobs/config_follower.cc
+++ b/mulberryvalve/app/jobs/config_follower.cc
@@ -9,7 +9,7 @@
 
 // A longer wait would delay the detection of a dead connection.
 constexpr Milliseconds kReadTimeout{ 1500 };
-constexpr Milliseconds kRetryDelay{ 200 };
+constexpr Milliseconds kConfigRetryDelay{ 200 };
 
 } // namespace
 
@@ -63,7 +63,7 @@
           { "detail", config.error().mDetail },
           { "in_force", std::to_string(mView.Current()->mVersion) } });
     }
-    mStop.WaitUntil(Steady::now() + kRetryDelay);
+    mStop.WaitUntil(Steady::now() + kConfigRetryDelay);
   }
 }
 
--- a/mulberryvalve/app/jobs/intake_relay_client.cc
+++ b/mulberryvalve/app/jobs/intake_relay_client.cc
@@ -12,7 +12,7 @@
 }
 
 // Returns how an append ended, or nothing if it says nothing about the log.
-std::optional<LogCallEnd> EndOf(const Result<void>& aOutcome)
+std::optional<LogCallEnd> EndIfTold(const Result<void>& aOutcome)
 {
   if (aOutcome) {
     return LogCallEnd::kAnswered;
@@ -95,7 +95,7 @@
                                     const Result<void>& aOutcome,
                                     Milliseconds aTook)
 {
-  const std::optional<LogCallEnd> end = EndOf(aOutcome);
+  const std::optional<LogCallEnd> end = EndIfTold(aOutcome);
   if (end) {
     Apply(aShard, aTook, [&](IntakeRelay& aRelay) {
       aRelay.OnOwnAppend(*end, aTook, mPorts.mClock.Now());
--- a/mulberryvalve/app/jobs/job_graph_service.cc
+++ b/mulberryvalve/app/jobs/job_graph_service.cc
@@ -7,7 +7,7 @@
 namespace mulberryvalve {
 namespace {
 
-constexpr Milliseconds kPeerTimeout{ 600 };
+constexpr Milliseconds kAskTimeout{ 600 };
 // A query is retried only while its caller has at least this much time
 // remaining.
 constexpr Milliseconds kMinTimeToRetry{ 100 };
@@ -158,10 +158,8 @@
     if (owner) {
       const auto remaining = std::chrono::duration_cast<Milliseconds>(
         aDeadline - mPorts.mClock.Now());
-      Result<PeerQueryResult> answer =
-        mPorts.mPeers.Ask(*owner,
-                          aQuestion,
-                          std::clamp(remaining, Milliseconds(1), kPeerTimeout));
+      Result<PeerQueryResult> answer = mPorts.mPeers.Ask(
+        *owner, aQuestion, std::clamp(remaining, Milliseconds(1), kAskTimeout));
       if (answer) {
         mPorts.mMemberships.OnPeerAnswer(aQuestion.mShard, answer.value());
       }
--- a/mulberryvalve/app/jobs/owner_delay_metrics.cc
+++ b/mulberryvalve/app/jobs/owner_delay_metrics.cc
@@ -6,7 +6,7 @@
 namespace mulberryvalve {
 namespace {
 
-constexpr Milliseconds kReportInterval{ 1000 };
+constexpr Milliseconds kDelayReportInterval{ 1000 };
 
 // The timing metric of a delay, and the value from which on the owner counts as
 // behind.
@@ -29,18 +29,9 @@
   }
 };
 
-constexpr bool InOrder()
-{
-  for (size_t i = 0; i < kThresholds.size(); i++) {
-    if (static_cast<size_t>(kThresholds[i].mDelay) != i) {
-      return false;
-    }
-  }
-  return true;
-}
-static_assert(InOrder());
+static_assert(RowsFollowEnum(kThresholds, &DelayThreshold::mDelay));
 
-std::string InMilliseconds(Microseconds aLength)
+std::string MillisecondsText(Microseconds aLength)
 {
   return std::to_string(
     std::chrono::duration_cast<Milliseconds>(aLength).count());
@@ -52,7 +43,7 @@
   : mMetrics(aMetrics)
   , mSince(aSince)
   , mProcessorSince(std::clock())
-  , mReportAt(aSince + kReportInterval)
+  , mReportAt(aSince + kDelayReportInterval)
 {
 }
 
@@ -72,7 +63,7 @@
     if (aNow < mReportAt) {
       return std::nullopt;
     }
-    mReportAt = aNow + kReportInterval;
+    mReportAt = aNow + kDelayReportInterval;
     std::swap(longest, mLongest);
   }
   bool behind = false;
@@ -84,7 +75,7 @@
     }
     behind = behind || length >= threshold.mThreshold;
     fields.push_back({ std::string(kOwnerDelayNames.Name(threshold.mDelay)),
-                       InMilliseconds(length) });
+                       MillisecondsText(length) });
   }
   if (!behind) {
     return std::nullopt;
@@ -99,8 +90,8 @@
   const double processor =
     static_cast<double>(std::clock() - mProcessorSince) / CLOCKS_PER_SEC;
   return {
-    { "owned_ms", InMilliseconds(aNow - mSince) },
-    { "proof_age_ms", InMilliseconds(aNow - std::max(aProvedAt, mSince)) },
+    { "owned_ms", MillisecondsText(aNow - mSince) },
+    { "proof_age_ms", MillisecondsText(aNow - std::max(aProvedAt, mSince)) },
     { "processor_ms", std::to_string(static_cast<int64_t>(processor * 1000)) },
   };
 }
--- a/mulberryvalve/app/jobs/owner_watchdog.cc
+++ b/mulberryvalve/app/jobs/owner_watchdog.cc
@@ -29,16 +29,7 @@
   { OwnerActivity::kDeciding, std::nullopt, kMaxDecisionAge },
 } };
 
-constexpr bool InOrder()
-{
-  for (size_t i = 0; i < kLimits.size(); i++) {
-    if (static_cast<size_t>(kLimits[i].mActivity) != i) {
-      return false;
-    }
-  }
-  return true;
-}
-static_assert(InOrder());
+static_assert(RowsFollowEnum(kLimits, &ActivityLimit::mActivity));
 
 int64_t InMilliseconds(Microseconds aLength)
 {
--- a/mulberryvalve/app/jobs/shard_runtime_former_owners.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_former_owners.cc
@@ -1,5 +1,6 @@
 // How ShardRuntime asks former owners of its shard.
 #include "mulberryvalve/app/jobs/shard_runtime.h"
+#include "mulberryvalve/core/jobs/clock_rate.h"
 
 #include <algorithm>
 #include <utility>
@@ -12,9 +13,7 @@
 // Most workers answer a new owner within this; only then it asks for the ends
 // of former owners.
 constexpr Milliseconds kFormerOwnerInterval{ 250 };
-constexpr Milliseconds kPeerTimeout{ 500 };
-constexpr int64_t kPerMille = 1000;
-constexpr int64_t kSlowestRatePerMille = 980;
+constexpr Milliseconds kFormerOwnerTimeout{ 500 };
 
 // Returns by when a former owner had ended, or nothing if it may still act. A
 // process listens for its peers from before it owns a shard until after that,
@@ -82,7 +81,7 @@
   query.mProcess = owner.mProcess;
   query.mWorkers = aQuestion.mWorkers;
   const Result<PeerQueryResult> result =
-    mPorts.mPeers.Ask(owner.mPeer, query, kPeerTimeout);
+    mPorts.mPeers.Ask(owner.mPeer, query, kFormerOwnerTimeout);
   const MonotonicTime now = mPorts.mClock.Now();
   const std::optional<MonotonicTime> endedBy = EndFromAnswer(result, now);
   const std::optional<MonotonicTime> provedBy =
--- a/mulberryvalve/app/jobs/shard_runtime_room.cc
+++ b/mulberryvalve/app/jobs/shard_runtime_room.cc
@@ -11,7 +11,7 @@
 using Steady = std::chrono::steady_clock;
 
 constexpr Milliseconds kRoomInterval{ 100 };
-constexpr Milliseconds kPeerTimeout{ 300 };
+constexpr Milliseconds kRoomQueryTimeout{ 300 };
 
 } // namespace
 
@@ -173,7 +173,7 @@
     return std::nullopt;
   }
   const Result<PeerQueryResult> answer =
-    mPorts.mPeers.Ask(*owner, query, kPeerTimeout);
+    mPorts.mPeers.Ask(*owner, query, kRoomQueryTimeout);
   if (answer) {
     mPorts.mOwners->OnPeerAnswer(aShard, answer.value());
   }
--- a/mulberryvalve/app/jobs/worker_send_queue.cc
+++ b/mulberryvalve/app/jobs/worker_send_queue.cc
@@ -7,7 +7,7 @@
 namespace {
 
 // Delay before a renewal is sent again to a worker that did not answer.
-constexpr Milliseconds kRetryDelay{ 300 };
+constexpr Milliseconds kSendRetryDelay{ 300 };
 // Interval of renewals that ask the worker to answer at once because there is
 // no lease to renew.
 constexpr Milliseconds kIdleRenewalInterval{ 100 };
@@ -16,7 +16,7 @@
 // with exponential backoff after that, since the log may be unavailable.
 constexpr Milliseconds kMinDurableWait{ 60 };
 constexpr Milliseconds kMaxDurableWait{ 800 };
-constexpr int kMaxDoublings = 4;
+constexpr int kMaxDelayDoublings = 4;
 
 SendPriority PriorityOf(const TaskOrder& aOrder)
 {
@@ -128,7 +128,7 @@
 {
   mIsRenewalInFlight = false;
   if (aOutcome != OrderOutcome::kAccepted) {
-    mRenewalDueAt = aNow + kRetryDelay;
+    mRenewalDueAt = aNow + kSendRetryDelay;
     return;
   }
   if (aAreEndsDurable) {
@@ -139,7 +139,7 @@
   }
   const Milliseconds wait =
     std::min(kMinDurableWait * (1 << mNotDurableCount), kMaxDurableWait);
-  mNotDurableCount = std::min(mNotDurableCount + 1, kMaxDoublings);
+  mNotDurableCount = std::min(mNotDurableCount + 1, kMaxDelayDoublings);
   mIsWaitingForDurable = !mHaveEndsBecomeDurable;
   mRenewalDueAt = mHaveEndsBecomeDurable ? aNow : aNow + wait;
 }
--- a/mulberryvalve/core/base/enum_table.h
+++ b/mulberryvalve/core/base/enum_table.h
@@ -63,6 +63,20 @@
   }
 };
 
+// RowsFollowEnum returns whether the row of each enumerator, whose first value
+// is 0, stands at its value in aRows.
+template<typename Row, size_t N, typename E>
+constexpr bool RowsFollowEnum(const std::array<Row, N>& aRows,
+                              E Row::*aEnumerator)
+{
+  for (size_t i = 0; i < N; i++) {
+    if (static_cast<size_t>(aRows[i].*aEnumerator) != i) {
+      return false;
+    }
+  }
+  return true;
+}
+
 } // namespace mulberryvalve
 
 #endif // MULBERRYVALVE_CORE_BASE_ENUM_TABLE_H_
--- a/mulberryvalve/core/jobs/account_scheduling.cc
+++ b/mulberryvalve/core/jobs/account_scheduling.cc
@@ -17,7 +17,7 @@
 constexpr Milliseconds kInheritedInterval{ 100 };
 // At most one line an account in this time. Also the time without a refusal
 // after which an account counts as below its limit again.
-constexpr Milliseconds kReportInterval{ 1000 };
+constexpr Milliseconds kLimitReportInterval{ 1000 };
 
 std::string ToText(const Resources& aAmount)
 {
@@ -296,10 +296,10 @@
   std::vector<JobDecision> changes;
   for (auto entry = mLimited.begin(); entry != mLimited.end();) {
     LimitState& state = entry->second;
-    const bool isLimited = aNow < state.mRefusedAt + kReportInterval;
+    const bool isLimited = aNow < state.mRefusedAt + kLimitReportInterval;
     if (isLimited != state.mIsReported && aNow >= state.mReportAt) {
       state.mIsReported = isLimited;
-      state.mReportAt = aNow + kReportInterval;
+      state.mReportAt = aNow + kLimitReportInterval;
       JobDecision decision;
       decision.mKind = isLimited ? DecisionKind::kAccountLimited
                                  : DecisionKind::kAccountUnlimited;
--- a/mulberryvalve/core/jobs/cluster_usage.cc
+++ b/mulberryvalve/core/jobs/cluster_usage.cc
@@ -1,11 +1,11 @@
 #include "mulberryvalve/core/jobs/cluster_usage.h"
 
+#include "mulberryvalve/core/base/scale.h"
 #include "mulberryvalve/core/jobs/job_placement_policy.h"
 
 namespace mulberryvalve {
 namespace {
 
-constexpr int64_t kPercent = 100;
 // Above this usage of all CPU, work waits for a worker that suits it.
 constexpr int64_t kMaxUsedPercent = 60;
 
--- a/mulberryvalve/core/jobs/fair_share_policy.cc
+++ b/mulberryvalve/core/jobs/fair_share_policy.cc
@@ -6,7 +6,7 @@
 namespace mulberryvalve {
 namespace {
 
-bool IsEarlier(const WaitingStep& aLeft, const WaitingStep& aRight)
+bool GoesFirst(const WaitingStep& aLeft, const WaitingStep& aRight)
 {
   return std::tie(aLeft.mShare.mIsBeyondRate,
                   aLeft.mPriority,
@@ -28,7 +28,7 @@
 {
   mOrder.Sort(aSteps, aNow);
   if (std::any_of(aSteps.begin(), aSteps.end(), IsPutBack)) {
-    std::stable_sort(aSteps.begin(), aSteps.end(), IsEarlier);
+    std::stable_sort(aSteps.begin(), aSteps.end(), GoesFirst);
   }
 }
 
--- a/mulberryvalve/core/jobs/former_owners.cc
+++ b/mulberryvalve/core/jobs/former_owners.cc
@@ -1,5 +1,7 @@
 #include "mulberryvalve/core/jobs/former_owners.h"
 
+#include "mulberryvalve/core/jobs/clock_rate.h"
+
 #include <algorithm>
 #include <cstdint>
 #include <utility>
@@ -8,8 +10,6 @@
 namespace {
 
 // Two clocks' rates differ by 2% at most.
-constexpr int64_t kPerMille = 1000;
-constexpr int64_t kSlowestRatePerMille = 980;
 
 // Returns the longest time here that aTime on a former owner's clock can take.
 Milliseconds LongestOf(Milliseconds aTime)
--- a/mulberryvalve/core/jobs/job_placement_policy.cc
+++ b/mulberryvalve/core/jobs/job_placement_policy.cc
@@ -1,5 +1,7 @@
 #include "mulberryvalve/core/jobs/job_placement_policy.h"
 
+#include "mulberryvalve/core/base/scale.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -35,7 +37,6 @@
 // What serving tasks leave of their share, in hundredths; a worker's tasks that
 // fill get it.
 constexpr int64_t kServingUsagePercent = 42;
-constexpr int64_t kPercent = 100;
 
 // Returns the pressure that the best-effort tasks of a worker put on a serving
 // image, with aAddedCpu thousandths of a core more of aImage.
--- a/mulberryvalve/core/jobs/load_trend.cc
+++ b/mulberryvalve/core/jobs/load_trend.cc
@@ -16,11 +16,11 @@
 constexpr double kMaxSlopePerSecond = 0.2;
 // Loads are from 0 to 1. An estimate is above zero, so that it may be divided
 // by.
-constexpr double kMinLoad = 0.05;
+constexpr double kMinTrendLoad = 0.05;
 constexpr double kMaxLoad = 1.0;
 // In square seconds. The differences of reports that arrived within about 0.2 s
 // are those between tasks, not a trend.
-constexpr double kMinVariance = 0.01;
+constexpr double kMinTrendVariance = 0.01;
 
 double SecondsBetween(MonotonicTime aFrom, MonotonicTime aTo)
 {
@@ -45,14 +45,14 @@
   const double meanLoad = mLoads / mWeight;
   const double variance = mSquaredTimes / mWeight - meanTime * meanTime;
   const double covariance = mProducts / mWeight - meanTime * meanLoad;
-  const double slope = variance < kMinVariance
+  const double slope = variance < kMinTrendVariance
                          ? 0
                          : std::clamp(covariance / variance,
                                       -kMaxSlopePerSecond,
                                       kMaxSlopePerSecond);
   const double seconds = SecondsBetween(mSince, aTime);
   return std::clamp(
-    meanLoad + slope * (seconds - meanTime), kMinLoad, kMaxLoad);
+    meanLoad + slope * (seconds - meanTime), kMinTrendLoad, kMaxLoad);
 }
 
 // Moves the origin of time to aNow, so that a new report is at time zero, and
--- a/mulberryvalve/core/jobs/owner_observations.cc
+++ b/mulberryvalve/core/jobs/owner_observations.cc
@@ -1,15 +1,10 @@
 #include "mulberryvalve/core/jobs/owner_observations.h"
 
+#include "mulberryvalve/core/jobs/clock_rate.h"
+
 #include <algorithm>
 
 namespace mulberryvalve {
-namespace {
-
-constexpr int64_t kPerMille = 1000;
-constexpr int64_t kSlowestRatePerMille = 980;
-
-} // namespace
-
 void OwnerObservations::Add(const OwnerAge& aAge, MonotonicTime aReceivedAt)
 {
   const auto [entry, isNew] = mNewest.try_emplace(aAge.mEpoch);
--- a/mulberryvalve/core/jobs/pace_control.cc
+++ b/mulberryvalve/core/jobs/pace_control.cc
@@ -11,7 +11,7 @@
 constexpr double kLoadMargin = 0.0;
 constexpr double kExpectedLoadRise = 0.015;
 // A lower pressure is not worth a pace order.
-constexpr double kMinPressure = 0.03;
+constexpr double kMinPacePressure = 0.03;
 constexpr double kMinLoad = 0.05;
 constexpr int kMinPace = 5;
 constexpr int kMinPaceChange = 10;
@@ -28,7 +28,7 @@
 // limit.
 int MaxPace(const ServingReport& aReport, double aPace)
 {
-  if (aReport.mPressure < kMinPressure) {
+  if (aReport.mPressure < kMinPacePressure) {
     return kFullPace;
   }
   const double ownLoad = std::max(
--- a/mulberryvalve/core/jobs/shard_scheduler_interference.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_interference.cc
@@ -1,6 +1,7 @@
 // Interference: how ShardScheduler learns from the tail latencies of serving
 // tasks how much best-effort tasks slow them down, and how it paces the
 // best-effort tasks.
+#include "mulberryvalve/core/base/scale.h"
 #include "mulberryvalve/core/jobs/shard_scheduler.h"
 
 #include <algorithm>
@@ -12,7 +13,6 @@
 namespace mulberryvalve {
 namespace {
 
-constexpr int64_t kPercent = 100;
 // The loads of sibling tasks are compared only if they were reported within
 // this time of each other. A report covers half a second.
 constexpr Milliseconds kSiblingReportWindow{ 700 };
--- a/mulberryvalve/core/jobs/shard_scheduler_waiting.cc
+++ b/mulberryvalve/core/jobs/shard_scheduler_waiting.cc
@@ -1,5 +1,6 @@
 // Waiting steps: how ShardScheduler sorts them by urgency and logs why they
 // wait.
+#include "mulberryvalve/core/base/scale.h"
 #include "mulberryvalve/core/jobs/job_forecast.h"
 #include "mulberryvalve/core/jobs/shard_scheduler.h"
 
@@ -16,7 +17,6 @@
 // and then at intervals.
 constexpr Milliseconds kFirstWaitLogAfter{ 1000 };
 constexpr Milliseconds kWaitLogInterval{ 5000 };
-constexpr int64_t kPercent = 100;
 // Longer than any objective.
 constexpr Milliseconds kMaxTrustedAge{ 60000 };
 
--- a/mulberryvalve/core/jobs/worker_table.cc
+++ b/mulberryvalve/core/jobs/worker_table.cc
@@ -1,5 +1,6 @@
 #include "mulberryvalve/core/jobs/worker_table.h"
 
+#include "mulberryvalve/core/base/scale.h"
 #include "mulberryvalve/core/jobs/unrecorded_starts.h"
 
 #include <algorithm>
@@ -9,7 +10,6 @@
 namespace mulberryvalve {
 namespace {
 
-constexpr int64_t kPerMille = 1000;
 // A start carries the current lease while at least this much of it remains, so
 // that starts rarely extend a lease. No start carries less.
 constexpr Milliseconds kMinLeaseForStart{ 2500 };
