--- a/mulberryvalve/adapters/http/http_client_pool.cc
+++ b/mulberryvalve/adapters/http/http_client_pool.cc
@@ -20,13 +20,6 @@
 constexpr size_t kShards = 16;
 constexpr size_t kReadBytes = 4 * 1024;
 
-// Connection is a kept-alive connection and the time of its last answer.
-struct Connection
-{
-  std::unique_ptr<ClientSocket> mSocket;
-  Steady::time_point mLastAnswerTime;
-};
-
 // Reads one whole answer; false if it is lost or malformed.
 bool ReceiveAnswer(ClientSocket& aSocket,
                    Steady::time_point aDeadline,
@@ -87,6 +80,13 @@
   }
 
 private:
+  // Connection is a kept-alive connection and the time of its last answer.
+  struct Connection
+  {
+    std::unique_ptr<ClientSocket> mSocket;
+    Steady::time_point mLastAnswerTime;
+  };
+
   struct Shard
   {
     Mutex mMutex;
