--- a/mulberryvalve/adapters/websocket/websocket_endpoint.h
+++ b/mulberryvalve/adapters/websocket/websocket_endpoint.h
@@ -27,6 +27,7 @@
   using alog_type = websocketpp::log::stub;
   using elog_type = websocketpp::log::stub;
 
+  // NOLINTNEXTLINE(readability-identifier-naming): the library's name
   struct transport_config : base::transport_config
   {
     using alog_type = websocketpp::log::stub;
--- a/mulberryvalve/adapters/ws_call/ws_peer_query_transport.cc
+++ b/mulberryvalve/adapters/ws_call/ws_peer_query_transport.cc
@@ -31,7 +31,7 @@
 
   Result<void> Start(PeerQueryHandler& aHandler, PeerIntakeHandler* aIntake)
   {
-    const Result<void> listening = mInbound.Listen(mListen, aHandler, aIntake);
+    Result<void> listening = mInbound.Listen(mListen, aHandler, aIntake);
     if (listening) {
       mThread = std::thread([this] { mIo.run(); });
     }
