--- a/cmake/Mulberryvalve.cmake
+++ b/cmake/Mulberryvalve.cmake
@@ -23,12 +23,18 @@
 endif()
 target_link_libraries(mulberryvalve_flags INTERFACE Threads::Threads)
 
-# mulberryvalve_library(NAME n SOURCES a.cc ... DEPS other ...)
+# mulberryvalve_library(NAME n SOURCES a.cc ... DEPS other ... [UNITY_BATCH count])
+# UNITY_BATCH sources at most share a compilation where CMAKE_UNITY_BUILD is on:
+# more are cheaper and need more memory.
 function(mulberryvalve_library)
-  cmake_parse_arguments(LIB "" "NAME" "SOURCES;DEPS" ${ARGN})
+  cmake_parse_arguments(LIB "" "NAME;UNITY_BATCH" "SOURCES;DEPS" ${ARGN})
   if(LIB_SOURCES)
     add_library(${LIB_NAME} STATIC ${LIB_SOURCES})
     target_link_libraries(${LIB_NAME} PUBLIC mulberryvalve_flags ${LIB_DEPS})
+    if(LIB_UNITY_BATCH)
+      set_target_properties(${LIB_NAME} PROPERTIES
+                            UNITY_BUILD_BATCH_SIZE ${LIB_UNITY_BATCH})
+    endif()
   else()
     add_library(${LIB_NAME} INTERFACE)
     target_link_libraries(${LIB_NAME} INTERFACE mulberryvalve_flags ${LIB_DEPS})
